--- a/spoolbarrow/__main__.py
+++ b/spoolbarrow/__main__.py
@@ -1,4 +1,4 @@
-"""One real router: start, SIGTERM, exit status."""
+"""One real router: start, signals, exit status."""
 
 from __future__ import annotations
 
@@ -15,6 +15,19 @@
 from spoolbarrow.net.log import log
 
 
+def reload(host: Host, inbound: Inbound) -> None:
+    """Go by the configuration file as it is now; a faulty one, or one that comes late, changes nothing."""
+    if inbound.draining:
+        return log("reload_ignored", why="draining")
+    try:
+        settings = config.load()
+        inbound.apply(settings)
+    except (config.ConfigError, OSError) as error:
+        return log("reload_failed", error=str(error))
+    host.apply(settings)
+    log("reloaded", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
+
+
 def main() -> int:
     """Serve until SIGTERM, then finish what was taken."""
     try:
@@ -27,6 +40,8 @@
     gevent.signal_handler(signal.SIGINT, told_to_end.set)
     host = Host(settings)
     inbound = Inbound(settings, host)
+    # Before it listens: what sends SIGHUP may know of no other sign that the program is up.
+    gevent.signal_handler(signal.SIGHUP, reload, host, inbound)
     try:
         inbound.start()
     except OSError as error:
--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -55,8 +55,10 @@
     answer_margin_ms: float = 15.0  # an answer leaves so long before its client gives up
     watch_silence_ms: float = 4000.0  # a watch says something every 2 s: after this it is broken
     call_timeout_ms: float = 4000.0  # discovery's head of an answer must have come by then
-    head_timeout_ms: float = 10_000.0  # a request must be whole so long after its first byte
-    keep_alive_ms: float = 75_000.0  # a client's idle connection is kept so long
+    head_timeout_ms: float = 2000.0  # the first request must be whole so long after connecting, another
+    # one so long after its first byte
+    keep_alive_ms: float = 2500.0  # a client's idle connection is kept so long
+    linger_ms: float = 2000.0  # a client that was told to go may still be sending so long
     stall_ms: float = 30_000.0  # a client that takes nothing of its answer so long has gone
     drain_accept_ms: float = 500.0  # after SIGTERM, connections are accepted so long
     max_head: int = 16_384  # bytes
--- a/spoolbarrow/interface.py
+++ b/spoolbarrow/interface.py
@@ -37,9 +37,10 @@
     RESET = 5  # the connection broke; may have run
     CANCELLED = 6  # may have run
     MOOT = 7  # never transmitted
+    REJECTED = 8  # the replica can't use the request: its client's fault, and no other replica's use
 
 
-NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT})
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHABLE, Outcome.MOOT, Outcome.REJECTED})
 
 
 class ReplicaState(Enum):
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from spoolbarrow import interface as i
-from spoolbarrow.config import Config, HostList, ListEntry
+from spoolbarrow.config import Address, Config, HostList, ListEntry
 from spoolbarrow.net import http1
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import STATES
@@ -21,13 +21,27 @@
 class DestinationSet:
     """Addresses and states by name; `tell` hears each piece of news as the decisions' event."""
 
-    def __init__(self, config: Config, tell: Callable[[i.ReplicaList], None]) -> None:
-        self._config, self._tell = config, tell
-        self._index = config.known.index
+    def __init__(
+        self, config: Config, tell: Callable[[i.ReplicaList], None], left: Callable[[str], None]
+    ) -> None:
+        self._config, self._tell, self._left = config, tell, left
+        self._index: int | None = config.known.index  # None: the whole list must be asked for
         self._watch: gevent.Greenlet[[], None] | None = None
-        self._addresses: dict[str, tuple[str, int]] = {}
+        self._addresses: dict[str, Address] = {}
+        self._started: dict[str, float] = {}
         self._serving: set[str] = set()
 
+    def apply(self, config: Config) -> None:
+        """Go by a new configuration: another discovery is asked afresh, and calls to the old one dropped.
+
+        Until its list has come, the endpoints stay as they are. Its versions need not be the old one's.
+        """
+        old, self._config = self._config, config
+        moved = config.discovery != old.discovery
+        if moved or (config.zones, config.kinds) != (old.zones, old.kinds):
+            self._index = None
+            self.watch()
+
     def restore(self) -> None:
         """Begin with the list as this router last had it."""
         self._take(self._config.known, i.ListKind.RESTORED)
@@ -36,7 +50,7 @@
         """Whether some endpoint is in service."""
         return bool(self._serving)
 
-    def address(self, name: str) -> tuple[str, int] | None:
+    def address(self, name: str) -> Address | None:
         """Where an endpoint listens."""
         return self._addresses.get(name)
 
@@ -69,10 +83,11 @@
 
     def _read_watch(self) -> None:
         options = self._config.options
+        index = self._ask_whole() if self._index is None else self._index
         parser, buffer = http1.ResponseParser(options.max_head), bytearray(RECV)
         pending, told = b"", False
         with http1.connect(self._config.discovery, options.call_timeout_ms / 1000) as sock:
-            target = b"/discovery/hosts?stream=1&index=%d" % self._index
+            target = b"/discovery/hosts?stream=1&index=%d" % index
             http1.send_pieces(sock, http1.get_pieces(target, self._config.discovery))
             while not parser.whole:
                 # Guards against a discovery that was cut off: nothing is said then, and the connection
@@ -92,15 +107,34 @@
                         self._tell(i.ReplicaList(i.ListKind.CHANGES))  # nothing missed: the call's answer
                     told = True
 
+    def _ask_whole(self) -> int:
+        options, discovery = self._config.options, self._config.discovery
+        parser, buffer, body = http1.ResponseParser(options.max_head), bytearray(RECV), b""
+        with (
+            gevent.Timeout(options.call_timeout_ms / 1000),
+            http1.connect(discovery, options.call_timeout_ms / 1000) as sock,
+        ):
+            http1.send_pieces(sock, http1.get_pieces(b"/discovery/hosts", discovery))
+            while not parser.whole:
+                parser.read(sock, buffer)
+                body += b"".join(parser.take_body())
+                if len(body) > MAX_LINE:
+                    raise http1.Fault(502, "list too long")
+        if parser.status != 200:
+            raise http1.Fault(502, f"discovery answered {parser.status}")
+        news = _decoder.decode(body)
+        self._news(news)
+        return news.index
+
     def _news(self, news: HostList) -> None:
         kind = i.ListKind.WHOLE if news.snapshot else i.ListKind.CHANGES
         self._take(news, kind)
         self._index = news.index
 
     def _take(self, news: HostList, kind: i.ListKind) -> None:
-        named = {entry.name for entry in news.endpoints}
         if kind is not i.ListKind.CHANGES:
-            self._serving &= named
+            for name in self._addresses.keys() - {entry.name for entry in news.endpoints}:
+                self._forget(name)
         entries = []
         for entry in news.endpoints:
             made = self._entry(entry)
@@ -109,12 +143,22 @@
             entries.append(made)
             if made.state is i.ReplicaState.SERVING:
                 self._serving.add(entry.name)
-            else:
+            elif made.state is i.ReplicaState.DRAINING:
                 self._serving.discard(entry.name)
+                self._left(entry.name)
+            else:
+                self._forget(entry.name)
         serving = len(self._serving)
         log("destinations", kind=kind.name.lower(), index=news.index, changed=len(entries), serving=serving)
         self._tell(i.ReplicaList(kind, tuple(entries)))
 
+    def _forget(self, name: str) -> None:
+        """Guards against tables that grow with every endpoint that ever was."""
+        self._serving.discard(name)
+        self._addresses.pop(name, None)
+        self._started.pop(name, None)
+        self._left(name)
+
     def _entry(self, entry: ListEntry) -> i.ReplicaEntry | None:
         """The decisions' form of a line; one that can't be used is logged and left out."""
         config = self._config
@@ -122,7 +166,10 @@
         if entry.status not in STATES or not (host and port.isdigit()):
             log("bad_entry", name=entry.name, address=entry.address, status=entry.status)
             return None
-        self._addresses[entry.name] = (host, int(port))
+        listens = (host, int(port))
+        if (self._addresses.get(entry.name), self._started.get(entry.name)) != (listens, entry.since_ms):
+            self._left(entry.name)  # it moved or restarted: connections to what it was are of no use
+        self._addresses[entry.name], self._started[entry.name] = listens, entry.since_ms
         return i.ReplicaEntry(
             entry.name,
             config.zones.get(entry.zone, config.settings.zone),
--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -24,6 +24,7 @@
 TAIL = 4096  # bytes kept of a stream's end, where it tells its usage
 NOT_RUN = b"x-unprocessed"
 LOAD = b"x-backend-load"
+CLIENTS_FAULT = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # others would say the same
 SHORT_NAMES = {"util": "load_share", "queue": "depth"}  # as sockets name them: the settings' names
 
 
@@ -72,8 +73,8 @@
 class Connection:
     """One connection to an endpoint; one request at a time goes over it."""
 
-    def __init__(self, address: Address, sock: socket) -> None:
-        self.address, self.sock = address, sock
+    def __init__(self, endpoint: str, address: Address, sock: socket) -> None:
+        self.endpoint, self.address, self.sock = endpoint, address, sock
         self.idle_since = 0.0
 
     def stale(self) -> bool:
@@ -87,16 +88,25 @@
 class Pool:
     """Connections to all endpoints, within the machine's limit."""
 
-    def __init__(self, config: Config, host: Host) -> None:
-        self._config, self._host = config, host
-        self._idle: dict[Address, deque[Connection]] = {}
+    def __init__(self, config: Config, destinations: DestinationSet, host: Host) -> None:
+        self._destinations, self._host = destinations, host
+        # By endpoint, not by address: another one may come to listen where one has gone.
+        self._idle: dict[str, deque[Connection]] = {}
         self._open = 0
+        self.apply(config)
+
+    def apply(self, config: Config) -> None:
+        """Go by a new configuration."""
+        self._config = config
         # Guards against writing to a connection just as the endpoint closes it for idleness.
         self._idle_ms = config.idle_ms - min(2000.0, 0.2 * config.idle_ms)
 
-    def take(self, address: Address) -> Connection:
+    def take(self, endpoint: str) -> Connection:
         """An idle connection, else a new one; OSError where none comes up."""
-        idle = self._idle.get(address)
+        address = self._destinations.address(endpoint)
+        if address is None:
+            raise OSError("no address")
+        idle = self._idle.get(endpoint)
         while idle:
             connection = idle.pop()  # the warmest: the others grow old and are dropped
             if self._host.now() - connection.idle_since < self._idle_ms and not connection.stale():
@@ -106,29 +116,39 @@
             raise OSError("out of connections")
         self._open += 1
         try:
-            return Connection(address, http1.connect(address, self._config.connect_timeout_ms / 1000))
+            sock = http1.connect(address, self._config.connect_timeout_ms / 1000)
+            return Connection(endpoint, address, sock)
         except BaseException:  # a cancelled attempt's GreenletExit too: the count must stay true
             self._open -= 1
             raise
 
     def give_back(self, connection: Connection) -> None:
-        """Keep a connection for the next request."""
+        """Keep a connection for the next request, if its endpoint is still the one that it leads to."""
+        endpoint = connection.endpoint
+        current = self._destinations.address(endpoint) == connection.address
+        if not (current and self._destinations.serving(endpoint)):
+            return self.drop(connection)
         connection.idle_since = self._host.now()
-        self._idle.setdefault(connection.address, deque()).append(connection)
+        self._idle.setdefault(endpoint, deque()).append(connection)
 
     def drop(self, connection: Connection) -> None:
         """Close a connection."""
         self._open -= 1
         connection.sock.close()
 
+    def forget(self, endpoint: str) -> None:
+        """Drop the idle connections to an endpoint that is gone, drains, or is no longer what it was."""
+        for connection in self._idle.pop(endpoint, ()):
+            self.drop(connection)
+
     def sweep(self) -> None:
         """Drop what has stood idle too long."""
         oldest = self._host.now() - self._idle_ms
-        for address, idle in list(self._idle.items()):
+        for endpoint, idle in list(self._idle.items()):
             while idle and idle[0].idle_since <= oldest:
                 self.drop(idle.popleft())
             if not idle:
-                del self._idle[address]
+                del self._idle[endpoint]
 
     def close(self) -> None:
         """Drop all idle connections."""
@@ -150,7 +170,7 @@
 
     def __init__(self, config: Config, destinations: DestinationSet, host: Host) -> None:
         self._config, self._destinations, self._host = config, destinations, host
-        self._pool = Pool(config, host)
+        self._pool = Pool(config, destinations, host)
         self._sweeper = gevent.spawn(self._sweep)
 
     def send(self, attempt: Attempt) -> None:
@@ -161,6 +181,15 @@
         """Start a probe."""
         gevent.spawn(self._probe, endpoint)
 
+    def apply(self, config: Config) -> None:
+        """Go by a new configuration."""
+        self._config = config
+        self._pool.apply(config)
+
+    def forget(self, endpoint: str) -> None:
+        """Keep nothing of an endpoint that is gone, drains, or is no longer what it was."""
+        self._pool.forget(endpoint)
+
     def close(self) -> None:
         """End the pool."""
         self._sweeper.kill()
@@ -222,15 +251,12 @@
         if parser.status in (503, 504) and parser.fields.get(NOT_RUN) == b"1":
             return i.Outcome.FULL
         log("endpoint_error", request=attempt.request.key, endpoint=attempt.endpoint, status=parser.status)
-        return i.Outcome.ERROR
+        return i.Outcome.REJECTED if parser.status in CLIENTS_FAULT else i.Outcome.ERROR
 
     def _write(self, attempt: Attempt) -> tuple[Connection | None, i.Outcome]:
         """A connection with the whole request written to it, or why there is none."""
-        address = self._destinations.address(attempt.endpoint)
-        if address is None:
-            raise NotSent("no address")
         try:
-            connection = self._pool.take(address)
+            connection = self._pool.take(attempt.endpoint)
         except OSError as error:
             raise NotSent(f"{type(error).__name__}: {error}") from error
         request, written = attempt.request, False
@@ -242,7 +268,8 @@
             if not self._destinations.serving(attempt.endpoint):
                 raise NotSent("withdrawn")
             left = max(1, int(request.deadline - self._host.now()))
-            http1.send_pieces(connection.sock, http1.request_pieces(request.message, address, left))
+            pieces = http1.request_pieces(request.message, connection.address, left)
+            http1.send_pieces(connection.sock, pieces)
             written = True
             return connection, i.Outcome.MOOT
         except OSError as error:
@@ -268,17 +295,14 @@
             self._host.probed(endpoint, outcome, self._host.now() - begun, report)
 
     def _ask_load(self, endpoint: str) -> tuple[i.Outcome, i.Report | None]:
-        address = self._destinations.address(endpoint)
-        if address is None:
-            raise NotSent("no address")
         try:
-            connection = self._pool.take(address)
+            connection = self._pool.take(endpoint)
         except OSError as error:
             raise NotSent(str(error)) from error
         reusable = False
         try:
             path = b"/metrics/load" if self._config.load_probes else b"/alive"
-            http1.send_pieces(connection.sock, http1.get_pieces(path, address))
+            http1.send_pieces(connection.sock, http1.get_pieces(path, connection.address))
             parser, buffer = http1.ResponseParser(self._config.options.max_head), bytearray(RECV)
             body = b""
             while not parser.whole:
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -37,6 +37,9 @@
     def fail(self, late: bool) -> None:
         """Failed; nothing is promised."""
 
+    def reject(self) -> None:
+        """The endpoint can't use the request as its client sent it."""
+
     def pass_on(self, parts: list[bytes]) -> None:
         """Events of the one stream that serves the request; raises OSError when the client has gone."""
 
@@ -51,9 +54,10 @@
     """A client's request until it is answered and its last attempt has ended."""
 
     def __init__(
-        self, message: Message, answer: Answer, facts: i.RequestArrived, now: float, deadline: float
+        self, key: str, id: str, message: Message, answer: Answer, facts: i.RequestArrived,
+        now: float, deadline: float,
     ) -> None:
-        self.key, self.message, self.answer = facts.request, message, answer
+        self.key, self.id, self.message, self.answer = key, id, message, answer
         self.cls, self.tenant = facts.cls, facts.tenant
         self.taken_at, self.deadline = now, deadline
         self.attempts: list[Attempt] = []
@@ -70,7 +74,7 @@
         since = self.taken_at
         return {
             "request": self.key,
-            "id": self.message.fields.get(b"x-correlation-id", b"").decode("latin-1"),
+            "id": self.id,
             "class": self.cls,
             "tenant": self.tenant,
             "answer": self.answered,
@@ -104,10 +108,11 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.now = Clock()
-        self.destinations = DestinationSet(config, self._post)
+        self.destinations = DestinationSet(config, self._post, self._endpoint_left)
         self._endpoints = Endpoints(config, self.destinations, self)
         self._router = Router(config.settings, config.seed)
         self._requests: dict[str, Request] = {}
+        self._ids: set[str] = set()  # the clients' names for them
         self._keys = count(1)
         self._inbox: list[i.Event] = []
         self._wake = Event()
@@ -126,6 +131,13 @@
             self.destinations.watch()  # the decisions expect news unasked
         self._loop = gevent.spawn(self._run)
 
+    def apply(self, config: Config) -> None:
+        """Go by a new configuration; requests under way are not touched."""
+        self.config = config
+        self._router.configure(config.settings)
+        self._endpoints.apply(config)
+        self.destinations.apply(config)
+
     def stop(self) -> None:
         """End what still runs for no request."""
         self.destinations.close()
@@ -139,11 +151,18 @@
 
     # The client's side
 
-    def submit(self, message: Message, answer: Answer, deadline: float, facts: i.RequestArrived) -> Request:
+    def is_open(self, id: str) -> bool:
+        """Whether a request that its client named so is still open, or an attempt at it."""
+        return id in self._ids
+
+    def submit(
+        self, id: str, message: Message, answer: Answer, deadline: float, facts: i.RequestArrived
+    ) -> Request:
         """Take a request; from here on it gets exactly one answer, before `deadline` if it is no stream."""
         key = str(next(self._keys))
         facts = replace(facts, request=key)
-        request = self._requests[key] = Request(message, answer, facts, self.now(), deadline)
+        request = self._requests[key] = Request(key, id, message, answer, facts, self.now(), deadline)
+        self._ids.add(id)
         self._post(facts)
         self._at(deadline, lambda: self._deadline(key))
         return request
@@ -160,6 +179,9 @@
 
     # The endpoints' side
 
+    def _endpoint_left(self, endpoint: str) -> None:
+        self._endpoints.forget(endpoint)
+
     def may_send(self, attempt: Attempt) -> bool:
         """Whether an attempt may still be written to its endpoint, asked just before the first byte."""
         request = attempt.request
@@ -303,6 +325,8 @@
 
     def _fail(self, action: i.Fail) -> None:
         request = self._requests.get(action.request)
+        if request is not None and any(a.outcome is i.Outcome.REJECTED for a in request.attempts):
+            return self._answer(request, "rejected", lambda answer: answer.reject())
         late = request is not None and self.now() >= request.deadline
         self._answer(request, "failed", lambda answer: answer.fail(late))
 
@@ -331,4 +355,5 @@
 
     def _forget(self, request: Request) -> None:
         if request.done() and self._requests.pop(request.key, None) is not None:
+            self._ids.discard(request.id)
             log("request", **request.account(self.now()))
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -16,12 +16,19 @@
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade"
     b" content-length expect host x-time-left-ms".split()
 )
+# Fields that two readers could take differently where they are repeated.
+ONCE = frozenset(
+    b"content-length transfer-encoding host x-correlation-id x-service-class x-account x-session-key"
+    b" x-time-left-ms x-facts x-repeat".split()
+)
 IOV_MAX = 512  # pieces in one gathered write; POSIX promises 16, Linux takes 1,024
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
     404: b"Not Found",
     405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
@@ -34,9 +41,9 @@
 class Fault(Exception):
     """A message that is not taken; `status` is what its sender is told."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, *headers: bytes) -> None:
         super().__init__(reason)
-        self.status, self.reason = status, reason
+        self.status, self.reason, self.headers = status, reason, headers
 
 
 class Message(Struct):
@@ -67,7 +74,7 @@
         self._message = Message()
         self._parser = httptools.HttpRequestParser(self)
         self._in_head = False
-        self._head = self._head_fed = 0
+        self._head = self._fed = 0
         self._body: list[bytes] = []
         self._body_size = 0
 
@@ -75,7 +82,7 @@
         """Parse what came next; complete requests are appended to `whole`."""
         if self.fault is not None:
             return
-        was_in_head = self._in_head
+        had = len(self.whole)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -83,11 +90,13 @@
         except httptools.HttpParserError as error:
             cause = error.__context__
             self.fault = cause if isinstance(cause, Fault) else Fault(400, f"malformed request: {error}")
-        if was_in_head and self._in_head and self.fault is None:
-            # A field still unfinished is not handed over yet: without this count it could grow for ever.
-            self._head_fed += len(data)
-            if self._head_fed > self._max_head:
+        # What is not handed over (an unfinished field, empty lines, what frames chunks) could grow for ever.
+        self._fed = 0 if len(self.whole) > had else self._fed + len(data)
+        if self.fault is None and self._fed > self._max_head:
+            if self._in_head or not self.reading:
                 self.fault = Fault(431, "head too large")
+            elif self._fed - self._body_size > self._max_head + self._max_body:
+                self.fault = Fault(400, "more framing than body")
 
     def held(self) -> int:
         """Bytes of bodies in hand."""
@@ -97,7 +106,7 @@
         """httptools: a request's first byte."""
         self._message = Message(headers=[], fields={})
         self.reading = self._in_head = True
-        self._head = self._head_fed = self._body_size = 0
+        self._head = self._body_size = 0
         self._body = []
 
     def on_url(self, part: bytes) -> None:
@@ -109,10 +118,12 @@
         """httptools: one whole field."""
         if not self._in_head:
             return  # a chunked body's trailer says nothing that is used here
-        value = value or b""
+        value, key = value or b"", name.lower()
         self._grow_head(len(name) + len(value) + 4)
+        if key in ONCE and key in self._message.fields:
+            raise Fault(400, f"{key.decode()}: repeated")
         self._message.headers.append((name, value))
-        self._message.fields[name.lower()] = value
+        self._message.fields[key] = value
 
     def on_headers_complete(self) -> None:
         """httptools: the head is whole."""
@@ -124,6 +135,12 @@
         if parser.should_upgrade():
             # llhttp stops reading HTTP here, so the body would be taken for the new protocol.
             raise Fault(405 if message.method == b"CONNECT" else 400, "upgrade not supported")
+        if parser.get_http_version() not in ("1.0", "1.1"):
+            raise Fault(400, "not HTTP/1.0 or 1.1")
+        coding = message.fields.get(b"transfer-encoding")
+        if coding is not None and (coding.lower() != b"chunked" or not message.chunks):
+            # Guards against a length that the next one on the way would read otherwise.
+            raise Fault(400, "Transfer-Encoding: not chunked, or not HTTP/1.1")
         if int(message.fields.get(b"content-length", b"0")) > self._max_body:
             raise Fault(413, "body too large")
         self.awaits_continue = message.fields.get(b"expect", b"").lower() == b"100-continue"
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import select
 import sys
+from heapq import nsmallest
 
 import gevent
 import orjson
@@ -17,12 +19,16 @@
 from spoolbarrow.net.log import log, unexpected
 
 CHAT, UP = b"/v1/chat/completions", b"/up"
-RECV = 16384  # bytes read at once; each connection keeps a buffer of it
+RECV = 65536  # bytes read at once, into one buffer: they are parsed before any other greenlet runs
 AHEAD = 4  # requests read ahead of the one that is served; then the client must wait
 BACKLOG = 1024
 TCP_INFO, TCP_INFO_SIZE, LAST_DATA_RECV = 11, 104, 52  # linux/tcp.h: tcpi_last_data_recv
 SETTLED_MS = 100.0  # a connection idle so long may be closed for one that waits
-LINGER_S = 1.0  # a client that is told to go may still be writing so long
+ROOM_AT_ONCE = 16  # connections closed at once for those that wait
+ACCEPT_AT_ONCE, ACCEPT_PAUSE_S = 8, 0.002  # a burst of connections leaves time for those that are served
+DISCARD_PAUSE_S = 0.001  # between reads of what a client still sends after its error
+SWEEP_S = 0.2
+MAX_PATIENCE = 2.0  # of the class's deadline: nobody waits longer
 REPEATS_STREAM = b"again"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
 
@@ -40,17 +46,21 @@
         if name and not equals:
             raise Fault(400, "X-Facts: not NAME=VALUE,...")
         told[name] = value
-    left = fields.get(b"x-time-left-ms")
-    longest = config.settings.classes[cls].deadline_ms
-    budget = longest if left is None else _number(left, 10, "X-Time-Left-Ms")
+    lengths = (b"prompt_len", b"prefix_len", b"max_out")
+    prompt, shared, answer = (_length(told, name, config) for name in lengths)
+    left, of_class = fields.get(b"x-time-left-ms"), config.settings.classes[cls]
+    budget = of_class.deadline_ms if left is None else _number(left, 10, "X-Time-Left-Ms")
+    # Guards the timers: each stands till its request's deadline. A deadline grows twice as fast as the aim.
+    if budget > MAX_PATIENCE * (of_class.deadline_ms + 2.0 * of_class.aim_ms_per_token * prompt):
+        raise Fault(400, "X-Time-Left-Ms: out of range")
     facts = i.RequestArrived(
         request="",
         cls=cls,
         budget_ms=0.0,
         tenant=tenant,
-        prompt_tokens=_number(told.get(b"prompt_len", b"0"), 10, "X-Facts: prompt_len"),
-        shared_tokens=_number(told.get(b"prefix_len", b"0"), 10, "X-Facts: prefix_len"),
-        max_answer_tokens=_number(told.get(b"max_out", b"0"), 10, "X-Facts: max_out"),
+        prompt_tokens=prompt,
+        shared_tokens=shared,
+        max_answer_tokens=answer,
         session=_number(fields.get(b"x-session-key", b"0"), 16, "X-Session-Key"),
         prefix=_number(told.get(b"prefix", b"0"), 16, "X-Facts: prefix"),
         resumed=fields.get(b"x-repeat") == REPEATS_STREAM,
@@ -65,6 +75,14 @@
     return names[name]
 
 
+def _length(told: dict[bytes, bytes], name: bytes, config: Config) -> int:
+    what = f"X-Facts: {name.decode()}"
+    length = _number(told.get(name, b"0"), 10, what)
+    if length > config.options.max_body:  # a token is a character at least
+        raise Fault(400, f"{what}: out of range")
+    return length
+
+
 def _number(text: bytes, base: int, what: str) -> int:
     # Only plain digits: int() would also take signs, blanks and underscores.
     if not text.isalnum() or len(text) > 20:
@@ -94,6 +112,18 @@
         """Failed: 504 at the deadline, else 502."""
         self.whole(504 if late else 502, "failed")
 
+    def reject(self) -> None:
+        """The endpoint can't use it: 400."""
+        self._close = True
+        self.whole(400, "no endpoint can use this request")
+
+    def refuse(self, fault: Fault) -> None:
+        """The message is not taken: its client is told why, and its connection ends."""
+        # Guards the CPU: a client that repeats what is turned away must come back through the listener.
+        self._close = True
+        log("bad_request", status=fault.status, why=fault.reason)
+        self.whole(fault.status, fault.reason, *fault.headers)
+
     def whole(self, status: int, reason: str, *headers: bytes) -> None:
         """A whole answer, written by a greenlet of its own: the caller must not wait for a slow client."""
         body = orjson.dumps({"error": {"message": reason, "code": status}}) if status != 200 else b"{}"
@@ -148,7 +178,8 @@
     def __init__(self, inbound: Inbound, sock: socket.socket) -> None:
         self.inbound, self.sock = inbound, sock
         self.exchange: Exchange | None = None
-        self.since = inbound.host.now()  # when it became idle, or its request's first byte came
+        self.since = inbound.host.now()  # it was opened or became idle, or a later request began
+        self.fresh = True  # nothing was answered on it yet
         self.writing_since = 0.0  # when a write began that the client has not taken yet
         self._first_byte = 0.0
         self._arrived: list[float] = []
@@ -160,23 +191,31 @@
         self.ending = False  # its last answer is written; only the client's end is waited for
 
     def idle(self) -> bool:
-        """Whether nothing is under way on it."""
+        """Whether nothing is under way on it, as far as was read."""
         return self.exchange is None and not self._parser.reading and not self._parser.whole
 
+    def unread(self) -> bool:
+        """Whether the kernel holds something that its client sent."""
+        watched = select.poll()
+        watched.register(self.sock.fileno(), select.POLLIN)
+        return bool(watched.poll(0))
+
     def run(self) -> None:
         """Read until the client goes."""
-        buffer = bytearray(RECV)
+        view = memoryview(self.inbound.buffer)
         try:
             while not self.ending:
-                size = self.sock.recv_into(buffer)
+                size = self.sock.recv_into(view)
                 if not size:
                     break
-                self._fed(memoryview(buffer)[:size])
-                while len(self._parser.whole) > AHEAD and not self.ending:
-                    self._room.clear()  # bounded: a client that sends far ahead is not read any more
+                self._fed(view[:size])
+                parser = self._parser
+                while (parser.fault is not None or len(parser.whole) > AHEAD) and not self.ending:
+                    self._room.clear()  # bounded: what follows a fault, or comes far ahead, is not read
                     self._room.wait()
+                gevent.sleep(0)  # guards the others: a client that sends at full speed is always readable
             if self.ending:
-                self._linger(buffer)
+                self._linger(view)
         except OSError:
             pass  # reset by the client, or closed by this side
         except Exception as error:
@@ -192,7 +231,7 @@
 
     def served(self, closing: bool) -> None:
         """The answer under way is written: go on to the next request."""
-        self.exchange = None
+        self.exchange, self.fresh = None, False
         self._count()
         self.since = self.inbound.host.now()
         if closing:
@@ -216,6 +255,17 @@
             self.sock.close()
             self.inbound.gone(self)
 
+    def overdue(self) -> None:
+        """Its request did not become whole in time, or it asked nothing: tell it, and go on to its end.
+
+        One that was answered before is closed without a word: that could pass for its next request's answer.
+        """
+        if self.fresh or self._parser.reading:
+            self._parser.fault = Fault(408, "no whole request in time")
+            self._advance()
+        else:
+            self.close()
+
     def _fed(self, data: memoryview) -> None:
         parser, now = self._parser, self.inbound.host.now()
         was_reading, had = parser.reading, len(parser.whole)
@@ -227,14 +277,30 @@
         for _ in range(len(parser.whole) - had):
             self._arrived.append(self._first_byte)
             self._first_byte = now
+        if parser.reading and self.inbound.held > self.inbound.config.max_held:
+            # Guards the memory: bodies that never become whole count as well.
+            parser.fault = parser.fault or Fault(503, "no room", b"Retry-After: 1")
+        if parser.fault is not None:
+            self._distrust()
         if self.exchange is None:
             if parser.awaits_continue:
                 parser.awaits_continue = False
                 http1.send_pieces(self.sock, [b"HTTP/1.1 100 Continue\r\n\r\n"])
-            if parser.reading and not was_reading:
+            if parser.reading and not was_reading and not self.fresh:
                 self.since = now
             self._advance()
 
+    def _distrust(self) -> None:
+        """What follows a request can't be read: its length was wrong, and it is not what its client meant.
+
+        Guards against passing on a part of a request, or one hidden in another's body.
+        """
+        self._parser.whole.clear()
+        request = self.exchange.request if self.exchange is not None else None
+        if request is not None and not request.over and request.stream is None:
+            self.exchange = None
+            self.inbound.host.client_left(request)
+
     def _advance(self) -> None:
         """Serve the next request that is whole, or tell what is wrong with what came."""
         parser = self._parser
@@ -247,15 +313,13 @@
             try:
                 self._serve(self.exchange, message, self._arrived.pop(0))
             except Fault as error:
-                self.exchange.whole(error.status, error.reason)
+                self.exchange.refuse(error)
             except Exception as error:
                 unexpected("inbound", error)
                 self.exchange.whole(500, "internal error")
         elif parser.fault is not None:
-            fault = parser.fault
             self.exchange = Exchange(self, Message(keep_alive=False))
-            log("bad_request", status=fault.status, why=fault.reason)
-            self.exchange.whole(fault.status, fault.reason)
+            self.exchange.refuse(parser.fault)
 
     def _serve(self, exchange: Exchange, message: Message, arrived: float) -> None:
         inbound, path = self.inbound, message.path()
@@ -263,10 +327,14 @@
         if wanted is None:
             raise Fault(404, "no such path")
         if message.method != wanted:
-            return exchange.whole(405, f"{path.decode()} takes {wanted.decode()}", b"Allow: " + wanted)
+            raise Fault(405, f"{path.decode()} takes {wanted.decode()}", b"Allow: " + wanted)
         if path == UP:
             return exchange.whole(200 if inbound.ready() else 503, "not ready")
         facts, budget = read_facts(message, inbound.config)
+        name = message.fields[b"x-correlation-id"].decode("latin-1")
+        if inbound.host.is_open(name):
+            # Guards the request of that name: an endpoint could not tell the two apart.
+            raise Fault(409, "X-Correlation-Id: a request of this name is open")
         settings, options = inbound.config.settings, inbound.config.options
         # Guards against running out of memory or over what the platform allows to be open at once.
         if inbound.held > inbound.config.max_held or inbound.host.open_requests() >= settings.max_open:
@@ -275,7 +343,7 @@
         deadline = arrived + budget - options.answer_margin_ms
         if deadline <= inbound.host.now():
             return exchange.fail(True)
-        exchange.request = inbound.host.submit(message, exchange, deadline, facts)
+        exchange.request = inbound.host.submit(name, message, exchange, deadline, facts)
 
     def _count(self) -> None:
         """Keep the account of the bodies that this connection holds in memory."""
@@ -294,11 +362,11 @@
         except OSError:
             self.close()
 
-    def _linger(self, buffer: bytearray) -> None:
+    def _linger(self, view: memoryview) -> None:
         """Guards the answer: closed with bytes unread, the kernel would reset the connection under it."""
-        with gevent.Timeout(LINGER_S, False):  # type: ignore[arg-type]
-            while self.sock.recv_into(buffer):
-                pass
+        with gevent.Timeout(self.inbound.config.options.linger_ms / 1000, False):  # type: ignore[arg-type]
+            while self.sock.recv_into(view):
+                gevent.sleep(DISCARD_PAUSE_S)
 
 
 def _unread_ms(sock: socket.socket) -> int:
@@ -313,7 +381,8 @@
     def __init__(self, config: Config, host: Host) -> None:
         self.config, self.host = config, host
         self.draining = False
-        self.held = 0  # bytes of bodies of open requests
+        self.held = 0  # bytes of bodies in memory
+        self.buffer = bytearray(RECV)
         self._clients: set[Client] = set()
         self._listener: socket.socket | None = None
         self._accepting: gevent.Greenlet[[socket.socket], None] | None = None
@@ -321,13 +390,28 @@
 
     def start(self) -> None:
         """Listen; OSError where the address can't be had."""
-        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(self.config.listen)
-        self._listener.listen(BACKLOG)
-        self._accepting = gevent.spawn(self._accept, self._listener)
+        self._listen(self.config)
         self._sweeper = gevent.spawn(self._sweep)
 
+    def apply(self, config: Config) -> None:
+        """Go by a new configuration; OSError, and nothing is changed, where its address can't be had."""
+        if config.listen != self.config.listen:
+            self._listen(config)
+        self.config = config
+
+    def _listen(self, config: Config) -> None:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(config.listen)
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self._stop_listening()
+        self._listener = listener
+        self._accepting = gevent.spawn(self._accept, listener)
+
     def ready(self) -> bool:
         """Whether clients may be sent here."""
         return not self.draining and self.host.destinations.usable()
@@ -355,6 +439,7 @@
         self._clients.discard(client)
 
     def _accept(self, listener: socket.socket) -> None:
+        accepted = 0
         while True:
             if len(self._clients) >= self.config.max_inbound and not self._make_room():
                 gevent.sleep(0.02)
@@ -371,6 +456,9 @@
             client = Client(self, sock)
             self._clients.add(client)
             gevent.spawn(client.run)
+            accepted += 1
+            if accepted % ACCEPT_AT_ONCE == 0:
+                gevent.sleep(ACCEPT_PAUSE_S)
 
     def _stop_listening(self) -> None:
         if self._accepting is not None and self._listener is not None:
@@ -378,25 +466,25 @@
             self._listener.close()
 
     def _make_room(self) -> bool:
+        """Close those that have longest had nothing under way; those that never asked anything go first."""
         # Not one just opened or just used: its next request is likely on its way.
         before = self.host.now() - SETTLED_MS
-        idle = [client for client in self._clients if client.idle() and client.since < before]
-        if idle:
-            min(idle, key=lambda client: client.since).close()
+        idle = [c for c in self._clients if c.idle() and c.since < before and not c.unread()]
+        for client in nsmallest(ROOM_AT_ONCE, idle, key=lambda client: (not client.fresh, client.since)):
+            client.close()
         return bool(idle)
 
     def _sweep(self) -> None:
         """Close connections that stood idle too long, or whose request never became whole."""
-        options = self.config.options
         while True:
-            gevent.sleep(1.0)
-            now = self.host.now()
+            gevent.sleep(SWEEP_S)
+            options, now = self.config.options, self.host.now()
             for client in [c for c in self._clients if 0 < c.writing_since < now - options.stall_ms]:
                 log("client_stalled")
                 client.close()
-            for client in [c for c in self._clients if c.exchange is None]:
-                limit = options.keep_alive_ms if client.idle() else options.head_timeout_ms
-                if now - client.since > (LINGER_S * 1000 if client.ending else limit):
-                    client.close()
-
-
+            for client in [c for c in self._clients if c.exchange is None and not c.ending]:
+                used = client.idle() and not client.fresh
+                limit = options.keep_alive_ms if used else options.head_timeout_ms
+                # Never one whose request has begun to come in: its reader runs next.
+                if now - client.since > limit and not (client.idle() and client.unread()):
+                    client.overdue()
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -141,7 +141,8 @@
         self.attempts: list[Attempt] = []
         self.homes: list[Replica] = []
         self.held = self.closed = self.started = False
-        self.priority = self.tokens = 0.0
+        self.priority = self.tokens = self.weight = 0.0
+        self.tier = 0
         self.entitlement: Entitlement | None = None
 
     def out(self) -> bool:
@@ -200,7 +201,7 @@
     """The list, the pool of fresh probe answers, and what placing a request on a replica would cost."""
 
     def __init__(self, settings: Settings, rng: Random) -> None:
-        self.settings, self.rng = settings, rng
+        self.rng = rng
         self.replicas: dict[str, Replica] = {}
         self.serving: list[Replica] = []
         self.local: list[Replica] = []
@@ -211,12 +212,23 @@
         self.walks: dict[tuple[int, int], dict[Replica, None]] = {}
         self.heat: dict[int, float] = {}
         self.heat_sum = self.heat_at = self.work = self.work_at = 0.0
-        self.zone_load, self.zone_memory = [0.0] * settings.zones, [0.0] * settings.zones
-        self.zone_at = [0.0] * settings.zones
+        self.zone_load: list[float] = []
+        self.zone_memory: list[float] = []
+        self.zone_at: list[float] = []
         self.lateness = 1.0
-        classes = len(settings.classes)
-        self.home_read = [600.0] * classes  # tokens read at a session's home; a first guess, then learnt
-        self.missed = [[0.5] * classes, [0.5] * classes, [0.9] * classes]  # share of the prefix read, by rank
+        self.home_read: list[float] = []  # tokens read at a session's home; a first guess, then learnt
+        self.missed: list[list[float]] = [[], [], []]  # share of the prefix read, by rank
+        self.configure(settings)
+
+    def configure(self, settings: Settings) -> None:
+        """Go by these settings; tables by zone and class never shrink: open requests still name them."""
+        self.settings = settings
+        for table in (self.zone_load, self.zone_memory, self.zone_at):
+            table += [0.0] * (settings.zones - len(table))
+        more = len(settings.classes) - len(self.home_read)
+        self.home_read += [600.0] * more
+        for table, share in zip(self.missed, (0.5, 0.5, 0.9), strict=True):
+            table += [share] * more
 
     def take(self, event: ReplicaList, now: float) -> None:
         """Follow the list (rule 3: what drains or is gone is out of `serving` from here on)."""
@@ -385,19 +397,10 @@
         self.entitlements: dict[int, Entitlement] = {}
         self.actions: list[Action] = []
         self.now = 0.0
-        worths = sorted({c.worth for c in settings.classes}, reverse=True)
-        steps = max(1, len(worths) - 1)
-        self.tiers = [round(3.0 * worths.index(c.worth) / steps) for c in settings.classes]
-        self.mean_aim = sum(c.aim_ms for c in settings.classes) / len(settings.classes)
-        pace = [c.token_aim_ms for c in settings.classes if c.token_aim_ms > 0]
-        self.full_ms = FULL_STEPS * sum(pace) / len(pace) if pace else FULL_SHARE * self.mean_aim
-        self.weights = [
-            CLASS_WEIGHTS[tier] / (1.0 + ALPHA_SLO * c.aim_ms / self.mean_aim)
-            for tier, c in zip(self.tiers, settings.classes, strict=True)
-        ]
-        self.answer_ms = [60.0 * DECODE_MS] * len(settings.classes)  # streaming time, learnt
+        self.answer_ms: list[float] = []  # streaming time, learnt
+        self.configure(settings)
         self.request_tokens = 2000.0  # mean tokens of a request, learnt
-        self.hedges, self.hedge_ratio = 1.0, min(HEDGE_RATIO, HEDGE_COST / max(settings.waste_fee, 1e-9))
+        self.hedges = 1.0
         self.probe_lag = 1.0
         self.subscribed, self.asking, self.asked_at, self.ask_failures = not settings.subscribe, False, 0.0, 0
         self.awaited: dict[str, list[Request]] = {}  # requests held, by the replica asked
@@ -408,6 +411,25 @@
             RequestGone: self._gone,
         }
 
+    def configure(self, settings: Settings) -> None:
+        """Decide by these settings from here on; what was learnt of replicas and tenants stays."""
+        if settings.tenants != self.settings.tenants:
+            self.entitlements.clear()
+        self.settings = settings
+        self.pool.configure(settings)
+        self.answer_ms += [60.0 * DECODE_MS] * (len(settings.classes) - len(self.answer_ms))
+        worths = sorted({c.worth for c in settings.classes}, reverse=True)
+        steps = max(1, len(worths) - 1)
+        self.tiers = [round(3.0 * worths.index(c.worth) / steps) for c in settings.classes]
+        self.mean_aim = sum(c.aim_ms for c in settings.classes) / len(settings.classes)
+        pace = [c.token_aim_ms for c in settings.classes if c.token_aim_ms > 0]
+        self.full_ms = FULL_STEPS * sum(pace) / len(pace) if pace else FULL_SHARE * self.mean_aim
+        self.weights = [
+            CLASS_WEIGHTS[tier] / (1.0 + ALPHA_SLO * c.aim_ms / self.mean_aim)
+            for tier, c in zip(self.tiers, settings.classes, strict=True)
+        ]
+        self.hedge_ratio = min(HEDGE_RATIO, HEDGE_COST / max(settings.waste_fee, 1e-9))
+
     def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
         """Decide on a batch of events that happened at `now_ms`."""
         self.now, self.actions = now_ms, []
@@ -503,6 +525,7 @@
         if not 0 <= event.cls < len(settings.classes):  # a class never told: nothing may be assumed of it
             return self.actions.append(Refuse(event.request))
         request = Request(event, settings.classes[event.cls], self.now)
+        request.weight, request.tier = self.weights[event.cls], self.tiers[event.cls]
         self.requests[event.request] = request
         answer = self.answer_ms[event.cls] / DECODE_MS
         request.tokens = request.prompt + answer
@@ -552,7 +575,7 @@
         _, _, wait, read = choice
         slice_rate = self._baseline(request.tenant) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
-        request.priority = self.weights[request.kind] * standing
+        request.priority = request.weight * standing
         first = (wait + read / READ_RATE) * self.pool.lateness + STEP_MS
         wait *= self.pool.lateness
         full = wait > self.full_ms
@@ -699,6 +722,13 @@
                 self.answer_ms[request.kind] += LEARN * (spent - self.answer_ms[request.kind])
             self.pool.learn(request, attempt, event.kept_tokens)
             replica.failing *= 0.7
+        elif event.outcome is Outcome.REJECTED:
+            # A client's fault says nothing against the replica, and sent again it would spoil the next one's
+            # standing: a few bad clients made all replicas look failing, and usual requests were refused.
+            self.pool.heard(replica, now)
+            if not (request.closed or request.started or event.closed):
+                self.actions.append(Fail(request.id))
+            return self._close(request)
         elif event.outcome is Outcome.FULL:
             self.pool.heard(replica, now)
             self.pool.answered(replica, None, 2.0 * self.full_ms, now)
@@ -746,6 +776,6 @@
                 entitlement.in_flight -= 1
                 slice_rate = self._baseline(request.tenant) / self.settings.nodes
                 seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / self.request_tokens
-                entitlement.completed(self.now, slice_rate, seconds, self.tiers[request.kind] < 2)
+                entitlement.completed(self.now, slice_rate, seconds, request.tier < 2)
         if not request.out():
             self.requests.pop(request.id, None)
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,240 @@
+"""Days in service: bad clients, replaced endpoints, new configurations; what each side is told."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from spoolbarrow import interface as i
+from spoolbarrow.config import parse
+from spoolbarrow.net.http1 import Message
+from spoolbarrow.router import Router
+from tests.stage import HEAD, Client, Party, ask, chunk, entry, make_config, serve_all, stage, until
+
+ROOT = Path(__file__).resolve().parent.parent
+QUICK = {"head_timeout_ms": 100.0, "keep_alive_ms": 100.0}
+
+
+def refuse_400(sock: socket.socket, message: Message) -> None:
+    sock.sendall(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+
+
+def wait_for(seen: Event) -> Any:
+    def script(sock: socket.socket, message: Message) -> None:
+        seen.wait()
+        serve_all(sock, message)
+
+    return script
+
+
+# Bad clients
+
+
+def test_what_an_endpoint_cannot_use_is_its_clients_fault_and_tried_once() -> None:
+    """Guards against endpoints that look failing because of clients: usual requests were refused then."""
+    with stage(refuse_400, refuse_400) as (scene, *engines):
+        assert scene.client().send(ask()).answer().status == 400
+        assert sum(len(engine.requests) for engine in engines) == 1
+        until(lambda: scene.host.open_requests() == 0)
+        assert all(replica.failing == 0.0 for replica in scene.host._router.pool.replicas.values())
+
+
+def test_the_name_of_an_open_request_is_not_taken_again() -> None:
+    seen = Event()
+    with stage(wait_for(seen)) as (scene, engine):
+        first = scene.client().send(ask())
+        until(lambda: engine.requests)
+        assert scene.client().send(ask()).answer().status == 409
+        seen.set()
+        assert first.answer().status == 200 and len(engine.requests) == 1
+        until(lambda: scene.host.open_requests() == 0)
+        assert not scene.host._ids
+
+
+@pytest.mark.parametrize("sent", [b"", b"\r\n", ask()[:30], ask()[:-3]])
+def test_a_connection_without_a_whole_request_is_told_so_in_time(sent: bytes) -> None:
+    with stage(serve_all, options=QUICK) as (scene, engine):
+        client = scene.client().send(sent)
+        assert client.answer().status == 408 and client.ended() and not engine.requests
+
+
+def test_a_head_that_trickles_gets_no_more_time() -> None:
+    with stage(serve_all, options=QUICK) as (scene, _):
+        client = scene.client()
+
+        def trickle() -> None:
+            for byte in ask():
+                client.send(bytes([byte]))
+                gevent.sleep(0.02)
+
+        trickling = gevent.spawn(trickle)
+        assert client.answer().status == 408
+        trickling.kill()
+
+
+def test_a_used_connection_that_idles_is_closed_without_a_word() -> None:
+    """Guards against a 408 that crosses the next request and passes for its answer."""
+    with stage(serve_all, options=QUICK) as (scene, _):
+        client = scene.client().send(ask())
+        assert client.answer().status == 200 and client.ended()
+        until(lambda: not scene.inbound._clients)
+
+
+def test_an_idle_connection_whose_next_request_is_unread_is_not_closed() -> None:
+    with stage(serve_all) as (scene, _):
+        client = scene.client().send(ask())
+        client.answer()
+        until(lambda: scene.host.open_requests() == 0)
+        (served,) = scene.inbound._clients
+        served.since -= 60_000
+        client.send(ask())
+        while not served.unread():
+            pass  # no greenlet runs meanwhile: its reader can't take it
+        assert not scene.inbound._make_room() and client.answer().status == 200
+
+
+def test_an_oversized_body_is_refused_by_its_declared_length_while_it_is_sent() -> None:
+    with stage(serve_all) as (scene, engine):
+        client = scene.client().send(ask(Content_Length="60000000"))
+        sending = gevent.spawn(client.sock.sendall, b"x" * 8_000_000)
+        assert client.answer().status == 413 and not engine.requests
+        assert scene.inbound.held == 0
+        sending.join()  # the rest is read and dropped: a reset would take the answer with it
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+def test_a_request_followed_by_what_is_none_is_not_served(pause: float) -> None:
+    """Guards against passing on half of a body whose declared length was too small."""
+    seen = Event()
+    with stage(wait_for(seen)) as (scene, engine):
+        client = scene.client()
+        if pause:
+            client.send(ask())
+            until(lambda: engine.requests)
+            client.send(b'"more":1}')
+        else:
+            client.send(ask() + b'"more":1}')
+        answer = client.answer()
+        assert answer.status == 400 and answer.fields[b"connection"] == b"close" and client.ended()
+        until(lambda: scene.host.open_requests() == 0)
+        assert len(engine.requests) == (1 if pause else 0)
+
+
+@pytest.mark.parametrize("left", ["nan", "inf", "1e3", "-5", "", "99999999", "4 800"])
+def test_a_deadline_that_is_none_never_reaches_the_decisions(left: str) -> None:
+    with stage(serve_all) as (scene, _):
+        assert scene.client().send(ask(X_Time_Left_Ms=left)).answer().status == 400
+        assert not scene.heard(i.RequestArrived)
+
+
+def test_bodies_that_never_become_whole_count_against_the_memory() -> None:
+    with stage(serve_all, limits={"memory_mb": 0.01}) as (scene, _):
+        answer = scene.client().send(ask(b"x" * 4000)[:-9]).answer()
+        assert answer.status == 503 and answer.fields[b"retry-after"]
+
+
+def test_silent_connections_make_room_for_those_that_ask() -> None:
+    with stage(serve_all, limits={"sockets": 64}) as (scene, _):
+        silent = [scene.client() for _ in range(3 * scene.config.max_inbound)]
+        assert scene.client().send(ask()).answer().status == 200
+        assert len(scene.inbound._clients) <= scene.config.max_inbound < len(silent)
+
+
+# Replaced endpoints
+
+
+def test_a_new_endpoint_at_an_old_address_inherits_nothing() -> None:
+    with stage(serve_all) as (scene, engine):
+        scene.client().send(ask()).answer()
+        until(lambda: scene.host._endpoints._pool._idle)
+        listed = parse(msgspec.json.encode(make_config([entry("new", engine.port)]))).known
+        scene.host.destinations._take(listed, i.ListKind.WHOLE)
+        until(lambda: engine.ends == 1)
+        assert scene.client().send(ask()).answer().status == 200
+        assert engine.connections == 2
+        until(lambda: scene.host.open_requests() == 0)
+        host, router = scene.host, scene.host._router
+        tables = (host.destinations._addresses, host.destinations._started, host.destinations._serving)
+        assert all(set(table) == {"new"} for table in (*tables, router.pool.replicas))
+        assert not router.requests and not host._requests and not host._ids
+        assert not [t for t in host._timers if t[0] > host.now() + 5000]
+
+
+# New configurations
+
+
+def test_new_settings_hold_for_new_requests_and_leave_open_ones_alone() -> None:
+    chat = i.RequestClass(1000.0, 4000.0, 1.0)
+    tenants = (i.Tenant(1.0),)
+    settings = i.Settings(nodes=1, classes=(chat, chat, chat), zones=2, probing=False, tenants=tenants)
+    router = Router(settings, 1)
+    router.handle(0.0, [i.ReplicaList(i.ListKind.WHOLE, (i.ReplicaEntry("a"),))])
+    router.handle(1.0, [i.RequestArrived("old", 2, 4000.0)])
+    router.configure(i.Settings(nodes=2, classes=(chat,), probing=False))
+    assert [type(a) for a in router.handle(2.0, [i.RequestArrived("odd", 2, 4000.0)])] == [i.Refuse]
+    router.handle(3.0, [i.AttemptEnded("old", 0, "a", i.Outcome.SERVED, True, 2.0)])
+    assert not router.requests
+    router.configure(settings)
+    sent = router.handle(4.0, [i.RequestArrived("new", 2, 4000.0)])
+    assert isinstance(sent[0], i.Send)
+
+
+def test_sighup_asks_the_new_discovery_and_a_faulty_file_changes_nothing(tmp_path: Path) -> None:
+    seen, file = Event(), tmp_path / "config.json"
+    asked: list[bytes] = []
+
+    def discovery(*names: str) -> Any:
+        def script(sock: socket.socket, message: Message) -> None:
+            asked.append(message.target)
+            listed = [entry(name, engine.port) for name in names]
+            body = msgspec.json.encode({"index": 3, "snapshot": True, "endpoints": listed})
+            if message.path() == message.target:
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+            else:
+                sock.sendall(HEAD + chunk(b"\n"))
+
+        return script
+
+    engine = Party(wait_for(seen))
+    old, new = Party(discovery("e0")), Party(discovery("e1"))
+    raw = make_config([entry("e0", engine.port)], old.port)
+    file.write_bytes(msgspec.json.encode(raw))
+    port = int(raw["listen"].rpartition(":")[2])
+    environment = {**os.environ, "NODE_CONFIG": str(file)}
+    run = [sys.executable, "-m", "spoolbarrow"]
+    with subprocess.Popen(run, cwd=ROOT, env=environment, stderr=subprocess.PIPE) as router:
+        try:
+            assert router.stderr is not None
+            until(lambda: not socket.socket().connect_ex(("127.0.0.1", port)))
+            waiting = Client(port).send(ask())
+            until(lambda: engine.requests and asked)
+            file.write_bytes(b"{")
+            router.send_signal(signal.SIGHUP)
+            while b"reload_failed" not in router.stderr.readline():
+                pass
+            file.write_bytes(msgspec.json.encode({**raw, "discovery": f"127.0.0.1:{new.port}"}))
+            asked.clear()
+            router.send_signal(signal.SIGHUP)
+            router.send_signal(signal.SIGHUP)  # twice is as good as once
+            until(lambda: old.ends == 1 and asked[-1:] == [b"/discovery/hosts?stream=1&index=3"])
+            assert asked[0] == b"/discovery/hosts"
+            seen.set()
+            assert waiting.answer().status == 200
+            router.send_signal(signal.SIGTERM)
+            router.send_signal(signal.SIGHUP)
+            until(lambda: router.poll() is not None)
+            assert router.returncode == 0
+        finally:
+            router.kill()
+            for party in (engine, old, new):
+                party.close()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -156,7 +156,7 @@
         sock.sendall(st.TURNED_AWAY)
 
     with stage(turn_away) as (scene, _):
-        answer = scene.client().send(ask(left=60_000)).answer()  # would outlast this test if it were held
+        answer = scene.client().send(ask(left=9_000)).answer()  # would outlast this test if it were held
         assert answer.status == 503 and 0 < float(answer.fields[b"retry-after"]) <= 2.0
         assert told_outcomes(scene) == [i.Outcome.FULL]
 
@@ -425,7 +425,7 @@
             until(lambda: engine.requests)
             router.send_signal(signal.SIGTERM)
             until(lambda: Client(port).send(b"GET /up HTTP/1.1\r\n\r\n").answer().status == 503)
-            late = idle.send(ask())  # on a connection that a client kept: still taken
+            late = idle.send(ask(X_Correlation_Id="late"))  # on a connection that a client kept: still taken
             seen.set()
             answers = [waiting.answer(), late.answer()]
             assert [a.status for a in answers] == [200, 200]
