--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from spoolbarrow import interface as i
-from spoolbarrow.config import Address, Config, HostList, ListEntry
+from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
 from spoolbarrow.net import http1
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import STATES
@@ -162,11 +162,13 @@
     def _entry(self, entry: ListEntry) -> i.ReplicaEntry | None:
         """The decisions' form of a line; one that can't be used is logged and left out."""
         config = self._config
-        host, _, port = entry.address.rpartition(":")
-        if entry.status not in STATES or not (host and port.isdigit()):
+        try:
+            listens = address("address", entry.address)
+        except ConfigError:
+            listens = None
+        if entry.status not in STATES or listens is None:
             log("bad_entry", name=entry.name, address=entry.address, status=entry.status)
             return None
-        listens = (host, int(port))
         if (self._addresses.get(entry.name), self._started.get(entry.name)) != (listens, entry.since_ms):
             self._left(entry.name)  # it moved or restarted: connections to what it was are of no use
         self._addresses[entry.name], self._started[entry.name] = listens, entry.since_ms
--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -277,6 +277,9 @@
             tail, claimed = b"", False
             while not parser.whole:
                 reader.read()
+                if parser.status == 200 and not parser.framed():
+                    # A head cut short: what is left of it would pass for events, and any end for the last.
+                    raise http1.Fault(502, "a stream without an end")
                 parts = parser.take_body()
                 if parser.status == 200 and (parts or (parser.whole and not claimed)):
                     if not claimed:
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -207,11 +207,14 @@
 
     def end(self) -> None:
         """The connection ended: an answer without a length is whole now, any other is broken."""
-        framed = b"content-length" in self.fields or b"transfer-encoding" in self.fields
-        if not self.headed or (framed and not self.whole):
+        if not self.headed or (self.framed() and not self.whole):
             raise ConnectionResetError("the connection ended inside an answer")
         self.whole, self.reusable = True, False
 
+    def framed(self) -> bool:
+        """Whether its head tells where it ends."""
+        return b"content-length" in self.fields or b"transfer-encoding" in self.fields
+
     def take_body(self) -> list[bytes]:
         """The body's bytes since the last call."""
         body, self._body = self._body, []
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -210,7 +210,15 @@
                 size = self.sock.recv_into(view)
                 if not size:
                     break
-                self._fed(view[:size])
+                try:
+                    self._fed(view[:size])
+                except OSError:
+                    raise
+                except Exception as error:
+                    unexpected("client", error)
+                    self._parser.fault = Fault(500, "internal error")  # its client is told all the same
+                    self._distrust()
+                    self._advance()
                 parser = self._parser
                 while (parser.fault is not None or len(parser.whole) > AHEAD) and not self.ending:
                     self._room.clear()  # bounded: what follows a fault, or comes far ahead, is not read
@@ -436,7 +444,7 @@
             passed = self.host.now() - begun
             if passed >= options.drain_keep_ms:
                 self.closing = True
-                for client in [c for c in self._clients if c.idle()]:
+                for client in [c for c in self._clients if c.idle() and not c.unread()]:
                     client.close()
             if self.config.resumes and passed >= options.drain_move_ms:
                 self.host.move_streams()
@@ -464,12 +472,12 @@
                 continue
             try:
                 sock, _ = listener.accept()
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except OSError as error:
                 # Out of descriptors: those waiting to be accepted wait on, and this loop must not spin.
                 log("accept_paused", why=str(error))
                 gevent.sleep(0.1)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(None)
             client = Client(self, sock)
             self._clients.add(client)
@@ -493,16 +501,22 @@
         return bool(idle)
 
     def _sweep(self) -> None:
-        """Close connections that stood idle too long, or whose request never became whole."""
         while True:
             gevent.sleep(SWEEP_S)
-            options, now = self.config.options, self.host.now()
-            for client in [c for c in self._clients if 0 < c.writing_since < now - options.stall_ms]:
-                log("client_stalled")
-                client.close()
-            for client in [c for c in self._clients if c.exchange is None and not c.ending]:
-                used = client.idle() and not client.fresh
-                limit = options.keep_alive_ms if used else options.head_timeout_ms
-                # Never one whose request has begun to come in: its reader runs next.
-                if now - client.since > limit and not (client.idle() and client.unread()):
-                    client.overdue()
+            try:
+                self._close_overdue()
+            except Exception as error:  # without this loop, silent connections would take all the room
+                unexpected("sweep", error)
+
+    def _close_overdue(self) -> None:
+        """Close connections that stood idle too long, or whose request never became whole."""
+        options, now = self.config.options, self.host.now()
+        for client in [c for c in self._clients if 0 < c.writing_since < now - options.stall_ms]:
+            log("client_stalled")
+            client.close()
+        for client in [c for c in self._clients if c.exchange is None and not c.ending]:
+            used = client.idle() and not client.fresh
+            limit = options.keep_alive_ms if used else options.head_timeout_ms
+            # Never one whose request has begun to come in: its reader runs next.
+            if now - client.since > limit and not (client.idle() and client.unread()):
+                client.overdue()
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -55,6 +55,7 @@
 # Reading
 READ_RATE = 12.0  # tokens a millisecond; an order of magnitude, since loads are only compared
 STEP_MS = 30.0  # first-token time that is not reading, ms
+RUNNING_PRICE = 40.0  # a stream of this node's that runs there; on a slow replica they last, and add up
 READ_PRICE = 8.0  # a token read keeps all who run on the replica waiting, not only the request itself
 DECODE_MS = 30.0  # streaming time taken as one token: counts are not told
 LEARN = 0.05  # weight of one sample in learnt means
@@ -100,6 +101,7 @@
         self.probe_out = self.reports = False
         self.memory = self.load = 0.0
         self.unstarted: list[Attempt] = []
+        self.running = 0
         self.slow, self.slow_at, self.failing, self.failed_at = 1.0, 0.0, 0.0, 0.0
         self.suspect_until, self.strikes, self.silent = -1e12, 0, False
         self.cold_level = self.cold_at = self.started_at = 0.0
@@ -633,7 +635,8 @@
             read = pool.reading(request, rank)
             wait = pool.wait(replica, now)
             price = 1.0 if hurried else READ_PRICE
-            cost = (wait + price * read / READ_RATE) * (1.0 + 0.1 * self.rng.random())
+            cost = wait + RUNNING_PRICE * replica.running + price * read / READ_RATE
+            cost *= 1.0 + 0.1 * self.rng.random()
             if replica.zone != self.settings.zone:
                 cost += cross
             elif wait * pool.lateness > self.full_ms and pool.remote:
@@ -704,6 +707,8 @@
         self.pool.heard(attempt.replica, self.now)
         if attempt in attempt.replica.unstarted:
             attempt.replica.unstarted.remove(attempt)
+        if attempt.first_ms < 0.0:
+            attempt.replica.running += 1
         attempt.first_ms = self.now - attempt.sent_at
         self.pool.slower(attempt.replica, attempt.first_ms / max(attempt.predicted, 100.0), self.now)
         request.started = True
@@ -724,6 +729,7 @@
         attempt.outcome, replica, now = event.outcome, attempt.replica, self.now
         if attempt in replica.unstarted:
             replica.unstarted.remove(attempt)
+        replica.running -= attempt.first_ms >= 0.0
         if event.outcome is Outcome.SERVED:
             self.pool.heard(replica, now)
             if attempt.first_ms >= 0.0:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -67,6 +67,20 @@
     assert again.fields[b"x-time-left-ms"] == b"77" and again.fields[b"host"] == b"127.0.0.1:9"
 
 
+@fixed
+@given(st.lists(st.binary(min_size=1, max_size=60), max_size=5), st.lists(st.integers(0, 10_000), max_size=8))
+def test_answers_are_read_alike_however_they_are_cut(parts: list[bytes], cuts: list[int]) -> None:
+    early = b"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: odd\r\nA: b\r\n\r\n"
+    head = b"HTTP/1.1 200 OK\r\nB: c\r\nTransfer-Encoding: chunked\r\n\r\n"
+    body = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+    parser = ResponseParser(16384)
+    for piece in cut(early + head + body + b"0\r\n\r\n", cuts):
+        parser.feed(piece)
+    assert (parser.status, parser.whole, parser.reusable) == (200, True, True)
+    assert b"".join(parser.take_body()) == b"".join(parts)
+    assert parser.fields == {b"b": b"c", b"transfer-encoding": b"chunked"}
+
+
 @fixed
 @given(st.lists(TEXT | st.sampled_from([b"GET / HTTP/1.1\r\n", b"\r\n\r\n", b"HTTP/1.1 200 OK\r\n"])))
 def test_garbage_is_a_fault_or_unfinished_and_nothing_else(parts: list[bytes]) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -142,6 +142,23 @@
     assert sends(ask(router, 4.0, "q2", session=5, cls=1, prompt_tokens=6000))[0].replica == other
 
 
+def test_streams_that_last_send_new_requests_elsewhere() -> None:
+    """Guards against a slow replica whose reports look fine: its streams took four times as long."""
+    router = Router(make_settings(zones=1), 1)
+    router.handle(0.0, [serving("a", "b")])
+    home = sends(ask(router, 1.0, "q0", session=5))[0].replica
+    for k in range(1, 30):
+        router.handle(1.0 + k, [StreamStarted(f"q{k - 1}", 0, home, 1.0)])
+        if sends(ask(router, 1.0 + k, f"q{k}", session=5))[0].replica != home:
+            break
+    assert 1 < k < 29
+    replica = router.pool.replicas[home]
+    assert replica.running == k
+    ended = [AttemptEnded(f"q{n}", 0, home, Outcome.SERVED, True) for n in range(k)]
+    router.handle(99.0, [*ended, ended[0]])
+    assert replica.running == 0
+
+
 def test_a_full_zone_spills_into_one_with_room() -> None:
     """Guards against refusing in a full zone while another stands idle."""
     router = Router(make_settings(zones=2, cross_zone_fee=0.06), 1)
