--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -55,7 +55,7 @@
 # Reading
 READ_RATE = 12.0  # tokens a millisecond; an order of magnitude, since loads are only compared
 STEP_MS = 30.0  # first-token time that is not reading, ms
-RUNNING_PRICE = 40.0  # a stream of this node's that runs there; on a slow replica they last, and add up
+RUNNING_PRICE = 120.0  # a stream of this node's that runs there; on a slow replica they last, and add up
 READ_PRICE = 8.0  # a token read keeps all who run on the replica waiting, not only the request itself
 DECODE_MS = 30.0  # streaming time taken as one token: counts are not told
 LEARN = 0.05  # weight of one sample in learnt means
