Send a prompt that was overtaken on its replica elsewhere as well

Ruled out: stale connections, sizes, the limit of connections. At fault: Router._late has second attempts for 1.3% of the requests only, and Router._rescue waited for a failed probe; these endpoints answered theirs. Prompts are read in turn, so one sent 500 ms before another that has started is lost: _started sends it elsewhere and counts the replica as failing; _sweep follows up what was sent there.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -55,7 +55,7 @@
 # Reading
 READ_RATE = 12.0  # tokens a millisecond; an order of magnitude, since loads are only compared
 STEP_MS = 30.0  # first-token time that is not reading, ms
-RUNNING_PRICE = 120.0  # a stream of this node's that runs there; on a slow replica they last, and add up
+RUNNING_PRICE = 40.0  # a stream of this node's that runs there; on a slow replica they last, and add up
 READ_PRICE = 8.0  # a token read keeps all who run on the replica waiting, not only the request itself
 DECODE_MS = 30.0  # streaming time taken as one token: counts are not told
 LEARN = 0.05  # weight of one sample in learnt means
@@ -67,6 +67,8 @@
 # Health
 SUSPECT_MS, SUSPECT_MAX_MS = 1000.0, 8000.0  # first and longest time a silent replica is left out
 SILENCE_MS = 1500.0  # with a prompt waiting and a probe failed: less is a pause, or long prompts being read
+OVERTAKEN_MS = 500.0  # a prompt sent so long before one that has started was swallowed
+LOST_FACTOR = 4.0  # predicted first-token times after which one is given up where others were swallowed
 SLOW_MAX, SLOW_FADE_MS = 8.0, 10000.0  # largest factor believed of a slow replica, and its half life
 FAILING_MS = 2000.0  # wait counted for a replica whose attempts of late all ended in errors
 HEDGE_FACTOR, HEDGE_MIN_MS = 2.0, 200.0  # a second attempt after so many predicted first-token times
@@ -124,7 +126,7 @@
         self.request, self.replica, self.sent_at, self.read, self.rank = request, replica, now, read, rank
         self.predicted = 0.0
         self.outcome: Outcome | None = None
-        self.first_ms = -1.0
+        self.first_ms, self.lost = -1.0, False
 
     def may_have_run(self) -> bool:
         """Whether it ran or may yet run."""
@@ -487,6 +489,10 @@
             # Suspicion ends early where an answer shows life, and begins where a waiting prompt is the only
             # sign that a replica fell silent: its late timer may have fired before that.
             quiet = replica.strikes or replica.quiet_ms(self.now) >= SILENCE_MS
+            if replica.failing >= 0.5:
+                # It may swallow the next ones too, and with nothing sent after them none is overtaken.
+                late = [a for a in replica.unstarted if self.now - a.sent_at > LOST_FACTOR * a.predicted]
+                self._rescue(late)
             if quiet and self.now - replica.probed_at > SUSPECT_MS and spent < 2:
                 spent += self._probe(replica)
 
@@ -517,7 +523,7 @@
                 replica.silent = replica.silent or replica.quiet_ms(self.now) >= SILENCE_MS
                 self.pool.suspect(replica, self.now)
                 if replica.silent:
-                    self._rescue(replica)
+                    self._rescue(list(replica.unstarted))
         for request in waiting:
             if request.held:
                 self._decide(request)
@@ -685,13 +691,18 @@
             self.hedges -= 1.0
             self.actions.append(Cancel(request.id, number))  # its outcome brings the next attempt
 
-    def _rescue(self, replica: Replica) -> None:
-        """What waits on a replica that does not answer its probes goes elsewhere as well.
+    def _failing(self, replica: Replica) -> None:
+        """One that fails fast looks idle and would draw ever more: that counts as waiting, for a while."""
+        replica.failing, replica.failed_at = min(1.0, replica.failing + 0.5), self.now
 
+    def _rescue(self, lost: list[Attempt]) -> None:
+        """What waits on a replica that does not answer its probes, or was overtaken, goes elsewhere as well.
+
+        Prompts are read first come, first served: one sent well before another that has started is lost.
         Second attempts by lateness are few, to be no retry storm; these are bounded by what was out on
-        one replica when it fell silent, and a silent replica wastes little work on the first attempt.
+        one replica when it fell silent, or by what it swallows, and waste little work on the first attempt.
         """
-        for attempt in list(replica.unstarted):
+        for attempt in lost:
             request = attempt.request
             last = request.attempts[-1] is attempt and not request.closed and not request.started
             if last and self.now - attempt.sent_at >= HEDGE_MIN_MS and self.settings.second_copies:
@@ -710,6 +721,12 @@
         if attempt.first_ms < 0.0:
             attempt.replica.running += 1
         attempt.first_ms = self.now - attempt.sent_at
+        overtaken = [a for a in attempt.replica.unstarted if a.sent_at < attempt.sent_at - OVERTAKEN_MS]
+        for lost in overtaken:
+            if not lost.lost:  # one that swallows some looks idle, as one that fails fast does
+                lost.lost = True
+                self._failing(attempt.replica)
+        self._rescue(overtaken)
         self.pool.slower(attempt.replica, attempt.first_ms / max(attempt.predicted, 100.0), self.now)
         request.started = True
         self._cancel_others(request, event.attempt)
@@ -748,8 +765,7 @@
             self.pool.heard(replica, now)
             self.pool.answered(replica, None, 2.0 * self.full_ms, now)
         elif event.outcome is Outcome.ERROR:
-            # One that fails fast looks idle and would draw ever more: errors count as waiting, for a while.
-            replica.failing, replica.failed_at = min(1.0, replica.failing + 0.5), now
+            self._failing(replica)
         elif event.outcome is Outcome.UNREADABLE:
             # Such answers come from any replica equally: left out for one, it only sends its work to others.
             self.pool.heard(replica, now)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -316,6 +316,22 @@
     assert router.pool.replicas[stuck].suspect_until < 10_000.0  # an answer ends it
 
 
+def test_a_prompt_that_was_overtaken_goes_elsewhere_as_well() -> None:
+    """Guards against replicas that swallow some prompts and serve others."""
+    router = Router(make_settings(zones=1), 1)
+    router.handle(0.0, [serving("a", "b")])
+    home = sends(ask(router, 1.0, "q1", session=5))[0].replica
+    other = "b" if home == "a" else "a"
+    assert sends(ask(router, 700.0, "q2", session=5))[0].replica == home
+    router.hedges = 0.0  # no second attempt by lateness
+    actions = router.handle(750.0, [StreamStarted("q2", 0, home, 50.0)])
+    assert sends(actions) == [Send("q1", other)]
+    assert router.pool.wait(router.pool.replicas[home], 750.0) > router.pool.wait(
+        router.pool.replicas[other], 750.0
+    )
+    assert not sends(router.handle(751.0, [StreamStarted("q2", 0, home, 51.0)]))  # once is enough
+
+
 def test_a_prompt_that_waits_long_has_its_replica_asked_again() -> None:
     """Guards what was sent to a replica that fell silent after the attempt's late timer had fired."""
     router = Router(make_settings(zones=1), 5)
