Tell a swallowed prompt by a report that shows nothing of it; bound tables keyed by session

A report is at most 470 ms old here (REPORT_LAG_MS allows 600): a prompt sent before that, neither begun nor reported, is lost. Changed: Router._probed takes that for swallowed as well; _sweep asks where a prompt waits over 500 ms.

--- a/spoolbarrow/__main__.py
+++ b/spoolbarrow/__main__.py
@@ -32,6 +32,7 @@
 
 def main() -> int:
     """Serve until SIGTERM, then finish what was taken."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end a program that is not up yet
     try:
         settings = config.load()
     except config.ConfigError as error:
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -63,11 +63,13 @@
 SPREAD = 2.0  # homes of a prefix, as a multiple of the replicas its traffic could fill
 POINTS = 32  # places of a replica on the ring of homes: shares even to about a sixth
 HEAT_MS = 60000.0  # prefix counts halve in this time
+WALKS_MAX = 500  # walks of the ring remembered
 CROSS_AIMS = 3.0  # cross-zone fee in aims of waiting: missing an aim loses the worth the fee is a share of
 # Health
 SUSPECT_MS, SUSPECT_MAX_MS = 1000.0, 8000.0  # first and longest time a silent replica is left out
 SILENCE_MS = 1500.0  # with a prompt waiting and a probe failed: less is a pause, or long prompts being read
 OVERTAKEN_MS = 500.0  # a prompt sent so long before one that has started was swallowed
+IDLE_TOKENS = 200.0  # with no more than that to read, a prompt that waits for long is not there
 LOST_FACTOR = 4.0  # predicted first-token times after which one is given up where others were swallowed
 SLOW_MAX, SLOW_FADE_MS = 8.0, 10000.0  # largest factor believed of a slow replica, and its half life
 FAILING_MS = 2000.0  # wait counted for a replica whose attempts of late all ended in errors
@@ -277,12 +279,14 @@
         if now - self.heat_at > HEAT_MS:
             self.heat_at = now
             self.heat = {k: v / 2 for k, v in self.heat.items() if v > 0.5}
-            self.heat_sum = sum(self.heat.values())
+            self.heat_sum /= 2.0
             self.walks.clear()
-        heat = self.heat[key] = self.heat.get(key, 0.0) + 1.0
+        if len(self.walks) >= WALKS_MAX:
+            self.walks.clear()  # sessions come and go
         self.heat_sum += 1.0
         count = 1
         if request.prefix:
+            heat = self.heat[key] = self.heat.get(key, 0.0) + 1.0
             wanted = SPREAD * len(self.local or self.remote) * heat / max(self.heat_sum, 20.0)
             while count < wanted:
                 count *= 2  # coarse steps: nodes that count few requests must still agree on homes
@@ -488,7 +492,8 @@
         for replica in self.pool.serving:
             # Suspicion ends early where an answer shows life, and begins where a waiting prompt is the only
             # sign that a replica fell silent: its late timer may have fired before that.
-            quiet = replica.strikes or replica.quiet_ms(self.now) >= SILENCE_MS
+            lost = any(self.now - a.sent_at > SWEEP_MS and not a.lost for a in replica.unstarted)
+            quiet = replica.strikes or lost or replica.quiet_ms(self.now) >= SILENCE_MS
             if replica.failing >= 0.5:
                 # It may swallow the next ones too, and with nothing sent after them none is overtaken.
                 late = [a for a in replica.unstarted if self.now - a.sent_at > LOST_FACTOR * a.predicted]
@@ -513,6 +518,8 @@
             if event.report is not None or not replica.reports:
                 # A report that can't be read is no news; where none ever come, the lag is the news.
                 self.pool.answered(replica, event.report, event.lag_ms, self.now)
+            if event.report is not None and 0.0 <= event.report.unread_tokens < IDLE_TOKENS:
+                self._swallowed(replica, self.now - REPORT_LAG_MS - event.lag_ms)
         else:
             # A probe that is served like a request times out in overload: that is load, and must not
             # blind the node. Only where the zone's others answer is it taken for silence.
@@ -695,6 +702,15 @@
         """One that fails fast looks idle and would draw ever more: that counts as waiting, for a while."""
         replica.failing, replica.failed_at = min(1.0, replica.failing + 0.5), self.now
 
+    def _swallowed(self, replica: Replica, before: float) -> None:
+        """What was sent before then and has not started is lost; one that swallows some looks idle too."""
+        lost = [a for a in replica.unstarted if a.sent_at < before]
+        for attempt in lost:
+            if not attempt.lost:
+                attempt.lost = True
+                self._failing(replica)
+        self._rescue(lost)
+
     def _rescue(self, lost: list[Attempt]) -> None:
         """What waits on a replica that does not answer its probes, or was overtaken, goes elsewhere as well.
 
@@ -721,12 +737,7 @@
         if attempt.first_ms < 0.0:
             attempt.replica.running += 1
         attempt.first_ms = self.now - attempt.sent_at
-        overtaken = [a for a in attempt.replica.unstarted if a.sent_at < attempt.sent_at - OVERTAKEN_MS]
-        for lost in overtaken:
-            if not lost.lost:  # one that swallows some looks idle, as one that fails fast does
-                lost.lost = True
-                self._failing(attempt.replica)
-        self._rescue(overtaken)
+        self._swallowed(attempt.replica, attempt.sent_at - OVERTAKEN_MS)
         self.pool.slower(attempt.replica, attempt.first_ms / max(attempt.predicted, 100.0), self.now)
         request.started = True
         self._cancel_others(request, event.attempt)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -32,11 +32,11 @@
 
 
 def ask(router: Router, now: float, name: str, **fields: object) -> list[Action]:
-    """A request whose probes are answered at once, idle, or as `report` says."""
+    """A request whose probes are answered at once: little to read, though more than nothing."""
     known: dict[str, object] = {"cls": 0, "budget_ms": 4000.0, "prompt_tokens": 2000, **fields}
     actions = router.handle(now, [RequestArrived(name, **known)])  # type: ignore[arg-type]
     probes: list[Event] = [
-        ProbeAnswered(a.replica, Outcome.SERVED, 1.0, Report(0.1, 0.0))
+        ProbeAnswered(a.replica, Outcome.SERVED, 1.0, Report(0.1, 300.0))
         for a in actions
         if isinstance(a, Probe)
     ]
@@ -106,6 +106,17 @@
     assert len(used[8]) <= 3
 
 
+def test_sessions_and_prefixes_that_have_gone_leave_nothing_behind() -> None:
+    """Guards against tables that grow with the day: sessions are always new."""
+    router = Router(make_settings(zones=1), 1)
+    router.handle(0.0, [serving("a", "b")])
+    for k in range(1500):
+        ask(router, 200.0 * k, f"q{k}", session=k + 1, prefix=k % 2 * (k // 50 + 1))
+        router.handle(200.0 * k + 100, [AttemptEnded(f"q{k}", 0, "a", Outcome.SERVED, True)])
+    pool = router.pool
+    assert len(pool.heat) < 40 and len(pool.walks) <= 500 and not router.requests
+
+
 def test_a_busy_home_is_left_for_an_idle_replica() -> None:
     router = Router(make_settings(zones=1), 1)
     router.handle(0.0, [serving("a", "b")])
@@ -332,6 +343,22 @@
     assert not sends(router.handle(751.0, [StreamStarted("q2", 0, home, 51.0)]))  # once is enough
 
 
+def test_a_prompt_that_its_replica_does_not_report_goes_elsewhere_as_well() -> None:
+    """Guards against waiting for an overtaking prompt where few are sent."""
+    router = Router(make_settings(zones=1), 1)
+    router.handle(0.0, [serving("a", "b")])
+    home = sends(ask(router, 1.0, "q1", session=5))[0].replica
+    router.hedges = 0.0
+
+    def reported(now: float, unread: float) -> list[Send]:
+        answer = ProbeAnswered(home, Outcome.SERVED, 1.0, Report(0.1, unread))
+        return sends(router.handle(now, [answer]))
+
+    assert not reported(300.0, 0.0)  # a report lags: the prompt may not be in it
+    assert not reported(900.0, 2000.0)  # it waits there
+    assert [send.request for send in reported(901.0, 0.0)] == ["q1"]
+
+
 def test_a_prompt_that_waits_long_has_its_replica_asked_again() -> None:
     """Guards what was sent to a replica that fell silent after the attempt's late timer had fired."""
     router = Router(make_settings(zones=1), 5)
