Let a failing replica be dearer to choose, but the fleet no fuller for it

At fault: ReplicaPool.wait added FAILING_MS to the wait that Router._decide takes for fullness. It now counts in the choice alone (_least).

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -306,8 +306,8 @@
                 break
         return list(found)
 
-    def wait(self, replica: Replica, now: float) -> float:
-        """Predicted time before a replica begins to read one more prompt, ms."""
+    def wait(self, replica: Replica, now: float, failing: bool = False) -> float:
+        """Predicted time before a replica begins to read one more prompt, ms; more where it is failing."""
         weight = TRUST * max(0.0, 1.0 - (now - replica.report_at) / FADE_MS)
         heard = now - self.zone_at[replica.zone] < ZONE_MS  # else unknown: fullness must not stick
         wait, memory = self.zone_load[replica.zone] * heard, self.zone_memory[replica.zone] * heard
@@ -321,7 +321,7 @@
             wait += SILENT_MS  # asked and not answered: paused, silent or deep in work
         if replica.slow > 1.0:
             wait *= 1.0 + (replica.slow - 1.0) * exp((replica.slow_at - now) / SLOW_FADE_MS)
-        return wait + FAILING_MS * replica.failing * exp((replica.failed_at - now) / SLOW_FADE_MS)
+        return wait + failing * FAILING_MS * replica.failing * exp((replica.failed_at - now) / SLOW_FADE_MS)
 
     def reading(self, request: Request, rank: int) -> float:
         """Tokens of the prompt that a replica must still read: at its home, at a prefix home, elsewhere."""
@@ -648,7 +648,8 @@
             read = pool.reading(request, rank)
             wait = pool.wait(replica, now)
             price = 1.0 if hurried else READ_PRICE
-            cost = wait + RUNNING_PRICE * replica.running + price * read / READ_RATE
+            # Failing is a reason to choose another, not to think the fleet full and refuse.
+            cost = pool.wait(replica, now, True) + RUNNING_PRICE * replica.running + price * read / READ_RATE
             cost *= 1.0 + 0.1 * self.rng.random()
             if replica.zone != self.settings.zone:
                 cost += cross
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -301,11 +301,11 @@
     router = Router(make_settings(zones=1), 1)
     router.handle(0.0, [serving("a")])
     replica = router.pool.replicas["a"]
-    before = router.pool.wait(replica, 2.0)
+    before = router.pool.wait(replica, 2.0, True)
     ask(router, 1.0, "q")
     router.handle(2.0, [AttemptEnded("q", 0, "a", Outcome.ERROR)])
-    assert router.pool.wait(replica, 2.0) > before + 500.0
-    assert router.pool.wait(replica, 60_000.0) < before + 10.0
+    assert router.pool.wait(replica, 2.0, True) > before + 500.0
+    assert router.pool.wait(replica, 60_000.0, True) < before + 10.0
 
 
 def test_a_silent_replica_stays_out_and_what_waits_on_it_goes_elsewhere() -> None:
@@ -337,9 +337,8 @@
     router.hedges = 0.0  # no second attempt by lateness
     actions = router.handle(750.0, [StreamStarted("q2", 0, home, 50.0)])
     assert sends(actions) == [Send("q1", other)]
-    assert router.pool.wait(router.pool.replicas[home], 750.0) > router.pool.wait(
-        router.pool.replicas[other], 750.0
-    )
+    replica, pool = router.pool.replicas[home], router.pool
+    assert pool.wait(replica, 750.0, True) > pool.wait(replica, 750.0) + 500.0  # dearer, but not fuller
     assert not sends(router.handle(751.0, [StreamStarted("q2", 0, home, 51.0)]))  # once is enough
 
 
