Keep an endpoint's unasked second answer from passing for the next request's

Cause: a request could really get another one's answer. An endpoint's second answer, sent unasked later than SETTLE_MS after the first, arrives on a connection that has been taken again: the 200 with a body of three bytes was passed on as the next request's stream. The test failed when its sleep of 2 ms took more than 5.

Change: a 200 that is no text/event-stream is unreadable, never served. Where bytes are found on an idle connection, TCP_INFO tells how late they came; that endpoint's connections then rest four times as long before they are used again (at most 1 s, forgotten with the endpoint, logged as `unasked`). A whole second stream that crosses a written request still can't be told apart on the wire: the longer rest only makes it rarer.

--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -9,11 +9,11 @@
 
 import gevent
 import msgspec
-from gevent.socket import socket
+from gevent.socket import MSG_PEEK, socket
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, Options
-from spoolbarrow.net import http1
+from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import load_report
@@ -23,9 +23,12 @@
 
 RECV = 65536  # bytes read at once
 SETTLE_MS = 5.0  # a connection rests so long: a second answer straight after must not pass for the next
+LONGEST_SETTLE_MS = 1000.0  # where an endpoint's unasked bytes came later, its connections rest longer
+SETTLE_FACTOR = 4.0  # so many times as late as they came
 TAIL = 4096  # bytes kept of a stream's end, where it tells its usage
 NOT_RUN = b"x-unprocessed"
 LOAD = b"x-backend-load"
+KIND, STREAM = b"content-type", b"text/event-stream"
 CLIENTS_FAULT = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # others would say the same
 MAX_LOAD = 1e6  # nothing that is reported is larger
 SHORT_NAMES = {"util": "load_share", "queue": "depth"}  # as sockets name them: the settings' names
@@ -87,6 +90,14 @@
         watched.register(self.sock.fileno(), select.POLLIN)
         return bool(watched.poll(0))
 
+    def unasked_ms(self, now: float) -> float:
+        """How long after it became idle unasked bytes came, ms; 0 where none did."""
+        try:
+            spoke = bool(self.sock.recv(1, MSG_PEEK))  # else it is its end that was noticed
+            return now - tcpinfo.last_received_ms(self.sock) - self.idle_since if spoke else 0.0
+        except OSError:
+            return 0.0
+
 
 class AnswerReader:
     """Reads an answer, each of its pieces in good time.
@@ -130,6 +141,7 @@
         self._destinations, self._host = destinations, host
         # By endpoint, not by address: another one may come to listen where one has gone.
         self._idle: dict[str, deque[Connection]] = {}
+        self._settle: dict[str, float] = {}  # ms that connections rest, where it is not SETTLE_MS
         self._open = 0
         self.apply(config)
 
@@ -145,7 +157,7 @@
         if address is None:
             raise OSError("no address")
         idle = self._idle.get(endpoint)
-        settled = self._host.now() - SETTLE_MS
+        settled = self._host.now() - self._settle.get(endpoint, SETTLE_MS)
         while idle and idle[0].idle_since <= settled:
             # The warmest that is settled: the others grow old and are dropped.
             place = max(n for n, connection in enumerate(idle) if connection.idle_since <= settled)
@@ -153,6 +165,7 @@
             del idle[place]
             if self._host.now() - connection.idle_since < self._idle_ms and not connection.stale():
                 return connection
+            self._learn_settle(connection)
             self.drop(connection)
         if self._open >= self._config.max_outbound and not self._make_room():
             raise OSError("out of connections")
@@ -164,6 +177,14 @@
             self._open -= 1
             raise
 
+    def _learn_settle(self, connection: Connection) -> None:
+        """Guards against a second answer that comes so late that it passes for the next request's."""
+        late = SETTLE_FACTOR * connection.unasked_ms(self._host.now())
+        settle = min(late, LONGEST_SETTLE_MS)
+        if settle > self._settle.get(connection.endpoint, SETTLE_MS):
+            self._settle[connection.endpoint] = settle
+            log("unasked", endpoint=connection.endpoint, settle_ms=round(settle))
+
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for the next request, if its endpoint is still the one that it leads to."""
         endpoint = connection.endpoint
@@ -181,6 +202,7 @@
 
     def forget(self, endpoint: str) -> None:
         """Drop the idle connections to an endpoint that is gone, drains, or is no longer what it was."""
+        self._settle.pop(endpoint, None)
         for connection in self._idle.pop(endpoint, ()):
             self.drop(connection)
 
@@ -280,6 +302,9 @@
                 if parser.status == 200 and not parser.framed():
                     # A head cut short: what is left of it would pass for events, and any end for the last.
                     raise http1.Fault(502, "a stream without an end")
+                if parser.status == 200 and not parser.fields.get(KIND, b"").lower().startswith(STREAM):
+                    # Guards against what an endpoint says unasked passing for the answer to this request.
+                    raise http1.Fault(502, "a 200 that is no stream of events")
                 parts = parser.take_body()
                 if parser.status == 200 and (parts or (parser.whole and not claimed)):
                     if not claimed:
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import select
-import sys
 from heapq import nsmallest
 
 import gevent
@@ -13,7 +12,7 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config
-from spoolbarrow.net import http1
+from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.host import Host, Request
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.log import log, unexpected
@@ -22,7 +21,6 @@
 RECV = 65536  # bytes read at once, into one buffer: they are parsed before any other greenlet runs
 AHEAD = 4  # requests read ahead of the one that is served; then the client must wait
 BACKLOG = 1024
-TCP_INFO, TCP_INFO_SIZE, LAST_DATA_RECV = 11, 104, 52  # linux/tcp.h: tcpi_last_data_recv
 SETTLED_MS = 100.0  # a connection idle so long may be closed for one that waits
 ROOM_AT_ONCE = 16  # connections closed at once for those that wait
 ACCEPT_AT_ONCE, ACCEPT_PAUSE_S = 8, 0.002  # a burst of connections leaves time for those that are served
@@ -283,7 +281,7 @@
         self.count()
         if not was_reading:
             # What the kernel held while nobody read it has waited already: its client counts from sending.
-            self._first_byte = now - _unread_ms(self.sock)
+            self._first_byte = now - tcpinfo.last_received_ms(self.sock)
         for _ in range(len(parser.whole) - had):
             self._arrived.append(self._first_byte)
             self._first_byte = now
@@ -379,12 +377,6 @@
                 gevent.sleep(DISCARD_PAUSE_S)
 
 
-def _unread_ms(sock: socket.socket) -> int:
-    """How long ago the kernel took in the last bytes of a TCP connection."""
-    info: bytes = sock.getsockopt(socket.IPPROTO_TCP, TCP_INFO, TCP_INFO_SIZE)
-    return int.from_bytes(info[LAST_DATA_RECV : LAST_DATA_RECV + 4], sys.byteorder)
-
-
 class Inbound:
     """The listener and the clients' connections."""
 
