Give requests and attempts a room of their own, and tell observers what happens by taps

Need: host and endpoint imported each other, and flow export, shadow copies and the console all need to hear what happens on the sockets without each being written into them.

Change: net/request.py holds Request, Attempt and the Answer protocol; endpoints speak to a Protocol, not to Host. net/taps.py is the one seam for observers: connections opened and closing (their sockets readable for the last time), requests taken and over, attempts sent, started and ended, events passed on.

--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -5,7 +5,7 @@
 import select
 import time
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import gevent
 import msgspec
@@ -16,11 +16,10 @@
 from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.request import Attempt
+from spoolbarrow.net.taps import Side, Taps, Why
 from spoolbarrow.wire import load_report
 
-if TYPE_CHECKING:
-    from spoolbarrow.net.host import Host, Request
-
 RECV = 65536  # bytes read at once
 SETTLE_MS = 5.0  # a connection rests so long: a second answer straight after must not pass for the next
 LONGEST_SETTLE_MS = 1000.0  # where an endpoint's unasked bytes came later, its connections rest longer
@@ -53,34 +52,34 @@
     """The attempt was not written, or not wholly: it never ran."""
 
 
-class Attempt:
-    """One sending of a request to an endpoint."""
+class Caller(Protocol):
+    """Who has attempts and probes carried out, and hears what came of them."""
+
+    taps: Taps
+
+    def now(self) -> float:
+        """The decisions' clock, ms."""
 
-    def __init__(self, request: Request, number: int, endpoint: str, sent_at: float) -> None:
-        self.request, self.number, self.endpoint, self.sent_at = request, number, endpoint, sent_at
-        self.ended = False
-        self.outcome: i.Outcome | None = None
-        self.first_at = self.ended_at = 0.0
-        self.greenlet: gevent.Greenlet[[Attempt], None] | None = None
+    def may_send(self, attempt: Attempt) -> bool:
+        """Whether an attempt may still be written, asked just before its first byte."""
 
-    def account(self, since: float) -> dict[str, object]:
-        """What became of it, for the log."""
-        told: dict[str, object] = {"endpoint": self.endpoint, "sent": round(self.sent_at - since)}
-        if self.first_at:
-            told["first"] = round(self.first_at - since)
-        return told | {"ended": round(self.ended_at - since), "outcome": self.outcome and self.outcome.name}
+    def claim(self, attempt: Attempt) -> bool:
+        """An attempt's first event has come: whether it is the client's."""
+
+    def ended(
+        self, attempt: Attempt, outcome: i.Outcome, kept: int = 0, report: i.Report | None = None
+    ) -> None:
+        """The outcome of an attempt."""
 
-    def stop(self) -> None:
-        """Give it up: its greenlet closes the connection."""
-        if self.greenlet is not None and self.greenlet is not gevent.getcurrent():
-            self.greenlet.kill(block=False)
+    def probed(self, endpoint: str, outcome: i.Outcome, lag: float, report: i.Report | None) -> None:
+        """The result of a probe."""
 
 
 class Connection:
     """One connection to an endpoint; one request at a time goes over it."""
 
-    def __init__(self, endpoint: str, address: Address, sock: socket) -> None:
-        self.endpoint, self.address, self.sock = endpoint, address, sock
+    def __init__(self, endpoint: str, address: Address, sock: socket, number: int) -> None:
+        self.endpoint, self.address, self.sock, self.number = endpoint, address, sock, number
         self.idle_since = 0.0
 
     def stale(self) -> bool:
@@ -137,7 +136,7 @@
 class Pool:
     """Connections to all endpoints, within the machine's limit."""
 
-    def __init__(self, config: Config, destinations: DestinationSet, host: Host) -> None:
+    def __init__(self, config: Config, destinations: DestinationSet, host: Caller) -> None:
         self._destinations, self._host = destinations, host
         # By endpoint, not by address: another one may come to listen where one has gone.
         self._idle: dict[str, deque[Connection]] = {}
@@ -172,7 +171,8 @@
         self._open += 1
         try:
             sock = http1.connect(address, self._config.connect_timeout_ms / 1000)
-            return Connection(endpoint, address, sock)
+            number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
+            return Connection(endpoint, address, sock, number)
         except BaseException:  # a cancelled attempt's GreenletExit too: the count must stay true
             self._open -= 1
             raise
@@ -195,9 +195,10 @@
         connection.idle_since = self._host.now()
         self._idle.setdefault(endpoint, deque()).append(connection)
 
-    def drop(self, connection: Connection) -> None:
+    def drop(self, connection: Connection, why: Why = Why.DONE) -> None:
         """Close a connection."""
         self._open -= 1
+        self._host.taps.closing(connection.number, why)
         connection.sock.close()
 
     def forget(self, endpoint: str) -> None:
@@ -211,7 +212,7 @@
         oldest = self._host.now() - self._idle_ms
         for endpoint, idle in list(self._idle.items()):
             while idle and idle[0].idle_since <= oldest:
-                self.drop(idle.popleft())
+                self.drop(idle.popleft(), Why.IDLE)
             if not idle:
                 del self._idle[endpoint]
 
@@ -219,21 +220,21 @@
         """Drop all idle connections."""
         for idle in self._idle.values():
             while idle:
-                self.drop(idle.pop())
+                self.drop(idle.pop(), Why.ENDED)
 
     def _make_room(self) -> bool:
         """Drop the connection that has stood idle longest."""
         waiting = [idle for idle in self._idle.values() if idle]
         if not waiting:
             return False
-        self.drop(min(waiting, key=lambda idle: idle[0].idle_since).popleft())
+        self.drop(min(waiting, key=lambda idle: idle[0].idle_since).popleft(), Why.ROOM)
         return True
 
 
 class Endpoints:
     """Carries out attempts and probes, each in a greenlet of its own."""
 
-    def __init__(self, config: Config, destinations: DestinationSet, host: Host) -> None:
+    def __init__(self, config: Config, destinations: DestinationSet, host: Caller) -> None:
         self._config, self._destinations, self._host = config, destinations, host
         self._pool = Pool(config, destinations, host)
         self._buffer = bytearray(RECV)  # one for all: what is read is parsed before another greenlet runs
@@ -291,7 +292,7 @@
         connection, moot = self._write(attempt)
         if connection is None:
             return moot, 0, None
-        reusable = False
+        whole = reusable = False
         try:
             options = self._config.options
             parser = http1.ResponseParser(options.max_head, options.max_body)
@@ -312,15 +313,17 @@
                             return i.Outcome.CANCELLED, 0, None  # another attempt was first
                         claimed = True
                     attempt.request.answer.pass_on(parts)
+                    if self._host.taps.active:
+                        self._host.taps.passed_on(attempt.request, parts)
                     tail = (tail + b"".join(parts))[-TAIL:]
-            reusable = parser.reusable
+            whole, reusable = True, parser.reusable
             report = parse_load(parser.fields.get(LOAD, b"")) or _tail_report(tail)
             return self._outcome(attempt, parser), _kept_tokens(tail), report
         finally:
             if reusable:
                 self._pool.give_back(connection)
             else:
-                self._pool.drop(connection)
+                self._pool.drop(connection, Why.DONE if whole else Why.BROKEN)
 
     def _outcome(self, attempt: Attempt, parser: http1.ResponseParser) -> i.Outcome:
         if parser.status == 200:
@@ -348,12 +351,15 @@
             pieces = http1.request_pieces(request.message, connection.address, left)
             http1.send_pieces(connection.sock, pieces)
             written = True
+            attempt.connection = connection.number
+            if self._host.taps.active:
+                self._host.taps.attempt_sent(attempt)
             return connection, i.Outcome.MOOT
         except OSError as error:
             raise NotSent(f"{type(error).__name__}: {error}") from error
         finally:
             if not written:
-                self._pool.drop(connection)
+                self._pool.drop(connection, Why.BROKEN)
 
     def _probe(self, endpoint: str) -> None:
         begun, outcome, report = self._host.now(), i.Outcome.RESET, None
@@ -376,7 +382,7 @@
             connection = self._pool.take(endpoint)
         except OSError as error:
             raise NotSent(str(error)) from error
-        reusable = False
+        whole = reusable = False
         try:
             path = b"/metrics/load" if self._config.load_probes else b"/alive"
             http1.send_pieces(connection.sock, http1.get_pieces(path, connection.address))
@@ -386,14 +392,14 @@
                 body += b"".join(parser.take_body())
                 if len(body) > RECV:
                     raise http1.Fault(502, "load report too long")
-            reusable = parser.reusable
+            whole, reusable = True, parser.reusable
             report = parse_load(body) or parse_load(parser.fields.get(LOAD, b""))
             return probe_outcome(parser), report
         finally:
             if reusable:
                 self._pool.give_back(connection)
             else:
-                self._pool.drop(connection)
+                self._pool.drop(connection, Why.DONE if whole else Why.BROKEN)
 
 
 def probe_outcome(parser: http1.ResponseParser) -> i.Outcome:
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
-from typing import Protocol
 
 import gevent
 from gevent.event import Event
@@ -20,74 +19,16 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config
 from spoolbarrow.net.destinations import DestinationSet
-from spoolbarrow.net.endpoint import Attempt, Endpoints
+from spoolbarrow.net.endpoint import Endpoints
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.request import Answer, Attempt, Request
+from spoolbarrow.net.taps import Taps
 from spoolbarrow.router import Router
 
 OVERDUE_TICKS = 2.0  # past its deadline: a request that the decisions then leave open is answered by the host
 
 
-class Answer(Protocol):
-    """How the client's side gives a request's one answer; only `pass_on` may block."""
-
-    def fail_fast(self, retry_after_ms: float) -> None:
-        """Declined; trying again is harmless."""
-
-    def fail(self, late: bool) -> None:
-        """Failed; nothing is promised."""
-
-    def reject(self) -> None:
-        """The endpoint can't use the request as its client sent it."""
-
-    def pass_on(self, parts: list[bytes]) -> None:
-        """Events of the one stream that serves the request; raises OSError when the client has gone."""
-
-    def end(self) -> None:
-        """The stream is whole."""
-
-    def abort(self) -> None:
-        """The stream broke: the client must see that it is not whole."""
-
-
-class Request:
-    """A client's request until it is answered and its last attempt has ended."""
-
-    def __init__(
-        self, key: str, id: str, message: Message, answer: Answer, facts: i.RequestArrived,
-        now: float, deadline: float,
-    ) -> None:
-        self.key, self.id, self.message, self.answer = key, id, message, answer
-        self.cls, self.tenant = facts.cls, facts.tenant
-        self.taken_at, self.deadline = now, deadline
-        self.attempts: list[Attempt] = []
-        self.stream: Attempt | None = None  # the attempt that is the client's
-        self.over = False  # answered, or the client has gone
-        self.answered = ""  # how: served, fail_fast, failed, broken, or left by its client
-
-    def end(self, how: str) -> None:
-        """It has its answer, or needs none."""
-        self.over, self.answered = True, how
-
-    def account(self, now: float) -> dict[str, object]:
-        """What became of it, for the log; times in ms since it was taken."""
-        since = self.taken_at
-        return {
-            "request": self.key,
-            "id": self.id,
-            "class": self.cls,
-            "tenant": self.tenant,
-            "answer": self.answered,
-            "budget_ms": round(self.deadline - since),
-            "ms": round(now - since),
-            "attempts": [a.account(since) for a in self.attempts],
-        }
-
-    def done(self) -> bool:
-        """Whether nothing more can happen to it."""
-        return self.over and all(attempt.ended for attempt in self.attempts)
-
-
 class Clock:
     """The module's clock: Unix milliseconds at the start, never set back after it.
 
@@ -108,6 +49,7 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.now = Clock()
+        self.taps = Taps()
         self.destinations = DestinationSet(config, self._post, self._endpoint_left)
         self._endpoints = Endpoints(config, self.destinations, self)
         self._router = Router(config.settings, config.seed)
@@ -156,13 +98,17 @@
         return id in self._ids
 
     def submit(
-        self, id: str, message: Message, answer: Answer, deadline: float, facts: i.RequestArrived
+        self, id: str, message: Message, answer: Answer, deadline: float, facts: i.RequestArrived,
+        connection: int = 0,
     ) -> Request:
         """Take a request; from here on it gets exactly one answer, before `deadline` if it is no stream."""
         key = str(next(self._keys))
         facts = replace(facts, request=key)
-        request = self._requests[key] = Request(key, id, message, answer, facts, self.now(), deadline)
+        request = Request(key, id, message, answer, facts, self.now(), deadline, connection)
+        self._requests[key] = request
         self._ids.add(id)
+        if self.taps.active:
+            self.taps.request_taken(request, facts)
         self._post(facts)
         self._at(deadline, lambda: self._deadline(key))
         return request
@@ -209,6 +155,8 @@
         if request.over or request.stream is not None or attempt.ended:
             return False
         request.stream, attempt.first_at = attempt, self.now()
+        if self.taps.active:
+            self.taps.attempt_started(attempt)
         lag = self.now() - attempt.sent_at
         self._post(i.StreamStarted(request.key, attempt.number, attempt.endpoint, lag))
         return True
@@ -234,6 +182,8 @@
                 request.key, attempt.number, attempt.endpoint, outcome, request.over, lag, kept, report
             )
         )
+        if self.taps.active:
+            self.taps.attempt_ended(attempt)
         self._forget(request)
         attempt.stop()
 
@@ -371,4 +321,7 @@
     def _forget(self, request: Request) -> None:
         if request.done() and self._requests.pop(request.key, None) is not None:
             self._ids.discard(request.id)
-            log("request", **request.account(self.now()))
+            now = self.now()
+            log("request", **request.account(now))
+            if self.taps.active:
+                self.taps.request_over(request, now)
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -13,9 +13,11 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config
 from spoolbarrow.net import http1, tcpinfo
-from spoolbarrow.net.host import Host, Request
+from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.request import Request
+from spoolbarrow.net.taps import Side, Why
 
 CHAT, UP = b"/v1/chat/completions", b"/up"
 RECV = 65536  # bytes read at once, into one buffer: they are parsed before any other greenlet runs
@@ -178,6 +180,7 @@
     def __init__(self, inbound: Inbound, sock: socket.socket) -> None:
         self.inbound, self.sock = inbound, sock
         self.exchange: Exchange | None = None
+        self.number = inbound.host.taps.opened(Side.CLIENT, sock, inbound.host.now())
         self.since = inbound.host.now()  # it was opened or became idle, or a later request began
         self.fresh = True  # nothing was answered on it yet
         self.writing_since = 0.0  # when a write began that the client has not taken yet
@@ -255,10 +258,13 @@
         if exchange is not None and exchange.request is not None:
             self.inbound.host.client_left(exchange.request)
 
-    def close(self) -> None:
+    def close(self, why: Why | None = None) -> None:
         """End the connection; its reader, woken by that, does the rest."""
         if not self._closed:
             self._closed = self.ending = True
+            if why is None:
+                why = Why.DONE if self.exchange is None and not self._parser.reading else Why.BROKEN
+            self.inbound.host.taps.closing(self.number, why)
             self._room.set()
             self.sock.close()
             self.inbound.gone(self)
@@ -272,7 +278,7 @@
             self._parser.fault = Fault(408, "no whole request in time")
             self._advance()
         else:
-            self.close()
+            self.close(Why.IDLE)
 
     def _fed(self, data: memoryview) -> None:
         parser, now = self._parser, self.inbound.host.now()
@@ -351,7 +357,7 @@
         deadline = arrived + budget - options.answer_margin_ms
         if deadline <= inbound.host.now():
             return exchange.fail(True)
-        exchange.request = inbound.host.submit(name, message, exchange, deadline, facts)
+        exchange.request = inbound.host.submit(name, message, exchange, deadline, facts, self.number)
 
     def count(self) -> None:
         """Keep the account of the bodies that this connection holds in memory."""
@@ -437,7 +443,7 @@
             if passed >= options.drain_keep_ms:
                 self.closing = True
                 for client in [c for c in self._clients if c.idle() and not c.unread()]:
-                    client.close()
+                    client.close(Why.ENDED)
             if self.config.resumes and passed >= options.drain_move_ms:
                 self.host.move_streams()
             if passed >= options.drain_answer_ms:
@@ -450,7 +456,7 @@
         if self._sweeper is not None:
             self._sweeper.kill()
         for client in list(self._clients):
-            client.close()
+            client.close(Why.ENDED)
 
     def gone(self, client: Client) -> None:
         """A client's connection is closed."""
@@ -489,7 +495,7 @@
         before = self.host.now() - SETTLED_MS
         idle = [c for c in self._clients if c.idle() and c.since < before and not c.unread()]
         for client in nsmallest(ROOM_AT_ONCE, idle, key=lambda client: (not client.fresh, client.since)):
-            client.close()
+            client.close(Why.ROOM)
         return bool(idle)
 
     def _sweep(self) -> None:
--- /dev/null
+++ b/spoolbarrow/net/request.py
@@ -0,0 +1,99 @@
+"""A client's request and its attempts: what both the host and the endpoints know of them.
+
+Owns the account of what became of each. Who may change it: the host decides when a request is over and an
+attempt has ended; endpoints note on which connection an attempt went out.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import gevent
+
+from spoolbarrow import interface as i
+from spoolbarrow.net.http1 import Message
+
+
+class Answer(Protocol):
+    """How the client's side gives a request's one answer; only `pass_on` may block."""
+
+    def fail_fast(self, retry_after_ms: float) -> None:
+        """Declined; trying again is harmless."""
+
+    def fail(self, late: bool) -> None:
+        """Failed; nothing is promised."""
+
+    def reject(self) -> None:
+        """The endpoint can't use the request as its client sent it."""
+
+    def pass_on(self, parts: list[bytes]) -> None:
+        """Events of the one stream that serves the request; raises OSError when the client has gone."""
+
+    def end(self) -> None:
+        """The stream is whole."""
+
+    def abort(self) -> None:
+        """The stream broke: the client must see that it is not whole."""
+
+
+class Request:
+    """A client's request until it is answered and its last attempt has ended."""
+
+    def __init__(
+        self, key: str, id: str, message: Message, answer: Answer, facts: i.RequestArrived,
+        now: float, deadline: float, connection: int = 0,
+    ) -> None:
+        self.key, self.id, self.message, self.answer = key, id, message, answer
+        self.cls, self.tenant = facts.cls, facts.tenant
+        self.connection = connection  # its client's, by the taps' number; 0: told by none
+        self.taken_at, self.deadline = now, deadline
+        self.attempts: list[Attempt] = []
+        self.stream: Attempt | None = None  # the attempt that is the client's
+        self.over = False  # answered, or the client has gone
+        self.answered = ""  # how: served, fail_fast, failed, broken, or left by its client
+
+    def end(self, how: str) -> None:
+        """It has its answer, or needs none."""
+        self.over, self.answered = True, how
+
+    def account(self, now: float) -> dict[str, object]:
+        """What became of it, for the log; times in ms since it was taken."""
+        since = self.taken_at
+        return {
+            "request": self.key,
+            "id": self.id,
+            "class": self.cls,
+            "tenant": self.tenant,
+            "answer": self.answered,
+            "budget_ms": round(self.deadline - since),
+            "ms": round(now - since),
+            "attempts": [a.account(since) for a in self.attempts],
+        }
+
+    def done(self) -> bool:
+        """Whether nothing more can happen to it."""
+        return self.over and all(attempt.ended for attempt in self.attempts)
+
+
+class Attempt:
+    """One sending of a request to an endpoint."""
+
+    def __init__(self, request: Request, number: int, endpoint: str, sent_at: float) -> None:
+        self.request, self.number, self.endpoint, self.sent_at = request, number, endpoint, sent_at
+        self.connection = 0  # the endpoint's, by the taps' number; 0: none came up
+        self.ended = False
+        self.outcome: i.Outcome | None = None
+        self.first_at = self.ended_at = 0.0
+        self.greenlet: gevent.Greenlet[[Attempt], None] | None = None
+
+    def account(self, since: float) -> dict[str, object]:
+        """What became of it, for the log."""
+        told: dict[str, object] = {"endpoint": self.endpoint, "sent": round(self.sent_at - since)}
+        if self.first_at:
+            told["first"] = round(self.first_at - since)
+        return told | {"ended": round(self.ended_at - since), "outcome": self.outcome and self.outcome.name}
+
+    def stop(self) -> None:
+        """Give it up: its greenlet closes the connection."""
+        if self.greenlet is not None and self.greenlet is not gevent.getcurrent():
+            self.greenlet.kill(block=False)
