Add the command line and the operator's own file

Need: what comes next (flow export first) must be set by the operator apart from the platform's configuration, checked before it is used, and reached by tools that the serving process does not load.

Change: `python -m spoolbarrow` without arguments serves as before (serve.py); else a click group whose commands are imported when called: serve, check, version, completion. `serve` puts its flags into the environment and becomes the serving process, which so never holds click. operator.py reads the TOML file that SPOOLBARROW_OPERATOR names, with msgspec; unknown keys are faults; `check` prints every fault of both files. SIGHUP reads it with the rest, whole or not at all.

--- /dev/null
+++ b/spoolbarrow/__main__.py
@@ -0,0 +1,20 @@
+"""The program: without arguments it serves, as the platform's `run` starts it; else the command line."""
+
+from __future__ import annotations
+
+import sys
+
+
+def main() -> int:
+    """Serve, or carry out the command that the arguments name; the exit status."""
+    if len(sys.argv) > 1:
+        from spoolbarrow.cli import run
+
+        return run(sys.argv[1:])
+    from spoolbarrow.serve import main as serve
+
+    return serve()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/spoolbarrow/cli/check.py
@@ -0,0 +1,44 @@
+"""`spoolbarrow check`: both configuration files, every fault with its key."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import click
+
+from spoolbarrow import config as platform_config
+from spoolbarrow import operator
+
+
+@click.command()
+@click.option("--config", type=click.Path(path_type=Path), help="The platform's configuration (NODE_CONFIG).")
+@click.option("--operator", "file", type=click.Path(path_type=Path), help="The operator's file.")
+def command(config: Path | None, file: Path | None) -> int:
+    """Check both configuration files as `serve` would read them.
+
+    Prints each fault with its key; exit status 2 where there is one.
+    """
+    environment = dict(os.environ)
+    if config is not None:
+        environment["NODE_CONFIG"] = str(config)
+    if file is not None:
+        environment[operator.VARIABLE] = str(file)
+    found = [("config", _faults_of_config(environment)), ("operator", operator.read(environment)[1])]
+    for name, faults in found:
+        for fault in faults:
+            click.echo(f"{name}: {fault}")
+    if not operator.named(environment):
+        click.echo("operator: no file is named: what it sets is off")
+    if any(faults for _, faults in found):
+        return 2
+    click.echo("no faults")
+    return 0
+
+
+def _faults_of_config(environment: dict[str, str]) -> list[str]:
+    try:
+        text = platform_config.read(environment)
+    except platform_config.ConfigError as error:
+        return [str(error)]
+    return platform_config.faults(text)
--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -10,7 +10,7 @@
 import os
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, get_args
 
 import msgspec
 from msgspec import Struct
@@ -217,13 +217,62 @@
     return f"{place or 'NODE_CONFIG'}: {text}"
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
-    """The configuration that the environment names."""
+def read(environment: Mapping[str, str] = os.environ) -> bytes:
+    """The text of the file that the environment names; ConfigError where there is none."""
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG: not set")
     try:
-        text = Path(path).read_bytes()
+        return Path(path).read_bytes()
     except OSError as error:
         raise ConfigError(f"NODE_CONFIG: {path}: {error.strerror}") from error
-    return parse(text)
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    """The configuration that the environment names."""
+    return parse(read(environment))
+
+
+def find_faults(raw: Any, wanted: Any, place: str = "") -> list[str]:
+    """Every fault of decoded values against a Struct, each beginning with its key."""
+    table = _table_of(wanted)
+    if table is None or not isinstance(raw, dict):
+        try:
+            msgspec.convert(raw, wanted)
+        except msgspec.ValidationError as error:
+            text, _, inner = str(error).partition(" - at `$")
+            return [f"{place}{inner.rstrip('`')}: {text}"]
+        return []
+    strict = table.__struct_config__.forbid_unknown_fields
+    fields = {field.name: field for field in msgspec.structs.fields(table)}
+    way = f"{place}." if place else ""
+    faults = [f"{way}{name}: unknown key" for name in raw if strict and name not in fields]
+    for name, field in fields.items():
+        if name in raw:
+            faults += find_faults(raw[name], field.type, way + name)
+        elif field.required:
+            faults.append(f"{way}{name}: missing")
+    return faults
+
+
+def _table_of(wanted: Any) -> type[Struct] | None:
+    """The Struct that a type stands for, also where it is optional."""
+    for one in get_args(wanted) or (wanted,):
+        if isinstance(one, type) and issubclass(one, Struct):
+            return one
+    return None
+
+
+def faults(text: bytes) -> list[str]:
+    """Every fault of a file's text that can be told apart; where its form holds, the first in its meaning."""
+    try:
+        raw = msgspec.json.decode(text)
+    except msgspec.DecodeError as error:
+        return [f"NODE_CONFIG: {error}"]
+    found = find_faults(raw, _File)
+    if not found:
+        try:
+            parse(text)
+        except ConfigError as error:
+            return [str(error)]
+    return found
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -1,10 +1,14 @@
-"""One real router: start, signals, exit status."""
+"""One real router: start, signals, exit status.
+
+Subsystems that are off are not imported: what the operator's file switches on is, when it is read.
+"""
 
 from __future__ import annotations
 
 import gc
+import os
 import signal
-import sys
+from typing import TYPE_CHECKING
 
 import gevent
 from gevent.event import Event
@@ -12,21 +16,43 @@
 from spoolbarrow import config
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
-from spoolbarrow.net.log import log
+from spoolbarrow.net.log import log, standard
+
+if TYPE_CHECKING:
+    from spoolbarrow.operator import Operator
 
 TIDY_S = 2.0
+OPERATOR = "SPOOLBARROW_"  # what begins so in the environment is the operator's
+
+
+def operators() -> Operator | None:
+    """The operator's settings, where there are any; ConfigError where they can't be used."""
+    if not any(name.startswith(OPERATOR) for name in os.environ):
+        return None
+    from spoolbarrow import operator
+
+    return operator.load()
+
+
+def apply(operator: Operator | None) -> None:
+    """Go by the operator's settings; what is not set is as without a file."""
+    if operator is None:
+        standard.configure()
+    else:
+        standard.configure(operator.log.level, operator.log.format)
 
 
 def reload(host: Host, inbound: Inbound) -> None:
-    """Go by the configuration file as it is now; a faulty one, or one that comes late, changes nothing."""
+    """Go by the configuration files as they are now; a faulty or late one changes nothing."""
     if inbound.draining:
         return log("reload_ignored", why="draining")
     try:
-        settings = config.load()
-        inbound.apply(settings)
+        settings, operator = config.load(), operators()
+        inbound.apply(settings)  # the last that can fail
     except (config.ConfigError, OSError) as error:
         return log("reload_failed", error=str(error))
     host.apply(settings)
+    apply(operator)
     log("reloaded", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
 
 
@@ -34,10 +60,11 @@
     """Serve until SIGTERM, then finish what was taken."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end a program that is not up yet
     try:
-        settings = config.load()
+        settings, operator = config.load(), operators()
     except config.ConfigError as error:
         log("bad_config", error=str(error))
         return 2
+    apply(operator)
     told_to_end = Event()
     gevent.signal_handler(signal.SIGTERM, told_to_end.set)
     gevent.signal_handler(signal.SIGINT, told_to_end.set)
@@ -51,6 +78,7 @@
         log("bad_config", error=f"listen: {error}")
         return 2
     host.start()
+    standard.start()
     gc.freeze()  # what is loaded by now lives as long as the process
     log("started", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
     while not told_to_end.wait(TIDY_S):
@@ -61,8 +89,5 @@
     inbound.drain()
     host.stop()
     log("ended")
+    standard.stop()
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
