--- /dev/null
+++ b/benchmarks/standin.py
@@ -0,0 +1,152 @@
+"""Stand-ins for measurements: engines that stream at a set pace, discovery, and a client that times answers.
+
+    python benchmarks/standin.py FIRST_MS EVENTS GAP_MS ENGINES      prints discovery's port, then serves
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any, NamedTuple
+
+import gevent
+import orjson
+from gevent import socket
+
+from spoolbarrow.net import tcpinfo
+from spoolbarrow.net.http1 import RequestParser, ResponseParser
+
+HOST = "127.0.0.1"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+PLAIN = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
+EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%s"},"finish_reason":null}]}\n\n' % (b"word " * 4)
+
+
+def chunk(part: bytes) -> bytes:
+    """A chunk of an answer."""
+    return b"%x\r\n%s\r\n" % (len(part), part)
+
+
+def listen() -> Any:
+    """A listener on a free port."""
+    sock = socket.socket()
+    sock.bind((HOST, 0))
+    sock.listen(1024)
+    return sock
+
+
+def converse(sock: Any, answer: Any) -> None:
+    """Answer each request on a connection."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    parser = RequestParser(16_384, 262_144)
+    try:
+        while data := sock.recv(65_536):
+            parser.feed(memoryview(data))
+            while parser.whole:
+                answer(sock, parser.whole.popleft())
+    except OSError:
+        pass
+    finally:
+        sock.close()
+
+
+def serve(listener: Any, answer: Any) -> None:
+    """Accept for ever."""
+    while True:
+        gevent.spawn(converse, listener.accept()[0], answer)
+
+
+def engines(first_ms: float, events: int, gap_ms: float, number: int) -> None:
+    """Serve until killed."""
+
+    def stream(sock: Any, message: Any) -> None:
+        if message.method == b"GET":
+            body = b"x1=0,util=0.1,x0=0.1"
+            sock.sendall(PLAIN % (len(body), body))
+            return
+        gevent.sleep(first_ms / 1000)
+        sock.sendall(HEAD + chunk(EVENT))
+        for _ in range(events - 1):
+            gevent.sleep(gap_ms / 1000)
+            sock.sendall(chunk(EVENT))
+        sock.sendall(chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
+
+    listeners = [listen() for _ in range(number)]
+    for one in listeners:
+        gevent.spawn(serve, one, stream)
+    names = [f"{HOST}:{one.getsockname()[1]}" for one in listeners]
+    endpoints = [{"name": f"e{n}", "address": name, "zone": "a", "type": "m"} for n, name in enumerate(names)]
+    whole = orjson.dumps({"index": 1, "snapshot": True, "endpoints": endpoints})
+
+    def tell(sock: Any, message: Any) -> None:
+        if b"stream=1" not in message.target:
+            sock.sendall(PLAIN % (len(whole), whole))
+            return
+        sock.sendall(HEAD + chunk(whole + b"\n"))
+        while True:
+            gevent.sleep(2.0)
+            sock.sendall(chunk(b"\n"))
+
+    discovery = listen()
+    print(discovery.getsockname()[1], flush=True)
+    serve(discovery, tell)
+
+
+def config(listen_port: int, discovery_port: int) -> dict[str, Any]:
+    """A router's configuration for these engines."""
+    chat = {"Name": "chat", "AimMs": 4e3, "DeadlineMs": 15e3, "Effect": "retryable", "Stream": True}
+    settings = {
+        "Balancers": 1, "Classes": [chat], "Tenants": [{"Name": "acme"}], "Zones": ["a"], "Skus": ["m"],
+        "TickMs": 1.0, "Discovery": "subscribe",
+        "Limits": {"MaxAttempts": 3, "RetryAfter": True, "Cancelling": True, "MaxRetryAfterMs": 2000.0},
+    }
+    return {
+        "name": "bench", "listen": f"{HOST}:{listen_port}", "discovery": f"{HOST}:{discovery_port}",
+        "seed": "8c1f", "settings": settings,
+    }
+
+
+class Timed(NamedTuple):
+    """One answer; ms from when its request was written."""
+
+    status: int
+    first_ms: float
+    whole_ms: float
+
+
+class Client:
+    """A client's connection, kept alive."""
+
+    def __init__(self, port: int) -> None:
+        self._sock = socket.socket()
+        self._sock.connect((HOST, port))
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.port: int = self._sock.getsockname()[1]
+        self._buffer = bytearray(65_536)
+
+    def ask(self, name: str, body: bytes = b'{"model":"chat","stream":true}') -> Timed:
+        """One request; OSError or Fault where its answer is none."""
+        head = (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: {name}\r\n"
+            "X-Service-Class: chat\r\nX-Account: acme\r\nX-Session-Key: 7f3a\r\nX-Time-Left-Ms: 15000\r\n"
+            f"X-Facts: prompt_len=40,max_out=40\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        parser, first = ResponseParser(16_384), 0.0
+        begun = time.perf_counter()
+        self._sock.sendall(head.encode() + body)
+        while not parser.whole:
+            parser.read(self._sock, self._buffer)
+            if not first and parser.take_body():
+                first = time.perf_counter()
+        end = time.perf_counter()
+        return Timed(parser.status, ((first or end) - begun) * 1000, (end - begun) * 1000)
+
+    def close(self) -> tcpinfo.Counters:
+        """End it; what the kernel counted."""
+        counted = tcpinfo.counters(self._sock)
+        self._sock.close()
+        return counted
+
+
+if __name__ == "__main__":
+    engines(float(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), int(sys.argv[4]))
--- a/spoolbarrow/flows/decode.py
+++ b/spoolbarrow/flows/decode.py
@@ -9,6 +9,7 @@
 import struct
 from collections.abc import Iterator
 from ipaddress import IPv4Address, IPv6Address
+from socket import inet_ntoa
 from typing import Any, NamedTuple
 
 from spoolbarrow.flows.elements import BY_NUMBER, OWN, REVERSE, VARIABLE, Kind
@@ -56,6 +57,9 @@
     fields: tuple[Field, ...]
     least: int
     learnt_at: float
+    fast: struct.Struct | None = None  # reads a whole record, where every field is of a usual width
+    names: tuple[str, ...] = ()
+    addresses: tuple[str, ...] = ()
 
 
 class Decoded(NamedTuple):
@@ -194,7 +198,7 @@
             least = sum(1 if field.size == VARIABLE else field.size for field in fields)
             if least == 0:
                 raise FlowError(begun, "records of no octets: there would be no end of them")
-            yield Form(number, scope, tuple(fields), least, now)
+            yield _form(number, scope, tuple(fields), least, now)
 
     def _field(self, data: bytes, at: int, end: int, ipfix: bool, v9_scope: bool) -> tuple[Field, int]:
         if end - at < 4:
@@ -220,8 +224,17 @@
         return Field(number, size, enterprise, name, kind), at
 
     def _records(self, data: bytes, at: int, end: int, form: Form) -> Iterator[Decoded]:
+        values: dict[str, Any]
+        if form.fast is not None:
+            whole = at + (end - at) // form.least * form.least
+            for told in form.fast.iter_unpack(memoryview(data)[at:whole]):
+                values = dict(zip(form.names, told, strict=True))
+                for name in form.addresses:
+                    values[name] = inet_ntoa(values[name])
+                yield Decoded(form.number, form.scope, values)
+            return
         while end - at >= form.least:  # less is padding
-            values: dict[str, Any] = {}
+            values = {}
             for field in form.fields:
                 size = field.size
                 if size == VARIABLE:
@@ -273,6 +286,23 @@
             self._expected.pop(next(iter(self._expected)))
 
 
+_FAST = {1: "B", 2: "H", 4: "I", 8: "Q"}
+
+
+def _form(number: int, scope: int, fields: tuple[Field, ...], least: int, now: float) -> Form:
+    """A template, with the means to read its records at once where that can be done."""
+    codes, addresses, names = "", [], tuple(field.name for field in fields)
+    for field in fields:
+        if field.kind is Kind.IPV4:
+            codes += "4s"
+            addresses.append(field.name)
+        elif field.kind not in (Kind.STRING, Kind.FLOAT64) and field.size in _FAST:
+            codes += _FAST[field.size]
+        else:
+            return Form(number, scope, fields, least, now)
+    return Form(number, scope, fields, least, now, struct.Struct("!" + codes), names, tuple(addresses))
+
+
 _WIDEST = {Kind.UNSIGNED8: 1, Kind.UNSIGNED16: 2, Kind.UNSIGNED32: 4, Kind.UNSIGNED64: 8}
 
 
--- a/spoolbarrow/flows/meter.py
+++ b/spoolbarrow/flows/meter.py
@@ -17,6 +17,8 @@
 IP_HEADER, TCP_HEADER, TIMESTAMPS = 20, 20, 12  # octets of a segment beside its payload (RFC 791, 9293, 7323)
 IDLE, ACTIVE, ENDED, FORCED, RESOURCES = END_REASONS  # flowEndReason
 _NOTHING = Counters()
+# The SYN-ACK of a connection that came in is sent before its socket is made, which does not count it.
+_ACCEPTED = Counters(segments_sent=-1)
 
 
 class ConnectionFlow(NamedTuple):
@@ -73,8 +75,8 @@
     ) -> None:
         self.local, self.peer, self.outbound, self.engine = local, peer, outbound, engine
         self.told_at = at  # the next record begins here
-        self.last = _NOTHING  # as of the last record
-        self.seen = _NOTHING  # as of the last look
+        self.last = _NOTHING if outbound else _ACCEPTED  # as of the last record
+        self.seen = self.last  # as of the last look
         self.seen_at = at  # when a look last found something new
 
 
--- a/spoolbarrow/flows/sender.py
+++ b/spoolbarrow/flows/sender.py
@@ -28,6 +28,7 @@
 SIOCOUTQ = 0x5411  # linux/sockios.h: bytes of the send queue that the peer has not acknowledged
 UDP_OVERHEAD = 28  # octets of IPv4 and UDP headers beside a message
 TCP_MESSAGE = 16_384  # octets of a message over TCP: large enough to be cheap, small enough to come whole
+SEND_BUFFER = 65_536  # bytes in the kernel's hands: a collector that does not read must cost no more
 RECORDS_AT_ONCE = 256  # looked at for one message
 ENDING_RETRY_S = 0.05  # between attempts to reach a collector while the program ends
 VERDICT_S = 0.25  # a TLS 1.3 server that refuses this side's certificate says so within this
@@ -215,6 +216,7 @@
             sock.settimeout(table.connect_timeout_ms / 1000)
             sock.connect(where)
             if not datagrams:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self.collector.kind == "tls":
                 name = (table.tls.server_name if table.tls else "") or self.collector.host
