--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build: what the deploy file does; test: everything that must hold; lint; run: the router with the example.
-.PHONY: build dev test lint run
+.PHONY: build dev test lint run bench
 
 build:
 	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
@@ -17,3 +17,6 @@
 
 run: build
 	NODE_CONFIG=$${NODE_CONFIG:-examples/config.json} .venv/bin/python -m spoolbarrow
+
+bench: dev
+	for one in flows; do .venv-ci/bin/python benchmarks/$$one.py --short || exit 1; done
--- a/spoolbarrow/cli/flows.py
+++ b/spoolbarrow/cli/flows.py
@@ -29,6 +29,8 @@
 FILES = click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True))
 KIND = click.option("--kind", type=click.Choice([*tables.KINDS, "all"]), default="all", show_default=True)
 TEMPLATES_KEPT = 64  # messages with templates kept for the beginnings of new files, each exporter
+# What people read: the rest is in JSON and CSV.
+NOT_IN_TABLES = frozenset({"kind", "exporter", "class_index", "tenant_index", "engine_flow", "flow"})
 WIDE = 160  # columns of a table that is not written to a terminal
 
 
@@ -229,6 +231,7 @@
         console = Console(width=None if sys.stdout.isatty() else WIDE)
         by_columns: dict[tuple[str, ...], Table] = {}
         for row in self._rows:
+            row = {name: value for name, value in row.items() if name not in NOT_IN_TABLES}
             table = by_columns.setdefault(tuple(row), Table(*row))
             table.add_row(*(_cell(name, value) for name, value in row.items()))
         for table in by_columns.values():
