Share the files that are whole or known to be torn between flow export and what follows

Need: shadow traffic keeps pairs of answers in files with the same promises as IPFIX files. Observers hear of load reports.

--- a/spoolbarrow/flows/collector.py
+++ b/spoolbarrow/flows/collector.py
@@ -149,30 +149,12 @@
 
     What a torn tail leaves whole is read; then a FlowError tells where the file ends.
     """
+    from spoolbarrow.spool import contents  # its package is needed for files alone
+
     session, buffer = Session(enterprise), bytearray()
-    data, torn = _contents(path)
+    data, torn = contents(path)
     buffer += data
     for message in split(buffer):
         yield session.read(message, 0.0)
     if buffer or torn:
         raise FlowError(len(data) - len(buffer), "the file ends inside a message: torn")
-
-
-def _contents(path: Path) -> tuple[bytes, bool]:
-    """A file's messages, unpacked as far as they go; whether it is torn."""
-    raw = path.read_bytes()
-    if not raw.startswith(b"\x28\xb5\x2f\xfd"):
-        return raw, False
-    import zstandard
-
-    unpacker, unpacked = zstandard.ZstdDecompressor(), bytearray()
-    while raw:
-        frame = unpacker.decompressobj()
-        try:
-            unpacked += frame.decompress(raw)
-        except zstandard.ZstdError:
-            return bytes(unpacked), True
-        if not frame.eof:
-            return bytes(unpacked), True  # what a torn frame held is not trusted to be whole
-        raw = frame.unused_data
-    return bytes(unpacked), False
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -189,6 +189,8 @@
 
     def probed(self, endpoint: str, outcome: i.Outcome, lag: float, report: i.Report | None) -> None:
         """The result of a probe."""
+        if report is not None and self.taps.active:
+            self.taps.probe_answered(endpoint, report)
         self._post(i.ProbeAnswered(endpoint, outcome, lag, report))
 
     # The loop
--- a/spoolbarrow/net/taps.py
+++ b/spoolbarrow/net/taps.py
@@ -75,6 +75,9 @@
     def attempt_ended(self, attempt: Attempt) -> None:
         """An attempt has its outcome."""
 
+    def probe_answered(self, endpoint: str, report: i.Report) -> None:
+        """An endpoint told its load."""
+
     def request_over(self, request: Request, now: float) -> None:
         """A request is answered and its last attempt has ended; nothing more happens to it."""
 
@@ -175,6 +178,14 @@
             except Exception as error:
                 self._failed(observer, error)
 
+    def probe_answered(self, endpoint: str, report: i.Report) -> None:
+        """An endpoint told its load."""
+        for observer in self._observers:
+            try:
+                observer.probe_answered(endpoint, report)
+            except Exception as error:
+                self._failed(observer, error)
+
     def request_over(self, request: Request, now: float) -> None:
         """Nothing more happens to a request."""
         for observer in self._observers:
