Copy live requests to a candidate pool, and keep pairs of answers

Need: operators want to see how a new model build answers real questions before it serves, and no live answer may be slower or other for it.

Pairs go to a bounded spool as keyed digests and lengths; text only for tenants the operator names. Engines of `candidate_type` in discovery leave service at once. SIGHUP with `share = 0` and SIGTERM end every copy before anything else.

--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -70,7 +70,9 @@
     max_body: int = 262_144  # bytes
 
 
-class _Limits(Struct):
+class MachineLimits(Struct):
+    """What the platform allows this program."""
+
     cores: float = 1.0
     memory_mb: float = 192.0
     sockets: int = 1024
@@ -115,7 +117,7 @@
     discovery: str
     seed: str
     settings: dict[str, Any]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    limits: MachineLimits = msgspec.field(default_factory=MachineLimits)
     known: HostList = msgspec.field(default_factory=HostList)
     options: Options = msgspec.field(default_factory=Options)
 
@@ -136,6 +138,7 @@
     kinds: dict[str, int]
     idle_ms: float
     connect_timeout_ms: float
+    limits: MachineLimits
     resumes: bool  # clients ask for the rest of a stream that broke
     load_probes: bool  # probes bring a load report
     max_inbound: int  # clients' connections
@@ -195,6 +198,7 @@
         kinds=_index(names.Skus),
         idle_ms=names.Limits.ConnIdleMs,
         connect_timeout_ms=names.Limits.ConnectTimeoutMs,
+        limits=file.limits,
         resumes=names.Specifics.Resume,
         load_probes=names.Stats.Via != "off",
         max_inbound=spare // 2,
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -29,7 +29,11 @@
         self._watch: gevent.Greenlet[[], None] | None = None
         self._addresses: dict[str, Address] = {}
         self._started: dict[str, float] = {}
+        self._types: dict[str, str] = {}
         self._serving: set[str] = set()
+        self._aside_type = ""  # endpoints of this type never serve: they are told to `_aside_tell`
+        self._aside: dict[str, tuple[str, Address, bool, float]] = {}
+        self._aside_tell: Callable[[list[tuple[str, Address, bool, float]]], None] | None = None
 
     def apply(self, config: Config) -> None:
         """Go by a new configuration: another discovery is asked afresh, and calls to the old one dropped.
@@ -42,6 +46,42 @@
             self._index = None
             self.watch()
 
+    def set_aside(
+        self, kind: str, tell: Callable[[list[tuple[str, Address, bool, float]]], None]
+    ) -> None:
+        """Keep endpoints of a type out of service; `tell` hears them all, now and at each change.
+
+        An empty type: none. Where it changes, endpoints of the new one leave service at once, and the whole
+        list is asked for again: until it has come, those of the old one serve nobody.
+        """
+        changed = kind != self._aside_type
+        self._aside_type, self._aside_tell = kind, tell
+        if changed:
+            self._aside.clear()
+            leaving = [name for name, of in self._types.items() if kind and of == kind]
+            for name in leaving:
+                where = self._addresses[name]
+                self._aside[name] = (name, where, name in self._serving, self._started[name])
+                self._forget(name)
+            if leaving:
+                gone = [i.ReplicaEntry(name, state=i.ReplicaState.GONE) for name in leaving]
+                self._tell(i.ReplicaList(i.ListKind.CHANGES, tuple(gone)))
+            if self._watch is not None:
+                self._index = None
+                self.watch()
+        tell(list(self._aside.values()))
+
+    def _set_aside(self, entry: ListEntry) -> None:
+        try:
+            where = address("address", entry.address)
+        except ConfigError:
+            self._aside.pop(entry.name, None)
+            return
+        if entry.status == "terminated":
+            self._aside.pop(entry.name, None)
+        else:
+            self._aside[entry.name] = (entry.name, where, entry.status == "in_service", entry.since_ms)
+
     def restore(self) -> None:
         """Begin with the list as this router last had it."""
         self._take(self._config.known, i.ListKind.RESTORED)
@@ -135,8 +175,17 @@
         if kind is not i.ListKind.CHANGES:
             for name in self._addresses.keys() - {entry.name for entry in news.endpoints}:
                 self._forget(name)
-        entries = []
+            if self._aside_type:
+                self._aside.clear()
+        entries, aside = [], False
         for entry in news.endpoints:
+            if self._aside_type and entry.type == self._aside_type:
+                aside = True
+                self._set_aside(entry)
+                if entry.name in self._addresses:  # it served until now
+                    self._forget(entry.name)
+                    entries.append(i.ReplicaEntry(entry.name, state=i.ReplicaState.GONE))
+                continue
             made = self._entry(entry)
             if made is None:
                 continue
@@ -148,6 +197,8 @@
                 self._left(entry.name)
             else:
                 self._forget(entry.name)
+        if self._aside_tell is not None and (aside or kind is not i.ListKind.CHANGES):
+            self._aside_tell(list(self._aside.values()))
         serving = len(self._serving)
         log("destinations", kind=kind.name.lower(), index=news.index, changed=len(entries), serving=serving)
         self._tell(i.ReplicaList(kind, tuple(entries)))
@@ -157,6 +208,7 @@
         self._serving.discard(name)
         self._addresses.pop(name, None)
         self._started.pop(name, None)
+        self._types.pop(name, None)
         self._left(name)
 
     def _entry(self, entry: ListEntry) -> i.ReplicaEntry | None:
@@ -172,6 +224,7 @@
         if (self._addresses.get(entry.name), self._started.get(entry.name)) != (listens, entry.since_ms):
             self._left(entry.name)  # it moved or restarted: connections to what it was are of no use
         self._addresses[entry.name], self._started[entry.name] = listens, entry.since_ms
+        self._types[entry.name] = entry.type
         return i.ReplicaEntry(
             entry.name,
             config.zones.get(entry.zone, config.settings.zone),
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -11,6 +11,7 @@
 import os
 import tomllib
 from collections.abc import Mapping
+from datetime import datetime
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -27,6 +28,7 @@
 }
 LISTS = frozenset({("flows", "collectors")})
 
+Share = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0)]
 Whole = Annotated[int, Meta(ge=1)]
 Unsigned32 = Annotated[int, Meta(ge=0, lt=1 << 32)]
@@ -74,11 +76,55 @@
     tls: TlsTable | None = None
 
 
+class ShareTable(Struct, forbid_unknown_fields=True, frozen=True):
+    """`[[shadow.shares]]`: another share for a class, a tenant, or both."""
+
+    share: Share
+    cls: str = msgspec.field(default="", name="class")
+    tenant: str = ""
+
+
+class ShadowTable(Struct, forbid_unknown_fields=True, frozen=True):
+    """`[shadow]`: what is copied to the candidate pool, and how much at most."""
+
+    share: Share  # of sessions; 0 ends every copy
+    candidates: list[str] = []  # IP:PORT
+    candidate_type: str = ""  # engines of this type in discovery are candidates, and serve nothing live
+    shares: list[ShareTable] = []
+    classes: list[str] = []  # none: all that may be repeated
+    not_classes: list[str] = []
+    tenants: list[str] = []  # none: all
+    not_tenants: list[str] = []
+    begin: datetime | None = None
+    end: datetime | None = None
+    salt: str = ""  # the same at every router: they then choose alike
+    header: Annotated[str, Meta(pattern="^[A-Za-z0-9-]+$")] = "X-Shadow"
+    in_flight: Whole = 8
+    engine_in_flight: Whole = 4
+    requests_per_s: Positive = 10.0
+    prompt_tokens_per_s: Positive = 100_000.0
+    answer_tokens_per_s: Positive = 10_000.0
+    held_bytes: Whole = 1 << 20
+    answer_bytes: Whole = 1 << 20  # a longer answer of a candidate is cut off
+    deadline_ms: Positive = 15_000.0
+    slow_first_ms: Positive = 5_000.0
+    bad_copies: Whole = 5
+    open_ms: Positive = 2_000.0
+    most_open_ms: Positive = 60_000.0
+    directory: str = ""  # of the pairs; none: nothing is kept
+    file_bytes: Annotated[int, Meta(ge=4096)] = 16 << 20
+    file_ms: Positive = 300_000.0
+    file_keep: Whole = 48
+    key_file: str = ""  # of the digests; none: a key for this run alone
+    text_for: list[str] = []  # tenants whose answers' text may be kept
+
+
 class Operator(Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
     log: LogTable = LogTable()
     flows: FlowsTable | None = None
+    shadow: ShadowTable | None = None
 
 
 class Collector(Struct, frozen=True):
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -8,6 +8,7 @@
 import gc
 import os
 import signal
+from importlib.util import find_spec
 from typing import TYPE_CHECKING
 
 import gevent
@@ -19,8 +20,13 @@
 from spoolbarrow.net.log import log, standard
 
 if TYPE_CHECKING:
-    from spoolbarrow.flows.exporter import Exporter, Prepared
+    from spoolbarrow.flows import exporter
+    from spoolbarrow.flows.exporter import Exporter
     from spoolbarrow.operator import Operator
+    from spoolbarrow.shadow import copier
+    from spoolbarrow.shadow.copier import Copier
+
+    Prepared = tuple[exporter.Prepared | None, copier.Prepared | None]
 
 TIDY_S = 2.0
 OPERATOR = "SPOOLBARROW_"  # what begins so in the environment is the operator's
@@ -41,32 +47,66 @@
     def __init__(self, host: Host) -> None:
         self._host = host
         self._flows: Exporter | None = None
+        self._shadow: Copier | None = None
 
-    def prepare(self, operator: Operator | None) -> Prepared | None:
+    def prepare(self, operator: Operator | None, settings: config.Config) -> Prepared:
         """Everything about new settings that can fail; ConfigError where it does, and nothing is changed."""
-        if operator is None or operator.flows is None:
-            return None
-        from spoolbarrow.flows.exporter import Prepared
+        flows = shadow = None
+        if operator is not None and operator.flows is not None:
+            from spoolbarrow.flows import exporter
+
+            flows = exporter.Prepared(operator.flows)
+        if operator is not None and operator.shadow is not None:
+            for package in ("xxhash", "zstandard"):
+                if find_spec(package) is None:
+                    raise config.ConfigError(f"shadow: needs the package {package} (extra `shadow`)")
+            from spoolbarrow.shadow import copier
 
-        return Prepared(operator.flows)
+            shadow = copier.Prepared(operator.shadow, settings)
+        return flows, shadow
 
-    def apply(self, operator: Operator | None, flows: Prepared | None) -> None:
+    def apply(self, operator: Operator | None, prepared: Prepared) -> None:
         """Go by settings that were prepared; what is not set is as without a file."""
+        flows, shadow = prepared
         if operator is None:
             standard.configure()
         else:
             standard.configure(operator.log.level, operator.log.format)
         if flows is None:
-            self.close()
+            self._end_flows()
         elif self._flows is not None:
             self._flows.apply(flows)
         else:
             from spoolbarrow.flows.exporter import Exporter
 
             self._flows = Exporter(self._host, flows)
+        if shadow is None:
+            self._end_shadow()
+        elif self._shadow is not None:
+            self._shadow.apply(shadow)
+        else:
+            from spoolbarrow.shadow.copier import Copier
+
+            self._shadow = Copier(self._host, shadow)
+
+    def drain(self) -> None:
+        """The router begins to end: copies do at once, so that live requests have the whole grace."""
+        if self._shadow is not None:
+            self._shadow.stop()
 
     def close(self) -> None:
-        """End what is on."""
+        """End what is on, after `drain`."""
+        if self._shadow is not None:
+            self._shadow.close()
+        self._end_flows()
+
+    def _end_shadow(self) -> None:
+        if self._shadow is not None:
+            self._shadow.stop()
+            gevent.spawn(self._shadow.close)  # a disk may be slow
+            self._shadow = None
+
+    def _end_flows(self) -> None:
         if self._flows is not None:
             self._flows.close()
             self._flows = None
@@ -78,7 +118,7 @@
         return log("reload_ignored", why="draining")
     try:
         settings, operator = config.load(), operators()
-        prepared = subsystems.prepare(operator)
+        prepared = subsystems.prepare(operator, settings)
         inbound.apply(settings)  # the last that can fail
     except (config.ConfigError, OSError) as error:
         return log("reload_failed", error=str(error))
@@ -102,7 +142,7 @@
     inbound = Inbound(settings, host)
     subsystems = Subsystems(host)
     try:
-        subsystems.apply(operator, subsystems.prepare(operator))
+        subsystems.apply(operator, subsystems.prepare(operator, settings))
     except config.ConfigError as error:
         log("bad_config", error=str(error))
         return 2
@@ -122,6 +162,7 @@
         # collector comes to the old ones so seldom that a busy minute's worth of them piles up.
         gc.collect()
     log("draining", open=host.open_requests())
+    subsystems.drain()
     inbound.drain()
     host.stop()
     subsystems.close()
--- a/spoolbarrow/shadow/decide.py
+++ b/spoolbarrow/shadow/decide.py
@@ -95,6 +95,7 @@
     request: str
     good: bool
     why: str = ""
+    moot: bool = False  # it tells nothing of the candidate
 
 
 class Report(Struct, frozen=True):
@@ -319,7 +320,9 @@
         one = self._forget(event.request)
         if one is None:
             return  # abandoned before
-        if not event.good:
+        if event.moot:
+            self.breaker.moot(now, one.trial)
+        elif not event.good:
             self._bad(now, one, event.why or "failed")
         elif not one.bad:
             before = self.breaker.state
