--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -10,10 +10,6 @@
 from __future__ import annotations
 
 import argparse
-import os
-import random
-import statistics
-import subprocess
 import sys
 import tempfile
 import time
@@ -29,6 +25,7 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks")]
 
 import standin  # noqa: E402
+from rig import ENGINES, WORKERS, Load, Rig, anonymous_kb, compare  # noqa: E402
 
 from spoolbarrow.flows import encode  # noqa: E402
 from spoolbarrow.flows.collector import Listener  # noqa: E402
@@ -39,93 +36,40 @@
 from spoolbarrow.net.log import standard  # noqa: E402
 from spoolbarrow.operator import Collector, FlowsTable  # noqa: E402
 
-KINDS = ("off", "off_again", "on", "stalled")
-WORKERS = 6  # clients of each router at once
-FIRST_MS, EVENTS, GAP_MS, ENGINES = 20.0, 6, 8.0, 3  # an answer's first event, its events, between them
-ROUNDS_A_CONNECTION = 60  # then a client opens a new one
 OWN = 32_473
 WITHIN = 0.02  # of the medians
 COUNT_WITHIN = 0.01  # of each connection's octets and packets
 FLAT_KB = 1024  # memory may grow by so much over 100,000 records
-SETTLE_S = 3.0  # rounds are not counted before
 
 
-def cpu_s(pid: int) -> float:
-    """Seconds of processor time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def anonymous_kb() -> int:
-    """This process's anonymous memory."""
-    for line in Path("/proc/self/status").read_text().splitlines():
-        if line.startswith("RssAnon"):
-            return int(line.split()[1])
-    raise OSError("no RssAnon in /proc/self/status")
-
-
-class Rig:
-    """The engines, the routers and the collectors."""
+class Collecting(Rig):
+    """The rig with a collector, and one that accepts and never reads."""
 
     def __init__(self, directory: Path) -> None:
-        self._directory = directory
         self.messages: list[Message] = []
         self.collector = Listener(Collector("tcp", standin.HOST, 0), OWN, self._hear)
         self.deaf = socket.socket()
         self.deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.deaf.bind((standin.HOST, 0))
         self.deaf.listen()
-        engines = [str(ROOT / "benchmarks" / "standin.py"), *map(str, (FIRST_MS, EVENTS, GAP_MS, ENGINES))]
-        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
-        self.engines = subprocess.Popen([sys.executable, *engines], stdout=subprocess.PIPE, env=environment)
-        assert self.engines.stdout is not None
-        discovery = int(self.engines.stdout.readline())
-        collectors = {"on": self.collector.port, "stalled": self.deaf.getsockname()[1]}
-        self.routers: dict[str, subprocess.Popen[bytes]] = {}
-        self.ports: dict[str, int] = {}
-        for kind in KINDS:
-            with socket.socket() as probe:
-                probe.bind((standin.HOST, 0))
-                self.ports[kind] = probe.getsockname()[1]
-            file = directory / f"{kind}.json"
-            file.write_bytes(orjson.dumps(standin.config(self.ports[kind], discovery)))
-            told = {**environment, "NODE_CONFIG": str(file)}
-            if kind in collectors:
-                table = directory / f"{kind}.toml"
-                table.write_text(
-                    f'[flows]\ncollectors = ["tcp://{standin.HOST}:{collectors[kind]}"]\n'
-                    "active_timeout_ms = 100.0\nqueue_records = 200\nwrite_timeout_ms = 2000.0\n"
-                )
-                told["SPOOLBARROW_OPERATOR"] = str(table)
-            run = [sys.executable, "-m", "spoolbarrow"]
-            with (directory / f"{kind}.log").open("wb") as log:
-                self.routers[kind] = subprocess.Popen(run, cwd=ROOT, env=told, stderr=log)
+        table = (
+            '[flows]\ncollectors = ["tcp://{}:{}"]\n'
+            "active_timeout_ms = 100.0\nqueue_records = 200\nwrite_timeout_ms = 2000.0\n"
+        )
+        on = table.format(standin.HOST, self.collector.port)
+        stalled = table.format(standin.HOST, self.deaf.getsockname()[1])
+        super().__init__(directory, {"off": "", "off_again": "", "on": on, "stalled": stalled})
 
     def _hear(self, exporter: str, message: Message, data: bytes) -> None:
         self.messages.append(message)
 
     def times_stalled(self) -> int:
         """How often the deaf collector was given up: it held the export up, and nothing else."""
-        return (self._directory / "stalled.log").read_bytes().count(b"TimeoutError")
-
-    def wait(self) -> None:
-        """Until every router serves."""
-        for kind in KINDS:
-            for _ in range(400):
-                try:
-                    if standin.Client(self.ports[kind]).ask("up").status == 200:
-                        break
-                except OSError:
-                    pass
-                gevent.sleep(0.05)
-            else:
-                raise OSError(f"router {kind} never served")
+        return self.log("stalled").count(b"TimeoutError")
 
     def close(self) -> None:
         """End all of it."""
-        for one in (*self.routers.values(), self.engines):
-            one.kill()
-            one.wait()
+        super().close()
         self.collector.close()
         self.deaf.close()
 
@@ -134,53 +78,7 @@
         return [r.values for m in self.messages for r in m.records if r.template == template]
 
 
-class Load:
-    """Workers that ask all routers in turn."""
-
-    def __init__(self, rig: Rig, seconds: float) -> None:
-        self._rig, self._end = rig, time.monotonic() + seconds
-        self._count_from = time.monotonic() + SETTLE_S
-        self.rounds: list[dict[str, standin.Timed]] = []
-        self.counted: dict[int, Any] = {}  # of connections to the exporting router, by the client's port
-        self.asked = dict.fromkeys(KINDS, 0)
-        self.failed = 0
-
-    def run(self) -> None:
-        """All workers to their end."""
-        gevent.joinall([gevent.spawn(self._work, n) for n in range(WORKERS)], raise_error=True)
-
-    def _work(self, worker: int) -> None:
-        luck, n = random.Random(worker), 0
-        while time.monotonic() < self._end:
-            clients = {kind: standin.Client(self._rig.ports[kind]) for kind in KINDS}
-            for _ in range(ROUNDS_A_CONNECTION):
-                n += 1
-                found = {}
-                for kind in luck.sample(KINDS, len(KINDS)):
-                    found[kind] = clients[kind].ask(f"{worker}-{n}")
-                    self.asked[kind] += 1
-                    self.failed += found[kind].status != 200
-                if time.monotonic() > self._count_from:
-                    self.rounds.append(found)
-            for kind, client in clients.items():
-                counted = client.close()
-                if kind == "on":
-                    self.counted[client.port] = counted
-
-
-def compare(rounds: list[dict[str, standin.Timed]], kind: str, field: str) -> dict[str, float]:
-    """A router's times against those of the first without export, paired by round."""
-    base = [getattr(found["off"], field) for found in rounds]
-    these = [getattr(found[kind], field) for found in rounds]
-    paired = statistics.median(a - b for a, b in zip(these, base, strict=True))
-    return {
-        "median_ms": round(statistics.median(these), 3),
-        "p99_ms": round(statistics.quantiles(these, n=100)[98], 3),
-        "paired": round(paired / statistics.median(base), 5),
-    }
-
-
-def differences(rig: Rig, load: Load) -> dict[str, float]:
+def differences(rig: Collecting, load: Load) -> dict[str, float]:
     """The largest difference of any connection between its records and what its client's kernel counted."""
     sums: dict[int, list[int]] = {}
     names = (
@@ -261,18 +159,18 @@
 
 def main() -> dict[str, Any]:
     """Everything, as one object."""
-    arguments = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    arguments = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
     arguments.add_argument("--short", action="store_true", help="ends within 45 s")
     short = arguments.parse_args().short
     seconds = 22.0 if short else 240.0
     standard.configure("error")
     with tempfile.TemporaryDirectory() as directory:
-        rig = Rig(Path(directory))
+        rig = Collecting(Path(directory))
         try:
             rig.wait()
-            load, cpu = Load(rig, seconds), {k: cpu_s(r.pid) for k, r in rig.routers.items()}
+            load, before = Load(rig, seconds), rig.cpu()
             load.run()
-            cpu = {kind: cpu_s(router.pid) - cpu[kind] for kind, router in rig.routers.items()}
+            cpu = {kind: used - before[kind] for kind, used in rig.cpu().items()}
             for _ in range(100):  # the last records are on their way
                 if len(rig.flows(REQUESTS.number)) >= load.asked["on"] + 1:
                     break
@@ -287,7 +185,7 @@
             rig.close()
     times = {
         kind: {field: compare(load.rounds, kind, field) for field in ("first_ms", "whole_ms")}
-        for kind in KINDS
+        for kind in rig.ports
     }
     flat = memory(100_000)
     paired = [abs(times[kind][f]["paired"]) for kind in ("on", "stalled") for f in ("first_ms", "whole_ms")]
--- a/benchmarks/standin.py
+++ b/benchmarks/standin.py
@@ -124,11 +124,13 @@
         self.port: int = self._sock.getsockname()[1]
         self._buffer = bytearray(65_536)
 
-    def ask(self, name: str, body: bytes = b'{"model":"chat","stream":true}') -> Timed:
+    def ask(self, name: str, session: int = 0x7F3A) -> Timed:
         """One request; OSError or Fault where its answer is none."""
+        body = b'{"model":"chat","stream":true}'
         head = (
             f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: {name}\r\n"
-            "X-Service-Class: chat\r\nX-Account: acme\r\nX-Session-Key: 7f3a\r\nX-Time-Left-Ms: 15000\r\n"
+            f"X-Service-Class: chat\r\nX-Account: acme\r\nX-Session-Key: {session:x}\r\n"
+            "X-Time-Left-Ms: 15000\r\n"
             f"X-Facts: prompt_len=40,max_out=40\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         parser, first = ResponseParser(16_384), 0.0
