--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -25,7 +25,7 @@
 from spoolbarrow.net.endpoint import LOAD, NOT_RUN, STREAM, parse_load
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.log import log, unexpected
-from spoolbarrow.net.request import Request
+from spoolbarrow.net.request import Attempt, Request
 from spoolbarrow.net.taps import Observer
 from spoolbarrow.operator import ShadowTable
 from spoolbarrow.shadow import decide
@@ -118,7 +118,10 @@
 
     def __init__(self, request: Request, facts: i.RequestArrived, engine: str, now: float) -> None:
         self.cls, self.tenant, self.prompt_tokens = request.cls, request.tenant, facts.prompt_tokens
-        self.engine, self.begun = engine, now
+        self.engine = engine
+        # Times count from when a request was written to its engine: what this router did before is no build's.
+        self.sent: dict[int, float] = {}  # by the live attempt's number; few
+        self.copy_sent = now
         self.live, self.copy = Reading(), Reading()
         self.live_told: dict[str, Any] | None = None
         self.copy_told: dict[str, Any] | None = None
@@ -202,7 +205,15 @@
         """The live half of a pair."""
         pair = self._pairs.get(request.key)
         if pair is not None:
-            pair.live.feed(b"".join(parts), self._host.now() - pair.begun)
+            now, stream = self._host.now(), request.stream
+            begun = pair.sent.get(stream.number, now) if stream is not None else now
+            pair.live.feed(b"".join(parts), now - begun)
+
+    def attempt_sent(self, attempt: Attempt) -> None:
+        """From here on the live answer's time counts."""
+        pair = self._pairs.get(attempt.request.key)
+        if pair is not None:
+            pair.sent[attempt.number] = self._host.now()
 
     def probe_answered(self, endpoint: str, report: i.Report) -> None:
         """How full live engines are."""
@@ -268,6 +279,7 @@
                 headers=[*message.headers, (table.header.encode(), CHAT.encode())],
             )
             http1.send_pieces(sock, http1.request_pieces(marked, where, int(deadline_ms)))
+            pair.copy_sent = self._host.now()
             del body, marked, message
             self._read(key, sock, pair, engine, table.answer_bytes)
 
@@ -291,7 +303,7 @@
                 now = self._host.now()
                 if not pair.copy.octets:
                     self._act(self._decider.handle(now, [decide.Started(key)]))
-                pair.copy.feed(b"".join(parts), now - pair.begun)
+                pair.copy.feed(b"".join(parts), now - pair.copy_sent)
                 gevent.sleep(READ_PAUSE_S if size > most // 4 else 0)
         report = parse_load(parser.fields.get(LOAD, b""))
         if report is not None and report.unread_tokens >= 0:
