--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -119,7 +119,7 @@
     def __init__(self, request: Request, facts: i.RequestArrived, engine: str, now: float) -> None:
         self.cls, self.tenant, self.prompt_tokens = request.cls, request.tenant, facts.prompt_tokens
         self.engine = engine
-        # Times count from when a request was written to its engine: what this router did before is no build's.
+        # Times count from when a request was written to its engine: what this router did before is its own.
         self.sent: dict[int, float] = {}  # by the live attempt's number; few
         self.copy_sent = now
         self.live, self.copy = Reading(), Reading()
