Test shadow traffic in a burst of live requests and near the memory's limit

Need: two of the issue's hard cases had no test. Change: two tests on sockets. Measured: 44 live answers of a burst at 2.4 times are whole while at most 3 copies are out; near the limit none is sent.

--- a/tests/test_shadow.py
+++ b/tests/test_shadow.py
@@ -350,6 +350,32 @@
             assert looked["memory_share"] > 0 and looked["descriptors_share"] > 0
 
 
+def test_a_burst_of_live_traffic_is_answered_whole_and_copies_stay_within_their_limits() -> None:
+    with stage(serve_all, limits={"sockets": 1024}) as (scene, _), candidate(serve_all) as party:
+        with shadowing(scene, settings(party, in_flight=3)) as copier:
+            most = 0
+            for burst in (10, 24, 10):  # 2.4 times the usual, and back
+                clients = [scene.client() for _ in range(burst)]
+                for n, client in enumerate(clients):
+                    client.send(ask(X_Correlation_Id=f"{burst}-{n}", X_Session_Key=f"{n + 1:x}"))
+                until(lambda: scene.heard(i.RequestArrived))
+                for client in clients:
+                    answer = client.answer()
+                    assert (answer.status, b"".join(answer.take_body())) == (200, b"".join(EVENTS))
+                    most = max(most, len(copier._decider.out()))
+                until(lambda: not copier._pairs)
+            assert most <= 3 and copier._decider.copied == len(party.requests) > 0
+
+
+def test_nothing_is_copied_where_memory_is_near_its_limit() -> None:
+    with stage(serve_all, limits={"memory_mb": 16.0}) as (scene, _), candidate(serve_all) as party:
+        with shadowing(scene, settings(party)) as copier:
+            copier._slow = copier._look(0.0)  # this process holds far more than 16 MB
+            copier._decider.handle(scene.host.now(), [copier._pressure(0.0)])
+            live(scene)
+            assert not party.requests and copier._decider.dropped == {"pressure: memory": 1}
+
+
 @pytest.mark.parametrize(
     ("changes", "key"),
     [
