Choose shadow candidates by discovery's group as well as by type

Need: the issue names both; a build under trial may share its machines' type with live engines.

Change: `candidate_group`; endpoints set aside are those of either.

Measured: the test of set-aside engines passes for both: 8 live requests, none at the candidate, 8 copies there.

--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -29,9 +29,10 @@
         self._watch: gevent.Greenlet[[], None] | None = None
         self._addresses: dict[str, Address] = {}
         self._started: dict[str, float] = {}
-        self._types: dict[str, str] = {}
+        self._types: dict[str, tuple[str, int]] = {}  # and groups
         self._serving: set[str] = set()
-        self._aside_type = ""  # endpoints of this type never serve: they are told to `_aside_tell`
+        # Endpoints of this type, or of this group, never serve: they are told to `_aside_tell`.
+        self._aside_type, self._aside_group = "", -1
         self._aside: dict[str, tuple[str, Address, bool, float]] = {}
         self._aside_tell: Callable[[list[tuple[str, Address, bool, float]]], None] | None = None
 
@@ -47,18 +48,18 @@
             self.watch()
 
     def set_aside(
-        self, kind: str, tell: Callable[[list[tuple[str, Address, bool, float]]], None]
+        self, kind: str, group: int, tell: Callable[[list[tuple[str, Address, bool, float]]], None]
     ) -> None:
-        """Keep endpoints of a type out of service; `tell` hears them all, now and at each change.
+        """Keep endpoints of a type or a group out of service; `tell` hears them all, now and at each change.
 
-        An empty type: none. Where it changes, endpoints of the new one leave service at once, and the whole
-        list is asked for again: until it has come, those of the old one serve nobody.
+        An empty type, a negative group: none. Where they change, endpoints that are meant leave service at
+        once, and the whole list is asked for again: until it has come, those set aside before serve nobody.
         """
-        changed = kind != self._aside_type
-        self._aside_type, self._aside_tell = kind, tell
+        changed = (kind, group) != (self._aside_type, self._aside_group)
+        self._aside_type, self._aside_group, self._aside_tell = kind, group, tell
         if changed:
             self._aside.clear()
-            leaving = [name for name, of in self._types.items() if kind and of == kind]
+            leaving = [name for name, of in self._types.items() if self._is_aside(*of)]
             for name in leaving:
                 where = self._addresses[name]
                 self._aside[name] = (name, where, name in self._serving, self._started[name])
@@ -71,6 +72,9 @@
                 self.watch()
         tell(list(self._aside.values()))
 
+    def _is_aside(self, kind: str, group: int) -> bool:
+        return (self._aside_type != "" and kind == self._aside_type) or group == self._aside_group
+
     def _set_aside(self, entry: ListEntry) -> None:
         try:
             where = address("address", entry.address)
@@ -175,11 +179,10 @@
         if kind is not i.ListKind.CHANGES:
             for name in self._addresses.keys() - {entry.name for entry in news.endpoints}:
                 self._forget(name)
-            if self._aside_type:
-                self._aside.clear()
+            self._aside.clear()
         entries, aside = [], False
         for entry in news.endpoints:
-            if self._aside_type and entry.type == self._aside_type:
+            if self._is_aside(entry.type, entry.group):
                 aside = True
                 self._set_aside(entry)
                 if entry.name in self._addresses:  # it served until now
@@ -224,7 +227,7 @@
         if (self._addresses.get(entry.name), self._started.get(entry.name)) != (listens, entry.since_ms):
             self._left(entry.name)  # it moved or restarted: connections to what it was are of no use
         self._addresses[entry.name], self._started[entry.name] = listens, entry.since_ms
-        self._types[entry.name] = entry.type
+        self._types[entry.name] = (entry.type, entry.group)
         return i.ReplicaEntry(
             entry.name,
             config.zones.get(entry.zone, config.settings.zone),
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -90,6 +90,7 @@
     share: Share  # of sessions; 0 ends every copy
     candidates: list[str] = []  # IP:PORT
     candidate_type: str = ""  # engines of this type in discovery are candidates, and serve nothing live
+    candidate_group: Annotated[int, Meta(ge=-1)] = -1  # likewise those of this group; -1: none
     shares: list[ShareTable] = []
     classes: list[str] = []  # none: all that may be repeated
     not_classes: list[str] = []
--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -61,8 +61,8 @@
             raise ConfigError(f"shadow.in_flight: more than {config.max_outbound // DESCRIPTORS_SHARE} here")
         if table.directory and not os.access(table.directory, os.W_OK | os.X_OK):
             raise ConfigError(f"shadow.directory: {table.directory}: no directory that can be written")
-        if not (table.candidates or table.candidate_type):
-            raise ConfigError("shadow.candidates: none, and no shadow.candidate_type")
+        if not (table.candidates or table.candidate_type or table.candidate_group >= 0):
+            raise ConfigError("shadow.candidates: none, and no shadow.candidate_type or candidate_group")
 
 
 def _index(names: Mapping[str, int], name: str, key: str) -> int:
@@ -159,7 +159,7 @@
         """Go by other settings; with a share of 0 every copy ends now."""
         self._prepared, table = prepared, prepared.table
         self._act(self._decider.configure(self._host.now(), prepared.limits))
-        self._host.destinations.set_aside(table.candidate_type, self._pooled)
+        self._host.destinations.set_aside(table.candidate_type, table.candidate_group, self._pooled)
         if self._writer is not None and str(self._writer.directory) != table.directory:
             gevent.spawn(self._writer.close, CLOSE_S)
             self._writer = None
@@ -171,7 +171,7 @@
         self._host.taps.remove(self)
         self._ticker.kill()
         self._act(self._decider.stop(self._host.now()))
-        self._host.destinations.set_aside("", lambda entries: None)
+        self._host.destinations.set_aside("", -1, lambda entries: None)
         self._pairs.clear()
         self._say()
 
--- a/tests/test_shadow.py
+++ b/tests/test_shadow.py
@@ -308,13 +308,14 @@
             assert len(party.requests) == 3
 
 
-def test_engines_of_the_candidate_type_serve_nothing_live() -> None:
+@pytest.mark.parametrize("chosen", [{"candidate_type": "candidate"}, {"candidate_group": 7}])
+def test_engines_of_the_candidate_type_or_group_serve_nothing_live(chosen: dict[str, Any]) -> None:
     scripts = (serve_all, other_words)
     parties = [Party(script) for script in scripts]
-    listed = [entry("e0", parties[0].port), entry("new", parties[1].port, type="candidate")]
+    listed = [entry("e0", parties[0].port), entry("new", parties[1].port, type="candidate", group=7)]
     known = {"index": 7, "snapshot": True, "endpoints": listed}
     with stage(serve_all, known=known) as (scene, _):
-        table = ShadowTable(share=1.0, candidate_type="candidate", **PLENTY)
+        table = ShadowTable(share=1.0, **chosen, **PLENTY)
         with shadowing(scene, table) as copier:
             until(lambda: len(scene.heard(i.ReplicaList)) == 2)
             assert [e.replica for e in scene.heard(i.ReplicaList)[-1].entries] == ["new"]
@@ -323,7 +324,9 @@
                 live(scene)
             until(lambda: not copier._pairs)
             assert len(parties[0].requests) == 8 == len(parties[1].requests)
-            draining = [entry("new", parties[1].port, type="candidate", status="terminating")]
+            draining = [
+                entry("new", parties[1].port, type="candidate", group=7, status="terminating")
+            ]
             news = config.HostList(8, False, msgspec.convert(draining, list[config.ListEntry]))
             scene.host.destinations._take(news, i.ListKind.CHANGES)
             live(scene)
