Model an engine in steps, with paged memory, cold starts and late reports

Change: spoolbarrow/lab holds a pure engine model: continuous batching, chunked reading, paged memory with kept prefixes, preemption, warmth, load reports, figures drawn by kind.

--- /dev/null
+++ b/spoolbarrow/lab/theory.py
@@ -0,0 +1,122 @@
+"""What queueing theory says of an engine reduced to a queue, and how a run is held against it.
+
+M/M/1 and M/D/1: L. Kleinrock, "Queueing Systems", volume 1, sections 3.2 and 5.6 (Pollaczek and Khinchine).
+M/M/c: A. K. Erlang's delay formula, the same, section 3.5. Intervals are by batch means.
+"""
+
+from __future__ import annotations
+
+from math import sqrt
+from random import Random
+from typing import NamedTuple
+
+from spoolbarrow.lab.engine import Engine, Kind, Taken, Work
+from spoolbarrow.lab.kinds import Figures
+from spoolbarrow.lab.kinds import Kind as EngineKind
+from spoolbarrow.lab.kinds import figures as draw_figures
+
+BATCHES = 20
+T_975 = 2.093  # Student's t, 19 degrees of freedom
+READ_MS = 0.01  # for a prompt token: the service of a queue of one server is its prompt
+STEP_MS = 1.0  # the service of a queue of several is its answer, in steps
+
+
+class Queue(NamedTuple):
+    """Poisson arrivals to `servers` servers; times in ms."""
+
+    servers: int
+    load: float  # offered, as a share of all servers
+    service_ms: float  # mean
+    fixed: bool = False  # service always takes the mean; else exponential
+
+
+class Agreement(NamedTuple):
+    """A mean wait as theory has it and as the engine gave it, ms."""
+
+    theory_ms: float
+    mean_ms: float
+    within_ms: float  # half of the 95% interval
+
+    def holds(self, slack_ms: float = 0.0) -> bool:
+        """Whether theory lies within the run's interval, widened by what is rounded to steps."""
+        return abs(self.theory_ms - self.mean_ms) <= self.within_ms + slack_ms
+
+
+def erlang_c(servers: int, offered: float) -> float:
+    """Chance that an arrival waits, with `offered` erlangs (below `servers`)."""
+    blocked = 1.0
+    for n in range(1, servers + 1):
+        blocked = offered * blocked / (n + offered * blocked)
+    return servers * blocked / (servers - offered * (1.0 - blocked))
+
+
+def mean_wait_ms(queue: Queue) -> float:
+    """Mean time before service begins."""
+    if queue.fixed:
+        assert queue.servers == 1, "there is no such formula for several servers"
+        return queue.load * queue.service_ms / (2.0 * (1.0 - queue.load))
+    chance = erlang_c(queue.servers, queue.load * queue.servers)
+    return chance * queue.service_ms / (queue.servers * (1.0 - queue.load))
+
+
+def as_queue(queue: Queue) -> Figures:
+    """An engine that is nothing but this queue."""
+    alone = queue.servers == 1
+    kind = EngineKind(
+        slots=queue.servers,
+        waiting=10**9,
+        memory_tokens=1e12,
+        block_tokens=1 << 20,
+        step_ms=1e-9 if alone else STEP_MS,
+        step_ms_per_running=0.0,
+        step_ms_per_1000_context=0.0,
+        read_tokens_per_s=1000.0 / READ_MS if alone else 1e12,
+        chunk_tokens=10**9,
+        report_noise=0.0,
+        keeps_answers=False,
+    )
+    return draw_figures(kind, Random(0))
+
+
+def waits(queue: Queue, count: int, seed: int) -> list[float]:
+    """Time before service of each of `count` arrivals, ms."""
+    rng = Random(seed)
+    engine = Engine(as_queue(queue), Random(seed))
+    gap = queue.service_ms / queue.servers / queue.load
+    came: dict[str, tuple[float, float]] = {}
+    found: dict[str, float] = {}
+
+    def hear() -> None:
+        for happening in engine.advance(now):
+            # The step that makes the first token is part of the service.
+            at, service = came[happening.id]
+            if happening.kind is Kind.STARTED:
+                found[happening.id] = max(0.0, happening.at - at - service)
+
+    now = 0.0
+    for n in range(count):
+        now += rng.expovariate(1.0 / gap)
+        hear()
+        drawn = queue.service_ms if queue.fixed else rng.expovariate(1.0 / queue.service_ms)
+        if queue.servers == 1:
+            prompt, answer = max(1, round(drawn / READ_MS)), 1
+            came[str(n)] = (now, prompt * READ_MS)
+        else:
+            prompt, answer = 1, max(1, round(drawn / STEP_MS))
+            came[str(n)] = (now, STEP_MS)
+        taken = engine.submit(now, Work(str(n), prompt, answer))
+        assert taken is Taken.TAKEN
+    while engine.next_at() < float("inf"):
+        now = engine.next_at()
+        hear()
+    return [found[str(n)] for n in range(count)]
+
+
+def agreement(queue: Queue, count: int, seed: int) -> Agreement:
+    """Hold a run of so many arrivals against theory; the first tenth only fills the queue."""
+    found = waits(queue, count, seed)[count // 10 :]
+    size = len(found) // BATCHES
+    means = [sum(found[n * size : (n + 1) * size]) / size for n in range(BATCHES)]
+    mean = sum(means) / BATCHES
+    spread = sqrt(sum((m - mean) ** 2 for m in means) / (BATCHES - 1))
+    return Agreement(mean_wait_ms(queue), mean, T_975 * spread / sqrt(BATCHES))
--- /dev/null
+++ b/spoolbarrow/lab/warmth.py
@@ -0,0 +1,44 @@
+"""Cold starts: an engine's speed rises from a share to the whole, by time or work; overfilled, it falls."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from spoolbarrow.lab.kinds import Figures
+
+
+class Warmth:
+    """The cold state of one process."""
+
+    __slots__ = ("figures", "started_at", "worked_ms", "warm", "taken", "taken_tokens")
+
+    def __init__(self, figures: Figures, started_at: float, cold: bool) -> None:
+        self.figures = figures
+        self.started_at = started_at
+        self.worked_ms = 0.0  # time spent in steps
+        self.warm = not cold or figures.cold_ms <= 0.0
+        self.taken: deque[tuple[float, int]] = deque()  # prompts taken while cold: when, tokens
+        self.taken_tokens = 0
+
+    def speed(self, now: float) -> float:
+        """Share of the full speed, in (0, 1]."""
+        if self.warm:
+            return 1.0
+        f = self.figures
+        done = (self.worked_ms if f.by_work else now - self.started_at) / f.cold_ms
+        if done >= 1.0:
+            self.warm = True
+            self.taken.clear()
+            return 1.0
+        return f.cold_from + (1.0 - f.cold_from) * max(0.0, done)
+
+    def take(self, now: float, tokens: int) -> bool:
+        """A prompt of so many tokens to read came; True when that is too much for a cold engine."""
+        f = self.figures
+        if self.warm or f.fall_multiple <= 0.0:
+            return False
+        self.taken.append((now, tokens))
+        self.taken_tokens += tokens
+        while self.taken[0][0] <= now - f.fall_ms:
+            self.taken_tokens -= self.taken.popleft()[1]
+        return self.taken_tokens > f.fall_multiple * self.speed(now) * f.read_rate() * f.fall_ms
