Place requests at the same cost whatever a prefix's homes and the fleet's size

Cause: seen in the lab: each request ranked all homes of its prefix (hundreds in a large fleet) and, where its home kept it waiting, sorted every admitted request. Change: sessions are placed among parts of 16 homes; the cut is taken from the newest 200 admitted. Fleets of up to 16 homes a prefix are placed as before.

--- a/spoolbarrow/lab/account.py
+++ b/spoolbarrow/lab/account.py
@@ -69,9 +69,10 @@
 def _windows(
     scenario: Scenario, records: list[Record], pairs: list[tuple[float, float]]
 ) -> list[dict[str, Any]]:
+    lead = scenario.lead_ms()
     groups: dict[int, list[tuple[float, float]]] = {}
     for record, pair in zip(records, pairs, strict=True):
-        groups.setdefault(int(record.asked.at_ms / 1000.0 / WINDOW_S), []).append(pair)
+        groups.setdefault(int((record.asked.at_ms - lead) / 1000.0 / WINDOW_S), []).append(pair)
     return [
         {"begin_s": n * WINDOW_S, "requests": len(group), "worth": _share(group)}
         for n, group in sorted(groups.items())
@@ -80,6 +81,8 @@
 
 def account(scenario: Scenario, records: list[Record], troubles: list[Planned]) -> dict[str, Any]:
     """The figures of a day that its records hold."""
+    lead = scenario.lead_ms()
+    records = [record for record in records if record.asked.at_ms >= lead]
     pairs = [worth(scenario, record) for record in records]
     windows = _windows(scenario, records, pairs)
     outcomes: dict[str, int] = {}
@@ -105,7 +108,8 @@
         inside: list[tuple[float, float]] = []
         outside: list[tuple[float, float]] = []
         for record, pair in zip(records, pairs, strict=True):
-            hit = t.begin_s <= record.asked.at_ms / 1000.0 < t.begin_s + max(t.length_s, WINDOW_S)
+            at = (record.asked.at_ms - lead) / 1000.0
+            hit = t.begin_s <= at < t.begin_s + max(t.length_s, WINDOW_S)
             (inside if hit else outside).append(pair)
         costs.append(
             {
--- a/spoolbarrow/lab/arrivals.py
+++ b/spoolbarrow/lab/arrivals.py
@@ -74,7 +74,7 @@
     at = begin
     while True:
         at += rng.expovariate(mean_per_s * top)
-        if at >= scenario.length_s:
+        if at >= scenario.whole_s():
             return
         if top == 1.0 or rng.random() * top < rate(load, bursts, at):
             yield at
@@ -103,7 +103,8 @@
 
 
 def _drawn(scenario: Scenario, troubles: Iterable[Trouble], rng: Random) -> list[Asked]:
-    bursts = [t for t in troubles if t.name == "burst"]
+    lead = scenario.lead_s
+    bursts = [msgspec.structs.replace(t, begin_s=t.begin_s + lead) for t in troubles if t.name == "burst"]
     classes = list(scenario.classes.values())
     by_class = list(accumulate(c.share for c in classes))
     by_tenant = list(accumulate(t.share for t in scenario.tenants.values()))
@@ -127,7 +128,7 @@
         for _ in range(count):
             context += _tokens(c.new_tokens, rng)
             answer = _tokens(c.answer_tokens, rng)
-            if 0.0 <= when < scenario.length_s:
+            if 0.0 <= when < scenario.whole_s():
                 found.append(
                     Asked(when * 1000.0, cls, tenant, session, prefix, context, shared, answer, False)
                 )
@@ -155,7 +156,7 @@
                     raise ScenarioError(f"{place}: {error}") from error
                 if one.prompt < 1 or one.answer < 1 or not 0 <= one.shared <= one.prompt or one.at_ms < 0:
                     raise ScenarioError(f"{place}: lengths must be at least 1, shared within the prompt")
-                if one.at_ms < scenario.length_s * 1000.0:
+                if one.at_ms < scenario.whole_s() * 1000.0:
                     found.append(
                         Asked(
                             one.at_ms, cls, tenant, session or number, prefix, one.prompt,
--- a/spoolbarrow/lab/scenario.py
+++ b/spoolbarrow/lab/scenario.py
@@ -141,6 +141,7 @@
 
     name: str
     length_s: float = 30.0
+    lead_s: float = 0.0  # played before it and not judged: engines begin with nothing kept
     zones: int = 1
     routers: int = 1
     engines: int = 8
@@ -156,6 +157,14 @@
     troubles: tuple[Trouble, ...] = ()
     drawn: Drawn = Drawn()
 
+    def lead_ms(self) -> float:
+        """When the judged part begins."""
+        return self.lead_s * 1000.0
+
+    def whole_s(self) -> float:
+        """Lead and day."""
+        return self.lead_s + self.length_s
+
     def settings(self, router: int) -> Settings:
         """What a router is told at start."""
         classes = tuple(
@@ -203,6 +212,8 @@
     for key in ("length_s", "zones", "routers", "engines"):
         if getattr(s, key) <= 0:
             found.append(f"{key}: must be above 0")
+    if s.lead_s < 0:
+        found.append("lead_s: must not be negative")
     if not s.classes or not s.tenants or not s.kinds:
         found.append("classes, tenants, kinds: at least one of each")
     for table in ("classes", "tenants", "kinds"):
--- a/spoolbarrow/lab/simulate.py
+++ b/spoolbarrow/lab/simulate.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 from collections.abc import Callable
 from heapq import heappop, heappush
 from math import inf, sqrt
@@ -29,6 +30,7 @@
 UP_MS = 200.0  # from a router's restart until the front takes it in
 MARGIN_MS = 5.0  # of a client's patience that its router is not told
 SAMPLE_MS = 1000.0
+GC_OBJECTS = 200_000  # between looks for cycles
 
 
 class Machine:
@@ -172,9 +174,15 @@
         for planned in self.plans:
             self._schedule(planned)
         self.clock.at(SAMPLE_MS, self.machines.sample)
-        last = (self.scenario.length_s + AFTER_S) * 1000.0
+        # What the lab holds must not be walked through again and again in the middle of decisions.
+        gc.freeze()
+        usual = gc.get_threshold()
+        gc.set_threshold(GC_OBJECTS)
+        last = (self.scenario.whole_s() + AFTER_S) * 1000.0
         self.clock.run(lambda: self.clock.now < last and self.callers.pending > 0)
         took = perf_counter() - begin
+        gc.set_threshold(*usual)
+        gc.unfreeze()
         taken = max(1, sum(node.taken for node in self.nodes.all))
         told = account(self.scenario, self.callers.records, self.plans)
         told |= self.machines.figures(self.callers.records)
@@ -198,7 +206,8 @@
 
     def _schedule(self, planned: Planned) -> None:
         t = planned.trouble
-        begin, end = t.begin_s * 1000.0, (t.begin_s + t.length_s) * 1000.0
+        begin = self.scenario.lead_ms() + t.begin_s * 1000.0
+        end = begin + t.length_s * 1000.0
         at, machines = self.clock.at, self.machines
         if t.name == "discovery_down":
             at(begin, self._down, end)
@@ -504,7 +513,7 @@
         mean = sum(counts) / max(1, len(counts))
         if mean > 0.0:
             self.spread.append(sqrt(sum((c - mean) ** 2 for c in counts) / len(counts)) / mean)
-        if self.clock.now < self.sim.scenario.length_s * 1000.0:
+        if self.clock.now < self.sim.scenario.whole_s() * 1000.0:
             self.clock.at(self.clock.now + SAMPLE_MS, self.sample)
 
     def figures(self, records: list[Record]) -> dict[str, Any]:
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from hashlib import blake2b
+from itertools import islice
 from math import exp
 from random import Random
 from struct import unpack
@@ -35,19 +36,18 @@
 FULL_STEPS = 6.0  # token aims: a replica that keeps one waiting longer reads all the time, and its steps last
 FULL_SHARE = 0.25  # of the mean aim, where no token aim is told
 HOPELESS = 1.5  # aims; predicted later than this, an attempt is refused: predictions spread about as much
+CUT_SAMPLE = 200  # admitted requests, the newest, that the cut is taken from: not all of a large fleet's
 CUT_SPAN = 1.0  # fullness beyond full at which the cut reaches the highest admitted priority
 MEMORY_FULL = 0.85  # share of memory held: above it running requests are thrown back and read again
 MEMORY_MS = 4000.0  # wait counted for the whole memory beyond that
-QUEUED_MS = 30.0  # wait counted for one request that waits for a slot
-RUNNING_MS = 150.0  # wait counted for memory held: more running requests, longer steps
+QUEUED_MS, RUNNING_MS = 30.0, 150.0  # wait counted for a request in the queue; for memory held (long steps)
 # Reports
 TRUST = 0.6  # of a fresh answer against its zone's mean: others sent too, and the least of several flatters
 ZONE_LEARN = 0.15  # weight of one answer in its zone's mean: few come from other zones
 ZONE_MS = 8000.0  # an unprobed zone's mean is believed so long
 FADE_MS = 4000.0  # a report older than this says no more than the zone's mean
 REPORT_LAG_MS = 600.0  # own sends of that time before a report may not be in it
-POOL_MS = 2000.0  # answers older than this leave the pool
-POOL_SIZE = 5  # answers compared for a request
+POOL_MS, POOL_SIZE = 2000.0, 5  # answers older than this leave the pool; so many are compared
 FRESH_MS = 700.0  # a home's answer younger than this needs no new probe
 HOLD_MS = 25.0  # a request waits so long at most for its home's answer
 SILENT_MS = 150.0  # wait counted for a home that did not answer within the hold
@@ -61,9 +61,9 @@
 LEARN = 0.05  # weight of one sample in learnt means
 # Homes
 SPREAD = 2.0  # homes of a prefix, as a multiple of the replicas its traffic could fill
+HOMES_TOLD = 16  # homes among which a session is placed: a prefix with more has them in parts of so many
 POINTS = 32  # places of a replica on the ring of homes: shares even to about a sixth
-HEAT_MS = 60000.0  # prefix counts halve in this time
-WALKS_MAX = 500  # walks of the ring remembered
+HEAT_MS, WALKS_MAX = 60000.0, 500  # prefix counts halve in this time; walks of the ring remembered
 CROSS_AIMS = 3.0  # cross-zone fee in aims of waiting: missing an aim loses the worth the fee is a share of
 # Health
 SUSPECT_MS, SUSPECT_MAX_MS = 1000.0, 8000.0  # first and longest time a silent replica is left out
@@ -73,7 +73,7 @@
 LOST_FACTOR = 4.0  # predicted first-token times after which one is given up where others were swallowed
 SLOW_MAX, SLOW_FADE_MS = 8.0, 10000.0  # largest factor believed of a slow replica, and its half life
 FAILING_MS = 2000.0  # wait counted for a replica whose attempts of late all ended in errors
-HEDGE_FACTOR, HEDGE_MIN_MS = 2.0, 200.0  # a second attempt after so many predicted first-token times
+HEDGE_FACTOR, HEDGE_MIN_MS = 2.0, 200.0  # a second attempt after so many predicted first-token times,
 HEDGE_AIM = 0.5  # but not later than this share of the aim, so that it can still serve in time
 HEDGE_COST, HEDGE_RATIO, HEDGE_DEPTH = 0.004, 0.2, 5.0  # waste paid for them, most for each request, saved up
 LATE_MAX = 6.0  # largest general factor of late first tokens: loaded replicas read slower than idle ones
@@ -81,8 +81,8 @@
 # Cold starts
 COLD_SHARE = 1.0  # of an equal share of the traffic, times the ramp: far below the tolerated multiple
 # Discovery
-ASK_SPREAD_MS = 40.0  # first call within this much for each node: the service takes all calls in seconds
-ASK_FIRST_MAX_MS, ASK_RETRY_MS, ASK_RETRY_MAX_MS = 3000.0, 500.0, 8000.0
+ASK_SPREAD_MS, ASK_FIRST_MAX_MS = 40.0, 3000.0  # first call within so much for each node: calls take time
+ASK_RETRY_MS, ASK_RETRY_MAX_MS = 500.0, 8000.0
 
 _M64 = (1 << 64) - 1
 
@@ -290,9 +290,10 @@
             wanted = SPREAD * len(self.local or self.remote) * heat / max(self.heat_sum, 20.0)
             while count < wanted:
                 count *= 2  # coarse steps: nodes that count few requests must still agree on homes
-        chosen = self._walk(self.near or self.far, key, max(count, 2))
+        session = request.session or self.rng.getrandbits(63)
+        part = _mix(session, 2) % max(1, count // HOMES_TOLD)  # ranking hundreds for each costs too much
+        chosen = self._walk(self.near or self.far, key + part, min(max(count, 2), HOMES_TOLD))
         if count > 1:
-            session = request.session or self.rng.getrandbits(63)
             chosen = sorted(chosen, key=lambda r: _mix(session, r.points[0]))[:2]
         return chosen + (self._walk(self.far, key, 1) if self.near else [])
 
@@ -607,7 +608,8 @@
                 seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / self.request_tokens
                 refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved < request.tokens
                 # Departure 3: the lowest of many is beaten by nearly all; the fuller, the higher the cut.
-                admitted = sorted(r.priority for r in self.requests.values() if r.entitlement is not None)
+                newest = (r.priority for r in reversed(self.requests.values()) if r.entitlement)
+                admitted = sorted(islice(newest, CUT_SAMPLE))
                 over = min(1.0, (wait / self.full_ms - 1.0) / CUT_SPAN)
                 cut = admitted[int(over * (len(admitted) - 1))] if admitted else 0.0
                 refused = refused or request.priority <= cut
@@ -706,10 +708,9 @@
     def _swallowed(self, replica: Replica, before: float) -> None:
         """What was sent before then and has not started is lost; one that swallows some looks idle too."""
         lost = [a for a in replica.unstarted if a.sent_at < before]
-        for attempt in lost:
-            if not attempt.lost:
-                attempt.lost = True
-                self._failing(replica)
+        for attempt in (a for a in lost if not a.lost):
+            attempt.lost = True
+            self._failing(replica)
         self._rescue(lost)
 
     def _rescue(self, lost: list[Attempt]) -> None:
