Play scenarios on sockets: emulated engines and discovery, open-loop load

Need: the same model behind the real program, and load that hides no wait. Change: lab emulate, load and run --on sockets: engines of the model speak PROTOCOL in processes of their own, with resets, silence and spoilt streams; discovery is late, stale or down; load counts from when a request was due and says when it was too slow itself.

--- a/spoolbarrow/cli/lab.py
+++ b/spoolbarrow/cli/lab.py
@@ -63,16 +63,151 @@
     return 1 if report["rules_broken"] else 0
 
 
+@command.command()
+@SCENARIO
+@SETS
+@click.option("--on", type=click.Choice(["simulator", "sockets"]), default="simulator", show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--processes", default=2, show_default=True, help="For the engines, and as many for the load.")
+@click.option("--keep", type=click.Path(path_type=Path, file_okay=False), help="Routers' logs go there.")
+@click.option("--json", "as_json", is_flag=True, help="The whole report, on one line.")
+def run(
+    scenario: Path,
+    sets: tuple[str, ...],
+    on: str,
+    seed: int,
+    processes: int,
+    keep: Path | None,
+    as_json: bool,
+) -> int:
+    """Play SCENARIO with the real decisions; on sockets with the real program, in real time.
+
+    \b
+    Exit status: 1 where a rule was broken.
+    """
+    day = read(scenario, sets)
+    if on == "simulator":
+        from spoolbarrow.lab.simulate import simulate as play
+
+        report = play(day, "spoolbarrow", seed)
+    else:
+        from spoolbarrow.lab import sockets
+
+        if keep is not None:
+            keep.mkdir(parents=True, exist_ok=True)
+        try:
+            report = sockets.play(day, seed, processes, progress, keep)
+        except OSError as error:
+            raise click.ClickException(str(error)) from error
+    click.echo(orjson.dumps(report).decode() if as_json else text(report))
+    return 1 if report["rules_broken"] else 0
+
+
+@command.command()
+@SCENARIO
+@SETS
+@click.option("--seed", default=1, show_default=True)
+@click.option("--processes", default=2, show_default=True)
+def emulate(scenario: Path, sets: tuple[str, ...], seed: int, processes: int) -> int:
+    """Put SCENARIO's engines and discovery on loopback, for any router, until interrupted.
+
+    Prints discovery's address for each router, and the day begins with Enter (or the input's end).
+    """
+    from gevent.fileobject import FileObjectPosix
+
+    from spoolbarrow.lab.emulate import Emulator
+
+    with Emulator(read(scenario, sets), seed, processes) as fleet:
+        for n, address in enumerate(fleet.listing.addresses):
+            click.echo(f"router {n}: discovery at {address}")
+        standard = FileObjectPosix(0, "rb", close=False)
+        standard.readline()
+        fleet.begin()
+        click.echo("the day has begun; Ctrl-C ends it")
+        try:
+            while True:
+                gevent_sleep(1.0)
+        except KeyboardInterrupt:
+            return 0
+
+
+def gevent_sleep(seconds: float) -> None:
+    """Let the greenlets run."""
+    import gevent
+
+    gevent.sleep(seconds)
+
+
+@command.command()
+@SCENARIO
+@SETS
+@click.argument("targets", nargs=-1, required=True, metavar="IP:PORT...")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--processes", default=2, show_default=True)
+@click.option("--token-bytes", default=4, show_default=True, help="Prompt text sent for a token.")
+@click.option("--csv", "table", type=click.Path(path_type=Path), help="Write a line for each request.")
+@click.option("--json", "as_json", is_flag=True, help="The whole report, on one line.")
+def load(
+    scenario: Path, sets: tuple[str, ...], targets: tuple[str, ...], seed: int, processes: int,
+    token_bytes: int, table: Path | None, as_json: bool,
+) -> int:  # fmt: skip
+    """Send SCENARIO's requests to routers at IP:PORT, each when it is due.
+
+    \b
+    Exit status: 1 where the load could not keep its own schedule.
+    """
+    import time
+
+    from spoolbarrow.config import ConfigError, address
+    from spoolbarrow.lab.account import account, to_csv
+    from spoolbarrow.lab.load import Load
+
+    day = read(scenario, sets)
+    try:
+        where = [address("IP:PORT", one) for one in targets]
+    except ConfigError as error:
+        raise click.UsageError(str(error)) from error
+    with Load(day, seed, where, processes, token_bytes) as running:
+        running.begin(time.monotonic() + 0.1)
+        progress(running)
+        records, figures = running.wait()
+    report = account(day, records, []) | {"load": figures, "seed": seed}
+    if table is not None:
+        table.write_text(to_csv(day, records))
+    click.echo(orjson.dumps(report).decode() if as_json else text(report))
+    return 0 if figures["kept_its_schedule"] else 1
+
+
+def progress(running: Any) -> None:
+    """A line each second on a terminal, until the load has ended."""
+    import sys
+
+    import gevent
+
+    while any(not greenlet.ready() for greenlet in running.hearing):
+        gevent.joinall(running.hearing, timeout=1.0)
+        if sys.stderr.isatty():
+            told = [one for one in running.progress if one]
+            sums = {key: sum(one[key] for one in told) for key in ("sent", "done", "open", "late")}
+            line = ", ".join(f"{key} {count}" for key, count in sums.items())
+            click.echo(f"\r{line}   ", err=True, nl=False)
+    if sys.stderr.isatty():
+        click.echo(err=True)
+
+
 def text(report: dict[str, Any]) -> str:
     """A report for people."""
-    lines = [
-        f"{report['scenario']}: {report['requests']} requests, {report['engines']} engines, "
-        f"{report['routers']} routers, {report['policy']}, seed {report['seed']}",
-        f"worth {report['worth']:.3f}, refused {report['refused_share']:.2%}, "
-        f"attempts {report['attempts_a_request']:.3f} and probes {report['probes_a_request']:.3f} a request, "
-        f"work wasted {report['wasted_share']:.1%}, spread {report['spread']:.2f}",
-        "outcomes: " + ", ".join(f"{name} {count}" for name, count in report["outcomes"].items()),
-    ]
+    size = f", {report['engines']} engines, {report['routers']} routers" if "engines" in report else ""
+    policy = f", {report['policy']}" if "policy" in report else ""
+    lines = [f"{report['scenario']}: {report['requests']} requests{size}{policy}, seed {report['seed']}"]
+    line = f"worth {report['worth']:.3f}, refused {report['refused_share']:.2%}"
+    named = {"attempts_a_request": "attempts a request", "probes_a_request": "probes a request"}
+    named |= {"wasted_share": "share of work wasted", "spread": "spread"}
+    for key, name in named.items():
+        if key in report:
+            line += f", {name} {report[key]:.3f}"
+    lines.append(line)
+    lines.append("outcomes: " + ", ".join(f"{name} {n}" for name, n in report["outcomes"].items()))
     for group in ("classes", "tenants"):
         for name, found in report[group].items():
             first = f"{found['first_token_ms_p50']:.0f} ms, p99 {found['first_token_ms_p99']:.0f} ms"
@@ -86,7 +221,11 @@
         span = f"at {trouble['begin_s']:.1f} s for {trouble['length_s']:.1f} s, {trouble['victims']} hit"
         within, outside = trouble["worth_within"], trouble["worth_outside"]
         lines.append(f"  {trouble['name']} {span}: worth {within:.3f} within, {outside:.3f} outside")
-    for rule, count in report["rules_broken"].items():
+    for rule, count in report.get("rules_broken", {}).items():
         lines.append(f"  RULE BROKEN {count} times: {rule}")
-    lines.append("run: " + ", ".join(f"{key} {value}" for key, value in report["run"].items()))
+    for key in ("load", "run"):
+        if key in report:
+            lines.append(f"{key}: " + ", ".join(f"{name} {value}" for name, value in report[key].items()))
+    if "load" in report and not report["load"]["kept_its_schedule"]:
+        lines.append("THE LOAD WAS TOO SLOW to keep its schedule: these figures are not to be used")
     return "\n".join(lines)
--- a/spoolbarrow/lab/account.py
+++ b/spoolbarrow/lab/account.py
@@ -45,6 +45,19 @@
     return asked, 0.0
 
 
+def to_csv(scenario: Scenario, records: list[Record]) -> str:
+    """A line for each request."""
+    classes, tenants = list(scenario.classes), list(scenario.tenants)
+    lines = ["at_ms,class,tenant,prompt,answer,outcome,first_ms,whole_ms,tries"]
+    for r in records:
+        one = r.asked
+        lines.append(
+            f"{one.at_ms:.3f},{classes[one.cls]},{tenants[one.tenant]},{one.prompt},{one.answer},"
+            f"{r.outcome},{r.first_ms:.3f},{r.end_ms:.3f},{r.tries}"
+        )
+    return "\n".join(lines) + "\n"
+
+
 def percentile(values: list[float], share: float) -> float:
     """The smallest value that at least `share` percent do not exceed; 0 of none."""
     ordered = sorted(values)
--- /dev/null
+++ b/spoolbarrow/lab/emulate.py
@@ -0,0 +1,279 @@
+"""The fleet on loopback: engines in processes of their own, discovery in this one, the same day for all.
+
+Each router has a discovery address and engine addresses of its own, so that it alone can be cut off.
+A worker prints one JSON line when it listens, reads one when the day begins, and prints one for each change
+of an engine's state. It ends with its parent: at the end of its input.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from types import TracebackType
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import subprocess
+from gevent.fileobject import FileObjectPosix
+from gevent.queue import Empty, Queue
+
+from spoolbarrow import interface as i
+from spoolbarrow.lab.directory import Directory, Told
+from spoolbarrow.lab.fleet import NOBODY, ROUTERS, Planned, fleet, plan, stream
+from spoolbarrow.lab.scenario import Scenario
+from spoolbarrow.lab.wire import HOST, PLAIN, Clock, WireEngine, chunk, listen
+from spoolbarrow.net.http1 import RequestParser
+
+STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+STATES = {
+    "in_service": i.ReplicaState.SERVING,
+    "terminating": i.ReplicaState.DRAINING,
+    "terminated": i.ReplicaState.GONE,
+}
+WORDS = {state: word for word, state in STATES.items()}
+IDLE_LINE_S = 2.0
+READY_S = 30.0
+
+
+class Job(msgspec.Struct):
+    """What a worker is told."""
+
+    scenario: Scenario
+    seed: int
+    worker: int
+    workers: int
+
+
+def shifted(scenario: Scenario, seed: int) -> list[Planned]:
+    """The day's troubles, their times counted from the beginning of the lead."""
+    return [
+        msgspec.structs.replace(
+            one, trouble=msgspec.structs.replace(one.trouble, begin_s=one.trouble.begin_s + scenario.lead_s)
+        )
+        for one in plan(scenario, stream(seed, "troubles"))
+    ]
+
+
+def worker() -> None:
+    """Serve this process's part of the engines until the input ends."""
+    lines = FileObjectPosix(sys.stdin.fileno(), "rb", close=False)
+    job = msgspec.json.decode(lines.readline(), type=Job)
+    clock = Clock()
+
+    def tell(change: dict[str, Any]) -> None:
+        sys.stdout.buffer.write(msgspec.json.encode(change) + b"\n")
+        sys.stdout.buffer.flush()
+
+    specs = fleet(job.scenario, stream(job.seed, "fleet"))
+    mine = {
+        n: WireEngine(spec, job.scenario.routers, clock, stream(job.seed, f"engine {n}"), tell)
+        for n, spec in enumerate(specs)
+        if n % job.workers == job.worker
+    }
+    tell({"ready": {n: engine.ports for n, engine in mine.items()}})
+    begun = lines.readline()
+    if begun:
+        clock.begun = float(begun)
+        for planned in shifted(job.scenario, job.seed):
+            if planned.trouble.name not in (*NOBODY, *ROUTERS):
+                for n in planned.victims:
+                    if n in mine:
+                        mine[n].plan(planned)
+        lines.read()  # until the parent ends
+    tell({"figures": [engine.figures() for engine in mine.values()]})
+    for engine in mine.values():
+        engine.close()
+
+
+class Listing:
+    """Discovery's listeners, one for each router."""
+
+    def __init__(self, scenario: Scenario, clock: Clock, ports: dict[int, list[int]], seed: int) -> None:
+        self.scenario, self.clock = scenario, clock
+        specs = fleet(scenario, stream(seed, "fleet"))
+        self.kinds = list(scenario.kinds)
+        self.ports = {spec.id: ports[n] for n, spec in enumerate(specs)}
+        self.specs = {spec.id: spec for spec in specs}
+        entries = [i.ReplicaEntry(s.id, s.zone, s.kind, s.cell) for s in specs]
+        self.directory = Directory(scenario.discovery, entries, stream(seed, "discovery"))
+        self.index = 1
+        self.unix_ms = 0.0  # of the day's beginning
+        self.watchers: dict[int, list[Queue[bytes | None]]] = {n: [] for n in range(scenario.routers)}
+        self.listeners = [listen() for _ in range(scenario.routers)]
+        self.addresses = [f"{HOST}:{one.getsockname()[1]}" for one in self.listeners]
+        self.tasks = [gevent.spawn(self._accept, one, n) for n, one in enumerate(self.listeners)]
+
+    def close(self) -> None:
+        """End it."""
+        gevent.killall(self.tasks)
+        for one in self.listeners:
+            one.close()
+
+    def begin(self, troubles: list[Planned]) -> None:
+        """Schedule what hits discovery."""
+        self.unix_ms = time.time() * 1000.0 - self.clock.now()
+        for planned in troubles:
+            t = planned.trouble
+            begin, end = t.begin_s * 1000.0, (t.begin_s + t.length_s) * 1000.0
+            if t.name == "discovery_down":
+                self.clock.later(begin, self._down, end)
+            elif t.name == "discovery_stale":
+                self.clock.later(begin, setattr, self.directory, "behind_ms", planned.size * 1000.0)
+                self.clock.later(end, setattr, self.directory, "behind_ms", 0.0)
+
+    def changed(self, change: dict[str, Any]) -> None:
+        """A worker told of an engine."""
+        name = change["id"]
+        spec = self.specs.get(name) or self.specs[name.rstrip("r")]
+        self.specs[name], self.ports[name] = spec, change["ports"]
+        state = STATES[change["status"]]
+        started = self.unix_ms + change["started_at"] if state is i.ReplicaState.SERVING else 0.0
+        entry = i.ReplicaEntry(name, spec.zone, spec.kind, spec.cell, state, 1.0, started)
+        at = self.directory.changed(self.clock.now(), entry, change["silent"])
+        self.clock.later(at, self._notice)
+
+    def lines(self, entries: tuple[i.ReplicaEntry, ...], whole: bool, caller: int) -> bytes:
+        """A list as discovery writes it, on one line."""
+        told = [
+            {
+                "name": e.replica,
+                "address": f"{HOST}:{self.ports[e.replica][caller]}",
+                "zone": f"z{e.zone}",
+                "type": self.kinds[e.kind],
+                "group": e.cell,
+                "status": WORDS[e.state],
+                "weight": e.weight,
+                "since_ms": round(e.started_at_ms),
+            }
+            for e in entries
+        ]
+        return msgspec.json.encode({"index": self.index, "snapshot": whole, "endpoints": told}) + b"\n"
+
+    def _notice(self) -> None:
+        told = self.directory.due(self.clock.now())
+        self.index += 1
+        for one in told:
+            self.clock.later(one.at, self._push, one)
+
+    def _push(self, told: Told) -> None:
+        line = self.lines(told.entries, False, told.caller)
+        for queue in self.watchers[told.caller]:
+            queue.put(line)
+
+    def _down(self, until: float) -> None:
+        self.directory.down(self.clock.now(), until)
+        for queues in self.watchers.values():
+            for queue in queues:
+                queue.put(None)
+
+    def _accept(self, listener: Any, caller: int) -> None:
+        while True:
+            gevent.spawn(self._converse, listener.accept()[0], caller)
+
+    def _converse(self, sock: Any, caller: int) -> None:
+        parser = RequestParser(16_384, 1024)
+        try:
+            while data := sock.recv(65_536):
+                parser.feed(memoryview(data))
+                if parser.fault is not None:
+                    return
+                while parser.whole:
+                    self._tell(sock, caller, parser.whole.popleft().target)
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    def _tell(self, sock: Any, caller: int, target: bytes) -> None:
+        told = self.directory.call(self.clock.now(), caller)
+        gevent.sleep(max(0.0, (told.at - self.clock.now()) / 1000.0))
+        if told.kind is i.ListKind.FAILED:
+            sock.sendall(PLAIN % (b"503 Service Unavailable", b"", 0, b""))
+            return
+        whole = self.lines(self.directory.whole(), True, caller)
+        if b"stream=1" not in target:
+            sock.sendall(PLAIN % (b"200 OK", b"", len(whole), whole))
+            return
+        queue: Queue[bytes | None] = Queue()
+        self.watchers[caller].append(queue)
+        try:
+            same = b"index=%d" % self.index in target.partition(b"?")[2].split(b"&")
+            sock.sendall(STREAM + chunk(b"\n" if same else whole))
+            while True:
+                try:
+                    line = queue.get(timeout=IDLE_LINE_S)
+                except Empty:
+                    line = b"\n"
+                if line is None:
+                    raise OSError("discovery is down")
+                sock.sendall(chunk(line))
+        finally:
+            self.watchers[caller].remove(queue)
+
+
+class Emulator:
+    """A running fleet; use as a context. `listing.addresses` has discovery's address for each router."""
+
+    def __init__(self, scenario: Scenario, seed: int, processes: int) -> None:
+        self.scenario, self.seed, self.clock = scenario, seed, Clock()
+        processes = max(1, min(processes, scenario.engines))
+        command = [sys.executable, "-c", "from spoolbarrow.lab.emulate import worker; worker()"]
+        self.workers: list[Any] = [
+            subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE) for _ in range(processes)
+        ]
+        ports: dict[int, list[int]] = {}
+        try:
+            for n, one in enumerate(self.workers):
+                self._write(one, msgspec.json.encode(Job(scenario, seed, n, processes)))
+            for one in self.workers:
+                with gevent.Timeout(READY_S):
+                    ready = msgspec.json.decode(one.stdout.readline())["ready"]
+                ports |= {int(n): found for n, found in ready.items()}
+            self.listing = Listing(scenario, self.clock, ports, seed)
+        except BaseException:
+            self._end()
+            raise
+        self.figures: list[dict[str, int]] = []  # of each engine, once it has ended
+        self.hearing = [gevent.spawn(self._hear, one) for one in self.workers]
+
+    def begin(self) -> None:
+        """The day begins now."""
+        self.clock.begun = time.monotonic()
+        self.listing.begin(shifted(self.scenario, self.seed))
+        for one in self.workers:
+            self._write(one, repr(self.clock.begun).encode())
+
+    def _write(self, one: Any, line: bytes) -> None:
+        one.stdin.write(line + b"\n")
+        one.stdin.flush()
+
+    def _hear(self, one: Any) -> None:
+        while line := one.stdout.readline():
+            change = msgspec.json.decode(line)
+            if "figures" in change:
+                self.figures += change["figures"]
+            else:
+                self.listing.changed(change)
+
+    def _end(self) -> None:
+        for one in self.workers:
+            one.stdin.close()
+        for one in self.workers:
+            try:
+                one.wait(5.0)
+            except subprocess.TimeoutExpired:
+                one.kill()
+                one.wait()
+
+    def __enter__(self) -> Emulator:
+        """The running fleet."""
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        """End all its processes."""
+        self.listing.close()
+        self._end()
+        gevent.joinall(self.hearing)
--- a/spoolbarrow/lab/engine.py
+++ b/spoolbarrow/lab/engine.py
@@ -87,8 +87,11 @@
 class Engine:
     """One process. `submit`, `cancel` and the rest first bring it to `now`; news is fetched by `advance`."""
 
-    def __init__(self, figures: Figures, rng: Random, now: float = 0.0, cold: bool = False) -> None:
+    def __init__(
+        self, figures: Figures, rng: Random, now: float = 0.0, cold: bool = False, leap: int = LEAP
+    ) -> None:
         self.figures = figures
+        self.leap = leap
         self.rng = rng
         self.memory = Memory(figures.blocks)
         self.warmth = Warmth(figures, now, cold)
@@ -342,7 +345,7 @@
         self.grow_ms = factor * f.per_context_ms * len(making)
         self.count = 1
         if not self.reading and self.warmth.warm:
-            count = min(LEAP, min(job.work.answer - job.made for job in making))
+            count = min(self.leap, min(job.work.answer - job.made for job in making))
             if count > 1 and self._ahead(count):
                 self.count = count
         self.begin = max(now, self.not_before) + self.owed_ms
--- a/spoolbarrow/lab/fleet.py
+++ b/spoolbarrow/lab/fleet.py
@@ -23,6 +23,11 @@
 PAUSE_EVERY_MS = 1500.0
 
 
+def stream(seed: int, name: str) -> Random:
+    """Random numbers of one concern, the same whatever others draw."""
+    return Random(f"{seed}:{name}")
+
+
 class Spec(Struct, frozen=True):
     """An engine of the fleet."""
 
--- a/spoolbarrow/lab/simulate.py
+++ b/spoolbarrow/lab/simulate.py
@@ -20,7 +20,7 @@
 from spoolbarrow.lab.arrivals import Asked, asked
 from spoolbarrow.lab.directory import Directory, Told
 from spoolbarrow.lab.engine import Engine, Kind, Taken, Work
-from spoolbarrow.lab.fleet import PAUSE_EVERY_MS, Planned, Spec, fleet, plan
+from spoolbarrow.lab.fleet import PAUSE_EVERY_MS, Planned, Spec, fleet, plan, stream
 from spoolbarrow.lab.kinds import draw
 from spoolbarrow.lab.policies import POLICIES, Decider
 from spoolbarrow.lab.scenario import Scenario
@@ -155,7 +155,7 @@
 
     def stream(self, name: str) -> Random:
         """Random numbers of one concern, the same whatever the others draw."""
-        return Random(f"{self.seed}:{name}")
+        return stream(self.seed, name)
 
     def delay(self, low_high: Any) -> float:
         """A one-way delay, with jitter."""
--- /dev/null
+++ b/spoolbarrow/lab/wire.py
@@ -0,0 +1,382 @@
+"""An engine of the model on loopback sockets: PROTOCOL's side of engines, with faults on the wire.
+
+One listener for each router, so that an engine can be cut off from one of them. Runs in gevent greenlets;
+`now` is milliseconds since the day began, the same in every process of an emulation.
+"""
+
+from __future__ import annotations
+
+import struct
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from random import Random
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import socket
+from gevent.event import Event
+from gevent.queue import Queue
+
+from spoolbarrow.lab.engine import Engine, Kind, Taken, Work
+from spoolbarrow.lab.fleet import PAUSE_EVERY_MS, Planned, Spec
+from spoolbarrow.net.http1 import Message, RequestParser
+
+HOST = "127.0.0.1"
+MAX_HEAD, MAX_BODY = 16_384, 262_144
+LEAP = 4  # tokens an event
+GRACE_S = 0.05
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+PLAIN = b"HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s"
+EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%s"},"finish_reason":%s}]}\n\n'
+USAGE = (
+    b'data: {"choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d,'
+    b'"prompt_tokens_details":{"cached_tokens":%d}}}\n\n'
+)
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: close at once, by a reset
+
+
+class Clock:
+    """Milliseconds since the day began, by the machine's steady clock."""
+
+    def __init__(self) -> None:
+        self.begun = time.monotonic()
+
+    def now(self) -> float:
+        """Now."""
+        return (time.monotonic() - self.begun) * 1000.0
+
+    def later(self, at_ms: float, call: Callable[..., object], *args: Any) -> None:
+        """Call it then."""
+        gevent.spawn_later(max(0.0, (at_ms - self.now()) / 1000.0), call, *args)
+
+
+def listen(port: int = 0) -> Any:
+    """A listener on loopback; OSError where the port is taken."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((HOST, port))
+    sock.listen(1024)
+    return sock
+
+
+def chunk(part: bytes) -> bytes:
+    """A chunk of an answer."""
+    return b"%x\r\n%s\r\n" % (len(part), part)
+
+
+def facts(message: Message) -> dict[str, str]:
+    """The pairs of `X-Facts`."""
+    text = message.fields.get(b"x-facts", b"").decode("latin-1")
+    return dict(pair.partition("=")[::2] for pair in text.split(",") if pair)
+
+
+class Told(msgspec.Struct):
+    """What the lab's clients put into the body beside the prompt."""
+
+    lab_answer: int = 0  # tokens that the answer takes; 0: half of max_out
+
+
+def work_of(message: Message, name: str) -> Work:
+    """The request as an engine sees it; ValueError where it is none."""
+    told = facts(message)
+    body = msgspec.json.decode(message.body, type=Told)
+    prompt = int(told.get("prompt_len", "0")) or max(1, len(message.body) // 4)
+    answer = body.lab_answer or max(1, int(told.get("max_out", "64")) // 2)
+    opening = told.get("prefix") or None
+    session = message.fields.get(b"x-session-key", b"").decode("latin-1") or None
+    return Work(name, prompt, answer, opening, int(told.get("prefix_len", "0")), session)
+
+
+class WireEngine:
+    """One engine: its process may die, restart and be replaced, its listeners stay the same addresses."""
+
+    def __init__(
+        self, spec: Spec, routers: int, clock: Clock, rng: Random, tell: Callable[[dict[str, Any]], None]
+    ) -> None:
+        self.spec, self.clock, self.rng, self.tell = spec, clock, rng, tell
+        self.id = spec.id
+        self.engine = Engine(spec.figures, Random(rng.random()), clock.now(), False, LEAP)
+        self.listeners: list[Any] = [listen() for _ in range(routers)]
+        self.ports = [one.getsockname()[1] for one in self.listeners]
+        self.cap = spec.figures.connections
+        self.resets = self.spoilt = 0.0
+        self.draining, self.alive = False, True
+        self.held = [-1e18] * routers  # nothing passes to or from a router until then
+        self.news: dict[str, Queue[tuple[int, int]]] = {}  # tokens made, and prompt tokens kept at the end
+        self.sent: dict[str, int] = {}
+        self.talks: dict[Any, gevent.Greenlet[..., Any]] = {}  # by socket
+        self.wake = Event()
+        self.count = self.falls = 0
+        self.past: list[Engine] = []  # processes that have ended: their work still counts
+        self.tasks = [gevent.spawn(self._drive), *self._accepting()]
+
+    def _accepting(self) -> list[Any]:
+        return [gevent.spawn(self._accept, one, n) for n, one in enumerate(self.listeners)]
+
+    def close(self) -> None:
+        """End it."""
+        gevent.killall(self.tasks)
+        self._break_all()
+        for one in self.listeners:
+            one.close()
+
+    def figures(self) -> dict[str, int]:
+        """What it has done in all."""
+        engines = [*self.past, self.engine] if self.alive else self.past
+        work = sum(one.made + one.done_read for one in engines)
+        preempted = sum(one.preempted for one in engines)
+        return {"attempts": self.count, "work": work, "preempted": preempted, "falls": self.falls}
+
+    # --- the model's time
+
+    def _drive(self) -> None:
+        while True:
+            at = self.engine.next_at()
+            self.wake.clear()
+            self.wake.wait(None if at == float("inf") else max(0.0, (at - self.clock.now()) / 1000.0))
+            engine = self.engine
+            ended = {}
+            for news in engine.advance(self.clock.now()):
+                if news.kind is Kind.ENDED:
+                    ended[news.id] = news.kept
+            for name, queue in self.news.items():
+                job = engine.jobs.get(name)
+                if name in ended:
+                    queue.put((0, ended[name]))
+                elif job is not None and job.made > self.sent[name]:
+                    queue.put((job.made - self.sent[name], -1))
+                    self.sent[name] = job.made
+
+    # --- connections
+
+    def _accept(self, listener: Any, router: int) -> None:
+        while True:
+            sock, _ = listener.accept()
+            self._wait(router)
+            if len(self.talks) >= self.cap:
+                self._reset(sock)
+                continue
+            self.engine.charge(self.clock.now(), self.spec.figures.handshake_work_ms)
+            self.talks[sock] = gevent.spawn(self._converse, sock, router)
+
+    def _wait(self, router: int) -> None:
+        while (left := self.held[router] - self.clock.now()) > 0.0:
+            gevent.sleep(left / 1000.0)
+
+    def _reset(self, sock: Any) -> None:
+        with suppress(OSError):  # it may have been reset from the other side
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.close()
+
+    def _break_all(self) -> None:
+        talks, self.talks = self.talks, {}
+        for sock, greenlet in talks.items():
+            greenlet.kill(block=False)
+            self._reset(sock)
+        self.news.clear()
+        self.sent.clear()
+
+    def _converse(self, sock: Any, router: int) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        parser, answering = RequestParser(MAX_HEAD, MAX_BODY), None
+        try:
+            while True:
+                sock.settimeout(self.spec.figures.idle_ms / 1000.0)
+                data = sock.recv(65_536)
+                if not data:
+                    return
+                self._wait(router)
+                parser.feed(memoryview(data))
+                if parser.fault is not None:
+                    return
+                while parser.whole:
+                    if answering is not None:
+                        answering.join()
+                    answering = gevent.spawn(self._answer, sock, router, parser.whole.popleft())
+        except OSError:
+            pass  # closed, unreadable, or idle for too long
+        finally:
+            if answering is not None:
+                answering.kill(block=False)
+            self.talks.pop(sock, None)
+            sock.close()
+
+    def _answer(self, sock: Any, router: int, message: Message) -> None:
+        try:
+            if message.method == b"GET":
+                self._probe(sock, router)
+            else:
+                self._chat(sock, router, message)
+        except OSError:
+            sock.close()
+
+    def _plain(self, sock: Any, router: int, status: bytes, fields: bytes = b"", body: bytes = b"") -> None:
+        self._wait(router)
+        sock.sendall(PLAIN % (status, fields, len(body), body))
+
+    def _load(self) -> bytes:
+        load = self.engine.report(self.clock.now())
+        return b"x1=%.4f,load_share=%.4f,x0=%.4f" % (
+            load.unread_tokens / 1000.0, load.busy_share, load.memory_share,
+        )  # fmt: skip
+
+    def _probe(self, sock: Any, router: int) -> None:
+        now, engine = self.clock.now(), self.engine
+        engine.charge(now, self.spec.figures.probe_work_ms)
+        wait = max(0.0, engine.not_before - now)
+        if engine.reading:
+            wait = max(wait, min(engine.next_at() - now, engine.first_ms))
+        gevent.sleep(wait / 1000.0)
+        self._plain(sock, router, b"200 OK", body=self._load())
+
+    def _chat(self, sock: Any, router: int, message: Message) -> None:
+        self.count += 1
+        name = f"{message.fields.get(b'x-correlation-id', b'').decode('latin-1')}#{self.count}"
+        try:
+            work = work_of(message, name)
+        except ValueError as error:
+            return self._plain(sock, router, b"400 Bad Request", body=str(error).encode())
+        now, engine = self.clock.now(), self.engine
+        taken = Taken.FULL if self.draining else engine.submit(now, work)
+        if taken is Taken.FELL:
+            self.falls += 1
+            return self.crash(self.spec.figures.restart_ms)
+        if taken is not Taken.TAKEN:
+            full = taken is Taken.FULL
+            status = b"503 Service Unavailable" if full else b"500 Internal Server Error"
+            return self._plain(sock, router, status, b"X-Unprocessed: 1\r\n" if full else b"")
+        queue: Queue[tuple[int, int]] = Queue()
+        self.news[name], self.sent[name] = queue, 0
+        self.wake.set()
+        try:
+            self._stream(sock, router, work, queue)
+        finally:
+            self.news.pop(name, None)
+            self.sent.pop(name, None)
+            engine.cancel(self.clock.now(), name)
+            self.wake.set()
+
+    def _stream(self, sock: Any, router: int, work: Work, queue: Queue[tuple[int, int]]) -> None:
+        made, spoil_at = 0, -1
+        while True:
+            tokens, kept = queue.get()
+            ended = kept >= 0
+            tokens = work.answer - made if ended else tokens
+            self._wait(router)
+            if not made:
+                if self.resets and self.rng.random() < self.resets:
+                    return self._cut_short(sock)
+                if self.spoilt and self.rng.random() < self.spoilt:
+                    spoil_at = self.rng.choice([0, work.answer // 2])
+                if spoil_at == 0:
+                    sock.sendall(b"HTTP/1.1 2OO\r\nTransfer-Encoding: chunked, nonsense\r\n\r\nzz\r\n")
+                    return self._cut_short(sock)
+                sock.sendall(HEAD)
+            if tokens:
+                made += tokens
+                event = EVENT % (b"word" * tokens, b'"stop"' if ended else b"null")
+                if 0 < spoil_at <= made:
+                    sock.sendall(b"xyz\r\n" + event)
+                    return self._cut_short(sock)
+                sock.sendall(chunk(event))
+            if ended:
+                usage = USAGE % (work.prompt, work.answer, kept)
+                tail = chunk(usage) + chunk(b"data: [DONE]\n\n")
+                return sock.sendall(tail + chunk(b": X-Backend-Load: %s\n\n" % self._load()) + b"0\r\n\r\n")  # type: ignore[no-any-return]
+
+    def _cut_short(self, sock: Any) -> None:
+        gevent.sleep(GRACE_S)  # what was written is read first
+        talk = self.talks.pop(sock, None)
+        self._reset(sock)
+        if talk is not None:
+            talk.kill(block=False)
+
+    # --- troubles
+
+    def plan(self, planned: Planned) -> None:
+        """Schedule a trouble that hits this engine."""
+        t, size, later = planned.trouble, planned.size, self.clock.later
+        begin, end = t.begin_s * 1000.0, (t.begin_s + t.length_s) * 1000.0
+        if t.name == "hang":
+            later(begin, self._stall, end)
+        elif t.name == "pauses":
+            when = begin + PAUSE_EVERY_MS * self.rng.random()
+            while when < end:
+                later(when, self._stall, when + size)
+                when += PAUSE_EVERY_MS * (0.5 + self.rng.random())
+        elif t.name == "slow":
+            later(begin, self._slowed, size)
+            later(end, self._slowed, 1.0)
+        elif t.name == "cold_restart":
+            later(begin, self.crash, self.spec.figures.restart_ms)
+        elif t.name == "drain":
+            later(begin, self._drain)
+            later(end, self.crash, 0.0)
+        elif t.name == "replace":
+            later(begin, self._replace, end)
+        elif t.name == "vanish":
+            later(begin, self._vanish, end)
+        elif t.name == "partition":
+            later(begin, self._hold, planned.routers, end)
+        else:
+            key = {"connection_cap": "cap", "resets": "resets", "spoilt": "spoilt"}[t.name]
+            later(begin, setattr, self, key, int(size) if key == "cap" else size)
+            later(end, setattr, self, key, self.spec.figures.connections if key == "cap" else 0.0)
+
+    def _stall(self, until: float) -> None:
+        self.engine.stall(self.clock.now(), until)
+        self.wake.set()
+
+    def _slowed(self, factor: float) -> None:
+        self.engine.slowed(self.clock.now(), factor)
+        self.wake.set()
+
+    def _hold(self, routers: tuple[int, ...], until: float) -> None:
+        for number in routers:
+            self.held[number] = until
+
+    def _drain(self) -> None:
+        self.draining = True
+        self._changed("terminating")
+
+    def _changed(self, status: str, silent: bool = False) -> None:
+        self.tell({"id": self.id, "number": self.spec.cell, "status": status, "silent": silent,
+                   "ports": self.ports, "started_at": self.clock.now()})  # fmt: skip
+
+    def crash(self, down_ms: float) -> None:
+        """The process dies and starts again, cold."""
+        if self.alive:
+            self._die()
+            self.clock.later(self.clock.now() + down_ms, self._rise)
+
+    def _die(self) -> None:
+        self.alive = False
+        self.past.append(self.engine)
+        for task in self.tasks:
+            if task is not gevent.getcurrent():
+                task.kill(block=False)
+        for one in self.listeners:
+            one.close()
+        self._break_all()
+
+    def _rise(self) -> None:
+        self.listeners = [listen(port) for port in self.ports]
+        self.engine = Engine(self.spec.figures, Random(self.rng.random()), self.clock.now(), True, LEAP)
+        self.alive, self.draining = True, False
+        self.tasks = [gevent.spawn(self._drive), *self._accepting()]
+        self._changed("in_service")
+
+    def _replace(self, until: float) -> None:
+        self._changed("terminated")
+        if self.alive:
+            self._die()
+        self.id += "r"
+        self.clock.later(until, self._rise)
+
+    def _vanish(self, until: float) -> None:
+        self.held = [until] * len(self.held)
+        self.engine.stall(self.clock.now(), until + 1.0)
+        self._changed("terminated", silent=True)
+        self.clock.later(until, self.crash, 0.0)
