--- a/spoolbarrow/lab/engine.py
+++ b/spoolbarrow/lab/engine.py
@@ -135,7 +135,7 @@
             return Taken.ERROR
         if f.error_share > 0.0 and self.rng.random() < f.error_share:
             return Taken.ERROR
-        if len(self.waiting) >= f.waiting + max(0, f.slots - len(self.running) - len(self.waiting)):
+        if len(self.waiting) >= f.waiting + f.slots - len(self.running):
             return Taken.FULL
         if self.warmth.take(now, work.prompt):
             return Taken.FELL
