Run experiments over all cores, compare them in pairs, and measure the lab itself

Need: a grid of settings and seeds in one table, and proof that the model is right. Change: lab experiment (resumable, Parquet), compare (paired, bootstrap), plot (SVG and a page); benchmarks/lab.py.

--- /dev/null
+++ b/benchmarks/lab.py
@@ -0,0 +1,190 @@
+"""The lab measured: how fast it plays, how decisions grow with the fleet, and whether the model is right.
+
+    python benchmarks/lab.py [--short]
+
+The short form plays shorter days and judges simulator against sockets over all six days together; the long
+one judges each day, over three seeds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from math import exp, log
+from multiprocessing import get_context
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+import orjson
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT)]
+
+from spoolbarrow.lab.emulate import Emulator  # noqa: E402
+from spoolbarrow.lab.load import Load  # noqa: E402
+from spoolbarrow.lab.scenario import convert, load_raw  # noqa: E402
+from spoolbarrow.lab.simulate import simulate  # noqa: E402
+from spoolbarrow.lab.theory import Queue, agreement  # noqa: E402
+
+CALM = ROOT / "examples" / "lab" / "calm.toml"
+TIMES_REAL_TIME = 20.0
+GROWTH = {1000: 2.0, 4000: 4.0}  # of a decision's CPU, from 10 engines
+REFUSED = 0.005
+WORTH_WITHIN, FIRST_WITHIN = 0.05, 0.15
+RATE = 2000.0  # of the load tool, requests a second
+QUEUES = (Queue(1, 0.7, 20.0), Queue(1, 0.7, 20.0, fixed=True), Queue(4, 0.7, 200.0), Queue(16, 0.8, 200.0))
+DAYS: dict[str, list[dict[str, Any]]] = {
+    "calm": [],
+    "hang": [{"name": "hang", "begin_s": 2.0, "length_s": 5.0, "part": 0.1}],
+    "cold": [{"name": "cold_restart", "begin_s": 2.0, "part": 0.3}],
+    "spoilt": [{"name": "spoilt", "begin_s": 2.0, "length_s": 6.0, "part": 0.3, "size": 0.3}],
+    "burst": [{"name": "burst", "begin_s": 2.0, "length_s": 5.0, "size": 1.6}],
+    "death": [{"name": "router_death", "begin_s": 3.0, "length_s": 3.0, "part": 0.5}],
+}
+
+
+def day(**changes: Any) -> Any:
+    """The calm example with changes."""
+    return convert(load_raw(CALM) | changes)
+
+
+def sizes(short: bool) -> dict[str, Any]:
+    """The same load an engine at each size, one router."""
+    found = {}
+    for engines, length, lead in ((10, 60.0, 10.0), (100, 10.0, 5.0), (1000, 2.0, 2.0), (4000, 1.0, 1.0)):
+        scenario = day(engines=engines, routers=1, length_s=length if short else 4 * length, lead_s=lead)
+        seeds = (1, 2, 3) if engines <= 100 or not short else (1,)
+        reports = [simulate(scenario, "spoolbarrow", seed) for seed in seeds]
+        found[str(engines)] = {
+            "requests": sum(report["requests"] for report in reports),
+            "decision_us": median(report["run"]["decision_us_a_request"] for report in reports),
+            "refused_share": round(sum(report["refused_share"] for report in reports) / len(reports), 6),
+            "requests_a_second": median(report["run"]["requests_a_second"] for report in reports),
+            "times_real_time": median(report["run"]["times_real_time"] for report in reports),
+            "worth": round(sum(report["worth"] for report in reports) / len(reports), 4),
+            "rules_broken": sum(sum(report["rules_broken"].values()) for report in reports),
+        }
+    return found
+
+
+def both(name: str, seed: int, length_s: float, lead_s: float) -> dict[str, float]:
+    """One day in the simulator and on sockets."""
+    from spoolbarrow.lab import sockets
+
+    scenario = day(length_s=length_s, lead_s=lead_s, troubles=DAYS[name])
+    real = sockets.play(scenario, seed, processes=2)
+    model = simulate(scenario, "spoolbarrow", seed)
+    first = "first_token_ms_p50"
+    return {
+        "worth": real["worth"] - model["worth"],
+        "first_log_ratio": log(real["times"][first] / model["times"][first]),
+        "broken": sum(real["rules_broken"].values()) + sum(model["rules_broken"].values()),
+        "sent_late_share": real["load"]["sent_late_share"],
+    }
+
+
+def agree(short: bool) -> dict[str, Any]:
+    """Simulator against sockets, six days."""
+    seeds, length, lead, at_once = ((1,), 8.0, 2.0, 6) if short else ((1, 2, 3), 25.0, 5.0, 2)
+    with ProcessPoolExecutor(at_once, mp_context=get_context("spawn")) as pool:
+        runs = {name: [pool.submit(both, name, seed, length, lead) for seed in seeds] for name in DAYS}
+        found = {name: [run.result() for run in some] for name, some in runs.items()}
+    told: dict[str, Any] = {}
+    for name, some in found.items():
+        mean = {key: sum(one[key] for one in some) / len(some) for key in some[0]}
+        told[name] = {
+            "worth_difference": round(mean["worth"], 4),
+            "first_token_ratio": round(exp(mean["first_log_ratio"]), 4),
+            "rules_broken": sum(one["broken"] for one in some),
+            "sent_late_share": round(mean["sent_late_share"], 4),
+        }
+    return told
+
+
+def agrees(days: dict[str, Any], short: bool) -> bool:
+    """Whether the two ways of playing agree."""
+    ratios = [abs(log(one["first_token_ratio"])) for one in days.values()]
+    worths = [abs(one["worth_difference"]) for one in days.values()]
+    bound = log(1.0 + FIRST_WITHIN)
+    unbroken = not any(one["rules_broken"] for one in days.values())
+    if short:
+        mean = sum(log(one["first_token_ratio"]) for one in days.values()) / len(days)
+        return abs(mean) <= bound and sum(worths) / len(worths) <= WORTH_WITHIN and unbroken
+    return max(ratios) <= bound and max(worths) <= WORTH_WITHIN and unbroken
+
+
+def schedule(short: bool) -> dict[str, Any]:
+    """The load tool straight at emulated engines that are quick."""
+    engines = 8
+    kind = {"slots": 2000, "waiting": 5000, "step_ms": 5.0, "step_ms_per_running": 0.0, "connections": 5000}
+    scenario = convert(
+        {
+            "name": "rate",
+            "length_s": 4.0 if short else 20.0,
+            "engines": engines,
+            "load": {"per_engine": RATE / engines},
+            "kinds": {"quick": {**kind, "memory_tokens": 10_000_000, "read_tokens_per_s": 1e9}},
+            "classes": {
+                "ask": {"aim_ms": 1000.0, "deadline_ms": 10_000.0, "turns": 1.0, "openings": 0,
+                        "new_tokens": 20, "answer_tokens": 2},
+            },
+        }
+    )  # fmt: skip
+    with Emulator(scenario, 1, 3) as fleet:
+        targets = [("127.0.0.1", ports[0]) for ports in fleet.listing.ports.values()]
+        with Load(scenario, 1, targets, 3) as load:
+            fleet.begin()
+            load.begin(time.monotonic() + 0.2)
+            records, figures = load.wait()
+    served = sum(record.outcome == "served" for record in records)
+    return {"requests": len(records), "served": served} | figures
+
+
+def main() -> int:
+    """Measure all; the exit status says whether it holds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--short", action="store_true")
+    short = parser.parse_args().short
+    by_size = sizes(short)
+    base = by_size["10"]["decision_us"]
+    growth = {size: round(by_size[str(size)]["decision_us"] / base, 3) for size in GROWTH}
+    one, other = (simulate(day(length_s=10.0, troubles=DAYS["hang"]), "spoolbarrow", 7) for _ in range(2))
+    same = all(one[key] == other[key] for key in one if key != "run")
+    queues = {}
+    for queue in QUEUES:
+        found = agreement(queue, 20_000 if short else 200_000, seed=7)
+        slack = 0.0 if queue.servers == 1 else 1.0  # service is in whole steps of 1 ms, begun between them
+        name = f"{'M/D' if queue.fixed else 'M/M'}/{queue.servers} at {queue.load}"
+        queues[name] = {key: round(value, 3) for key, value in found._asdict().items()}
+        queues[name]["holds"] = found.holds(slack)
+    rate = schedule(short)
+    days = agree(short)
+    holds = {
+        "real_time": by_size["10"]["times_real_time"] >= TIMES_REAL_TIME,
+        "growth": all(growth[size] <= bound for size, bound in GROWTH.items()),
+        "refused": all(one["refused_share"] <= REFUSED for one in by_size.values()),
+        "rules": not any(one["rules_broken"] for one in by_size.values()),
+        "same_by_seed": same,
+        "queues": all(one["holds"] for one in queues.values()),
+        "schedule": rate["kept_its_schedule"] and rate["served"] == rate["requests"],
+        "agreement": agrees(days, short),
+    }
+    result = {
+        "name": "lab",
+        "holds": all(holds.values()),
+        "held": holds,
+        "sizes": by_size,
+        "growth": {str(size): value for size, value in growth.items()},
+        "queues": queues,
+        "schedule": rate,
+        "days": days,
+    }
+    print(orjson.dumps(result).decode())
+    return 0 if result["holds"] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/spoolbarrow/cli/lab.py
+++ b/spoolbarrow/cli/lab.py
@@ -195,6 +195,89 @@
         click.echo(err=True)
 
 
+def needs(error: ImportError) -> click.ClickException:
+    """What a command without its packages says."""
+    return click.ClickException(f"needs the packages of the extra `lab`: {error}")
+
+
+@command.command()
+@click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option(
+    "--into", type=click.Path(path_type=Path, file_okay=False), help="Default: beside FILE, by its name."
+)
+@click.option("--workers", default=0, help="Processes; default: one a core.")
+def experiment(file: Path, into: Path | None, workers: int) -> int:
+    """Play the runs of FILE that its table lacks; after a kill, the same command goes on."""
+    import os
+
+    try:
+        from rich.progress import Progress
+
+        from spoolbarrow.lab import experiment as lab
+    except ImportError as error:
+        raise needs(error) from error
+    try:
+        found = lab.read(file)
+        with Progress(transient=True) as bar:
+            task = bar.add_task(found.name)
+            place = into or file.parent / found.name
+            played = lab.play(
+                found, file.parent, place, workers or os.cpu_count() or 1,
+                lambda done, of: bar.update(task, completed=done, total=of),
+            )  # fmt: skip
+    except ScenarioError as error:
+        raise click.UsageError(str(error)) from error
+    click.echo(f"{played} runs played; the table is {place / lab.TABLE}")
+    return 0
+
+
+@command.command()
+@click.argument("a")
+@click.argument("b")
+@click.option("--figure", "figures", multiple=True, default=("worth",), show_default=True)
+def compare(a: str, b: str, figures: tuple[str, ...]) -> int:
+    """Hold the runs of B against those of A: each a DIRECTORY, or DIRECTORY:column=value,...
+
+    \b
+    Runs are paired by scenario, settings, constants, policy and seed, but for the columns named.
+    Exit status: 1 where B is worse in some figure.
+    """
+    try:
+        from spoolbarrow.lab.compare import compare as hold
+    except ImportError as error:
+        raise needs(error) from error
+    worse = False
+    for figure in figures:
+        try:
+            found = hold(a, b, figure)
+        except ScenarioError as error:
+            raise click.UsageError(str(error)) from error
+        interval = f"{found.difference:+.4f} (95%: {found.low:+.4f} to {found.high:+.4f})"
+        click.echo(
+            f"{figure}: {found.of_a:.4f}, {found.of_b:.4f}: {interval}, {found.pairs} pairs: {found.verdict}"
+        )
+        worse |= found.verdict == "B is worse"
+    return int(worse)
+
+
+@command.command()
+@click.argument("directory", type=click.Path(path_type=Path, exists=True, file_okay=False))
+@click.option("--into", type=click.Path(path_type=Path, file_okay=False), help="Default: DIRECTORY.")
+def plot(directory: Path, into: Path | None) -> int:
+    """Draw the charts of the table in DIRECTORY, and a page that holds them."""
+    try:
+        from spoolbarrow.lab import charts
+        from spoolbarrow.lab.experiment import Table
+    except ImportError as error:
+        raise needs(error) from error
+    rows = Table(directory).rows()
+    if not rows:
+        raise click.ClickException(f"{directory}: no results")
+    for path in charts.write(rows, into or directory, directory.name):
+        click.echo(path)
+    return 0
+
+
 def text(report: dict[str, Any]) -> str:
     """A report for people."""
     size = f", {report['engines']} engines, {report['routers']} routers" if "engines" in report else ""
--- a/spoolbarrow/lab/arrivals.py
+++ b/spoolbarrow/lab/arrivals.py
@@ -16,7 +16,7 @@
 from msgspec import Struct
 
 from spoolbarrow.lab.kinds import draw, low_high
-from spoolbarrow.lab.scenario import Load, Scenario, ScenarioError, Trouble
+from spoolbarrow.lab.scenario import ClassShape, Load, Scenario, ScenarioError, Trouble
 
 QUOTA_DEPTH_S = 2.0  # of a quota that may be used at once
 BURST_FACTOR = 2.0  # usual size of the trouble
@@ -102,6 +102,13 @@
     return _quotas(scenario, found)
 
 
+def _age_s(c: ClassShape) -> float:
+    """How long nearly all sessions last: as many turns as 19 in 20 do not exceed."""
+    if c.turns <= 1.0:
+        return 0.0
+    return low_high(c.think_s)[1] * log(0.05) / log(1.0 - 1.0 / c.turns)
+
+
 def _drawn(scenario: Scenario, troubles: Iterable[Trouble], rng: Random) -> list[Asked]:
     lead = scenario.lead_s
     bursts = [msgspec.structs.replace(t, begin_s=t.begin_s + lead) for t in troubles if t.name == "burst"]
@@ -114,7 +121,7 @@
         weights = list(accumulate(1.0 / (n + 1) ** c.zipf for n in range(c.openings)))
         openings.append((weights, [(_key(rng), _tokens(c.opening_tokens, rng)) for _ in range(c.openings)]))
     # Sessions that began before the day go on into it: else its first seconds would be too light.
-    earlier = max((low_high(c.think_s)[1] * 3.0 for c in classes if c.turns > 1.0), default=0.0)
+    earlier = max((_age_s(c) for c in classes), default=0.0)
     found: list[Asked] = []
     for at in _times(scenario, scenario.load.per_engine * scenario.engines / turns, bursts, rng, -earlier):
         cls, tenant, session = _pick(by_class, rng), _pick(by_tenant, rng), _key(rng)
--- /dev/null
+++ b/spoolbarrow/lab/experiment.py
@@ -0,0 +1,242 @@
+"""Experiments: a grid of scenarios, settings, policies, constants and seeds, kept in one Parquet table.
+
+Rows are appended to a journal of JSON lines as runs end, and folded into the table at the end; after a kill
+the same command goes on with what is not in either. A run is known by the hashes of its scenario, of its
+settings and of the code that plays it, so a table never mixes two programs unseen.
+"""
+
+from __future__ import annotations
+
+import itertools
+import os
+import tomllib
+from collections.abc import Callable, Iterator
+from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from copy import deepcopy
+from hashlib import sha256
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import orjson
+from msgspec import Struct
+
+from spoolbarrow.lab.scenario import ScenarioError, change, convert, load_raw
+
+PACKAGE = Path(__file__).resolve().parent.parent
+TABLE, JOURNAL = "results.parquet", "results.jsonl"
+FLAT = (
+    "worth",
+    "refused_share",
+    "wasted_share",
+    "spread",
+    "attempts_a_request",
+    "probes_a_request",
+    "requests",
+)
+
+
+class Experiment(Struct, kw_only=True, forbid_unknown_fields=True):
+    """An experiment file."""
+
+    name: str
+    scenarios: list[str]  # files, from where this one lies
+    seeds: tuple[int, ...] = (1, 2, 3)
+    policies: tuple[str, ...] = ("spoolbarrow",)
+    settings: dict[str, Any] = {}  # keys of scenarios, dotted, changed in all runs
+    grid: dict[str, list[Any]] = {}  # keys with values: every combination is played
+    constants: dict[str, list[float]] = {}  # of the decision module, by name; every combination too
+
+
+class Job(Struct, kw_only=True):
+    """One run."""
+
+    experiment: str
+    scenario: dict[str, Any]
+    settings: dict[str, Any]
+    constants: dict[str, float]
+    policy: str
+    seed: int
+    scenario_hash: str
+    settings_hash: str
+    code_hash: str
+
+    def key(self) -> str:
+        """The same run has the same key."""
+        parts = (self.scenario_hash, self.settings_hash, self.code_hash, self.policy, self.seed)
+        return digest(parts)
+
+
+def digest(thing: Any) -> str:
+    """A short hash of anything JSON can hold."""
+    return sha256(orjson.dumps(thing, option=orjson.OPT_SORT_KEYS)).hexdigest()[:16]
+
+
+def code_hash() -> str:
+    """A hash of all that decides how a run ends: the model and the decisions."""
+    files = [*sorted((PACKAGE / "lab").glob("*.py")), PACKAGE / "router.py", PACKAGE / "interface.py"]
+    return sha256(b"\0".join(path.read_bytes() for path in files)).hexdigest()[:16]
+
+
+def read(path: Path) -> Experiment:
+    """An experiment file; ScenarioError names the faulty key."""
+    try:
+        found = msgspec.convert(tomllib.loads(path.read_text()), Experiment)
+    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise ScenarioError(f"{path}: {error}") from error
+    from spoolbarrow import router
+    from spoolbarrow.lab.policies import POLICIES
+
+    for policy in found.policies:
+        if policy not in POLICIES:
+            raise ScenarioError(f"{path}: policies: there is no {policy!r}")
+    for name in found.constants:
+        if not name.isupper() or not isinstance(getattr(router, name, None), (int, float)):
+            raise ScenarioError(f"{path}: constants: the decision module has no number {name!r}")
+    return found
+
+
+def jobs(experiment: Experiment, directory: Path) -> Iterator[Job]:
+    """Every run, in a settled order; ScenarioError names what cannot be played."""
+    code = code_hash()
+    for file in experiment.scenarios:
+        raw = load_raw(directory / file)
+        for values in itertools.product(*experiment.grid.values()):
+            settings = dict(zip(experiment.grid, values, strict=True))
+            changed = deepcopy(raw)
+            for key, value in (experiment.settings | settings).items():
+                change(changed, key, value)
+            convert(changed)
+            for numbers in itertools.product(*experiment.constants.values()):
+                constants = dict(zip(experiment.constants, numbers, strict=True))
+                for policy, seed in itertools.product(experiment.policies, experiment.seeds):
+                    yield Job(
+                        experiment=experiment.name,
+                        scenario=changed,
+                        settings=settings,
+                        constants=constants,
+                        policy=policy,
+                        seed=seed,
+                        scenario_hash=digest(changed),
+                        settings_hash=digest([settings, constants]),
+                        code_hash=code,
+                    )
+
+
+def perform(job: Job) -> dict[str, Any]:
+    """Play one run in this process; its row."""
+    from spoolbarrow import router
+    from spoolbarrow.lab.simulate import simulate
+
+    usual = {name: getattr(router, name) for name in job.constants}
+    try:
+        for name, value in job.constants.items():
+            setattr(router, name, type(usual[name])(value))
+        report = simulate(convert(job.scenario), job.policy, job.seed)
+    finally:
+        for name, value in usual.items():
+            setattr(router, name, value)
+    return row(job, report)
+
+
+def row(job: Job, report: dict[str, Any]) -> dict[str, Any]:
+    """A run as a line of the table: figures that are asked for often, and the whole report."""
+    times = {name: report["times"][name] for name in report["times"]}
+    worst = min((window["worth"] for window in report["windows"]), default=1.0)
+    return {
+        "key": job.key(),
+        "experiment": job.experiment,
+        "scenario": report["scenario"],
+        "scenario_hash": job.scenario_hash,
+        "settings_hash": job.settings_hash,
+        "code_hash": job.code_hash,
+        "settings": orjson.dumps(job.settings, option=orjson.OPT_SORT_KEYS).decode(),
+        "constants": orjson.dumps(job.constants, option=orjson.OPT_SORT_KEYS).decode(),
+        "policy": job.policy,
+        "seed": job.seed,
+        "engines": report["engines"],
+        "routers": report["routers"],
+        "per_engine": convert(job.scenario).load.per_engine,
+        **{name: float(report[name]) for name in FLAT},
+        **times,
+        "worst_class": min(found["worth"] for found in report["classes"].values()),
+        "worst_tenant": min(found["worth"] for found in report["tenants"].values()),
+        "worst_window": worst,
+        "rules_broken": sum(report["rules_broken"].values()),
+        "decision_us": report["run"]["decision_us_a_request"],
+        "times_real_time": report["run"]["times_real_time"],
+        "report": orjson.dumps(report).decode(),
+    }
+
+
+class Table:
+    """The results in a directory: the Parquet table, and the journal of rows not yet in it."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        directory.mkdir(parents=True, exist_ok=True)
+        self.path, self.journal = directory / TABLE, directory / JOURNAL
+
+    def rows(self) -> list[dict[str, Any]]:
+        """All rows, each run once."""
+        import polars
+
+        found: dict[str, dict[str, Any]] = {}
+        if self.path.exists():
+            for one in polars.read_parquet(self.path).to_dicts():
+                found[one["key"]] = one
+        if self.journal.exists():
+            for line in self.journal.read_bytes().split(b"\n"):
+                try:
+                    one = orjson.loads(line)
+                except orjson.JSONDecodeError:
+                    continue  # torn by a kill, or empty
+                found[one["key"]] = one
+        return list(found.values())
+
+    def append(self, one: dict[str, Any]) -> None:
+        """Keep a row, whatever happens next."""
+        with self.journal.open("ab") as journal:
+            # A line torn by a kill must not take this one with it.
+            journal.write(b"\n" + orjson.dumps(one) + b"\n")
+            journal.flush()
+            os.fsync(journal.fileno())
+
+    def fold(self) -> None:
+        """Put the journal's rows into the table."""
+        import polars
+
+        rows = self.rows()
+        if not rows or not self.journal.exists():
+            return
+        fresh = self.path.with_suffix(".new")
+        polars.DataFrame(rows, infer_schema_length=None).sort("key").write_parquet(fresh)
+        os.replace(fresh, self.path)
+        self.journal.unlink()
+
+
+def play(
+    experiment: Experiment, directory: Path, into: Path, workers: int, tell: Callable[[int, int], None]
+) -> int:
+    """Play what the table in `into` lacks; `tell` hears how many are done, and of how many. Runs played."""
+    table = Table(into)
+    known = {one["key"] for one in table.rows()}
+    every = list(jobs(experiment, directory))
+    left = [job for job in every if job.key() not in known]
+    done = len(every) - len(left)
+    tell(done, len(every))
+    # Largest first: else one long run is left at the end, alone.
+    left.sort(key=lambda job: -job.scenario.get("engines", 8))
+    with ProcessPoolExecutor(workers, mp_context=get_context("spawn")) as pool:
+        out: set[Future[dict[str, Any]]] = set()
+        while left or out:
+            while left and len(out) < 2 * workers:
+                out.add(pool.submit(perform, left.pop(0)))
+            finished, out = wait(out, return_when=FIRST_COMPLETED)
+            for one in finished:
+                table.append(one.result())
+                done += 1
+                tell(done, len(every))
+    table.fold()
+    return len(every) - len(known & {job.key() for job in every})
