Let a prompt wait for its home while it can be in time there

Cause: seen in the lab near capacity: wherever a busy home kept a prompt waiting for more than half a second, it went to the soonest replica, which had to read the whole beginning; the reading filled the fleet, and a quarter of requests were refused. Change: the soonest replica still decides whether the fleet is full; the prompt goes home while it is predicted to start within 0.65 of its aim. No second attempt before the first is predicted to start.

--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -34,6 +34,7 @@
 GROWTH = {1000: 2.0, 4000: 4.0}  # of a decision's CPU, from 10 engines
 REFUSED = 0.005
 WORTH_WITHIN, FIRST_WITHIN = 0.05, 0.15
+REPLAYS = 8
 RATE = 2000.0  # of the load tool, requests a second
 QUEUES = (Queue(1, 0.7, 20.0), Queue(1, 0.7, 20.0, fixed=True), Queue(4, 0.7, 200.0), Queue(16, 0.8, 200.0))
 DAYS: dict[str, list[dict[str, Any]]] = {
@@ -76,12 +77,15 @@
 
     scenario = day(length_s=length_s, lead_s=lead_s, troubles=DAYS[name])
     real = sockets.play(scenario, seed, processes=2)
-    model = simulate(scenario, "spoolbarrow", seed)
+    # The same day falls out differently each time: the simulator's mean is held against what sockets gave.
+    models = [simulate(scenario, "spoolbarrow", seed, replay) for replay in range(REPLAYS)]
     first = "first_token_ms_p50"
+    worth = sum(model["worth"] for model in models) / REPLAYS
+    middle = sum(log(model["times"][first]) for model in models) / REPLAYS
     return {
-        "worth": real["worth"] - model["worth"],
-        "first_log_ratio": log(real["times"][first] / model["times"][first]),
-        "broken": sum(real["rules_broken"].values()) + sum(model["rules_broken"].values()),
+        "worth": real["worth"] - worth,
+        "first_log_ratio": log(real["times"][first]) - middle,
+        "broken": sum(sum(one["rules_broken"].values()) for one in (real, *models)),
         "sent_late_share": real["load"]["sent_late_share"],
     }
 
--- a/spoolbarrow/cli/lab.py
+++ b/spoolbarrow/cli/lab.py
@@ -291,6 +291,9 @@
             line += f", {name} {report[key]:.3f}"
     lines.append(line)
     lines.append("outcomes: " + ", ".join(f"{name} {n}" for name, n in report["outcomes"].items()))
+    if report["worth_lost"]:
+        causes = (f"{name} {share:.3f}" for name, share in report["worth_lost"].items())
+        lines.append("worth lost by cause: " + ", ".join(causes))
     for group in ("classes", "tenants"):
         for name, found in report[group].items():
             first = f"{found['first_token_ms_p50']:.0f} ms, p99 {found['first_token_ms_p99']:.0f} ms"
--- a/spoolbarrow/lab/account.py
+++ b/spoolbarrow/lab/account.py
@@ -45,6 +45,26 @@
     return asked, 0.0
 
 
+def cause(scenario: Scenario, record: Record) -> str:
+    """Why a request did not get its whole worth: its outcome, or that its answer was late or slow."""
+    if record.outcome != "served":
+        return record.outcome
+    c = list(scenario.classes.values())[record.asked.cls]
+    late = record.first_ms > c.aim_ms + c.aim_ms_per_1000 * record.asked.prompt / 1000.0
+    return "late first token" if late else "slow stream"
+
+
+def _causes(scenario: Scenario, records: list[Record], pairs: list[tuple[float, float]]) -> dict[str, float]:
+    """Share of all worth asked for that was lost, by cause."""
+    total = sum(asked for asked, _ in pairs) or 1.0
+    found: dict[str, float] = {}
+    for record, (asked, got) in zip(records, pairs, strict=True):
+        if got < asked:
+            why = cause(scenario, record)
+            found[why] = found.get(why, 0.0) + asked - got
+    return {why: round(lost / total, 6) for why, lost in sorted(found.items())}
+
+
 def to_csv(scenario: Scenario, records: list[Record]) -> str:
     """A line for each request."""
     classes, tenants = list(scenario.classes), list(scenario.tenants)
@@ -141,6 +161,7 @@
         "requests": len(records),
         "worth": _share(pairs),
         "outcomes": dict(sorted(outcomes.items())),
+        "worth_lost": _causes(scenario, records, pairs),
         "refused_share": round(outcomes.get("refused", 0) / count, 6),
         "tries_a_request": round(sum(r.tries for r in records) / count, 4),
         "attempts_a_request": round(sum(r.attempts for r in records) / count, 4),
--- a/spoolbarrow/lab/fleet.py
+++ b/spoolbarrow/lab/fleet.py
@@ -17,8 +17,9 @@
     "resets": 0.2,
     "spoilt": 0.2,
     "discovery_stale": 6.0,
+    "router_restart": 3.7,
 }
-ROUTERS = ("router_death",)  # troubles that hit routers
+ROUTERS = ("router_death", "router_restart")  # troubles that hit routers
 NOBODY = ("burst", "discovery_down", "discovery_stale")  # or no single machine
 PAUSE_EVERY_MS = 1500.0
 
--- a/spoolbarrow/lab/simulate.py
+++ b/spoolbarrow/lab/simulate.py
@@ -30,6 +30,7 @@
 UP_MS = 200.0  # from a router's restart until the front takes it in
 MARGIN_MS = 5.0  # of a client's patience that its router is not told
 SAMPLE_MS = 1000.0
+DAY = ("arrivals", "fleet", "troubles")  # the same in every replay of a seed
 GC_OBJECTS = 200_000  # between looks for cycles
 
 
@@ -109,6 +110,7 @@
         self.number, self.zone = number, zone
         self.decider: Decider | None = None  # None while dead
         self.life = 0
+        self.draining = False
         self.opens: dict[str, Open] = {}
         self.list: dict[str, i.ReplicaEntry] = {}
         self.away: dict[str, float] = {}  # told to drain or gone, since when
@@ -140,8 +142,8 @@
 class Simulation:
     """One day."""
 
-    def __init__(self, scenario: Scenario, policy: str, seed: int) -> None:
-        self.scenario, self.policy, self.seed = scenario, policy, seed
+    def __init__(self, scenario: Scenario, policy: str, seed: int, replay: int = 0) -> None:
+        self.scenario, self.policy, self.seed, self.replay = scenario, policy, seed, replay
         self.clock = Clock()
         self.net = self.stream("net")
         self.plans = plan(scenario, self.stream("troubles"))
@@ -155,7 +157,8 @@
 
     def stream(self, name: str) -> Random:
         """Random numbers of one concern, the same whatever the others draw."""
-        return stream(self.seed, name)
+        again = f"{name} {self.replay}" if self.replay and name not in DAY else name
+        return stream(self.seed, again)
 
     def delay(self, low_high: Any) -> float:
         """A one-way delay, with jitter."""
@@ -218,6 +221,11 @@
             for number in planned.victims:
                 at(begin, self.nodes.die, self.nodes.all[number])
                 at(end, self.nodes.rise, self.nodes.all[number])
+        elif t.name == "router_restart":
+            # One after another: the next is told to end when the one before has been up for a while.
+            for turn, number in enumerate(planned.victims):
+                when = begin + turn * (planned.size + t.length_s) * 1000.0
+                at(when, self.nodes.drain, self.nodes.all[number], planned.size * 1000.0)
         elif t.name != "burst":
             for number in planned.victims:
                 machines.trouble(t.name, machines.first[number], planned, begin, end)
@@ -602,8 +610,19 @@
         self.sim.directory.leave(node.number)
         self.sim.callers.died(node)
 
+    def drain(self, node: Node, grace_ms: float) -> None:
+        """It is told to end: the front turns away from it; what it has when its grace ends is cut off."""
+        node.draining = True
+        self.clock.at(self.clock.now + UP_MS, self.sim.callers.believe)
+        self.clock.at(self.clock.now + grace_ms, self._replaced, node)
+
+    def _replaced(self, node: Node) -> None:
+        self.die(node)
+        self.rise(node)
+
     def rise(self, node: Node) -> None:
         """It starts again."""
+        node.draining = False
         self._start(node)
         self.sim.callers.rose(node)
 
@@ -834,14 +853,15 @@
     def died(self, node: Node) -> None:
         """The front will notice."""
         notice = draw(self.sim.scenario.front.notice_s, self.rng) * 1000.0
-        self.clock.at(self.clock.now + notice, self._believe)
+        self.clock.at(self.clock.now + notice, self.believe)
 
     def rose(self, node: Node) -> None:
         """The front asks for signs of life."""
-        self.clock.at(self.clock.now + UP_MS, self._believe)
+        self.clock.at(self.clock.now + UP_MS, self.believe)
 
-    def _believe(self) -> None:
-        self.believed = [node.number for node in self.sim.nodes.all if node.decider is not None]
+    def believe(self) -> None:
+        """Look which routers say that they serve."""
+        self.believed = [n.number for n in self.sim.nodes.all if n.decider is not None and not n.draining]
 
     def _try(self, record: Record, number: int) -> None:
         s, now = self.sim.scenario, self.clock.now
@@ -917,6 +937,6 @@
         self.pending -= 1
 
 
-def simulate(scenario: Scenario, policy: str, seed: int) -> dict[str, Any]:
-    """Play a scenario once."""
-    return Simulation(scenario, policy, seed).play()
+def simulate(scenario: Scenario, policy: str, seed: int, replay: int = 0) -> dict[str, Any]:
+    """Play a scenario once; a replay asks the same of the same fleet, and all else falls out anew."""
+    return Simulation(scenario, policy, seed, replay).play()
--- a/spoolbarrow/lab/sockets.py
+++ b/spoolbarrow/lab/sockets.py
@@ -119,7 +119,8 @@
 
     def kill(self, number: int) -> None:
         """End one without warning."""
-        self.running[number].send_signal(signal.SIGKILL)
+        if self.running[number].poll() is None:
+            self.running[number].send_signal(signal.SIGKILL)
         self.running[number].wait()
 
     def up(self, number: int) -> bool:
@@ -224,10 +225,18 @@
                 notice = draw(scenario.front.notice_s, rng)
                 steps += [(t.begin_s, "kill", n), (t.begin_s + notice, "look", n)]
                 steps += [(t.begin_s + t.length_s, "start", n)]
+        elif t.name == "router_restart":
+            for turn, n in enumerate(planned.victims):
+                when = t.begin_s + turn * (planned.size + t.length_s)
+                steps += [(when, "drain", n), (when + UP_MS / 1000.0, "look", n)]
+                steps += [(when + planned.size, "kill", n), (when + planned.size, "start", n)]
     front = Front(routers, load)
-    for at_s, what, n in sorted(steps):
+    for at_s, what, n in sorted(steps, key=lambda step: step[0]):
         gevent.sleep(max(0.0, at_s - fleet.clock.now() / 1000.0))
-        if what == "kill":
+        if what == "drain":
+            routers.running[n].terminate()
+            front.dead.add(n)
+        elif what == "kill":
             routers.kill(n)
             front.dead.add(n)
         elif what == "look":
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -60,6 +60,7 @@
 DECODE_MS = 30.0  # streaming time taken as one token: counts are not told
 LEARN = 0.05  # weight of one sample in learnt means
 # Homes
+HOME_AIM = 0.65  # of the aim: a prompt that can start by then waits for its home though others are idle
 SPREAD = 2.0  # homes of a prefix, as a multiple of the replicas its traffic could fill
 HOMES_TOLD = 16  # homes among which a session is placed: a prefix with more has them in parts of so many
 POINTS = 32  # places of a replica on the ring of homes: shares even to about a sixth
@@ -78,10 +79,8 @@
 HEDGE_COST, HEDGE_RATIO, HEDGE_DEPTH = 0.004, 0.2, 5.0  # waste paid for them, most for each request, saved up
 LATE_MAX = 6.0  # largest general factor of late first tokens: loaded replicas read slower than idle ones
 SWEEP_MS = 500.0  # between looks at what no event wakes
-# Cold starts
-COLD_SHARE = 1.0  # of an equal share of the traffic, times the ramp: far below the tolerated multiple
-# Discovery
-ASK_SPREAD_MS, ASK_FIRST_MAX_MS = 40.0, 3000.0  # first call within so much for each node: calls take time
+COLD_SHARE = 1.0  # what a cold replica gets of an equal share, times the ramp: far below what is tolerated
+ASK_SPREAD_MS, ASK_FIRST_MAX_MS = 40.0, 3000.0  # first call of the list within so much for each node
 ASK_RETRY_MS, ASK_RETRY_MAX_MS = 500.0, 8000.0
 
 _M64 = (1 << 64) - 1
@@ -147,8 +146,7 @@
         self.attempts: list[Attempt] = []
         self.homes: list[Replica] = []
         self.held = self.closed = self.started = False
-        self.priority = self.tokens = self.weight = 0.0
-        self.tier = 0
+        self.priority, self.tokens, self.weight, self.tier = 0.0, 0.0, 0.0, 0
         self.entitlement: Entitlement | None = None
 
     def out(self) -> bool:
@@ -314,9 +312,8 @@
         wait, memory = self.zone_load[replica.zone] * heard, self.zone_memory[replica.zone] * heard
         wait += weight * (replica.load - wait)
         memory += weight * (replica.memory - memory)
-        if replica.unstarted:
-            since = replica.report_at - REPORT_LAG_MS
-            wait += sum(a.read for a in replica.unstarted if a.sent_at > since) / READ_RATE
+        since = replica.report_at - REPORT_LAG_MS
+        wait += sum(a.read for a in replica.unstarted if a.sent_at > since) / READ_RATE
         wait += RUNNING_MS * memory + max(0.0, memory - MEMORY_FULL) * MEMORY_MS
         if replica.probe_out and now - replica.probed_at > HOLD_MS:
             wait += SILENT_MS  # asked and not answered: paused, silent or deep in work
@@ -588,13 +585,16 @@
         request.held = False
         now, settings = self.now, self.settings
         entitlement = self.entitlements.setdefault(request.tenant, Entitlement())
-        choice = self._choose(request)
+        choice = soonest = self._choose(request)
         if choice is not None and choice[2] * self.pool.lateness > self.full_ms:
-            # A home may keep a prompt waiting while others have room: that is no reason to refuse it.
-            choice = self._choose(request, True)
-        if choice is None:
+            # A home that keeps a prompt waiting is no reason to refuse it where others have room, and none to
+            # read its beginning there while it can be in time at home: that fills the fleet with reading.
+            soonest = self._choose(request, True)
+            first = (choice[2] + choice[3] / READ_RATE) * self.pool.lateness + STEP_MS
+            choice = soonest if first > HOME_AIM * request.aim else choice
+        if choice is None or soonest is None:
             return self._finish(request)
-        _, _, wait, read = choice
+        wait, read = soonest[2:]
         slice_rate = self._baseline(request.tenant) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
         request.priority = request.weight * standing
@@ -673,7 +673,7 @@
         pool.work = pool.work * exp((pool.work_at - now) / USAGE_MS) + request.tokens
         pool.work_at = now
         self.actions.append(Send(request.id, replica.id))
-        late = min(max(HEDGE_MIN_MS, HEDGE_FACTOR * predicted), max(HEDGE_MIN_MS, HEDGE_AIM * request.aim))
+        late = max(HEDGE_MIN_MS, min(HEDGE_FACTOR * predicted, max(HEDGE_AIM * request.aim, predicted)))
         if now + late < request.deadline and len(request.attempts) < self.settings.max_attempts:
             self._timer(f"s:{len(request.attempts) - 1}:{request.id}", late)
 
