--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -36,8 +36,7 @@
 FULL_STEPS = 6.0  # token aims: a replica that keeps one waiting longer reads all the time, and its steps last
 FULL_SHARE = 0.25  # of the mean aim, where no token aim is told
 HOPELESS = 1.5  # aims; predicted later than this, an attempt is refused: predictions spread about as much
-CUT_SAMPLE = 200  # admitted requests, the newest, that the cut is taken from: not all of a large fleet's
-CUT_SPAN = 1.0  # fullness beyond full at which the cut reaches the highest admitted priority
+CUT_SAMPLE, CUT_SPAN = 200, 1.0  # newest admitted, for the cut; fullness beyond full at which it is highest
 MEMORY_FULL = 0.85  # share of memory held: above it running requests are thrown back and read again
 MEMORY_MS = 4000.0  # wait counted for the whole memory beyond that
 QUEUED_MS, RUNNING_MS = 30.0, 150.0  # wait counted for a request in the queue; for memory held (long steps)
@@ -60,7 +59,7 @@
 DECODE_MS = 30.0  # streaming time taken as one token: counts are not told
 LEARN = 0.05  # weight of one sample in learnt means
 # Homes
-HOME_AIM = 0.65  # of the aim: a prompt that can start by then waits for its home though others are idle
+HOME_AIM, HOME_BUSY = 0.65, 0.4  # of the aim, and of fullness: see where they are used
 SPREAD = 2.0  # homes of a prefix, as a multiple of the replicas its traffic could fill
 HOMES_TOLD = 16  # homes among which a session is placed: a prefix with more has them in parts of so many
 POINTS = 32  # places of a replica on the ring of homes: shares even to about a sixth
@@ -587,11 +586,12 @@
         entitlement = self.entitlements.setdefault(request.tenant, Entitlement())
         choice = soonest = self._choose(request)
         if choice is not None and choice[2] * self.pool.lateness > self.full_ms:
-            # A home that keeps a prompt waiting is no reason to refuse it where others have room, and none to
-            # read its beginning there while it can be in time at home: that fills the fleet with reading.
-            soonest = self._choose(request, True)
+            # A home that keeps a prompt waiting is no reason to refuse it where others have room. Where all
+            # are busy it waits at home while it can be in time: else its reading fills the fleet.
+            soonest = self._choose(request, True) or choice
             first = (choice[2] + choice[3] / READ_RATE) * self.pool.lateness + STEP_MS
-            choice = soonest if first > HOME_AIM * request.aim else choice
+            busy = soonest[2] * self.pool.lateness >= HOME_BUSY * self.full_ms
+            choice = choice if busy and first <= HOME_AIM * request.aim else soonest
         if choice is None or soonest is None:
             return self._finish(request)
         wait, read = soonest[2:]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,6 +4,8 @@
 
 from collections import Counter
 
+import pytest
+
 from spoolbarrow.interface import (
     Action,
     AttemptEnded,
@@ -154,7 +156,14 @@
     assert sends(ask(router, 5.0, "q3", session=5, cls=1, prompt_tokens=6000))  # nor the next
 
 
-def test_a_prompt_waits_for_its_home_while_it_can_be_in_time() -> None:
+@pytest.mark.parametrize(
+    "at_home, elsewhere, goes_home",
+    [(2.0, 0.45, True), (4.0, 0.45, False), (2.0, 0.0, False)],
+    ids=["in time at home", "too late at home", "room to read it elsewhere"],
+)
+def test_a_prompt_waits_for_its_home_where_all_are_busy(
+    at_home: float, elsewhere: float, goes_home: bool
+) -> None:
     """Guards against reading a beginning anew all over a busy fleet: that is what made it full."""
     router = Router(make_settings(zones=1), 1)
     router.handle(0.0, [serving("a", "b")])
@@ -162,25 +171,15 @@
     other = "b" if home == "a" else "a"
     router.handle(2.0, [StreamStarted("q1", 0, home, 1.0)])
     router.pool.home_read = [60.0, 60.0]
-
-    def busy(now: float, wait_ms: float) -> None:
-        tokens = 12.0 * wait_ms / 0.6  # a report is believed to 0.6
-        router.handle(
-            now,
-            [
-                ProbeAnswered(home, Outcome.SERVED, 1.0, Report(0.0, tokens)),
-                ProbeAnswered(other, Outcome.SERVED, 1.0, Report(0.0, 0.0)),
-            ],
-        )
-        router.pool.zone_load = [0.0]
-        router.pool.lateness = 1.0
-
-    aim = router.settings.classes[0].aim_ms
-    assert 1.2 * router.full_ms < 0.5 * aim
-    busy(3.0, 1.2 * router.full_ms)
-    assert sends(ask(router, 4.0, "q2", session=5, cls=0, prompt_tokens=6000))[0].replica == home
-    busy(5.0, 0.9 * aim)
-    assert sends(ask(router, 6.0, "q3", session=5, cls=0, prompt_tokens=6000))[0].replica == other
+    tokens = 12.0 * router.full_ms / 0.6  # a report is believed to 0.6
+    reports = ((home, at_home), (other, elsewhere))
+    router.handle(
+        3.0,
+        [ProbeAnswered(name, Outcome.SERVED, 1.0, Report(0.0, tokens * share)) for name, share in reports],
+    )
+    router.pool.zone_load = [0.0]
+    sent = sends(ask(router, 4.0, "q2", session=5, cls=1, prompt_tokens=6000))
+    assert [send.replica for send in sent] == [home if goes_home else other]
 
 
 def test_streams_that_last_send_new_requests_elsewhere() -> None:
