--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -21,7 +21,7 @@
 import orjson
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path[:0] = [str(ROOT)]
+sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks")]
 
 from spoolbarrow.lab.emulate import Emulator  # noqa: E402
 from spoolbarrow.lab.load import Load  # noqa: E402
@@ -71,6 +71,21 @@
     return found
 
 
+def router_kb(engines: int) -> int:
+    """Memory that one router's decisions hold once they have the list of so many engines."""
+    from rig import anonymous_kb
+
+    from spoolbarrow.interface import ListKind, ReplicaEntry, ReplicaList
+    from spoolbarrow.router import Router
+
+    settings = day(engines=engines).settings(0)
+    entries = tuple(ReplicaEntry(f"engine-{n:08x}") for n in range(engines))
+    before = anonymous_kb()
+    router = Router(settings, 1)
+    router.handle(0.0, [ReplicaList(ListKind.WHOLE, entries)])
+    return anonymous_kb() - before
+
+
 def both(name: str, seed: int, length_s: float, lead_s: float) -> dict[str, float]:
     """One day in the simulator and on sockets."""
     from spoolbarrow.lab import sockets
@@ -153,6 +168,9 @@
     parser.add_argument("--short", action="store_true")
     short = parser.parse_args().short
     by_size = sizes(short)
+    with ProcessPoolExecutor(1, mp_context=get_context("spawn"), max_tasks_per_child=1) as pool:
+        for size, figures in by_size.items():
+            figures["router_kb"] = pool.submit(router_kb, int(size)).result()
     base = by_size["10"]["decision_us"]
     growth = {size: round(by_size[str(size)]["decision_us"] / base, 3) for size in GROWTH}
     one, other = (simulate(day(length_s=10.0, troubles=DAYS["hang"]), "spoolbarrow", 7) for _ in range(2))
--- a/spoolbarrow/cli/lab.py
+++ b/spoolbarrow/cli/lab.py
@@ -108,36 +108,39 @@
 @SETS
 @click.option("--seed", default=1, show_default=True)
 @click.option("--processes", default=2, show_default=True)
-def emulate(scenario: Path, sets: tuple[str, ...], seed: int, processes: int) -> int:
+@click.option(
+    "--port", default=0, help="Of the first router's discovery, the next ones follow; default: free ones."
+)
+@click.option(
+    "--engine-port", default=0, help="Of the first engine's listeners, one a router, the next follow."
+)
+def emulate(
+    scenario: Path, sets: tuple[str, ...], seed: int, processes: int, port: int, engine_port: int
+) -> int:
     """Put SCENARIO's engines and discovery on loopback, for any router, until interrupted.
 
-    Prints discovery's address for each router, and the day begins with Enter (or the input's end).
+    Prints discovery's address for each router. Its day, with its troubles, begins at once.
     """
-    from gevent.fileobject import FileObjectPosix
+    import gevent
 
     from spoolbarrow.lab.emulate import Emulator
 
-    with Emulator(read(scenario, sets), seed, processes) as fleet:
+    try:
+        running = Emulator(read(scenario, sets), seed, processes, port, engine_port)
+    except OSError as error:
+        raise click.ClickException(str(error)) from error
+    with running as fleet:
         for n, address in enumerate(fleet.listing.addresses):
             click.echo(f"router {n}: discovery at {address}")
-        standard = FileObjectPosix(0, "rb", close=False)
-        standard.readline()
         fleet.begin()
         click.echo("the day has begun; Ctrl-C ends it")
         try:
             while True:
-                gevent_sleep(1.0)
+                gevent.sleep(1.0)
         except KeyboardInterrupt:
             return 0
 
 
-def gevent_sleep(seconds: float) -> None:
-    """Let the greenlets run."""
-    import gevent
-
-    gevent.sleep(seconds)
-
-
 @command.command()
 @SCENARIO
 @SETS
@@ -179,20 +182,24 @@
 
 
 def progress(running: Any) -> None:
-    """A line each second on a terminal, until the load has ended."""
-    import sys
-
+    """A table of the load's processes, each second on a terminal, until the load has ended."""
     import gevent
-
-    while any(not greenlet.ready() for greenlet in running.hearing):
-        gevent.joinall(running.hearing, timeout=1.0)
-        if sys.stderr.isatty():
-            told = [one for one in running.progress if one]
-            sums = {key: sum(one[key] for one in told) for key in ("sent", "done", "open", "late")}
-            line = ", ".join(f"{key} {count}" for key, count in sums.items())
-            click.echo(f"\r{line}   ", err=True, nl=False)
-    if sys.stderr.isatty():
-        click.echo(err=True)
+    from rich.console import Console
+    from rich.live import Live
+    from rich.table import Table
+
+    def table() -> Table:
+        made = Table("process", "sent", "done", "open", "sent late")
+        for n, one in enumerate(running.progress):
+            made.add_row(str(n), *(str(one.get(key, 0)) for key in ("sent", "done", "open", "late")))
+        return made
+
+    console = Console(stderr=True)
+    with Live(table(), console=console, transient=True, auto_refresh=False) as live:
+        while any(not greenlet.ready() for greenlet in running.hearing):
+            gevent.joinall(running.hearing, timeout=1.0)
+            if console.is_terminal:
+                live.update(table(), refresh=True)
 
 
 def needs(error: ImportError) -> click.ClickException:
--- a/spoolbarrow/lab/emulate.py
+++ b/spoolbarrow/lab/emulate.py
@@ -43,6 +43,7 @@
     seed: int
     worker: int
     workers: int
+    first_port: int = 0  # of the first engine's listeners; 0: free ones
 
 
 def shifted(scenario: Scenario, seed: int) -> list[Planned]:
@@ -66,8 +67,11 @@
         sys.stdout.buffer.flush()
 
     specs = fleet(job.scenario, stream(job.seed, "fleet"))
+    routers, port = job.scenario.routers, job.first_port
     mine = {
-        n: WireEngine(spec, job.scenario.routers, clock, stream(job.seed, f"engine {n}"), tell)
+        n: WireEngine(
+            spec, routers, clock, stream(job.seed, f"engine {n}"), tell, port and port + n * routers
+        )
         for n, spec in enumerate(specs)
         if n % job.workers == job.worker
     }
@@ -89,7 +93,9 @@
 class Listing:
     """Discovery's listeners, one for each router."""
 
-    def __init__(self, scenario: Scenario, clock: Clock, ports: dict[int, list[int]], seed: int) -> None:
+    def __init__(
+        self, scenario: Scenario, clock: Clock, ports: dict[int, list[int]], seed: int, first_port: int = 0
+    ) -> None:
         self.scenario, self.clock = scenario, clock
         specs = fleet(scenario, stream(seed, "fleet"))
         self.kinds = list(scenario.kinds)
@@ -100,7 +106,7 @@
         self.index = 1
         self.unix_ms = 0.0  # of the day's beginning
         self.watchers: dict[int, list[Queue[bytes | None]]] = {n: [] for n in range(scenario.routers)}
-        self.listeners = [listen() for _ in range(scenario.routers)]
+        self.listeners = [listen(first_port and first_port + n) for n in range(scenario.routers)]
         self.addresses = [f"{HOST}:{one.getsockname()[1]}" for one in self.listeners]
         self.tasks = [gevent.spawn(self._accept, one, n) for n, one in enumerate(self.listeners)]
 
@@ -215,7 +221,9 @@
 class Emulator:
     """A running fleet; use as a context. `listing.addresses` has discovery's address for each router."""
 
-    def __init__(self, scenario: Scenario, seed: int, processes: int) -> None:
+    def __init__(
+        self, scenario: Scenario, seed: int, processes: int, first_port: int = 0, engine_port: int = 0
+    ) -> None:
         self.scenario, self.seed, self.clock = scenario, seed, Clock()
         processes = max(1, min(processes, scenario.engines))
         command = [sys.executable, "-c", "from spoolbarrow.lab.emulate import worker; worker()"]
@@ -225,12 +233,12 @@
         ports: dict[int, list[int]] = {}
         try:
             for n, one in enumerate(self.workers):
-                self._write(one, msgspec.json.encode(Job(scenario, seed, n, processes)))
+                self._write(one, msgspec.json.encode(Job(scenario, seed, n, processes, engine_port)))
             for one in self.workers:
                 with gevent.Timeout(READY_S):
                     ready = msgspec.json.decode(one.stdout.readline())["ready"]
                 ports |= {int(n): found for n, found in ready.items()}
-            self.listing = Listing(scenario, self.clock, ports, seed)
+            self.listing = Listing(scenario, self.clock, ports, seed, first_port)
         except BaseException:
             self._end()
             raise
--- a/spoolbarrow/lab/fleet.py
+++ b/spoolbarrow/lab/fleet.py
@@ -17,6 +17,7 @@
     "resets": 0.2,
     "spoilt": 0.2,
     "discovery_stale": 6.0,
+    "trickle": 200.0,
     "router_restart": 3.7,
 }
 ROUTERS = ("router_death", "router_restart")  # troubles that hit routers
--- a/spoolbarrow/lab/scenario.py
+++ b/spoolbarrow/lab/scenario.py
@@ -15,7 +15,8 @@
 
 Name = Literal[
     "hang", "pauses", "slow", "cold_restart", "drain", "replace", "vanish", "connection_cap", "resets",
-    "spoilt", "partition", "router_death", "router_restart", "burst", "discovery_down", "discovery_stale",
+    "spoilt", "trickle", "partition", "router_death", "router_restart", "burst", "discovery_down",
+    "discovery_stale",
 ]  # fmt: skip
 TROUBLES: tuple[Name, ...] = get_args(Name)
 
--- a/spoolbarrow/lab/simulate.py
+++ b/spoolbarrow/lab/simulate.py
@@ -38,8 +38,8 @@
     """An engine's process and its place in the network."""
 
     __slots__ = (
-        "spec", "id", "engine", "state", "alive", "silent", "cut", "connections", "cap", "resets", "spoilt",
-        "flights", "armed", "started_at", "told_at",
+        "spec", "id", "engine", "state", "alive", "silent", "cut", "connections", "cap", "resets",
+        "spoilt", "trickle", "flights", "armed", "started_at", "told_at",
     )  # fmt: skip
 
     def __init__(self, spec: Spec, name: str, engine: Engine) -> None:
@@ -52,7 +52,7 @@
         self.cut: dict[int, float] = {}  # routers that cannot reach it, until when
         self.connections = 0
         self.cap = spec.figures.connections
-        self.resets = self.spoilt = 0.0
+        self.resets = self.spoilt = self.trickle = 0.0
         self.flights: dict[str, Flight] = {}
         self.armed = inf
         self.started_at = 0.0
@@ -68,6 +68,7 @@
 
     __slots__ = (
         "node", "open", "number", "machine", "name", "sent_at", "delay", "over", "started", "spoil", "engine",
+        "first_at", "trickle",
     )  # fmt: skip
 
     def __init__(self, node: Node, open: Open, number: int, machine: Machine | None, now: float) -> None:
@@ -77,6 +78,7 @@
         self.delay = 0.0
         self.over = self.started = self.spoil = False
         self.engine: Engine | None = None  # the process it has a connection to
+        self.first_at = self.trickle = 0.0  # its first token, and the time each takes on the wire
 
 
 class Open:
@@ -349,8 +351,12 @@
                 self._started(machine, flight, news.kept)
             else:
                 del machine.flights[news.id]
+                read = flight.first_at + flight.trickle * flight.open.call.record.asked.answer
                 if flight.spoil:
                     self._after(flight, self.sim.nodes.ended, i.Outcome.UNREADABLE)
+                elif read > self.clock.now:
+                    ended = (flight, self.sim.nodes.ended, i.Outcome.SERVED, news.kept)
+                    self.clock.at(read, self._after, *ended)
                 else:
                     self._after(flight, self.sim.nodes.ended, i.Outcome.SERVED, news.kept)
         self._arm(machine)
@@ -365,6 +371,7 @@
                 self.drop(flight)
                 return self._after(flight, nodes.ended, i.Outcome.UNREADABLE)
             flight.spoil = True  # only a later event of the stream
+        flight.first_at, flight.trickle = self.clock.now, machine.trickle
         self._after(flight, nodes.started)
 
     def drop(self, flight: Flight) -> None:
@@ -432,7 +439,7 @@
         elif name == "partition":
             at(begin, self._cut, machine, planned.routers, end)
         else:
-            key = {"connection_cap": "cap", "resets": "resets", "spoilt": "spoilt"}[name]
+            key = "cap" if name == "connection_cap" else name
             at(begin, setattr, machine, key, int(size) if key == "cap" else size)
             at(end, setattr, machine, key, machine.spec.figures.connections if key == "cap" else 0.0)
 
--- a/spoolbarrow/lab/wire.py
+++ b/spoolbarrow/lab/wire.py
@@ -93,15 +93,21 @@
     """One engine: its process may die, restart and be replaced, its listeners stay the same addresses."""
 
     def __init__(
-        self, spec: Spec, routers: int, clock: Clock, rng: Random, tell: Callable[[dict[str, Any]], None]
+        self,
+        spec: Spec,
+        routers: int,
+        clock: Clock,
+        rng: Random,
+        tell: Callable[[dict[str, Any]], None],
+        first_port: int = 0,
     ) -> None:
         self.spec, self.clock, self.rng, self.tell = spec, clock, rng, tell
         self.id = spec.id
         self.engine = Engine(spec.figures, Random(rng.random()), clock.now(), False, LEAP)
-        self.listeners: list[Any] = [listen() for _ in range(routers)]
+        self.listeners: list[Any] = [listen(first_port and first_port + n) for n in range(routers)]
         self.ports = [one.getsockname()[1] for one in self.listeners]
         self.cap = spec.figures.connections
-        self.resets = self.spoilt = 0.0
+        self.resets = self.spoilt = self.trickle = 0.0
         self.draining, self.alive = False, True
         self.held = [-1e18] * routers  # nothing passes to or from a router until then
         self.news: dict[str, Queue[tuple[int, int]]] = {}  # tokens made, and prompt tokens kept at the end
@@ -281,6 +287,7 @@
                     sock.sendall(b"xyz\r\n" + event)
                     return self._cut_short(sock)
                 sock.sendall(chunk(event))
+                gevent.sleep(self.trickle * tokens / 1000.0)
             if ended:
                 usage = USAGE % (work.prompt, work.answer, kept)
                 tail = chunk(usage) + chunk(b"data: [DONE]\n\n")
@@ -321,7 +328,7 @@
         elif t.name == "partition":
             later(begin, self._hold, planned.routers, end)
         else:
-            key = {"connection_cap": "cap", "resets": "resets", "spoilt": "spoilt"}[t.name]
+            key = "cap" if t.name == "connection_cap" else t.name
             later(begin, setattr, self, key, int(size) if key == "cap" else size)
             later(end, setattr, self, key, self.spec.figures.connections if key == "cap" else 0.0)
 
