--- a/spoolbarrow/lab/emulate.py
+++ b/spoolbarrow/lab/emulate.py
@@ -105,6 +105,7 @@
         self.directory = Directory(scenario.discovery, entries, stream(seed, "discovery"))
         self.index = 1
         self.unix_ms = 0.0  # of the day's beginning
+        self.withdrawn: dict[tuple[str, int], float] = {}  # when each router was told that an engine drains
         self.watchers: dict[int, list[Queue[bytes | None]]] = {n: [] for n in range(scenario.routers)}
         self.listeners = [listen(first_port and first_port + n) for n in range(scenario.routers)]
         self.addresses = [f"{HOST}:{one.getsockname()[1]}" for one in self.listeners]
@@ -164,6 +165,11 @@
 
     def _push(self, told: Told) -> None:
         line = self.lines(told.entries, False, told.caller)
+        for entry in told.entries:
+            if entry.state is i.ReplicaState.SERVING:
+                self.withdrawn.pop((entry.replica, told.caller), None)
+            else:
+                self.withdrawn.setdefault((entry.replica, told.caller), self.clock.now())
         for queue in self.watchers[told.caller]:
             queue.put(line)
 
@@ -242,7 +248,7 @@
         except BaseException:
             self._end()
             raise
-        self.figures: list[dict[str, int]] = []  # of each engine, once it has ended
+        self.figures: list[dict[str, Any]] = []  # of each engine, once it has ended
         self.hearing = [gevent.spawn(self._hear, one) for one in self.workers]
 
     def begin(self) -> None:
@@ -252,6 +258,15 @@
         for one in self.workers:
             self._write(one, repr(self.clock.begun).encode())
 
+    def late_sends(self, grace_ms: float) -> int:
+        """Requests sent to an engine longer than `grace_ms` after its router was told that it drains.
+
+        To be asked once the fleet has ended. Engines that serve again are told so, and forgotten here.
+        """
+        told = self.listing.withdrawn
+        sends = [send for one in self.figures for send in one["unwanted"]]
+        return sum(at > told.get((name, router), float("inf")) + grace_ms for name, router, at in sends)
+
     def _write(self, one: Any, line: bytes) -> None:
         one.stdin.write(line + b"\n")
         one.stdin.flush()
--- a/spoolbarrow/lab/load.py
+++ b/spoolbarrow/lab/load.py
@@ -38,6 +38,10 @@
 MAX_HEAD = 16_384
 
 
+class Patience(Exception):
+    """A client has waited for its first token for as long as it would."""
+
+
 class Job(msgspec.Struct):
     """What a process is told."""
 
@@ -57,6 +61,7 @@
     first: str
     whole: str
     late_share: float
+    unanswered: int  # tries whose patience ended without any answer
 
 
 def histogram() -> Any:
@@ -84,7 +89,7 @@
         self.believed = list(range(len(job.targets)))
         self.idle: dict[int, deque[Any]] = {n: deque() for n in self.believed}
         self.begun = 0.0
-        self.done = self.sent_late = 0
+        self.done = self.sent_late = self.unanswered = 0
         self.late, self.first, self.whole = histogram(), histogram(), histogram()
 
     def now(self) -> float:
@@ -123,7 +128,7 @@
         found = [(n, r.outcome, r.first_ms, r.end_ms, r.tries, r.made) for n, r in self.mine]
         late_share = self.sent_late / max(1, len(self.mine))
         late, first, whole = (h.encode().decode() for h in (self.late, self.first, self.whole))
-        return Result(found, late, first, whole, late_share)
+        return Result(found, late, first, whole, late_share, self.unanswered)
 
     def _number(self, record: Record) -> str:
         return f"{self.job.seed:x}-{record.asked.session:x}-{int(record.asked.at_ms * 1000.0):x}"
@@ -162,7 +167,7 @@
         parser = http1.ResponseParser(MAX_HEAD)
         sock = None
         try:
-            with gevent.Timeout(patience_ms / 1000.0, TimeoutError("patience")):
+            with gevent.Timeout(patience_ms / 1000.0, Patience()):
                 sock, kept = self._connection(target), True
                 request = self._request(record.asked, name, patience_ms)
                 try:
@@ -193,7 +198,8 @@
                 self._keep(target, sock)
                 sock = None
             return ("refused" if parser.status in (429, 503) else "failed"), retry_after_ms
-        except TimeoutError:
+        except Patience:
+            self.unanswered += 1
             return "left", 0.0
         except (OSError, http1.Fault, ValueError):
             return "failed", 0.0
@@ -346,7 +352,12 @@
             for p in (50, 90, 99, 99.9)
         }
         kept = late_share <= 0.01
-        return every, {"sent_late_share": round(late_share, 6), "kept_its_schedule": kept} | told
+        unanswered = sum(result.unanswered for result in self.results)
+        return every, {
+            "sent_late_share": round(late_share, 6),
+            "kept_its_schedule": kept,
+            "unanswered": unanswered,
+        } | told
 
     def _end(self) -> None:
         for one in self.processes:
--- a/spoolbarrow/lab/simulate.py
+++ b/spoolbarrow/lab/simulate.py
@@ -39,7 +39,7 @@
 
     __slots__ = (
         "spec", "id", "engine", "state", "alive", "silent", "cut", "connections", "cap", "resets",
-        "spoilt", "trickle", "flights", "armed", "started_at", "told_at",
+        "spoilt", "trickle", "trickle_end", "flights", "armed", "started_at", "told_at",
     )  # fmt: skip
 
     def __init__(self, spec: Spec, name: str, engine: Engine) -> None:
@@ -52,7 +52,7 @@
         self.cut: dict[int, float] = {}  # routers that cannot reach it, until when
         self.connections = 0
         self.cap = spec.figures.connections
-        self.resets = self.spoilt = self.trickle = 0.0
+        self.resets = self.spoilt = self.trickle = self.trickle_end = 0.0
         self.flights: dict[str, Flight] = {}
         self.armed = inf
         self.started_at = 0.0
@@ -352,6 +352,7 @@
             else:
                 del machine.flights[news.id]
                 read = flight.first_at + flight.trickle * flight.open.call.record.asked.answer
+                read = min(read, machine.trickle_end)  # what is left then comes at once
                 if flight.spoil:
                     self._after(flight, self.sim.nodes.ended, i.Outcome.UNREADABLE)
                 elif read > self.clock.now:
@@ -441,6 +442,7 @@
         else:
             key = "cap" if name == "connection_cap" else name
             at(begin, setattr, machine, key, int(size) if key == "cap" else size)
+            machine.trickle_end = end if key == "trickle" else machine.trickle_end
             at(end, setattr, machine, key, machine.spec.figures.connections if key == "cap" else 0.0)
 
     def _stall(self, machine: Machine, until: float) -> None:
--- a/spoolbarrow/lab/sockets.py
+++ b/spoolbarrow/lab/sockets.py
@@ -17,7 +17,7 @@
 
 from spoolbarrow.lab.account import account
 from spoolbarrow.lab.emulate import Emulator, shifted
-from spoolbarrow.lab.fleet import stream
+from spoolbarrow.lab.fleet import ROUTERS, stream
 from spoolbarrow.lab.kinds import draw
 from spoolbarrow.lab.load import Load
 from spoolbarrow.lab.scenario import Scenario
@@ -26,8 +26,7 @@
 from spoolbarrow.net import http1
 
 START_S = 20.0
-SETTLE_S = 0.3  # from all being ready to the day's beginning
-SNAPSHOT = {"index": 0, "snapshot": True, "endpoints": []}
+SLACK_MS = 50.0  # for what is on its way
 
 
 def configuration(scenario: Scenario, number: int, port: int, discovery: str, seed: int) -> dict[str, Any]:
@@ -192,6 +191,10 @@
     work = sum(one["work"] for one in engines)
     useful = sum(r.made for r in records if r.outcome == "served")
     broken = {"a router crashed": sum(status != 0 for status in statuses)}
+    if not any(one.trouble.name in ROUTERS for one in plans):
+        # Where a router dies, what it had goes unanswered: that is the trouble, and breaks no rule.
+        broken["1: no answer by the deadline"] = figures["unanswered"]
+    broken["3: sent to what drains or is gone"] = fleet.late_sends(scenario.limits.drain_grace_ms + SLACK_MS)
     broken["4: a cold engine fell over"] = sum(one["falls"] for one in engines)
     return told | {
         "engines": scenario.engines,
--- a/spoolbarrow/lab/wire.py
+++ b/spoolbarrow/lab/wire.py
@@ -27,6 +27,7 @@
 MAX_HEAD, MAX_BODY = 16_384, 262_144
 LEAP = 4  # tokens an event
 GRACE_S = 0.05
+UNWANTED_KEPT = 1000  # sends to a draining engine that are told; more than one is a fault already
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 PLAIN = b"HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s"
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%s"},"finish_reason":%s}]}\n\n'
@@ -115,6 +116,7 @@
         self.talks: dict[Any, gevent.Greenlet[..., Any]] = {}  # by socket
         self.wake = Event()
         self.count = self.falls = 0
+        self.unwanted: list[tuple[str, int, float]] = []  # sent while it drained: its id, the router, when
         self.past: list[Engine] = []  # processes that have ended: their work still counts
         self.tasks = [gevent.spawn(self._drive), *self._accepting()]
 
@@ -128,12 +130,13 @@
         for one in self.listeners:
             one.close()
 
-    def figures(self) -> dict[str, int]:
+    def figures(self) -> dict[str, Any]:
         """What it has done in all."""
         engines = [*self.past, self.engine] if self.alive else self.past
         work = sum(one.made + one.done_read for one in engines)
         preempted = sum(one.preempted for one in engines)
-        return {"attempts": self.count, "work": work, "preempted": preempted, "falls": self.falls}
+        return {"attempts": self.count, "work": work, "preempted": preempted, "falls": self.falls,
+                "unwanted": self.unwanted}  # fmt: skip
 
     # --- the model's time
 
@@ -245,6 +248,8 @@
         except ValueError as error:
             return self._plain(sock, router, b"400 Bad Request", body=str(error).encode())
         now, engine = self.clock.now(), self.engine
+        if self.draining and len(self.unwanted) < UNWANTED_KEPT:
+            self.unwanted.append((self.id, router, now))
         taken = Taken.FULL if self.draining else engine.submit(now, work)
         if taken is Taken.FELL:
             self.falls += 1
