--- /dev/null
+++ b/spoolbarrow/door/__init__.py
@@ -0,0 +1,1 @@
+"""The door: shares, retries and come-back times, before a request reaches the decisions."""
--- /dev/null
+++ b/spoolbarrow/door/retries.py
@@ -0,0 +1,55 @@
+"""Retries at the door: recognised where clients do not mark them, and held to a share of first tries.
+
+The budget is the one of B. Beyer et al., "Site Reliability Engineering", chapter 21 (per client retry
+budget), kept for each tenant. Times in ms.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+LEAST_DEPTH = 3.0  # retries a quiet tenant may have at once
+
+
+class Budget:
+    """One tenant's: each first try earns `ratio` of a retry, up to `depth` of them."""
+
+    def __init__(self, ratio: float, depth: float = 50.0) -> None:
+        self.ratio = ratio
+        self.depth = max(depth, LEAST_DEPTH)
+        self.left = LEAST_DEPTH
+
+    def first(self) -> None:
+        """A first try came."""
+        self.left = min(self.depth, self.left + self.ratio)
+
+    def retry(self) -> bool:
+        """A retry came; whether the budget has room for it."""
+        if self.left < 1.0:
+            return False
+        self.left -= 1.0
+        return True
+
+
+class Seen:
+    """What was asked of late, by session and prompt: the same again is a retry. Bounded in both."""
+
+    def __init__(self, window_ms: float, most: int) -> None:
+        if window_ms <= 0.0 or most < 2:
+            raise ValueError("the window must be above 0, and hold two requests at least")
+        self.window_ms, self.most = window_ms, most
+        self.young: dict[bytes, float] = {}
+        self.old: dict[bytes, float] = {}
+        self.turned_at = 0.0
+        self.dropped = 0  # forgotten before their window had passed, for want of room
+
+    def again(self, now: float, session: int, prompt: bytes) -> bool:
+        """Whether the same was asked within the window; from now on it was."""
+        digest = blake2b(prompt, digest_size=16, salt=session.to_bytes(8, "big")).digest()
+        if now - self.turned_at >= self.window_ms or len(self.young) >= self.most // 2:
+            if now - self.turned_at < self.window_ms:
+                self.dropped += len(self.old)
+            self.old, self.young, self.turned_at = self.young, {}, now
+        at = self.young.get(digest, self.old.get(digest))
+        self.young[digest] = now
+        return at is not None and now - at < self.window_ms
