--- a/benchmarks/keep.py
+++ b/benchmarks/keep.py
@@ -2,7 +2,8 @@
 
     python benchmarks/NAME.py | tail -n 1 | python benchmarks/keep.py "what was measured, and on what"
 
-The chart has a pair of bars, median and 99th percentile, for each kind under `times`.
+The chart has a pair of bars, median and 99th percentile, for each kind under `times`; the lab's shows cost
+by size, and how far sockets and the simulator agree.
 """
 
 from __future__ import annotations
@@ -48,6 +49,28 @@
     figure.savefig(path, metadata={"Date": None})
 
 
+def panels(result: dict[str, Any], path: Path) -> None:
+    """The lab's: what a decision costs by size, and sockets against the simulator."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    matplotlib.rcParams["svg.hashsalt"] = result["name"]
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(9, 3), layout="constrained")
+    sizes = result["sizes"]
+    left.plot([int(size) for size in sizes], [one["decision_us"] for one in sizes.values()], marker="o")
+    left.set_xscale("log")
+    left.set_ylim(bottom=0)
+    left.set_xlabel("engines")
+    left.set_ylabel("us a request, decisions")
+    days = result["days"]
+    right.bar(list(days), [one["first_token_ratio"] for one in days.values()])
+    right.axhspan(1 / 1.15, 1.15, alpha=0.2)
+    right.set_ylabel("median first token, sockets / simulator")
+    figure.savefig(path, metadata={"Date": None})
+
+
 def main() -> None:
     """Write both files."""
     result, said = orjson.loads(sys.stdin.buffer.read().splitlines()[-1]), " ".join(sys.argv[1:])
@@ -57,6 +80,9 @@
     if "times" in result:
         chart(result, PLACE / f"{name}.svg")
         lines += [f"![times]({name}.svg)", ""]
+    if "days" in result:
+        panels(result, PLACE / f"{name}.svg")
+        lines += [f"![sizes, and agreement]({name}.svg)", ""]
     lines += ["| figure | value |", "| --- | --- |"]
     lines += [f"| {key} | {value} |" for key, value in flat(result)]
     (PLACE / f"{name}.md").write_text("\n".join(lines) + "\n")
--- a/spoolbarrow/cli/lab.py
+++ b/spoolbarrow/cli/lab.py
@@ -91,8 +91,10 @@
 
         report = play(day, "spoolbarrow", seed)
     else:
-        from spoolbarrow.lab import sockets
-
+        try:
+            from spoolbarrow.lab import sockets
+        except ImportError as error:
+            raise needs(error) from error
         if keep is not None:
             keep.mkdir(parents=True, exist_ok=True)
         try:
@@ -163,7 +165,11 @@
 
     from spoolbarrow.config import ConfigError, address
     from spoolbarrow.lab.account import account, to_csv
-    from spoolbarrow.lab.load import Load
+
+    try:
+        from spoolbarrow.lab.load import Load
+    except ImportError as error:
+        raise needs(error) from error
 
     day = read(scenario, sets)
     try:
