Keep what comes while a spool's file is being completed

Cause: the writers of pairs and of flow files ended when they were told to, even where a line had come while their thread was at the file: the last pair was lost, and a test failed now and then. Change: a writer ends only once nothing waits.

--- a/spoolbarrow/flows/files.py
+++ b/spoolbarrow/flows/files.py
@@ -78,7 +78,8 @@
                 if old or self._end.is_set():
                     threads.apply(self._spool.complete)
                 self._failed = False
-                if self._end.is_set():
+                # Guards against what came while the thread was at the file: it was lost at the end.
+                if self._end.is_set() and not self.queue.first(1):
                     return
             except OSError as error:
                 self._failed = True
--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -459,7 +459,8 @@
             old = time.time() * 1000.0 - self._spool.begun_ms >= self._file_ms
             if old or self._end.is_set():
                 self._try(partial(apply, self._spool.complete))
-            if self._end.is_set():
+            # Guards against a line that came while the thread was at the file: it was lost at the end.
+            if self._end.is_set() and not self._lines:
                 return
             self._woken.wait(1.0)
             self._end.wait(0.2)  # what comes soon goes with it
--- a/tests/test_shadow.py
+++ b/tests/test_shadow.py
@@ -23,7 +23,7 @@
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.operator import ShadowTable, ShareTable
 from spoolbarrow.shadow import copier as copier_module
-from spoolbarrow.shadow.copier import ENDING, Copier, Prepared
+from spoolbarrow.shadow.copier import ENDING, Copier, Prepared, Writer
 from spoolbarrow.shadow.reading import Reading, chain
 from spoolbarrow.spool import contents
 from tests.stage import (
@@ -123,6 +123,23 @@
     assert pair["copy"]["words"][:8] == pair["live"]["words"] and len(pair["copy"]["words"]) == 16
 
 
+def test_a_pair_that_comes_while_the_file_is_completed_is_kept(tmp_path: Path) -> None:
+    """Guards against a writer that ended with a line still waiting."""
+    writer = Writer(tmp_path, 1 << 20, 1e12, 10)
+    complete = writer._spool.complete
+
+    def meanwhile() -> None:
+        complete()
+        if not writer._end.is_set():
+            writer.add(b'{"late":1}\n')
+            writer._end.set()
+
+    writer._spool.complete = meanwhile  # type: ignore[method-assign]
+    writer._woken.set()
+    writer._greenlet.join()
+    assert pairs(tmp_path) == [{"late": 1}]
+
+
 def test_digests_tell_common_openings_and_nothing_without_the_key() -> None:
     one, other = chain(b"k" * 16, "the cat sat on"), chain(b"k" * 16, "the cat lay on")
     assert one[:16] == other[:16] and one[16:] != other[16:] and one[24:] != other[24:]
