Plan a trouble's moves once for both ways of playing, and drop what was written twice

Need: read again, the lab scheduled each trouble in two places (simulator and wire), and repeated how long a probe waits, callers' pauses, the front's choice, wasted work and the words for an engine's state. Change: fleet.moves, Engine.probe_wait, Clients.pause_ms, Scenario.near, account.effort and Flight.connected serve both; STATES is the adapter's; a dead slot, a needless copy and a shift of times forth and back are gone; the door's credit is compared once.

--- a/spoolbarrow/cli/lab.py
+++ b/spoolbarrow/cli/lab.py
@@ -59,7 +59,7 @@
     if policy not in POLICIES:
         raise click.UsageError(f"--policy: one of {', '.join(POLICIES)}")
     report = play(read(scenario, sets), policy, seed)
-    click.echo(orjson.dumps(report).decode() if as_json else text(report))
+    tell(report, as_json)
     return 1 if report["rules_broken"] else 0
 
 
@@ -101,7 +101,7 @@
             report = sockets.play(day, seed, processes, progress, keep)
         except OSError as error:
             raise click.ClickException(str(error)) from error
-    click.echo(orjson.dumps(report).decode() if as_json else text(report))
+    tell(report, as_json)
     return 1 if report["rules_broken"] else 0
 
 
@@ -183,7 +183,7 @@
     report = account(day, records, []) | {"load": figures, "seed": seed}
     if table is not None:
         table.write_text(to_csv(day, records))
-    click.echo(orjson.dumps(report).decode() if as_json else text(report))
+    tell(report, as_json)
     return 0 if figures["kept_its_schedule"] else 1
 
 
@@ -291,6 +291,11 @@
     return 0
 
 
+def tell(report: dict[str, Any], as_json: bool) -> None:
+    """Print a report."""
+    click.echo(orjson.dumps(report).decode() if as_json else text(report))
+
+
 def text(report: dict[str, Any]) -> str:
     """A report for people."""
     size = f", {report['engines']} engines, {report['routers']} routers" if "engines" in report else ""
--- a/spoolbarrow/door/shares.py
+++ b/spoolbarrow/door/shares.py
@@ -68,9 +68,9 @@
         flow = self.flows.get(key)
         return (flow.tag - self.virtual) * flow.weight if flow is not None else 0.0
 
-    def allows(self, key: Key) -> bool:
-        """Whether the flow may have more where capacity is short."""
-        return self.ahead(key) < self.credit
+    def room(self, key: Key) -> float:
+        """Credit that a flow has left: where capacity is short, it may have more while that is above 0."""
+        return self.credit - self.ahead(key)
 
     def charge(self, key: Key, weight: float, work: float) -> None:
         """The flow gets so much work; what it owes is bounded. Less than nothing gives back."""
@@ -148,7 +148,7 @@
         "Dynamic Queue Length Thresholds for Shared-Memory Packet Switches", IEEE/ACM ToN 6(2), 1998): busy
         ones hold alike, and leave as much again for whoever comes next.
         """
-        room = self.credit - self.tenants.ahead(tenant)
+        room = self.tenants.room(tenant)
         clocks = self.clients.get(tenant)
         return room > 0.0 and (clocks is None or clocks.ahead(client) < room)
 
--- a/spoolbarrow/lab/account.py
+++ b/spoolbarrow/lab/account.py
@@ -78,6 +78,17 @@
     return "\n".join(lines) + "\n"
 
 
+def effort(scenario: Scenario, records: list[Record], work: int) -> dict[str, Any]:
+    """What the engines did in all, `work` tokens read and made, and what of it no served answer needed."""
+    useful = sum(r.made for r in records if r.outcome == "served")
+    return {
+        "engines": scenario.engines,
+        "routers": scenario.routers,
+        "tokens_worked": work,
+        "wasted_share": round(max(0.0, 1.0 - useful / work), 6) if work else 0.0,
+    }
+
+
 def percentile(values: list[float], share: float) -> float:
     """The smallest value that at least `share` percent do not exceed; 0 of none."""
     ordered = sorted(values)
--- a/spoolbarrow/lab/charts.py
+++ b/spoolbarrow/lab/charts.py
@@ -40,7 +40,7 @@
 def groups(rows: list[dict[str, Any]], key: str) -> dict[Any, list[dict[str, Any]]]:
     """Rows by a column, in its order."""
     found: dict[Any, list[dict[str, Any]]] = {}
-    for row in sorted(rows, key=lambda row: (str(row[key]) if isinstance(row[key], str) else "", row[key])):
+    for row in sorted(rows, key=lambda row: row[key]):
         found.setdefault(row[key], []).append(row)
     return found
 
--- a/spoolbarrow/lab/compare.py
+++ b/spoolbarrow/lab/compare.py
@@ -74,8 +74,8 @@
     differences = y - x
     draws = np.random.default_rng(1).integers(0, len(shared), (RESAMPLES, len(shared)))
     low, high = np.percentile(differences[draws].mean(axis=1), [2.5, 97.5])
-    better = low > 0.0 if figure not in LESS_IS_BETTER and "_ms_" not in figure else high < 0.0
-    worse = high < 0.0 if figure not in LESS_IS_BETTER and "_ms_" not in figure else low > 0.0
+    more, less = low > 0.0, high < 0.0
+    better, worse = (less, more) if figure in LESS_IS_BETTER or "_ms_" in figure else (more, less)
     if len(shared) < LEAST_PAIRS:
         verdict = f"not enough pairs (under {LEAST_PAIRS})"
     elif better or worse:
--- a/spoolbarrow/lab/emulate.py
+++ b/spoolbarrow/lab/emulate.py
@@ -24,13 +24,9 @@
 from spoolbarrow.lab.scenario import Scenario
 from spoolbarrow.lab.wire import HOST, PLAIN, Clock, WireEngine, chunk, listen
 from spoolbarrow.net.http1 import RequestParser
+from spoolbarrow.wire import STATES
 
 STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
-STATES = {
-    "in_service": i.ReplicaState.SERVING,
-    "terminating": i.ReplicaState.DRAINING,
-    "terminated": i.ReplicaState.GONE,
-}
 WORDS = {state: word for word, state in STATES.items()}
 IDLE_LINE_S = 2.0
 READY_S = 30.0
--- a/spoolbarrow/lab/engine.py
+++ b/spoolbarrow/lab/engine.py
@@ -160,6 +160,11 @@
             self._cut(now)
         self._note(now)
 
+    def probe_wait(self, now: float) -> float:
+        """How long a probe that comes now waits: for a pause to end, and a step that reads prompts."""
+        wait = max(0.0, self.not_before - now)
+        return max(wait, min(self.end - now, self.first_ms)) if self.reading else wait
+
     def charge(self, now: float, work_ms: float) -> None:
         """Work beside the steps (a handshake, a probe) makes the next one longer."""
         self.owed_ms += work_ms if self.running or self.waiting else 0.0
--- a/spoolbarrow/lab/experiment.py
+++ b/spoolbarrow/lab/experiment.py
@@ -142,7 +142,6 @@
 
 def row(job: Job, report: dict[str, Any]) -> dict[str, Any]:
     """A run as a line of the table: figures that are asked for often, and the whole report."""
-    times = {name: report["times"][name] for name in report["times"]}
     worst = min((window["worth"] for window in report["windows"]), default=1.0)
     return {
         "key": job.key(),
@@ -159,7 +158,7 @@
         "routers": report["routers"],
         "per_engine": convert(job.scenario).load.per_engine,
         **{name: float(report[name]) for name in FLAT},
-        **times,
+        **report["times"],
         "worst_class": min(found["worth"] for found in report["classes"].values()),
         "worst_tenant": min(found["worth"] for found in report["tenants"].values()),
         "worst_window": worst,
--- a/spoolbarrow/lab/fleet.py
+++ b/spoolbarrow/lab/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Any
 
 from msgspec import Struct
 
@@ -83,6 +84,40 @@
     return [_planned(scenario, trouble, rng) for trouble in troubles]
 
 
+def moves(
+    planned: Planned, figures: Figures, rng: Random, begin: float
+) -> list[tuple[float, str, tuple[Any, ...]]]:
+    """What happens to one engine that a trouble hits: when, ms, which move, and with what.
+
+    `stall` until a time, `slowed` by a factor, `crash` for so long, `drain`, `replace` and `vanish` until a
+    time, `cut` off from routers until a time, `put` a value in place of one of its own.
+    """
+    name, size = planned.trouble.name, planned.size
+    end = begin + planned.trouble.length_s * 1000.0
+    if name == "hang":
+        return [(begin, "stall", (end,))]
+    if name == "pauses":
+        found: list[tuple[float, str, tuple[Any, ...]]] = []
+        when = begin + PAUSE_EVERY_MS * rng.random()
+        while when < end:
+            found.append((when, "stall", (when + size,)))
+            when += PAUSE_EVERY_MS * (0.5 + rng.random())
+        return found
+    if name == "slow":
+        return [(begin, "slowed", (size,)), (end, "slowed", (1.0,))]
+    if name == "cold_restart":
+        return [(begin, "crash", (figures.restart_ms,))]
+    if name == "drain":
+        return [(begin, "drain", ()), (end, "crash", (0.0,))]
+    if name in ("replace", "vanish"):
+        return [(begin, name, (end,))]
+    if name == "partition":
+        return [(begin, "cut", (planned.routers, end))]
+    if name == "connection_cap":
+        return [(begin, "put", ("cap", int(size))), (end, "put", ("cap", figures.connections))]
+    return [(begin, "put", (name, size)), (end, "put", (name, 0.0))]
+
+
 def _planned(scenario: Scenario, trouble: Trouble, rng: Random) -> Planned:
     size = trouble.size or USUAL.get(trouble.name, 0.0)
     if trouble.name in NOBODY:
--- a/spoolbarrow/lab/load.py
+++ b/spoolbarrow/lab/load.py
@@ -142,11 +142,7 @@
             how, retry_after_ms = self._try(
                 record, f"{name}-{number}", shape.deadline_ms * draw(c.patience, self.rng)
             )
-            pause = 0.0 if c.backoff == "none" else draw(c.backoff_ms, self.rng)
-            if c.backoff == "exp":
-                pause *= 2.0**number
-            if retry_after_ms > 0.0 and self.rng.random() < c.honour:
-                pause = max(pause, retry_after_ms)
+            pause = c.pause_ms(number, retry_after_ms, self.rng)
             settled = how in ("served", "lost")
             if settled or number == c.retries or self.now() + pause >= one.at_ms + shape.deadline_ms:
                 break
@@ -159,8 +155,7 @@
 
     def _try(self, record: Record, name: str, patience_ms: float) -> tuple[str, float]:
         """One try: how it ended, and when to come back, if that was told."""
-        zones = self.scenario.zones
-        near = [n for n in self.believed if n % zones == record.asked.session % zones] or self.believed
+        near = self.scenario.near(self.believed, record.asked.session)
         if not near:
             return "failed", 0.0
         target = near[int(self.rng.random() * len(near))]
--- a/spoolbarrow/lab/scenario.py
+++ b/spoolbarrow/lab/scenario.py
@@ -4,6 +4,7 @@
 
 import tomllib
 from pathlib import Path
+from random import Random
 from typing import Any, Literal, get_args
 
 import msgspec
@@ -84,6 +85,15 @@
     backoff_ms: Range = 200.0
     honour: float = 0.5  # share that waits as Retry-After says
 
+    def pause_ms(self, number: int, retry_after_ms: float, rng: Random) -> float:
+        """How long a caller waits after its try of this number (from 0) before the next."""
+        pause = 0.0 if self.backoff == "none" else kinds.draw(self.backoff_ms, rng)
+        if self.backoff == "exp":
+            pause *= 2.0**number
+        if retry_after_ms > 0.0 and rng.random() < self.honour:
+            pause = max(pause, retry_after_ms)
+        return pause
+
 
 class Front(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """The layer that deals connections out among routers."""
@@ -166,6 +176,10 @@
         """Lead and day."""
         return self.lead_s + self.length_s
 
+    def near(self, routers: list[int], session: int) -> list[int]:
+        """Those of the routers that are in the zone of a session's client; all, where none is."""
+        return [n for n in routers if n % self.zones == session % self.zones] or routers
+
     def settings(self, router: int) -> Settings:
         """What a router is told at start."""
         classes = tuple(
--- a/spoolbarrow/lab/simulate.py
+++ b/spoolbarrow/lab/simulate.py
@@ -16,11 +16,11 @@
 from typing import Any
 
 from spoolbarrow import interface as i
-from spoolbarrow.lab.account import Record, account
+from spoolbarrow.lab.account import Record, account, effort
 from spoolbarrow.lab.arrivals import Asked, asked
 from spoolbarrow.lab.directory import Directory, Told
 from spoolbarrow.lab.engine import Engine, Kind, Taken, Work
-from spoolbarrow.lab.fleet import PAUSE_EVERY_MS, Planned, Spec, fleet, plan, stream
+from spoolbarrow.lab.fleet import Planned, Spec, fleet, moves, plan, stream
 from spoolbarrow.lab.kinds import draw
 from spoolbarrow.lab.policies import POLICIES, Decider
 from spoolbarrow.lab.scenario import Scenario
@@ -39,7 +39,7 @@
 
     __slots__ = (
         "spec", "id", "engine", "state", "alive", "silent", "cut", "connections", "cap", "resets",
-        "spoilt", "trickle", "trickle_end", "flights", "armed", "started_at", "told_at",
+        "spoilt", "trickle", "trickle_end", "flights", "armed", "started_at",
     )  # fmt: skip
 
     def __init__(self, spec: Spec, name: str, engine: Engine) -> None:
@@ -80,6 +80,11 @@
         self.engine: Engine | None = None  # the process it has a connection to
         self.first_at = self.trickle = 0.0  # its first token, and the time each takes on the wire
 
+    def connected(self) -> bool:
+        """Whether the process that it has a connection to still runs."""
+        machine = self.machine
+        return machine is not None and machine.alive and machine.engine is self.engine
+
 
 class Open:
     """A request at its router."""
@@ -230,7 +235,7 @@
                 at(when, self.nodes.drain, self.nodes.all[number], planned.size * 1000.0)
         elif t.name != "burst":
             for number in planned.victims:
-                machines.trouble(t.name, machines.first[number], planned, begin, end)
+                machines.trouble(machines.first[number], planned, begin, end)
 
     def _down(self, until: float) -> None:
         for told in self.directory.down(self.clock.now, until):
@@ -252,6 +257,16 @@
         self.falls = 0
         self.past: list[Engine] = []  # processes that have ended: their work still counts
         self.spread: list[float] = []
+        self.moves: dict[str, Callable[..., None]] = {
+            "stall": self._stall,
+            "slowed": self._slowed,
+            "crash": self.crash,
+            "drain": self._drain,
+            "replace": self._replace,
+            "vanish": self._vanish,
+            "cut": self._cut,
+            "put": setattr,
+        }
 
     def _engine(self, spec: Spec, now: float, cold: bool) -> Engine:
         return Engine(spec.figures, Random(self.rng.random()), now, cold)
@@ -352,7 +367,7 @@
             else:
                 del machine.flights[news.id]
                 read = flight.first_at + flight.trickle * flight.open.call.record.asked.answer
-                read = min(read, machine.trickle_end)  # what is left then comes at once
+                read = min(read, machine.trickle_end)
                 if flight.spoil:
                     self._after(flight, self.sim.nodes.ended, i.Outcome.UNREADABLE)
                 elif read > self.clock.now:
@@ -397,9 +412,7 @@
             return self.clock.at(now + lag, said, node, node.life, name, i.Outcome.UNREACHABLE, lag)
         engine = machine.engine
         engine.charge(now, machine.spec.figures.probe_work_ms)
-        wait = max(0.0, engine.not_before - now)
-        if engine.reading:
-            wait = max(wait, min(engine.next_at() - now, engine.first_ms))
+        wait = engine.probe_wait(now)
         lag = 2.0 * delay + wait
         if lag > limit:
             return self.clock.at(now + limit, said, node, node.life, name, i.Outcome.TIMEOUT, limit)
@@ -415,35 +428,12 @@
 
     # --- troubles
 
-    def trouble(self, name: str, machine: Machine, planned: Planned, begin: float, end: float) -> None:
+    def trouble(self, machine: Machine, planned: Planned, begin: float, end: float) -> None:
         """Schedule what hits one engine."""
-        at, size = self.clock.at, planned.size
-        if name == "hang":
-            at(begin, self._stall, machine, end)
-        elif name == "pauses":
-            when = begin + PAUSE_EVERY_MS * self.rng.random()
-            while when < end:
-                at(when, self._stall, machine, when + size)
-                when += PAUSE_EVERY_MS * (0.5 + self.rng.random())
-        elif name == "slow":
-            at(begin, self._slowed, machine, size)
-            at(end, self._slowed, machine, 1.0)
-        elif name == "cold_restart":
-            at(begin, self.crash, machine, machine.spec.figures.restart_ms)
-        elif name == "drain":
-            at(begin, self._drain, machine)
-            at(end, self.crash, machine, 0.0)
-        elif name == "replace":
-            at(begin, self._replace, machine, end)
-        elif name == "vanish":
-            at(begin, self._vanish, machine, end)
-        elif name == "partition":
-            at(begin, self._cut, machine, planned.routers, end)
-        else:
-            key = "cap" if name == "connection_cap" else name
-            at(begin, setattr, machine, key, int(size) if key == "cap" else size)
-            machine.trickle_end = end if key == "trickle" else machine.trickle_end
-            at(end, setattr, machine, key, machine.spec.figures.connections if key == "cap" else 0.0)
+        # What is left of a trickling stream then comes at once.
+        machine.trickle_end = end if planned.trouble.name == "trickle" else machine.trickle_end
+        for at, move, told in moves(planned, machine.spec.figures, self.rng, begin):
+            self.clock.at(at, self.moves[move], machine, *told)
 
     def _stall(self, machine: Machine, until: float) -> None:
         machine.engine.stall(self.clock.now, until)
@@ -539,12 +529,7 @@
         for engine in engines:
             engine.check()
         work = sum(engine.made + engine.done_read for engine in engines)
-        useful = sum(r.made for r in records if r.outcome == "served")
-        return {
-            "engines": self.sim.scenario.engines,
-            "routers": self.sim.scenario.routers,
-            "tokens_worked": work,
-            "wasted_share": round(max(0.0, 1.0 - useful / work), 6) if work else 0.0,
+        return effort(self.sim.scenario, records, work) | {
             "spread": round(sum(self.spread) / max(1, len(self.spread)), 4),
             "preempted": sum(engine.preempted for engine in engines),
             "falls": self.falls,
@@ -610,9 +595,8 @@
                 if not flight.over:
                     flight.over = True
                     self._hang_up(flight)
-                    at = flight.machine
-                    if at is not None and at.alive and at.engine is flight.engine:
-                        at.connections -= 1
+                    if flight.machine is not None and flight.connected():
+                        flight.machine.connections -= 1
             self.sim.callers.cut_off(open.call)
             del self.sim.callers.calls[open.id]
         node.opens.clear()
@@ -751,7 +735,7 @@
     def _end(self, flight: Flight, outcome: i.Outcome, kept: int) -> None:
         open, node, machine = flight.open, flight.node, flight.machine
         flight.over = True
-        if machine is not None and machine.alive and machine.engine is flight.engine:
+        if machine is not None and flight.connected():
             idle = node.idle.setdefault(machine, [])
             usable = outcome in (i.Outcome.SERVED, i.Outcome.FULL, i.Outcome.ERROR)
             if usable and len(idle) < self.sim.scenario.limits.idle_connections:
@@ -834,6 +818,7 @@
     def __init__(self, sim: Simulation) -> None:
         self.sim, self.clock = sim, sim.clock
         self.rng = sim.stream("clients")
+        self.shapes = list(sim.scenario.classes.values())
         troubles = [planned.trouble for planned in sim.plans]
         self.records = [Record(one) for one in asked(sim.scenario, troubles, sim.stream("arrivals"))]
         self.pending = len(self.records)
@@ -875,10 +860,11 @@
     def _try(self, record: Record, number: int) -> None:
         s, now = self.sim.scenario, self.clock.now
         one = record.asked
-        shape = list(s.classes.values())[one.cls]
-        call = Call(record, number, now, shape.deadline_ms * draw(s.clients.patience, self.rng))
+        call = Call(
+            record, number, now, self.shapes[one.cls].deadline_ms * draw(s.clients.patience, self.rng)
+        )
         record.tries += 1
-        near = [n for n in self.believed if n % s.zones == one.session % s.zones] or self.believed
+        near = s.near(self.believed, one.session)
         delay = self.sim.delay(s.net.client_ms)
         self.clock.at(now + call.patience, self._patience, call)
         if near:
@@ -905,12 +891,8 @@
             return
         call.over = True
         c, now, record = self.sim.scenario.clients, self.clock.now, call.record
-        pause = 0.0 if c.backoff == "none" else draw(c.backoff_ms, self.rng)
-        if c.backoff == "exp":
-            pause *= 2.0**call.number
-        if retry_after_ms > 0.0 and self.rng.random() < c.honour:
-            pause = max(pause, retry_after_ms)
-        shape = list(self.sim.scenario.classes.values())[record.asked.cls]
+        pause = c.pause_ms(call.number, retry_after_ms, self.rng)
+        shape = self.shapes[record.asked.cls]
         if call.number < c.retries and now + pause < record.asked.at_ms + shape.deadline_ms:
             self.clock.at(now + pause, self._try, record, call.number + 1)
         else:
--- a/spoolbarrow/lab/sockets.py
+++ b/spoolbarrow/lab/sockets.py
@@ -15,9 +15,9 @@
 import msgspec
 from gevent import socket, subprocess
 
-from spoolbarrow.lab.account import account
+from spoolbarrow.lab.account import account, effort
 from spoolbarrow.lab.emulate import Emulator, shifted
-from spoolbarrow.lab.fleet import ROUTERS, stream
+from spoolbarrow.lab.fleet import ROUTERS, plan, stream
 from spoolbarrow.lab.kinds import draw
 from spoolbarrow.lab.load import Load
 from spoolbarrow.lab.scenario import Scenario
@@ -185,22 +185,18 @@
                 deaths.kill()
         finally:
             statuses = routers.stop()
-    plans = shifted(scenario, seed)
-    told = account(scenario, records, [_unshifted(scenario, one) for one in plans])
+    plans = plan(scenario, stream(seed, "troubles"))
+    told = account(scenario, records, plans)
     engines = fleet.figures
     work = sum(one["work"] for one in engines)
-    useful = sum(r.made for r in records if r.outcome == "served")
     broken = {"a router crashed": sum(status != 0 for status in statuses)}
     if not any(one.trouble.name in ROUTERS for one in plans):
         # Where a router dies, what it had goes unanswered: that is the trouble, and breaks no rule.
         broken["1: no answer by the deadline"] = figures["unanswered"]
     broken["3: sent to what drains or is gone"] = fleet.late_sends(scenario.limits.drain_grace_ms + SLACK_MS)
     broken["4: a cold engine fell over"] = sum(one["falls"] for one in engines)
+    told |= effort(scenario, records, work)
     return told | {
-        "engines": scenario.engines,
-        "routers": scenario.routers,
-        "tokens_worked": work,
-        "wasted_share": round(max(0.0, 1.0 - useful / work), 6) if work else 0.0,
         "preempted": sum(one["preempted"] for one in engines),
         "attempts_a_request": round(sum(one["attempts"] for one in engines) / max(1, len(records)), 4),
         "policy": "spoolbarrow",
@@ -211,12 +207,6 @@
     }
 
 
-def _unshifted(scenario: Scenario, planned: Any) -> Any:
-    """Troubles as the report tells them, counted from the end of the lead."""
-    trouble = msgspec.structs.replace(planned.trouble, begin_s=planned.trouble.begin_s - scenario.lead_s)
-    return msgspec.structs.replace(planned, trouble=trouble)
-
-
 def _deaths(scenario: Scenario, seed: int, fleet: Emulator, routers: Routers, load: Load) -> None:
     """Kill and start routers as the day has it, and let the front notice late."""
     rng = stream(seed, "front")
--- a/spoolbarrow/lab/wire.py
+++ b/spoolbarrow/lab/wire.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -20,7 +21,7 @@
 from gevent.queue import Queue
 
 from spoolbarrow.lab.engine import Engine, Kind, Taken, Work
-from spoolbarrow.lab.fleet import PAUSE_EVERY_MS, Planned, Spec
+from spoolbarrow.lab.fleet import Planned, Spec, moves
 from spoolbarrow.net.http1 import Message, RequestParser
 
 HOST = "127.0.0.1"
@@ -115,6 +116,16 @@
         self.sent: dict[str, int] = {}
         self.talks: dict[Any, gevent.Greenlet[..., Any]] = {}  # by socket
         self.wake = Event()
+        self.moves: dict[str, Callable[..., None]] = {
+            "stall": self._stall,
+            "slowed": self._slowed,
+            "crash": self.crash,
+            "drain": self._drain,
+            "replace": self._replace,
+            "vanish": self._vanish,
+            "cut": self._hold,
+            "put": partial(setattr, self),
+        }
         self.count = self.falls = 0
         self.unwanted: list[tuple[str, int, float]] = []  # sent while it drained: its id, the router, when
         self.past: list[Engine] = []  # processes that have ended: their work still counts
@@ -234,10 +245,7 @@
     def _probe(self, sock: Any, router: int) -> None:
         now, engine = self.clock.now(), self.engine
         engine.charge(now, self.spec.figures.probe_work_ms)
-        wait = max(0.0, engine.not_before - now)
-        if engine.reading:
-            wait = max(wait, min(engine.next_at() - now, engine.first_ms))
-        gevent.sleep(wait / 1000.0)
+        gevent.sleep(engine.probe_wait(now) / 1000.0)
         self._plain(sock, router, b"200 OK", body=self._load())
 
     def _chat(self, sock: Any, router: int, message: Message) -> None:
@@ -309,33 +317,8 @@
 
     def plan(self, planned: Planned) -> None:
         """Schedule a trouble that hits this engine."""
-        t, size, later = planned.trouble, planned.size, self.clock.later
-        begin, end = t.begin_s * 1000.0, (t.begin_s + t.length_s) * 1000.0
-        if t.name == "hang":
-            later(begin, self._stall, end)
-        elif t.name == "pauses":
-            when = begin + PAUSE_EVERY_MS * self.rng.random()
-            while when < end:
-                later(when, self._stall, when + size)
-                when += PAUSE_EVERY_MS * (0.5 + self.rng.random())
-        elif t.name == "slow":
-            later(begin, self._slowed, size)
-            later(end, self._slowed, 1.0)
-        elif t.name == "cold_restart":
-            later(begin, self.crash, self.spec.figures.restart_ms)
-        elif t.name == "drain":
-            later(begin, self._drain)
-            later(end, self.crash, 0.0)
-        elif t.name == "replace":
-            later(begin, self._replace, end)
-        elif t.name == "vanish":
-            later(begin, self._vanish, end)
-        elif t.name == "partition":
-            later(begin, self._hold, planned.routers, end)
-        else:
-            key = "cap" if t.name == "connection_cap" else t.name
-            later(begin, setattr, self, key, int(size) if key == "cap" else size)
-            later(end, setattr, self, key, self.spec.figures.connections if key == "cap" else 0.0)
+        for at, move, told in moves(planned, self.spec.figures, self.rng, planned.trouble.begin_s * 1000.0):
+            self.clock.later(at, self.moves[move], *told)
 
     def _stall(self, until: float) -> None:
         self.engine.stall(self.clock.now(), until)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -25,7 +25,7 @@
     had = dict.fromkeys(weights, 0.0)
     for key, work in works:
         shares.advance(step)
-        if shares.allows(key):
+        if shares.room(key) > 0.0:
             shares.charge(key, weights[key], work)
             had[key] += work
     return had
@@ -52,7 +52,7 @@
         if len(shares.flows) < len(keys):
             return  # one has become idle: the bound speaks of busy ones
         for key in rng.sample(keys, len(keys)):
-            if shares.allows(key):
+            if shares.room(key) > 0.0:
                 shares.charge(key, weights[key], size)
                 had[key] += size
     for one in keys:
@@ -95,7 +95,7 @@
     shares = Clocks(20.0, 200.0)
     contend(shares, {"a": 1.0, "b": 1.0}, [("b", 5.0)] * 1000, 4.0)
     burst = 0.0
-    while shares.allows("a"):
+    while shares.room("a") > 0.0:
         shares.charge("a", 1.0, 5.0)
         burst += 5.0
     assert burst <= 25.0
