--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -325,6 +325,10 @@
         elsewhere = request.prompt - request.shared * (1.0 - self.missed[rank][request.kind])
         return min(elsewhere, self.home_read[request.kind]) if rank == 0 else elsewhere
 
+    def first(self, wait: float, read: float) -> float:
+        """Predicted time to the first token, ms: so long before reading begins, so many tokens to read."""
+        return (wait + read / READ_RATE) * self.lateness + STEP_MS
+
     def cold_allows(self, replica: Replica, tokens: float, now: float, spend: bool) -> bool:
         """Rule 4: a cold replica gets this node's share of a ramped equal share of the traffic, no more."""
         age = now - replica.started_at
@@ -589,7 +593,7 @@
             # A home that keeps a prompt waiting is no reason to refuse it where others have room. Where all
             # are busy it waits at home while it can be in time: else its reading fills the fleet.
             soonest = self._choose(request, True) or choice
-            first = (choice[2] + choice[3] / READ_RATE) * self.pool.lateness + STEP_MS
+            first = self.pool.first(*choice[2:])
             busy = soonest[2] * self.pool.lateness >= HOME_BUSY * self.full_ms
             choice = choice if busy and first <= HOME_AIM * request.aim else soonest
         if choice is None or soonest is None:
@@ -598,7 +602,7 @@
         slice_rate = self._baseline(request.tenant) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
         request.priority = request.weight * standing
-        first = (wait + read / READ_RATE) * self.pool.lateness + STEP_MS
+        first = self.pool.first(wait, read)
         wait *= self.pool.lateness
         full = wait > self.full_ms
         if not request.resumed:
@@ -665,9 +669,8 @@
     def _send(self, request: Request, replica: Replica, rank: int, wait: float, read: float) -> None:
         now, pool = self.now, self.pool
         pool.cold_allows(replica, request.tokens, now, True)
-        predicted = (wait + read / READ_RATE) * pool.lateness + STEP_MS
         attempt = Attempt(request, replica, now, read, rank)
-        attempt.predicted = predicted
+        attempt.predicted = predicted = pool.first(wait, read)
         request.attempts.append(attempt)
         replica.unstarted.append(attempt)
         pool.work = pool.work * exp((pool.work_at - now) / USAGE_MS) + request.tokens
@@ -688,13 +691,12 @@
             self._probe(replica)
             if replica.probed_at < self.now - HEDGE_MIN_MS:
                 self.pool.suspect(replica, self.now)
-        if number != len(request.attempts) - 1 or self.hedges < 1.0:
-            return  # no retry storm: second attempts are a small share of requests
+        if number != len(request.attempts) - 1 or self.hedges < 1.0 or len(self.pool.serving) <= number + 1:
+            return  # no retry storm: few requests are tried twice; with nowhere else to go, late is better
         choice = self._choose(request) if self.settings.second_copies else None
         if choice is not None:
-            wait = choice[2] * self.pool.lateness
-            first = wait + choice[3] / READ_RATE + STEP_MS
-            if wait < self.full_ms and self.now + first < request.arrived_at + request.aim:
+            left = request.arrived_at + request.aim - self.now
+            if choice[2] * self.pool.lateness < self.full_ms and self.pool.first(*choice[2:]) < left:
                 self.hedges -= 1.0
                 self._send(request, *choice)
         elif not self.settings.second_copies and self.settings.cancelling and request.may_refuse():
@@ -817,9 +819,8 @@
         if not request.closed:
             request.closed, request.held = True, False
             self._cancel_others(request, -1)
-            entitlement = request.entitlement
+            entitlement, request.entitlement = request.entitlement, None
             if entitlement is not None:
-                request.entitlement = None
                 entitlement.in_flight -= 1
                 slice_rate = self._baseline(request.tenant) / self.settings.nodes
                 seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / self.request_tokens
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -278,6 +278,15 @@
     assert len(again) == 1 and again[0].replica != first
 
 
+def test_without_second_copies_a_late_attempt_with_nowhere_else_to_go_is_left_alone() -> None:
+    router = Router(make_settings(zones=1, second_copies=False), 1)
+    router.handle(0.0, [serving("a")])
+    timer = late_timer(ask(router, 1.0, "q"))
+    assert all(isinstance(a, Probe) for a in router.handle(1.0 + timer.in_ms, [TimerFired(timer.token)]))
+    assert not router.handle(2.0 + timer.in_ms, [StreamStarted("q", 0, "a", timer.in_ms)])
+    assert not router.requests["q"].closed
+
+
 def test_second_attempts_stay_a_small_share() -> None:
     router = Router(make_settings(zones=1), 1)
     router.handle(0.0, [serving(*NAMES)])
