Hand the decisions each tenant's standing, and end loans only where others are refused

Change: beyond its share a tenant has lower standing with the decisions, within it higher; the door itself refuses only where others are refused within theirs, beyond an even part of the tenant's for a client, and retries beyond their budget. Promises are made within a share and in time only. While the fleet has room requests are only counted.

--- a/spoolbarrow/door/calendar.py
+++ b/spoolbarrow/door/calendar.py
@@ -46,9 +46,13 @@
         whole = self.rate * self.slot_ms / max(self.share, LEAST_SHARE)
         return whole - self.booked.get(slot, 0.0)
 
-    def tell(self, now: float, key: Key, work: float, spread: float) -> float | None:
+    def tell(
+        self, now: float, key: Key, work: float, spread: float, most_ms: float = float("inf")
+    ) -> float | None:
         """When this caller is to come, ms from now; None where nothing can be promised within the horizon.
 
+        Nor where it could be promised only later than `most_ms`.
+
         `spread`, in [0, 1), places it within its slot. A caller that has been told is told the same again.
         """
         self._pass(now)
@@ -57,7 +61,7 @@
             return max(0.0, told.at - now)
         if len(self.callers) >= self.most or self.rate <= 0.0:
             return None
-        first, last = int(now // self.slot_ms) + 1, int((now + self.horizon_ms) // self.slot_ms)
+        first, last = int(now // self.slot_ms) + 1, int((now + min(most_ms, self.horizon_ms)) // self.slot_ms)
         slot, left, pieces = max(first, self.next_slot), work, []
         while slot < last:
             # Work larger than a slot takes what is free in several: it comes when all of that is.
--- a/spoolbarrow/door/door.py
+++ b/spoolbarrow/door/door.py
@@ -25,8 +25,15 @@
 COST_LEARN = 0.02  # weight of one answer in what prompts and answers truly cost
 LEAST_COST = 0.05  # share of what was expected, at least
 SERVICE_LEARN = 0.05  # weight of one answer in the mean time of service
-SHORT = 0.7  # fullness from which shares are kept; at 1 the decisions begin to refuse
-LEEWAY, LEEWAY_LEAST = 2.0, 0.9  # of a share, less the fullness; and at least
+WATCH, UNWATCH = 0.35, 0.2  # fullness from which accounts are kept, and below which they are dropped
+SHORT = 0.4  # fullness from which shares are kept; at 1 the decisions begin to refuse
+LEEWAY, LEEWAY_LEAST = 1.4, 1.0  # of a share, less the fullness; and at least
+STEEP = 2.0  # power by which a tenant's standing falls with the shares that it has
+STANDING_LEAST, STANDING_MOST = 0.2, 5.0  # shares that count for it
+WRONGED, WRONGED_LEARN = 0.2, 0.03  # share of a tenant's refused within its own, from which loans end
+FLAGRANT = 1.1  # shares: beyond so much it is refused here, below it has lower standing with the decisions
+TIMELY = 0.5  # of the aim: a promise later than this could not be served in time
+CLIENT_EVEN = 2.0  # or so many times an even part of what its tenant has
 CLIENT_ALPHA = 8.0  # a client may be so many times as far ahead as its tenant has room left
 AHEAD_MIN = 2.0  # mean requests that a share allows at least
 LET_IN_AT_ONCE = 4  # of those who wait, while the fleet is not full
@@ -42,7 +49,7 @@
     owed_tokens: float = 2_000_000.0  # what a party may be ahead at most
     retry_share: float = 0.1  # of first tries
     retry_window_ms: float = 10_000.0
-    promised_share: float = 0.5  # of the capacity, to those who come back at their time
+    promised_share: float = 0.1  # of the capacity, to those who come back at their time
     slot_ms: float = 50.0
     max_retry_after_ms: float = 2000.0
     grace_ms: float = 500.0  # a caller's piece is kept so long past its time
@@ -62,6 +69,7 @@
     client: int  # 64 bits, well spread
     work: float  # prompt and longest answer
     budget_ms: float
+    aim_ms: float = 1e9
     session: int = 0
     prompt: int = 0  # number of session and prompt, by which a retry is known
     ticket: int = 0  # that it was given with its time
@@ -86,7 +94,7 @@
 class Declined(Struct, frozen=True):
     """The decisions refused one that was let in; what they would tell it, ms."""
 
-    request: str
+    event: Arrived
     retry_after_ms: float
 
 
@@ -103,6 +111,7 @@
     request: str
     promised: bool = False
     waited_ms: float = 0.0
+    standing: float = 1.0  # below 1 beyond its share, so that it is refused first; above 1 within it
 
 
 class TurnedAway(Struct, frozen=True):
@@ -130,11 +139,12 @@
 
 
 class Inside(Struct):
-    """A request that was let in."""
+    """A request that was let in; its client has no account where nobody was watched then."""
 
-    event: Arrived
-    account: int
+    tenant: int
+    account: int | None
     work: float  # as charged
+    expected: float  # as told
     at: float
 
 
@@ -158,6 +168,8 @@
         self.inside: dict[str, Inside] = {}
         self.under_way = 0.0  # work let in and not over
         self.fullness = 0.0
+        self.watching = False
+        self.wronged: dict[int, float] = {}  # by tenant, share refused of late while within its own
         self.cost = 1.0  # true work for each token expected: kept beginnings need not be read
         self.mean_work = 1.0
         self.service_ms = 0.0
@@ -185,22 +197,48 @@
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         """Decide on a batch of events that happened at `now`."""
-        self.capacity.passes(now, self.fullness >= 1.0)
-        self.calendar.expect(self.capacity.rate * self.settings.promised_share, self.capacity.strays)
+        self.look(now, self.fullness)
         actions: list[Action] = []
         for event in events:
             if isinstance(event, Arrived):
                 self._arrived(now, event, actions)
             elif isinstance(event, Load):
-                self.fullness = event.fullness
+                self.look(now, event.fullness)
             elif isinstance(event, Ended):
-                self._ended(now, event)
+                self.left(now, event.request, event.served, event.work)
             elif isinstance(event, Declined):
                 self._declined(now, event, actions)
         if self.waiting:
             self._look(now, actions)
         return actions
 
+    def passes(self, now: float, request: str, tenant: int, expected: float) -> bool:
+        """The short way in, where the fleet is far from full: whether it was taken, and only noted."""
+        if self.watching or self.calendar.callers or self.waiting:
+            return False
+        work = expected * self.cost
+        self.mean_work += COST_LEARN * (work - self.mean_work)
+        self.under_way += work
+        self.inside[request] = Inside(tenant, None, work, expected, now)
+        return True
+
+    def look(self, now: float, fullness: float) -> None:
+        """Time goes on, and this is how full the fleet is.
+
+        Accounts begin with what is under way, and are dropped where the fleet has much room.
+        """
+        self.capacity.passes(now, fullness >= 1.0)
+        self.calendar.expect(self.capacity.rate * self.settings.promised_share, self.capacity.strays)
+        self.fullness = fullness
+        if not self.watching and fullness >= WATCH:
+            self.watching = True
+            for inside in self.inside.values():
+                self.shares.charge(inside.tenant, None, inside.work)
+        elif self.watching and fullness < UNWATCH:
+            self.watching = False
+            self.wronged.clear()
+            self.shares.advance(inf)
+
     # --- arrivals
 
     def _arrived(self, now: float, event: Arrived, actions: list[Action]) -> None:
@@ -213,14 +251,15 @@
             budget.first()
         if self.calendar.callers and self.calendar.redeem(now, self._key(event)):
             return self._let_in(now, event, work, actions, promised=True)
-        why = ""
+        why, beyond = "", 0.0
         if self.fullness >= SHORT and not event.resumed:
             if retry and budget is not None and not budget.retry():
                 why = "retries"
             else:
-                why = self._beyond(event, self._account(event))
+                why, beyond = self._beyond(event, self._account(event))
         if not why:
-            return self._let_in(now, event, work, actions)
+            standing = min(max(beyond, STANDING_LEAST), STANDING_MOST) ** -STEEP if beyond > 0.0 else 1.0
+            return self._let_in(now, event, work, actions, standing=standing)
         wait = min(self.settings.max_wait_ms, event.budget_ms - 2.0 * self.service_ms)
         if wait > 0.0 and why != "retries" and len(self.waiting) < self.settings.most_waiting:
             waiter = self.waiting[event.request] = Waiter(event, now, now + wait, why)
@@ -239,39 +278,56 @@
         """How far a tenant may be ahead, and each of its clients."""
         leeway = max(LEEWAY_LEAST, LEEWAY - self.fullness)
         limit = max(AHEAD_MIN * self.mean_work, self.shares.part(tenant) * self.under_way * leeway)
-        return limit, CLIENT_ALPHA * (limit - self.shares.ahead(tenant))
+        ahead = self.shares.ahead(tenant)
+        # On a lent share a client may hold some times an even part of what its tenant holds.
+        even = CLIENT_EVEN * ahead / max(1, self.shares.clients(tenant))
+        return limit, max(CLIENT_ALPHA * (FLAGRANT * limit - ahead), even)
 
-    def _beyond(self, event: Arrived, account: int) -> str:
-        """Whose share the request would go beyond; nobody's: empty."""
+    def _beyond(self, event: Arrived, account: int) -> tuple[str, float]:
+        """Whose share it would go flagrantly beyond (nobody's: empty); how many shares its tenant has."""
         limit, client_limit = self._limits(event.tenant)
-        if self.shares.ahead(event.tenant) >= limit:
-            return "share"
-        return "client" if self.shares.client_ahead(event.tenant, account) >= client_limit else ""
+        shares = self.shares.ahead(event.tenant) / limit
+        if shares >= FLAGRANT and any(
+            share > WRONGED for tenant, share in self.wronged.items() if tenant != event.tenant
+        ):
+            return "share", shares
+        client = self.shares.client_ahead(event.tenant, account)
+        return ("client" if client >= client_limit else ""), shares
 
     def _let_in(
-        self, now: float, event: Arrived, work: float, actions: list[Action], promised: bool = False,
+        self,
+        now: float,
+        event: Arrived,
+        work: float,
+        actions: list[Action],
+        promised: bool = False,
         waited: float = 0.0,
-    ) -> None:  # fmt: skip
+        standing: float = 1.0,
+    ) -> None:
         account = self._account(event)
-        self.shares.charge(event.tenant, account, work)
+        if self.watching:
+            self.shares.charge(event.tenant, account, work)
+            if event.tenant in self.wronged:
+                self.wronged[event.tenant] *= 1.0 - WRONGED_LEARN
         self.under_way += work
-        self.inside[event.request] = Inside(event, account, work, now)
+        self.inside[event.request] = Inside(event.tenant, account, work, event.work, now)
         self.counts["let in promised" if promised else "let in"] += 1
-        actions.append(LetIn(event.request, promised, waited))
+        actions.append(LetIn(event.request, promised, waited, standing))
 
     def _away(self, now: float, event: Arrived, why: str, otherwise_ms: float) -> TurnedAway:
         s, key, ticket = self.settings, self._key(event), event.ticket
         if not (event.session or ticket):
             self.tickets += 1
             key = ticket = self.tickets
-        pause = self.calendar.tell(now, key, event.work * self.cost, self.rng.random())
+        limit, client_limit = self._limits(event.tenant)
+        most = TIMELY * event.aim_ms if self.shares.ahead(event.tenant) <= limit else 0.0
+        pause = self.calendar.tell(now, key, event.work * self.cost, self.rng.random(), most)
         promised = pause is not None
         if pause is None:
             ticket = 0
             pause = otherwise_ms or s.max_retry_after_ms * (0.75 + 0.25 * self.rng.random())
         self.counts[f"turned away: {why}"] += 1
         self.counts["told a time"] += promised
-        limit, client_limit = self._limits(event.tenant)
         return TurnedAway(
             event.request, min(pause, s.max_retry_after_ms), why, promised, ticket, self.fullness,
             self.shares.ahead(event.tenant), limit,
@@ -287,17 +343,20 @@
             self.under_way = max(0.0, self.under_way - inside.work) if self.inside else 0.0
         return inside
 
-    def _ended(self, now: float, event: Ended) -> None:
-        waiter = self.waiting.get(event.request)
+    def left(self, now: float, request: str, served: bool, work: float) -> None:
+        """As `Ended` says; of what was let in or waits, and nothing else."""
+        waiter = self.waiting.get(request)
         if waiter is not None:
             return self._unqueue(waiter)
-        inside = self._out(event.request)
+        inside = self._out(request)
         if inside is None:
             return
-        true = event.work if event.served else 0.0
-        self._settle(inside, true)
-        if event.served:
-            self.cost += COST_LEARN * (max(true / max(inside.event.work, 1.0), LEAST_COST) - self.cost)
+        true = work if served else 0.0
+        if self.watching:
+            self._settle(inside, true)
+        if served:
+            share = true / inside.expected if inside.expected > 1.0 else 1.0
+            self.cost += COST_LEARN * ((share if share > LEAST_COST else LEAST_COST) - self.cost)
             self.service_ms += SERVICE_LEARN * (now - inside.at - self.service_ms)
             self.capacity.finished += true
 
@@ -307,15 +366,18 @@
         So all that parties are ahead stays what is under way, though a correction may come too late for one
         whose share has caught up with it.
         """
-        tenant, before = inside.event.tenant, self.shares.ahead(inside.event.tenant)
+        tenant, before = inside.tenant, self.shares.ahead(inside.tenant)
         self.shares.charge(tenant, inside.account, true - inside.work)
         self.shares.advance(inside.work + self.shares.ahead(tenant) - before if self.inside else inf)
 
     def _declined(self, now: float, event: Declined, actions: list[Action]) -> None:
-        inside = self._out(event.request)
+        inside = self._out(event.event.request)
         if inside is not None:
-            self._settle(inside, 0.0)
-            actions.append(self._away(now, inside.event, "full", event.retry_after_ms))
+            if self.watching:
+                self._settle(inside, 0.0)
+                if self.shares.ahead(inside.tenant) < self._limits(inside.tenant)[0]:
+                    self.wronged[inside.tenant] = self.wronged.get(inside.tenant, 0.0) + WRONGED_LEARN
+            actions.append(self._away(now, event.event, "full", event.retry_after_ms))
 
     # --- those who wait
 
@@ -346,6 +408,6 @@
         order = sorted(self.queues, key=lambda t: (self.shares.ahead(t) / self.shares.weight(t), t))
         for tenant in order:
             for waiter in list(self.queues[tenant])[:LOOKED_AT]:
-                if self.fullness < SHORT or not self._beyond(waiter.event, self._account(waiter.event)):
+                if self.fullness < SHORT or not self._beyond(waiter.event, self._account(waiter.event))[0]:
                     return waiter
         return None
--- a/spoolbarrow/door/gate.py
+++ b/spoolbarrow/door/gate.py
@@ -16,6 +16,9 @@
 from spoolbarrow.router import ZONE_MS, Router
 
 TIMER = "door"
+OURS = frozenset({i.RequestArrived, i.AttemptEnded, i.RequestGone})
+FINAL = frozenset({i.Refuse, i.Fail})
+LOOK_MS = 50.0  # between looks at how full the fleet is
 
 
 class Caller(Struct, frozen=True):
@@ -68,7 +71,8 @@
         self.actions: list[i.Action] = []
         self._who, self._told, self._failed, self._header = who, told, failed, header
         self._events: dict[str, i.RequestArrived] = {}  # at the door, or let in and not over
-        self._over: list[d.Event] = []  # what the decisions have ended since the last look
+        self._looked_at = float("-inf")
+        self._over: list[str] = []  # what the decisions have failed since the last look
 
     def configure(self, settings: i.Settings) -> None:
         """Go by other settings of the decisions."""
@@ -77,46 +81,105 @@
     def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
         """Decide on what happened."""
         self.actions = []
-        passed: list[i.Event] = []
-        at_door: list[d.Event] = [d.Load(self._fullness(now)), *self._over]
-        self._over = []
+        passed = events  # of most batches: news of engines, timers, first tokens
         for event in events:
-            if isinstance(event, i.RequestArrived):
-                self._events[event.request] = event
-                at_door.append(self._arrived(event))
-                continue
-            if isinstance(event, i.TimerFired) and event.token == TIMER:
-                at_door.append(d.Woken())
-                continue
-            if isinstance(event, i.AttemptEnded) and event.closed:
-                at_door.append(self._ended(event))
-            elif isinstance(event, i.RequestGone):
-                self._events.pop(event.request, None)
-                at_door.append(d.Ended(event.request, False))
-            passed.append(event)
-        self._apply(self._ask(now, at_door), passed)
-        declined: list[d.Event] = []
-        refused: dict[str, i.Refuse] = {}
+            if type(event) in OURS:
+                passed = self._gated(now, events)
+                break
+        else:
+            if self.door.waiting:
+                passed = self._gated(now, events)
         try:
             decided = self.router.handle(now, passed)
         except Exception:
             self.actions += self.router.actions  # what was decided before it stands
             raise
         for action in decided:
-            if isinstance(action, i.Refuse) and action.request in self._events:
-                declined.append(d.Declined(action.request, action.retry_after_ms))
-                refused[action.request] = action
-                continue
-            if isinstance(action, i.Fail) and self._events.pop(action.request, None) is not None:
-                self._over.append(d.Ended(action.request, False))
-            self.actions.append(action)
-        if declined:
-            self._apply(self._ask(now, declined), [])
-        for name in refused.keys() & self._events.keys():  # the door knew nothing of it, or failed
-            del self._events[name]
-            self.actions.append(refused[name])
+            if type(action) in FINAL:
+                self._after(now, decided)
+                return self.actions
+        if self.actions:
+            self.actions += decided
+        else:
+            self.actions = decided
         return self.actions
 
+    def _gated(self, now: float, events: list[i.Event]) -> list[i.Event]:
+        """What goes on to the decisions; all of it where the door fails."""
+        try:
+            return self._before(now, events)
+        except Exception as error:
+            self._fault(error)
+            self.actions = []
+            passed = [e for e in events if not (isinstance(e, i.TimerFired) and e.token == TIMER)]
+            self._events |= {e.request: e for e in events if isinstance(e, i.RequestArrived)}
+            return passed
+
+    def _after(self, now: float, decided: list[i.Action]) -> None:
+        """The decisions' refusals get their time from the door."""
+        refused = [a for a in decided if type(a) is i.Refuse]
+        failed = [a for a in decided if type(a) is i.Fail]
+        for action in failed:
+            if self._events.pop(action.request, None) is not None:
+                self._over.append(action.request)
+        self.actions += [a for a in decided if type(a) is not i.Refuse]
+        declined: list[d.Event] = []
+        for refusal in refused:
+            event = self._events.get(refusal.request)
+            if event is not None:
+                declined.append(d.Declined(self._arrived(event), refusal.retry_after_ms))
+        try:
+            self._apply(self.door.handle(now, declined), [])
+        except Exception as error:
+            self._fault(error)
+        # Of those that the door knew nothing of, or failed on, the decisions' own answer stands.
+        told = {action.request for action in self.actions if type(action) is i.Refuse}
+        for refusal in refused:
+            self._events.pop(refusal.request, None)
+            if refusal.request not in told:
+                self.actions.append(refusal)
+
+    def _before(self, now: float, events: list[i.Event]) -> list[i.Event]:
+        """What of a batch goes on to the decisions."""
+        door = self.door
+        passed: list[i.Event] = []
+        at_door: list[d.Event] = []
+        if self._over:
+            for name in self._over:
+                door.left(now, name, False, 0.0)
+            self._over.clear()
+        if not 0.0 <= now - self._looked_at < LOOK_MS:
+            self._looked_at = now
+            door.look(now, self._fullness(now))
+        for event in events:
+            if isinstance(event, i.RequestArrived):
+                self._events[event.request] = event
+                work = float(event.prompt_tokens + event.max_answer_tokens)
+                if door.passes(now, event.request, event.tenant, work):
+                    passed.append(event)
+                else:
+                    at_door.append(self._arrived(event))
+            elif isinstance(event, i.AttemptEnded):
+                passed.append(event)
+                if event.closed:
+                    door.left(now, event.request, *self._work(event))
+            elif isinstance(event, i.RequestGone):
+                passed.append(event)
+                self._events.pop(event.request, None)
+                door.left(now, event.request, False, 0.0)
+            elif isinstance(event, i.TimerFired) and event.token == TIMER:
+                at_door.append(d.Woken())
+            else:
+                passed.append(event)
+        if at_door or door.waiting:
+            self._apply(door.handle(now, at_door), passed)
+        return passed
+
+    def _fault(self, error: Exception) -> None:
+        if self._failed is None:
+            raise error
+        self._failed(error)
+
     def waiting(self) -> list[i.RequestArrived]:
         """Who waits at the door; with the door gone they are the decisions' to answer."""
         return [self._events[name] for name in self.door.waiting]
@@ -131,33 +194,28 @@
     def _arrived(self, event: i.RequestArrived) -> d.Arrived:
         caller = self._who(event)
         work = float(event.prompt_tokens + event.max_answer_tokens)
+        classes, aim = self.router.settings.classes, 1.0
+        if 0 <= event.cls < len(classes):  # a class never told is refused by the decisions
+            aim = classes[event.cls].aim_ms + classes[event.cls].aim_ms_per_token * event.prompt_tokens
         return d.Arrived(
-            event.request, event.tenant, caller.client, work, event.budget_ms, event.session, caller.prompt,
-            caller.ticket, caller.repeat, event.resumed,
+            event.request, event.tenant, caller.client, work, event.budget_ms, aim, event.session,
+            caller.prompt, caller.ticket, caller.repeat, event.resumed,
         )  # fmt: skip
 
-    def _ended(self, event: i.AttemptEnded) -> d.Ended:
+    def _work(self, event: i.AttemptEnded) -> tuple[bool, float]:
+        """Whether a request was served, and what it truly cost."""
         asked = self._events.pop(event.request, None)
-        served = event.outcome is i.Outcome.SERVED and asked is not None
-        work = asked.prompt_tokens - event.kept_tokens + asked.max_answer_tokens if asked is not None else 0
-        return d.Ended(event.request, served, float(max(work, 1)) if served else 0.0)
-
-    def _ask(self, now: float, events: list[d.Event]) -> list[d.Action]:
-        try:
-            return self.door.handle(now, events)
-        except Exception as error:
-            if self._failed is None:
-                raise
-            self._failed(error)
-            return [d.LetIn(event.request) for event in events if isinstance(event, d.Arrived)]
+        if asked is None or event.outcome is not i.Outcome.SERVED:
+            return False, 0.0
+        return True, float(max(1, asked.prompt_tokens - event.kept_tokens + asked.max_answer_tokens))
 
     def _apply(self, actions: list[d.Action], passed: list[i.Event]) -> None:
         for action in actions:
             if isinstance(action, d.LetIn):
                 event = self._events[action.request]
-                if action.promised or action.waited_ms:
+                if action.promised or action.waited_ms or action.standing != 1.0:
                     left = event.budget_ms - action.waited_ms
-                    event = replace(event, budget_ms=left, promised=action.promised)
+                    event = replace(event, budget_ms=left, promised=action.promised, standing=action.standing)
                 passed.append(event)
             elif isinstance(action, d.TurnedAway):
                 event = self._events.pop(action.request)
--- a/spoolbarrow/door/shares.py
+++ b/spoolbarrow/door/shares.py
@@ -146,6 +146,11 @@
         clocks = self._clients(tenant)
         return clocks.ahead(client) if clocks is not None else 0.0
 
+    def clients(self, tenant: Key) -> int:
+        """How many of a tenant's clients are ahead of their share."""
+        clocks = self._clients(tenant)
+        return len(clocks.flows) if clocks is not None else 0
+
     def charge(self, tenant: Key, client: Key, work: float) -> None:
         """The client, and so its tenant, gets so much work; less than nothing corrects a charge."""
         clocks = self._clients(tenant)
--- a/spoolbarrow/interface.py
+++ b/spoolbarrow/interface.py
@@ -168,6 +168,7 @@
     prefix: int = 0  # 0: none
     resumed: bool = False
     promised: bool = False  # it comes at the time that it was told, and capacity was set aside for it
+    standing: float = 1.0  # of who asks, as the door sees it: below 1 beyond their share, above within
 
 
 class StreamStarted(Struct, frozen=True):
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -142,7 +142,7 @@
         self.aim = cls.aim_ms + cls.aim_ms_per_token * event.prompt_tokens
         self.prompt, self.shared = event.prompt_tokens, min(event.shared_tokens, event.prompt_tokens)
         self.session, self.prefix = event.session, event.prefix
-        self.resumed, self.promised = event.resumed, event.promised
+        self.resumed, self.promised, self.standing = event.resumed, event.promised, event.standing
         self.attempts: list[Attempt] = []
         self.homes: list[Replica] = []
         self.held = self.closed = self.started = False
@@ -602,7 +602,7 @@
         wait, read = soonest[2:]
         slice_rate = self._baseline(request.tenant) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
-        request.priority = request.weight * standing
+        request.priority = request.weight * standing * request.standing
         first = self.pool.first(wait, read)
         wait *= self.pool.lateness
         if not request.resumed:
