Make one piece serve where the change wrote things twice

Need: read again, the change looked up names of tenants and classes in two places, worked out a request's aim in three lines of two modules and the work expected of it in three, found a client's account twice for each request at a busy door, and built the same table of times in two measurements, with its own mean beside the library's.

Change: operator.number_of, RequestClass.aim, gate.expected, one account a request, rig.compared and rig.apart, statistics.fmean and stdev. Nothing is decided otherwise.

--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -11,12 +11,12 @@
 import argparse
 import subprocess
 import sys
-from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
 from math import sqrt
 from multiprocessing import get_context
 from pathlib import Path
 from random import Random
+from statistics import fmean, stdev
 from time import perf_counter_ns
 from typing import Any, ClassVar
 
@@ -235,12 +235,6 @@
     return anonymous_kb() - before
 
 
-def mean(values: Iterable[float]) -> float:
-    """The mean; 0 of none."""
-    some = list(values)
-    return sum(some) / len(some) if some else 0.0
-
-
 def main() -> int:
     """Measure, print one line of JSON."""
     parser = argparse.ArgumentParser()
@@ -269,18 +263,17 @@
     for name in days(length_s):
         pairs = zip(played[name, "spoolbarrow"], played[name, "watched"], strict=True)
         apart = [b["worth"] - a["worth"] for a, b in pairs]
-        centre = mean(apart)
-        error = sqrt(mean((x - centre) ** 2 for x in apart) / max(1, len(apart) - 1))
+        error = stdev(apart) / sqrt(len(apart))
         gains[name] = {
-            "without": round(mean(one["worth"] for one in played[name, "spoolbarrow"]), 4),
-            "gain": round(centre, 4),
+            "without": round(fmean(one["worth"] for one in played[name, "spoolbarrow"]), 4),
+            "gain": round(fmean(apart), 4),
             "standard_error": round(error, 4),
         }
-    cost = mean(one["cost"] for (_, policy), some in played.items() if policy == "watched" for one in some)
+    cost = fmean(one["cost"] for (_, policy), some in played.items() if policy == "watched" for one in some)
     figures = {
-        "share_error_mean": round(mean(errors), 4),
+        "share_error_mean": round(fmean(errors), 4),
         "share_error_worst": round(max(errors), 4),
-        "share_error_two_routers": round(mean(e for one in contended[2] for e in one["errors"]), 4),
+        "share_error_two_routers": round(fmean(e for one in contended[2] for e in one["errors"]), 4),
         "promised": sum(one["promised"] for one in alone),
         "came": came,
         "kept_share": round(sum(one["kept"] for one in alone) / max(1, came), 4),
--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -25,7 +25,7 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks")]
 
 import standin  # noqa: E402
-from rig import ENGINES, WORKERS, Load, Rig, anonymous_kb, compare  # noqa: E402
+from rig import ENGINES, WORKERS, Load, Rig, anonymous_kb, apart, compared  # noqa: E402
 
 from spoolbarrow.flows import encode  # noqa: E402
 from spoolbarrow.flows.collector import Listener  # noqa: E402
@@ -183,14 +183,10 @@
             lost = rig.collector.lost + load.asked["on"] - requests
         finally:
             rig.close()
-    times = {
-        kind: {field: compare(load.rounds, kind, field) for field in ("first_ms", "whole_ms")}
-        for kind in rig.ports
-    }
+    times = compared(load.rounds, rig.ports)
     flat = memory(100_000)
-    paired = [abs(times[kind][f]["paired"]) for kind in ("on", "stalled") for f in ("first_ms", "whole_ms")]
     holds = (
-        max(paired) <= WITHIN and max(off.values()) <= COUNT_WITHIN and lost == 0 and load.failed == 0
+        apart(times) <= WITHIN and max(off.values()) <= COUNT_WITHIN and lost == 0 and load.failed == 0
         and flat["grown_kb"] <= FLAT_KB and flat["dropped"] == 0 and stalled > 0
     )
     extra = (cpu["on"] - (cpu["off"] + cpu["off_again"]) / 2) / records
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -130,6 +130,20 @@
                     self.counted[client.port] = counted
 
 
+FIELDS = ("first_ms", "whole_ms")
+
+
+def compared(rounds: list[dict[str, standin.Timed]], kinds: Iterable[str]) -> dict[str, Any]:
+    """Each router's times."""
+    return {kind: {field: compare(rounds, kind, field) for field in FIELDS} for kind in kinds}
+
+
+def apart(times: dict[str, Any]) -> float:
+    """How far times are from those of the router without the feature, at most, as a share."""
+    paired: list[float] = [times[kind][field]["paired"] for kind in ("on", "stalled") for field in FIELDS]
+    return max(map(abs, paired))
+
+
 def compare(rounds: list[dict[str, standin.Timed]], kind: str, field: str) -> dict[str, float]:
     """A router's times against those of the first without export, paired by round."""
     base = [getattr(found["off"], field) for found in rounds]
--- a/benchmarks/shadow.py
+++ b/benchmarks/shadow.py
@@ -24,7 +24,7 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks")]
 
 import standin  # noqa: E402
-from rig import ENGINES, WORKERS, Load, Rig, anonymous_kb, compare  # noqa: E402
+from rig import ENGINES, WORKERS, Load, Rig, anonymous_kb, apart, compared  # noqa: E402
 
 from spoolbarrow.shadow import decide  # noqa: E402
 
@@ -131,16 +131,12 @@
             opened = rig.log("stalled").count(b"breaker open")
         finally:
             rig.close()
-    times = {
-        kind: {field: compare(load.rounds, kind, field) for field in ("first_ms", "whole_ms")}
-        for kind in rig.ports
-    }
+    times = compared(load.rounds, rig.ports)
     pure = deciding(100_000)
-    paired = [abs(times[kind][f]["paired"]) for kind in ("on", "stalled") for f in ("first_ms", "whole_ms")]
     most = max(sound.most_a_second(), stalling.most_a_second())
     stopped = stalling.after_stall_s()
     holds = (
-        max(paired) <= WITHIN and load.failed == 0 and 0 < most <= LIMIT and opened > 0
+        apart(times) <= WITHIN and load.failed == 0 and 0 < most <= LIMIT and opened > 0
         and 0 < stopped <= STOPPED_WITHIN_S and pure["grown_kb"] <= FLAT_KB
         and abs(pure["share_reached"] - pure["share"]) <= SHARE_WITHIN
     )
--- a/spoolbarrow/door/door.py
+++ b/spoolbarrow/door/door.py
@@ -249,17 +249,18 @@
         budget = self.budgets.get(event.tenant)
         if not retry and budget is not None:
             budget.first()
+        account = self._account(event)
         if self.calendar.callers and self.calendar.redeem(now, self._key(event)):
-            return self._let_in(now, event, work, actions, promised=True)
+            return self._let_in(now, event, account, actions, promised=True)
         why, beyond = "", 0.0
         if self.fullness >= SHORT and not event.resumed:
             if retry and budget is not None and not budget.retry():
                 why = "retries"
             else:
-                why, beyond = self._beyond(event, self._account(event))
+                why, beyond = self._beyond(event, account)
         if not why:
             standing = min(max(beyond, STANDING_LEAST), STANDING_MOST) ** -STEEP if beyond > 0.0 else 1.0
-            return self._let_in(now, event, work, actions, standing=standing)
+            return self._let_in(now, event, account, actions, standing=standing)
         wait = min(self.settings.max_wait_ms, event.budget_ms - 2.0 * self.service_ms)
         if wait > 0.0 and why != "retries" and len(self.waiting) < self.settings.most_waiting:
             waiter = self.waiting[event.request] = Waiter(event, now, now + wait, why)
@@ -298,13 +299,13 @@
         self,
         now: float,
         event: Arrived,
-        work: float,
+        account: int,
         actions: list[Action],
         promised: bool = False,
         waited: float = 0.0,
         standing: float = 1.0,
     ) -> None:
-        account = self._account(event)
+        work = event.work * self.cost
         if self.watching:
             self.shares.charge(event.tenant, account, work)
             if event.tenant in self.wronged:
@@ -398,7 +399,8 @@
             if chosen is None:
                 break
             self._unqueue(chosen)
-            self._let_in(now, chosen.event, chosen.event.work * self.cost, actions, waited=now - chosen.since)
+            account = self._account(chosen.event)
+            self._let_in(now, chosen.event, account, actions, waited=now - chosen.since)
         if self.waiting and not 0.0 < self.wake_at - now <= LOOK_MS:
             self.wake_at = now + LOOK_MS
             actions.append(Wake(LOOK_MS))
--- a/spoolbarrow/door/gate.py
+++ b/spoolbarrow/door/gate.py
@@ -44,6 +44,11 @@
     return tuple(max(weight, 1e-6) for weight in found) or (1.0,)
 
 
+def expected(event: i.RequestArrived) -> float:
+    """The work of a request as far as it is told, tokens."""
+    return float(event.prompt_tokens + event.max_answer_tokens)
+
+
 def no_header(ticket: int) -> bytes:
     """Tickets are not shown to clients."""
     return b""
@@ -154,8 +159,7 @@
         for event in events:
             if isinstance(event, i.RequestArrived):
                 self._events[event.request] = event
-                work = float(event.prompt_tokens + event.max_answer_tokens)
-                if door.passes(now, event.request, event.tenant, work):
+                if door.passes(now, event.request, event.tenant, expected(event)):
                     passed.append(event)
                 else:
                     at_door.append(self._arrived(event))
@@ -193,12 +197,11 @@
 
     def _arrived(self, event: i.RequestArrived) -> d.Arrived:
         caller = self._who(event)
-        work = float(event.prompt_tokens + event.max_answer_tokens)
         classes, aim = self.router.settings.classes, 1.0
         if 0 <= event.cls < len(classes):  # a class never told is refused by the decisions
-            aim = classes[event.cls].aim_ms + classes[event.cls].aim_ms_per_token * event.prompt_tokens
+            aim = classes[event.cls].aim(event.prompt_tokens)
         return d.Arrived(
-            event.request, event.tenant, caller.client, work, event.budget_ms, aim, event.session,
+            event.request, event.tenant, caller.client, expected(event), event.budget_ms, aim, event.session,
             caller.prompt, caller.ticket, caller.repeat, event.resumed,
         )  # fmt: skip
 
@@ -207,7 +210,7 @@
         asked = self._events.pop(event.request, None)
         if asked is None or event.outcome is not i.Outcome.SERVED:
             return False, 0.0
-        return True, float(max(1, asked.prompt_tokens - event.kept_tokens + asked.max_answer_tokens))
+        return True, max(1.0, expected(asked) - event.kept_tokens)
 
     def _apply(self, actions: list[d.Action], passed: list[i.Event]) -> None:
         for action in actions:
--- a/spoolbarrow/interface.py
+++ b/spoolbarrow/interface.py
@@ -75,6 +75,10 @@
     aim_ms_per_token: float = 0.0
     token_aim_ms: float = 0.0
 
+    def aim(self, prompt_tokens: int) -> float:
+        """When the first token is wanted, ms after the request came."""
+        return self.aim_ms + self.aim_ms_per_token * prompt_tokens
+
 
 class Tenant(Struct, frozen=True):
     """One tenant; quota_per_s is its share in requests a second over all nodes (0 = not told)."""
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -164,6 +164,13 @@
         return f"{self.kind}://{host}:{self.port}"
 
 
+def number_of(names: Mapping[str, int], name: str, key: str) -> int:
+    """A tenant's or class's number by its name; ConfigError, naming the key, where there is none of it."""
+    if name not in names:
+        raise ConfigError(f"{key}: {name!r} is none of {', '.join(names)}")
+    return names[name]
+
+
 def collector(key: str, text: str) -> Collector:
     """The collector that a text names; ConfigError where it names none.
 
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -139,7 +139,7 @@
     def __init__(self, event: RequestArrived, cls: RequestClass, now: float) -> None:
         self.id, self.cls, self.kind, self.tenant = event.request, cls, event.cls, event.tenant
         self.arrived_at, self.deadline = now, now + event.budget_ms
-        self.aim = cls.aim_ms + cls.aim_ms_per_token * event.prompt_tokens
+        self.aim = cls.aim(event.prompt_tokens)
         self.prompt, self.shared = event.prompt_tokens, min(event.shared_tokens, event.prompt_tokens)
         self.session, self.prefix = event.session, event.prefix
         self.resumed, self.promised, self.standing = event.resumed, event.promised, event.standing
--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -9,7 +9,7 @@
 import os
 import time
 from collections import Counter, deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -27,7 +27,7 @@
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.request import Attempt, Request
 from spoolbarrow.net.taps import Observer
-from spoolbarrow.operator import ShadowTable
+from spoolbarrow.operator import ShadowTable, number_of
 from spoolbarrow.shadow import decide
 from spoolbarrow.shadow.reading import Reading
 from spoolbarrow.spool import Spool
@@ -53,7 +53,7 @@
         self.table = table
         self.limits = _limits(table, config)
         self.key = _key(table)
-        self.texts = frozenset(_index(config.tenants, name, "shadow.text_for") for name in table.text_for)
+        self.texts = frozenset(number_of(config.tenants, name, "shadow.text_for") for name in table.text_for)
         self.addresses = {}
         for n, text in enumerate(table.candidates):
             self.addresses[text] = address(f"shadow.candidates[{n}]", text)
@@ -65,12 +65,6 @@
             raise ConfigError("shadow.candidates: none, and no shadow.candidate_type or candidate_group")
 
 
-def _index(names: Mapping[str, int], name: str, key: str) -> int:
-    if name not in names:
-        raise ConfigError(f"{key}: {name!r} is none of {', '.join(names)}")
-    return names[name]
-
-
 def _key(table: ShadowTable) -> bytes:
     """The key of the digests: the same at every router whose spools are compared."""
     if not table.key_file:
@@ -86,18 +80,19 @@
 
 def _limits(table: ShadowTable, config: Config) -> decide.Limits:
     repeatable = {n for n, cls in enumerate(config.settings.classes) if cls.effect is i.Effect.SAFE}
-    allowed = {_index(config.classes, name, "shadow.classes") for name in table.classes} or repeatable
+    allowed = {number_of(config.classes, name, "shadow.classes") for name in table.classes} or repeatable
     if not allowed <= repeatable:
         raise ConfigError("shadow.classes: only classes that may be repeated can be copied")
-    denied = {_index(config.classes, name, "shadow.not_classes") for name in table.not_classes}
-    tenants = {_index(config.tenants, name, "shadow.tenants") for name in table.tenants}
-    refused = {_index(config.tenants, name, "shadow.not_tenants") for name in table.not_tenants}
+    denied = {number_of(config.classes, name, "shadow.not_classes") for name in table.not_classes}
+    tenants = {number_of(config.tenants, name, "shadow.tenants") for name in table.tenants}
+    refused = {number_of(config.tenants, name, "shadow.not_tenants") for name in table.not_tenants}
     everyone = tenants or set(config.tenants.values()) or {0}
     shares: dict[tuple[int, int], float] = {}
     for n, told in enumerate(table.shares):
         key = f"shadow.shares[{n}]"
-        classes = [_index(config.classes, told.cls, f"{key}.class")] if told.cls else config.classes.values()
-        of = [_index(config.tenants, told.tenant, f"{key}.tenant")] if told.tenant else everyone
+        name = told.cls
+        classes = [number_of(config.classes, name, f"{key}.class")] if name else config.classes.values()
+        of = [number_of(config.tenants, told.tenant, f"{key}.tenant")] if told.tenant else everyone
         shares |= {(cls, tenant): told.share for cls in classes for tenant in of}
     return decide.Limits(
         share=table.share, shares=shares, classes=frozenset(allowed - denied),
