Let cold engines take half of what they tolerate, and call the fleet full at twice the wait

Checked: every send and refusal of 40 routers logged with age, wait, rank and the guesses.

Cause: router.py, cold_allows: an equal share at 1.0 is not used up, as each router meets a cold engine seldom and saves nothing, so the sum over routers came to half a share. _decide and FULL_STEPS: the wait of an engine not asked is the mean of few reports, which a few deep queues raise; the guesses came out three times too long.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -33,7 +33,7 @@
 SLICE_DEPTH_MS = 4000.0  # a slice saves up so much: Poisson arrivals are not a flood
 SLICE_MIN = 2.0  # requests; a slice below one request must still let one through
 # Fullness
-FULL_STEPS = 6.0  # token aims: a replica that keeps one waiting longer reads all the time, and its steps last
+FULL_STEPS = 12.0  # token aims: waits are guessed from few reports, and most come true far below the guess
 FULL_SHARE = 0.25  # of the mean aim, where no token aim is told
 HOPELESS = 1.5  # aims; predicted later than this, an attempt is refused: predictions spread about as much
 CUT_SAMPLE, CUT_SPAN = 200, 1.0  # newest admitted, for the cut; fullness beyond full at which it is highest
@@ -78,7 +78,7 @@
 HEDGE_COST, HEDGE_RATIO, HEDGE_DEPTH = 0.004, 0.2, 5.0  # waste paid for them, most for each request, saved up
 LATE_MAX = 6.0  # largest general factor of late first tokens: loaded replicas read slower than idle ones
 SWEEP_MS = 500.0  # between looks at what no event wakes
-COLD_SHARE = 1.0  # what a cold replica gets of an equal share, times the ramp: far below what is tolerated
+COLD_SHARE = 0.5  # of what is tolerated, for the load that is borne: what is not kept there doubles the work
 ASK_SPREAD_MS, ASK_FIRST_MAX_MS = 40.0, 3000.0  # first call of the list within so much for each node
 ASK_RETRY_MS, ASK_RETRY_MAX_MS = 500.0, 8000.0
 
@@ -331,14 +331,14 @@
         return (wait + read / READ_RATE) * self.lateness + STEP_MS
 
     def cold_allows(self, replica: Replica, tokens: float, now: float, spend: bool) -> bool:
-        """Rule 4: a cold replica gets this node's share of a ramped equal share of the traffic, no more."""
+        """Rule 4: a cold replica gets this node's part of what it tolerates of an equal share, ramped."""
         age = now - replica.started_at
         if replica.started_at <= 0.0 or age >= self.settings.cold_ms:
             return True
-        start = self.settings.cold_from
+        start, most = self.settings.cold_from, COLD_SHARE * self.settings.overload_factor
         ramp = start + (1.0 - start) * max(0.0, age) / self.settings.cold_ms
         mean = self.work * exp((self.work_at - now) / USAGE_MS) / USAGE_MS / max(1, len(self.serving))
-        gained = COLD_SHARE * ramp * mean * max(0.0, now - replica.cold_at) / max(tokens, 1.0)
+        gained = most * ramp * mean * max(0.0, now - replica.cold_at) / max(tokens, 1.0)
         replica.cold_level, replica.cold_at = min(0.0, replica.cold_level + gained), now
         if replica.cold_level < 0.0:
             return False
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -103,6 +103,16 @@
     assert isinstance(ask(router, "r", cls=9), Refuse)
 
 
+def test_a_wait_well_within_the_aims_is_not_fullness() -> None:
+    """Guards against refusing on the mean of few reports: one replica deep in work raises it for all."""
+    pace = RequestClass(aim_ms=1200.0, deadline_ms=4000.0, worth=3.0, token_aim_ms=80.0)
+    slow = RequestClass(aim_ms=3000.0, deadline_ms=15000.0, worth=1.0, token_aim_ms=100.0)
+    for wait_ms, kind in ((800.0, Send), (1600.0, Refuse)):
+        router = started(wait_ms * 12.0, make_settings(nodes=1, zones=1, classes=(pace, slow)))
+        ask(router, "high", cls=0)
+        assert isinstance(ask(router, "low", cls=1), kind)
+
+
 def test_what_cannot_be_in_time_is_refused() -> None:
     cls = RequestClass(aim_ms=100.0, deadline_ms=60000.0, worth=1.0, token_aim_ms=1000.0)
     router = started(5000.0, make_settings(nodes=1, zones=1, classes=(cls,)))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -86,13 +86,17 @@
     assert sent and set(sent) == {"b"}
 
 
-def test_many_nodes_together_keep_the_cold_budget() -> None:
-    """All nodes see one idle cold replica; what they send it together stays under the tolerated sum."""
+@pytest.mark.parametrize(("warm", "cold", "least"), [(19, 1, 0.27), (8, 12, 0.4)])
+def test_many_nodes_together_keep_the_cold_budget_and_use_it(warm: int, cold: int, least: float) -> None:
+    """All nodes see idle cold replicas; what they send each together stays under the tolerated sum.
+
+    Nor is it far less than that: where most are cold at once, the warm ones would bear all the rest.
+    """
     nodes, per_node_ms = 60, 300.0
     cfg = make_settings(nodes=nodes, zones=1, cold_from=0.1, cold_ms=10000.0, tenants=())
-    names = [f"w{k}" for k in range(19)]
+    names, new = [f"w{k}" for k in range(warm)], [f"cold{k}" for k in range(cold)]
     routers = [Router(cfg, seed) for seed in range(nodes)]
-    sends: list[float] = []
+    sends: dict[str, list[float]] = {name: [] for name in names + new}
     for router in routers:
         router.handle(0.0, [serving(*names)])
     total = 0
@@ -101,8 +105,8 @@
         for n, router in enumerate(routers):
             events: list[object] = []
             if step == 200:
-                entry = ReplicaEntry("cold", started_at_ms=now)
-                events.append(ReplicaList(ListKind.CHANGES, (entry,)))
+                entries = tuple(ReplicaEntry(name, started_at_ms=now) for name in new)
+                events.append(ReplicaList(ListKind.CHANGES, entries))
             if (step * 50 + n * 7) % per_node_ms < 50:
                 name, session = f"q{n}-{step}", step * 64 + n
                 events.append(RequestArrived(name, 0, 3000.0, prompt_tokens=2000, session=session))
@@ -115,17 +119,18 @@
                     if kind == "Probe":
                         more.append(ProbeAnswered(action.replica, Outcome.SERVED, 1.0))  # type: ignore[union-attr]
                     elif isinstance(action, Send):
-                        if action.replica == "cold":
-                            sends.append(now)
+                        sends[action.replica].append(now)
                         more.append(StreamStarted(action.request, 0, action.replica, 100.0))
                         more.append(AttemptEnded(action.request, 0, action.replica, Outcome.SERVED, True))
                 pending = more
     share_per_ms = total / (400 * 50.0) / 20
     start = 10.0 + 200 * 50.0
-    assert sends
-    for at in sends:
-        window = [t for t in sends if at - 2000.0 < t <= at]
-        age = max(0.0, at - 2000.0 - start)
-        ramp = min(1.0, 0.1 + 0.9 * age / 10000.0)
-        # A fleet half loaded: capacity is twice the equal share; slack for chance on small counts.
-        assert len(window) <= 3.0 * ramp * 2.0 * share_per_ms * 2000.0 + 6
+    for name in new:
+        for at in sends[name]:
+            window = [t for t in sends[name] if at - 2000.0 < t <= at]
+            age = max(0.0, at - 2000.0 - start)
+            ramp = min(1.0, 0.1 + 0.9 * age / 10000.0)
+            # A fleet half loaded: capacity is twice the equal share; slack for chance on small counts.
+            assert len(window) <= 3.0 * ramp * 2.0 * share_per_ms * 2000.0 + 6
+    borne = sum(len(sends[name]) for name in new) / cold / (share_per_ms * 10000.0)
+    assert borne > least  # of an equal share, while it grows from a tenth to the whole
