Send prompts elsewhere when the home's probe is not answered in time

Late requests went to replicas of which this router held no report (median age: never), at the zone's mean.

Checked: attempts by how their hold ended, and by the report's age.

Cause: router.py, ReplicaPool.wait and SILENT_MS: one router meets an engine seldom, so silence is often all that it learns of a full one in time, and 150 ms made it look like half a mean queue.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -49,7 +49,7 @@
 POOL_MS, POOL_SIZE = 2000.0, 5  # answers older than this leave the pool; so many are compared
 FRESH_MS = 700.0  # a home's answer younger than this needs no new probe
 HOLD_MS = 25.0  # a request waits so long at most for its home's answer
-SILENT_MS = 150.0  # wait counted for a home that did not answer within the hold
+SILENT_MS = 1200.0  # wait counted for a home that does not answer within the hold: probes wait like prompts
 FAR_PROBES = 0.2  # share of the spare probes, one a request, that go to other zones
 # Reading
 READ_RATE = 12.0  # tokens a millisecond; an order of magnitude, since loads are only compared
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -135,6 +135,22 @@
     assert sends(ask(router, 4.0, "q2", session=5))[0].replica == other
 
 
+def test_a_home_that_leaves_its_probe_unanswered_is_left_for_one_that_answered() -> None:
+    """Probes wait like prompts: what is not answered within the hold stands behind much to read."""
+    router = Router(make_settings(zones=1), 1)
+    router.handle(0.0, [serving("a", "b")])
+    home = sends(ask(router, 1.0, "q1", session=5))[0].replica
+    other = "b" if home == "a" else "a"
+    router.handle(2.0, [StreamStarted("q1", 0, home, 1.0)])
+    router.handle(3000.0, [ProbeAnswered(other, Outcome.SERVED, 1.0, Report(0.2, 2000.0))])
+    request = RequestArrived("q2", cls=0, budget_ms=4000.0, prompt_tokens=2000, session=5)
+    asked = router.handle(3001.0, [request])
+    assert home in [a.replica for a in asked if isinstance(a, Probe)] and not sends(asked)
+    (hold,) = [a for a in asked if isinstance(a, SetTimer) and a.token == "h:q2"]
+    late = router.handle(3002.0 + hold.in_ms, [TimerFired("h:q2")])
+    assert sends(late)[0].replica == other
+
+
 def test_a_home_that_keeps_prompts_waiting_is_no_reason_to_refuse() -> None:
     """Guards against judging the fleet by one busy home: requests were refused while others had room."""
     router = Router(make_settings(zones=1), 1)
