Refuse a negative price, or one that is no number, naming its key

Cause: wire.py, _Fees, took any number, and skipped the prices that the decisions do not use yet. Now each of six is checked where the settings are decoded, so at the start (exit 2), at SIGHUP (nothing changes) and on the simulator's wire; absent ones count as none. Tests name the keys of both kinds of fault. No decision changes.

--- a/spoolbarrow/wire.py
+++ b/spoolbarrow/wire.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Struct
@@ -306,9 +306,16 @@
     TipAfterMs: float = 2000.0
 
 
+_Price = Annotated[float, msgspec.Meta(ge=0.0)]  # points of the result; one that is not told counts as none
+
+
 class _Fees(Struct):
-    CrossZone: float = 0.0
-    Waste: float = 0.0
+    Connection: _Price = 0.0
+    CrossZone: _Price = 0.0
+    Discovery: _Price = 0.0
+    Handshake: _Price = 0.0
+    Probe: _Price = 0.0
+    Waste: _Price = 0.0
 
 
 class _Specifics(Struct):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -41,6 +41,8 @@
         ("settings.Classes.0.Effect", "odd", "settings.Classes.Effect"),
         ("settings.Balancers", 0, "settings"),
         ("settings.Limits.ConnIdleMs", 0, "settings.Limits.ConnIdleMs"),
+        ("settings.Fees.Probe", -0.1, "settings.Fees.Probe"),
+        ("settings.Fees.Waste", "dear", "settings.Fees.Waste"),
     ],
 )
 def test_a_fault_names_its_key(path: str, value: object, named: str) -> None:
