Share one beginning among the tests of busy and silent homes, and say which prices are checked

Four tests of placement wrote the same five lines to find a session's home; homed() does it now, the assertions are as they were. No behaviour changes.

--- a/spoolbarrow/wire.py
+++ b/spoolbarrow/wire.py
@@ -309,7 +309,7 @@
 _Price = Annotated[float, msgspec.Meta(ge=0.0)]  # points of the result; one that is not told counts as none
 
 
-class _Fees(Struct):
+class _Fees(Struct):  # the decisions go by two of them; the others that routing runs up are checked alike
     Connection: _Price = 0.0
     CrossZone: _Price = 0.0
     Discovery: _Price = 0.0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -45,6 +45,15 @@
     return actions + (router.handle(now + 1.0, probes) if probes else [])
 
 
+def homed(**fields: object) -> tuple[Router, str, str]:
+    """A router of two replicas that has sent q1, of session 5, to its home; the home, and the other."""
+    router = Router(make_settings(zones=1), 1)
+    router.handle(0.0, [serving("a", "b")])
+    home = sends(ask(router, 1.0, "q1", session=5, **fields))[0].replica
+    router.handle(2.0, [StreamStarted("q1", 0, home, 1.0)])
+    return router, home, "b" if home == "a" else "a"
+
+
 NAMES = [f"r{k}" for k in range(12)]
 
 
@@ -120,11 +129,7 @@
 
 
 def test_a_busy_home_is_left_for_an_idle_replica() -> None:
-    router = Router(make_settings(zones=1), 1)
-    router.handle(0.0, [serving("a", "b")])
-    home = sends(ask(router, 1.0, "q1", session=5))[0].replica
-    other = "b" if home == "a" else "a"
-    router.handle(2.0, [StreamStarted("q1", 0, home, 1.0)])
+    router, home, other = homed()
     router.handle(
         3.0,
         [
@@ -137,11 +142,7 @@
 
 def test_a_home_that_leaves_its_probe_unanswered_is_left_for_one_that_answered() -> None:
     """Probes wait like prompts: what is not answered within the hold stands behind much to read."""
-    router = Router(make_settings(zones=1), 1)
-    router.handle(0.0, [serving("a", "b")])
-    home = sends(ask(router, 1.0, "q1", session=5))[0].replica
-    other = "b" if home == "a" else "a"
-    router.handle(2.0, [StreamStarted("q1", 0, home, 1.0)])
+    router, home, other = homed()
     router.handle(3000.0, [ProbeAnswered(other, Outcome.SERVED, 1.0, Report(0.2, 2000.0))])
     request = RequestArrived("q2", cls=0, budget_ms=4000.0, prompt_tokens=2000, session=5)
     asked = router.handle(3001.0, [request])
@@ -153,11 +154,7 @@
 
 def test_a_home_that_keeps_prompts_waiting_is_no_reason_to_refuse() -> None:
     """Guards against judging the fleet by one busy home: requests were refused while others had room."""
-    router = Router(make_settings(zones=1), 1)
-    router.handle(0.0, [serving("a", "b")])
-    home = sends(ask(router, 1.0, "q1", session=5, cls=0, prompt_tokens=6000))[0].replica
-    other = "b" if home == "a" else "a"
-    router.handle(2.0, [StreamStarted("q1", 0, home, 1.0)])
+    router, home, other = homed(prompt_tokens=6000)
     router.pool.home_read = [60.0, 60.0]
     router.handle(
         3.0,
@@ -181,11 +178,7 @@
     at_home: float, elsewhere: float, goes_home: bool
 ) -> None:
     """Guards against reading a beginning anew all over a busy fleet: that is what made it full."""
-    router = Router(make_settings(zones=1), 1)
-    router.handle(0.0, [serving("a", "b")])
-    home = sends(ask(router, 1.0, "q1", session=5, cls=0, prompt_tokens=6000))[0].replica
-    other = "b" if home == "a" else "a"
-    router.handle(2.0, [StreamStarted("q1", 0, home, 1.0)])
+    router, home, other = homed(prompt_tokens=6000)
     router.pool.home_read = [60.0, 60.0]
     tokens = 12.0 * router.full_ms / 0.6  # a report is believed to 0.6
     reports = ((home, at_home), (other, elsewhere))
