Answer operators' calls: figures, suspended engines, a drain by hand

Change: spoolbarrow/admin/ (listener at control or NODE_CONTROL), figures counted through two new taps, suspension as a mask in the destination set, Inbound.send_away and take_back. Seen on the way: a connection whose client was told to go and neither went nor spoke was kept for ever (Client.run waits in recv; _close_overdue left out those that end): it is now closed after linger_ms, with the test of the drain.

--- /dev/null
+++ b/spoolbarrow/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' listener: calls and figures, which are pure, and the sockets they come by."""
--- /dev/null
+++ b/spoolbarrow/admin/control.py
@@ -0,0 +1,187 @@
+"""The operators' listener: one call to a connection, each answered at once; nothing here waits for serving.
+
+Owns the listener and the callers' connections. What a call means is `calls`' business, what the figures are
+`figures`'. Callers that say nothing hold up nobody: their connections are few, bounded in time, and the
+oldest silent one gives way to a new one. A fault here is logged, answered 500, and reaches nothing else.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+import orjson
+from gevent import socket
+
+from spoolbarrow.admin import calls
+from spoolbarrow.admin.calls import Call, Verb
+from spoolbarrow.admin.figures import Figures
+from spoolbarrow.config import Address
+from spoolbarrow.net import http1
+from spoolbarrow.net.destinations import NoRoom
+from spoolbarrow.net.host import Host
+from spoolbarrow.net.http1 import Fault
+from spoolbarrow.net.inbound import Inbound
+from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.request import Request
+from spoolbarrow.net.taps import Observer
+
+CALLERS = 16  # connections at once: their descriptors are set aside from the clients'
+CALL_S = 3.0  # a caller that has not said what it wants by then is told so
+LINGER_S = 0.5  # what it still sends after its answer is taken in so long
+MAX_HEAD, MAX_BODY = 8192, 4096  # bytes
+RECV = 4096
+BACKLOG = 64
+TEXT = b"Content-Type: text/plain; charset=utf-8\r\n"
+
+
+class Counting(Observer):
+    """Counts what the taps tell."""
+
+    def __init__(self, figures: Figures, name: Callable[[int], str]) -> None:
+        self._figures, self._name = figures, name
+
+    def attempt_sent(self, attempt: object) -> None:
+        """An attempt's last byte is written."""
+        self._figures.tried()
+
+    def request_answered(self, request: Request) -> None:
+        """A request has its answer."""
+        self._figures.answered(self._name(request.cls), request.answered)
+
+    def turned_away(self, cls: int, how: str) -> None:
+        """A request was answered without being taken."""
+        self._figures.answered(self._name(cls), how)
+
+
+class Control:
+    """The listener and what its callers may do."""
+
+    def __init__(self, address: Address, host: Host, inbound: Inbound) -> None:
+        self._address, self._host, self._inbound = address, host, inbound
+        self.figures = Figures(host.config.classes)
+        self._counting = Counting(self.figures, self._class)
+        host.taps.add(self._counting)
+        self._silent: dict[socket.socket, gevent.Greenlet[..., None]] = {}  # oldest first
+        self._listener: socket.socket | None = None
+        self._accepting: gevent.Greenlet[..., None] | None = None
+
+    def start(self) -> None:
+        """Listen; OSError where the address can't be had."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(self._address)
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self._listener = listener
+        self._accepting = gevent.spawn(self._accept, listener)
+
+    def close(self) -> None:
+        """Stop listening; callers under way are cut off."""
+        self._host.taps.remove(self._counting)
+        if self._accepting is not None:
+            self._accepting.kill()
+        if self._listener is not None:
+            self._listener.close()
+        gevent.killall(list(self._silent.values()))
+
+    def _class(self, number: int) -> str:
+        names = list(self._host.config.classes)
+        return names[number] if 0 <= number < len(names) else ""
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError as error:
+                log("control_paused", why=str(error))
+                gevent.sleep(0.1)
+                continue
+            if len(self._silent) >= CALLERS:
+                # The one that has had most time to speak gives way.
+                oldest = next(iter(self._silent))
+                self._silent.pop(oldest).kill(block=False)
+            self._silent[sock] = gevent.spawn(self._converse, sock)
+
+    def _converse(self, sock: socket.socket) -> None:
+        parser = http1.RequestParser(MAX_HEAD, MAX_BODY)
+        try:
+            with sock:
+                try:
+                    with gevent.Timeout(CALL_S):
+                        while not parser.whole and parser.fault is None:
+                            data = sock.recv(RECV)
+                            if not data:
+                                return
+                            parser.feed(memoryview(data))
+                    pieces = self._answer(parser)
+                except gevent.Timeout:
+                    pieces = http1.answer_pieces(408, _told("no whole call in time"), True)
+                sock.settimeout(LINGER_S)
+                http1.send_pieces(sock, pieces)
+                sock.shutdown(socket.SHUT_WR)
+                with gevent.Timeout(LINGER_S, False):  # type: ignore[arg-type]
+                    while sock.recv(RECV):  # else what is unread would reset the connection under the answer
+                        pass
+        except OSError:
+            pass  # the caller has gone
+        except Exception as error:
+            unexpected("control", error)
+        finally:
+            self._silent.pop(sock, None)
+
+    def _answer(self, parser: http1.RequestParser) -> list[bytes]:
+        try:
+            if parser.fault is not None and not parser.whole:
+                raise parser.fault
+            call = calls.read(parser.whole.popleft())
+            status, text = self._carry_out(call)
+            if call.verb is Verb.METRICS:
+                return _text_pieces(text)
+            return http1.answer_pieces(status, _told(text, status), True)
+        except Fault as error:
+            return http1.answer_pieces(error.status, _told(str(error), error.status), True, *error.headers)
+        except Exception as error:
+            unexpected("call", error)
+            return http1.answer_pieces(500, _told("internal error", 500), True)
+
+    def _carry_out(self, call: Call) -> tuple[int, str]:
+        """Status and text of the answer; Fault where it is no."""
+        verb = call.verb
+        if verb is Verb.READY:
+            return (200, "ready") if self._inbound.able() else (503, "not ready")
+        if verb is Verb.METRICS:
+            known, skipped = self._host.engines()
+            return 200, self.figures.write(self._host.in_progress(), known, skipped)
+        log("call", verb=verb.value, engine=call.engine)
+        if verb is Verb.DRAIN:
+            self._inbound.send_away()
+        elif verb is Verb.ACTIVATE:
+            self._inbound.take_back()
+        else:
+            self._engine(call)
+        return 200, verb.value
+
+    def _engine(self, call: Call) -> None:
+        destinations = self._host.destinations
+        if not destinations.has(call.engine):
+            raise Fault(404, "no such engine")
+        if call.verb is Verb.RESUME:
+            return destinations.resume(call.engine)
+        try:
+            destinations.suspend(call.engine)
+        except NoRoom as error:
+            raise Fault(503, str(error)) from None
+
+
+def _told(text: str, status: int = 200) -> bytes:
+    return orjson.dumps({"status": text} if status == 200 else {"error": {"message": text, "code": status}})
+
+
+def _text_pieces(text: str) -> list[bytes]:
+    body = text.encode()
+    head = b"HTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n" % (TEXT, len(body))
+    return [head, body]
--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -14,12 +14,14 @@
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import replace
 
 from spoolbarrow import interface as i
 from spoolbarrow import wire
 
 Address = tuple[str, int]
 MISSING = "Object missing required field "  # msgspec's words
+CONTROL = "NODE_CONTROL"  # the same as the key `control`, which goes before it
 MIN_SOCKETS = 64  # below this the fixed needs leave nothing for clients
 
 
@@ -117,6 +119,7 @@
     discovery: str
     seed: str
     settings: dict[str, Any]
+    control: str = ""
     limits: MachineLimits = msgspec.field(default_factory=MachineLimits)
     known: HostList = msgspec.field(default_factory=HostList)
     options: Options = msgspec.field(default_factory=Options)
@@ -144,6 +147,7 @@
     max_inbound: int  # clients' connections
     max_outbound: int  # connections to endpoints
     max_held: int  # bytes of request bodies held at once
+    control: Address | None = None  # where operators call; None: nowhere
 
 
 def address(key: str, text: str) -> Address:
@@ -204,6 +208,7 @@
         max_inbound=spare // 2,
         max_outbound=spare - spare // 2,
         max_held=int(file.limits.memory_mb * 1024 * 1024 / 4),
+        control=address("control", file.control) if file.control else None,
     )
 
 
@@ -234,7 +239,10 @@
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
     """The configuration that the environment names."""
-    return parse(read(environment))
+    config = parse(read(environment))
+    if config.control is None and environment.get(CONTROL):
+        return replace(config, control=address(CONTROL, environment[CONTROL]))
+    return config
 
 
 def find_faults(raw: Any, wanted: Any, place: str = "") -> list[str]:
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -1,4 +1,8 @@
-"""The destination set: discovery's list, the watch on it, and what has been withdrawn since when."""
+"""The destination set: discovery's list, the watch on it, and what has been withdrawn since when.
+
+Owns who is in service: what discovery says, masked by what operators suspended. A suspension is their fact,
+not a decision: the decisions hear of such an endpoint as one that drains, and of its return as a start.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,7 @@
 
 import gevent
 import msgspec
+from msgspec.structs import replace
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
@@ -15,16 +20,26 @@
 
 RECV = 65536
 MAX_LINE = 1 << 22  # a longer line is no list
+MOST_SUSPENDED = 4096  # names; they stay while their endpoints are gone, so only operators take them out
 _decoder = msgspec.json.Decoder(HostList)
 
 
+class NoRoom(Exception):
+    """As many endpoints are suspended as can be."""
+
+
 class DestinationSet:
     """Addresses and states by name; `tell` hears each piece of news as the decisions' event."""
 
     def __init__(
-        self, config: Config, tell: Callable[[i.ReplicaList], None], left: Callable[[str], None]
+        self, config: Config, tell: Callable[[i.ReplicaList], None], left: Callable[[str], None],
+        now: Callable[[], float],
     ) -> None:
         self._config, self._tell, self._left = config, tell, left
+        self._now = now
+        self._said: dict[str, i.ReplicaEntry] = {}  # what discovery said last of each that is listed
+        self._suspended: set[str] = set()
+        self._resumed: dict[str, float] = {}  # when, of those listed: they may have been restarted meanwhile
         self._index: int | None = config.known.index  # None: the whole list must be asked for
         self._watch: gevent.Greenlet[[], None] | None = None
         self._addresses: dict[str, Address] = {}
@@ -102,6 +117,51 @@
         """Whether the endpoint takes new work, as far as this router was told."""
         return name in self._serving
 
+    def names(self) -> list[str]:
+        """The endpoints that are listed, those that drain too."""
+        return list(self._addresses)
+
+    def suspended(self, name: str) -> bool:
+        """Whether operators want nothing more sent to it."""
+        return name in self._suspended
+
+    def has(self, name: str) -> bool:
+        """Whether an operator can mean this endpoint: it is listed, or was when it was suspended."""
+        return name in self._addresses or name in self._suspended
+
+    def suspend(self, name: str) -> None:
+        """Send nothing more to an endpoint, whatever discovery says, until it is resumed; NoRoom."""
+        if name in self._suspended:
+            return
+        if len(self._suspended) >= MOST_SUSPENDED:
+            raise NoRoom(f"{MOST_SUSPENDED} endpoints are suspended: resume one that is gone")
+        self._suspended.add(name)
+        self._serving.discard(name)
+        self._left(name)
+        self._say_again(name)
+
+    def resume(self, name: str) -> None:
+        """Take an endpoint into service again, as far as discovery does; it counts as started now."""
+        if name not in self._suspended:
+            return
+        self._suspended.discard(name)
+        if name in self._said:
+            self._resumed[name] = self._now()
+            if self._said[name].state is i.ReplicaState.SERVING:
+                self._serving.add(name)
+        self._say_again(name)
+
+    def _say_again(self, name: str) -> None:
+        if name in self._said:
+            self._tell(i.ReplicaList(i.ListKind.CHANGES, (self._masked(self._said[name]),)))
+
+    def _masked(self, entry: i.ReplicaEntry) -> i.ReplicaEntry:
+        """What the decisions hear of a line: operators' word goes before discovery's."""
+        if entry.replica in self._suspended and entry.state is i.ReplicaState.SERVING:
+            return replace(entry, state=i.ReplicaState.DRAINING)
+        resumed = self._resumed.get(entry.replica, 0.0)
+        return replace(entry, started_at_ms=resumed) if resumed > entry.started_at_ms else entry
+
     def watch(self) -> None:
         """Ask for changes from now on; ends in exactly one FAILED, unless another watch takes its place."""
         if self._watch is not None:
@@ -192,6 +252,8 @@
             made = self._entry(entry)
             if made is None:
                 continue
+            self._said[entry.name] = made
+            made = self._masked(made)
             entries.append(made)
             if made.state is i.ReplicaState.SERVING:
                 self._serving.add(entry.name)
@@ -212,6 +274,8 @@
         self._addresses.pop(name, None)
         self._started.pop(name, None)
         self._types.pop(name, None)
+        self._said.pop(name, None)
+        self._resumed.pop(name, None)
         self._left(name)
 
     def _entry(self, entry: ListEntry) -> i.ReplicaEntry | None:
--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -384,6 +384,8 @@
             raise NotSent(str(error)) from error
         whole = reusable = False
         try:
+            if self._destinations.suspended(endpoint):  # perhaps while the connection came up
+                return i.Outcome.MOOT, None
             path = b"/metrics/load" if self._config.load_probes else b"/alive"
             http1.send_pieces(connection.sock, http1.get_pieces(path, connection.address))
             parser, body = http1.ResponseParser(self._config.options.max_head), b""
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -60,7 +60,7 @@
         self.config = config
         self.now = Clock()
         self.taps = Taps()
-        self.destinations = DestinationSet(config, self._post, self._endpoint_left)
+        self.destinations = DestinationSet(config, self._post, self._endpoint_left, self.now)
         self._endpoints = Endpoints(config, self.destinations, self)
         self._router = Router(config.settings, config.seed)
         self._decider: Decider = self._router
@@ -102,6 +102,17 @@
         """Requests that are not answered yet, or whose attempts are still out."""
         return len(self._requests)
 
+    def in_progress(self) -> int:
+        """Requests that were taken and are not answered whole."""
+        return sum(not request.over for request in self._requests.values())
+
+    def engines(self) -> tuple[int, int]:
+        """How many endpoints are listed, and how many of them get nothing now, by hand or by choice."""
+        now, pool = self.now(), self._router.pool.replicas
+        listed = self.destinations.names()
+        chosen = {name for name, replica in pool.items() if now < replica.suspect_until}
+        return len(listed), sum(name in chosen or self.destinations.suspended(name) for name in listed)
+
     def decide_through(self, make: Callable[[Router], Decider] | None) -> None:
         """Put something before the decisions from the next batch on; None: nothing."""
         self._decider = self._router if make is None else make(self._router)
@@ -141,7 +152,7 @@
         """The client closed its connection before its answer was whole."""
         if request.over:
             return
-        request.end("left")
+        self._settle(request, "left")
         if request.stream is not None:
             self.ended(request.stream, i.Outcome.CANCELLED)
         self._post(i.RequestGone(request.key))
@@ -152,7 +163,7 @@
         for request in [r for r in self._requests.values() if r.stream is not None and not r.over]:
             stream = request.stream
             assert stream is not None
-            request.end("moved")
+            self._settle(request, "moved")
             request.answer.abort()
             self.ended(stream, i.Outcome.CANCELLED)
 
@@ -195,10 +206,10 @@
         request = attempt.request
         if request.stream is attempt and not request.over:
             if outcome is i.Outcome.SERVED:
-                request.end("served")
+                self._settle(request, "served")
                 request.answer.end()
             else:
-                request.end("broken")
+                self._settle(request, "broken")
                 request.answer.abort()
         lag = attempt.ended_at - attempt.sent_at
         self._post(
@@ -325,10 +336,16 @@
     def _answer(self, request: Request | None, how: str, give: Callable[[Answer], None]) -> None:
         if request is None or request.over or request.stream is not None:
             return  # over already: the client left, or a stream began in the same tick
-        request.end(how)
+        self._settle(request, how)
         give(request.answer)
         self._forget(request)
 
+    def _settle(self, request: Request, how: str) -> None:
+        """What it comes to stands; whoever watches hears so, once for each request."""
+        request.end(how)
+        if self.taps.active:
+            self.taps.request_answered(request)
+
     def _cancel(self, action: i.Cancel) -> None:
         request = self._requests.get(action.request)
         if request is not None and action.attempt < len(request.attempts):
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -28,6 +28,9 @@
 ACCEPT_AT_ONCE, ACCEPT_PAUSE_S = 8, 0.002  # a burst of connections leaves time for those that are served
 DISCARD_PAUSE_S = 0.001  # between reads of what a client still sends after its error
 SWEEP_S = 0.2
+FRONT_S = 0.4  # after a drain began, the front sends connections so long at most (0.1 s to ask, 0.2 s more)
+NEWCOMER_MS = 400.0  # then a connection that has said nothing yet still may, so long
+EMPTYING_S = 0.05  # between looks at which connections are idle while clients are sent away
 MAX_PATIENCE = 2.0  # of the class's deadline: nobody waits longer
 REPEATS_STREAM = b"again"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
@@ -169,7 +172,7 @@
         self.client.close()
 
     def _closing(self) -> bool:
-        return self._close or self.client.inbound.closing
+        return self._close or self.client.inbound.closing or self.client.inbound.sent_away
 
     def _write_whole(self, pieces: list[bytes], closing: bool) -> None:
         try:
@@ -335,9 +338,11 @@
             try:
                 self._serve(self.exchange, message, self._arrived.pop(0))
             except Fault as error:
+                self._turned_away(message, "failed")
                 self.exchange.refuse(error)
             except Exception as error:
                 unexpected("inbound", error)
+                self._turned_away(message, "failed")
                 self.exchange.whole(500, "internal error")
         elif parser.fault is not None:
             self.exchange = Exchange(self, Message(keep_alive=False))
@@ -361,12 +366,21 @@
         # Guards against running out of memory or over what the platform allows to be open at once.
         if inbound.held > inbound.config.max_held or inbound.host.open_requests() >= settings.max_open:
             log("no_room", held=inbound.held, open=inbound.host.open_requests())
+            self._turned_away(message, "fail_fast")
             return exchange.fail_fast(settings.max_retry_after_ms)
         deadline = arrived + budget - options.answer_margin_ms
         if deadline <= inbound.host.now():
+            self._turned_away(message, "failed")
             return exchange.fail(True)
         exchange.request = inbound.host.submit(name, message, exchange, deadline, facts, self.number)
 
+    def _turned_away(self, message: Message, how: str) -> None:
+        """Tell whoever watches, where the request names a class."""
+        taps, config = self.inbound.host.taps, self.inbound.config
+        name = message.fields.get(b"x-service-class", b"").decode("latin-1")
+        if taps.active and message.path() == CHAT and name in config.classes:
+            taps.turned_away(config.classes[name], how)
+
     def count(self) -> None:
         """Keep the account of the bodies that this connection holds in memory."""
         held = self._parser.held() + (len(self.exchange.message.body) if self.exchange else 0)
@@ -377,7 +391,7 @@
 
     def _finish(self) -> None:
         """Say that nothing more comes, then let the reader see the client's end."""
-        self.ending = True
+        self.ending, self.since = True, self.inbound.host.now()
         self._room.set()
         try:
             self.sock.shutdown(socket.SHUT_WR)
@@ -398,6 +412,8 @@
         self.config, self.host = config, host
         self.draining = False  # no new connections should come
         self.closing = False  # nor are those that came kept
+        self.sent_away = False  # an operator wants no clients here for now
+        self._emptying: gevent.Greenlet[[], None] | None = None
         self.held = 0  # bytes of bodies in memory
         self.buffer = bytearray(RECV)
         self._clients: set[Client] = set()
@@ -431,8 +447,38 @@
 
     def ready(self) -> bool:
         """Whether clients may be sent here."""
+        return self.able() and not self.sent_away
+
+    def able(self) -> bool:
+        """Whether this process can serve; also one that has no clients for now, by an operator's word."""
         return not self.draining and self.host.destinations.usable()
 
+    def send_away(self) -> None:
+        """Have no clients until `take_back`: the front is told so, answers end connections, idle ones close.
+
+        What was taken is answered, and long streams run on. It is not the end: that is `drain`.
+        """
+        if not self.sent_away:
+            self.sent_away = True
+            self._emptying = gevent.spawn(self._empty)
+
+    def take_back(self) -> None:
+        """Take clients again."""
+        self.sent_away = False
+        if self._emptying is not None:
+            self._emptying.kill(block=False)
+            self._emptying = None
+
+    def _empty(self) -> None:
+        # Not before the front has heard: closed sooner, clients would come back here.
+        gevent.sleep(FRONT_S)
+        while True:
+            before = self.host.now() - NEWCOMER_MS
+            for client in [c for c in self._clients if c.idle() and not c.ending and not c.unread()]:
+                if not client.fresh or client.since < before:
+                    client.close(Why.ENDED)
+            gevent.sleep(EMPTYING_S)
+
     def drain(self) -> None:
         """Answer what was taken and what still comes within the grace, then close what is idle.
 
@@ -520,6 +566,9 @@
         for client in [c for c in self._clients if 0 < c.writing_since < now - options.stall_ms]:
             log("client_stalled")
             client.close()
+        # One that was told to go and neither goes nor sends anything: its reader would wait for ever.
+        for client in [c for c in self._clients if c.ending and now - c.since > options.linger_ms]:
+            client.close()
         for client in [c for c in self._clients if c.exchange is None and not c.ending]:
             used = client.idle() and not client.fresh
             limit = options.keep_alive_ms if used else options.head_timeout_ms
--- a/spoolbarrow/net/taps.py
+++ b/spoolbarrow/net/taps.py
@@ -78,6 +78,12 @@
     def probe_answered(self, endpoint: str, report: i.Report) -> None:
         """An endpoint told its load."""
 
+    def request_answered(self, request: Request) -> None:
+        """What a request comes to is settled, in `answered`; attempts may still be out."""
+
+    def turned_away(self, cls: int, how: str) -> None:
+        """A request of a known class was answered without being taken; `how` as in `Request.answered`."""
+
     def request_over(self, request: Request, now: float) -> None:
         """A request is answered and its last attempt has ended; nothing more happens to it."""
 
@@ -186,6 +192,22 @@
             except Exception as error:
                 self._failed(observer, error)
 
+    def request_answered(self, request: Request) -> None:
+        """What a request comes to is settled."""
+        for observer in self._observers:
+            try:
+                observer.request_answered(request)
+            except Exception as error:
+                self._failed(observer, error)
+
+    def turned_away(self, cls: int, how: str) -> None:
+        """A request was answered without being taken."""
+        for observer in self._observers:
+            try:
+                observer.turned_away(cls, how)
+            except Exception as error:
+                self._failed(observer, error)
+
     def request_over(self, request: Request, now: float) -> None:
         """Nothing more happens to a request."""
         for observer in self._observers:
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -522,7 +522,7 @@
                 self.pool.answered(replica, event.report, event.lag_ms, self.now)
             if event.report is not None and 0.0 <= event.report.unread_tokens < IDLE_TOKENS:
                 self._swallowed(replica, self.now - REPORT_LAG_MS - event.lag_ms)
-        else:
+        elif event.outcome is not Outcome.MOOT:
             # A probe that is served like a request times out in overload: that is load, and must not
             # blind the node. Only where the zone's others answer is it taken for silence.
             usual = self.pool.zone_load[replica.zone]
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -176,6 +176,15 @@
         log("bad_config", error=f"listen: {error}")
         return 2
     host.start()
+    if settings.control is not None:
+        from spoolbarrow.admin.control import Control
+
+        control = Control(settings.control, host, inbound)
+        try:
+            control.start()
+        except OSError as error:
+            log("bad_config", error=f"control: {error}")
+            return 2
     standard.start()
     gc.freeze()  # what is loaded by now lives as long as the process
     log("started", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,288 @@
+"""The operators' listener: what each call is answered and does, and figures held against what peers saw."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from spoolbarrow import interface as i
+from spoolbarrow.admin import calls, control
+from spoolbarrow.admin.calls import Call, Verb
+from spoolbarrow.admin.control import Control
+from spoolbarrow.admin.figures import Figures
+from spoolbarrow.config import HostList
+from spoolbarrow.net import destinations, inbound
+from spoolbarrow.net.http1 import Fault, Message, ResponseParser
+from tests.stage import (
+    EVENTS,
+    HEAD,
+    LISTEN,
+    TURNED_AWAY,
+    Client,
+    Script,
+    ask,
+    chunk,
+    entry,
+    free_port,
+    serve_all,
+    stage,
+    until,
+)
+
+FATES = ("passed", "dropped", "bad_gateway")
+UP = b"GET /up HTTP/1.1\r\n\r\n"
+
+
+@contextmanager
+def operated(*scripts: Script, **changes: Any) -> Iterator[Any]:
+    """A router with an operators' listener: (stage, control, call, engines...)."""
+    with stage(*scripts, **changes) as (scene, *engines):
+        address = (LISTEN, free_port())
+        listener = Control(address, scene.host, scene.inbound)
+        listener.start()
+
+        def call(path: str, method: str = "POST") -> ResponseParser:
+            return Client(address[1]).send(f"{method} /v1/{path} HTTP/1.1\r\n\r\n".encode()).answer()
+
+        try:
+            yield scene, listener, call, *engines
+        finally:
+            listener.close()
+
+
+def figures(call: Any) -> dict[str, int]:
+    text = b"".join(call("metrics", "GET").take_body()).decode()
+    return {name: int(value) for name, _, value in (line.partition("=") for line in text.splitlines())}
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "told"),
+    [
+        (b"GET", b"/v1/readyz", Call(Verb.READY)),
+        (b"GET", b"/v1/metrics?x=1", Call(Verb.METRICS)),
+        (b"POST", b"/v1/engines/s-1%2F2/suspend", Call(Verb.SUSPEND, "s-1/2")),
+        (b"POST", b"/v1/engines/s/resume", Call(Verb.RESUME, "s")),
+        (b"POST", b"/v1/router/activate", Call(Verb.ACTIVATE)),
+        (b"GET", b"/v1/router/drain", 405),
+        (b"POST", b"/v1/metrics", 405),
+        (b"POST", b"/v1/engines//suspend", 404),
+        (b"POST", b"/v1/engines/a/b/suspend", 404),
+        (b"POST", b"/v1/engines/%ff/suspend", 404),
+        (b"GET", b"/", 404),
+    ],
+)
+def test_calls_are_read_by_path_and_method(method: bytes, target: bytes, told: Call | int) -> None:
+    message = Message(method=method, target=target)
+    if isinstance(told, Call):
+        assert calls.read(message) == told
+    else:
+        with pytest.raises(Fault) as raised:
+            calls.read(message)
+        assert raised.value.status == told
+
+
+@pytest.mark.parametrize(
+    ("said", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /v1/readyz HTTP/1.1\r\nX: " + b"x" * 9000 + b"\r\n\r\n", 431),
+        (b"GET /v1/readyz HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"GET /v1/readyz HTTP/1.1\r\nContent-Length: 999999\r\n\r\n", 413),
+        (b"POST /v1/engines/nobody/suspend HTTP/1.1\r\n\r\n", 404),
+        (b"POST /v1/engines/nobody/resume HTTP/1.1\r\n\r\n", 404),
+        (b"GET /v1/readyz HTTP/1.1\r\n\r\n", 200),
+    ],
+)
+def test_each_call_is_answered_and_ends_its_connection(said: bytes, status: int) -> None:
+    with operated(serve_all) as (_, listener, _call, _):
+        caller = Client(listener._address[1]).send(said)
+        assert caller.answer().status == status and caller.ended()
+
+
+def test_silent_callers_hold_nobody_up_and_the_oldest_gives_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    with operated(serve_all) as (_, listener, call, _):
+        silent = [Client(listener._address[1]).send(b"GET /v1/re"[:n]) for n in range(control.CALLERS)]
+        until(lambda: len(listener._silent) == control.CALLERS)
+        assert call("readyz", "GET").status == 200
+        assert silent[0].ended()
+        assert len(listener._silent) <= control.CALLERS
+    monkeypatch.setattr(control, "CALL_S", 0.05)
+    with operated(serve_all) as (_, listener, call, _):
+        assert Client(listener._address[1]).send(b"GET").answer().status == 408
+
+
+def test_a_fault_behind_a_call_is_told_and_reaches_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
+    with operated(serve_all) as (scene, _, call, _):
+        with monkeypatch.context() as broken:
+            broken.setattr(scene.host, "engines", lambda: 1 / 0)
+            assert call("metrics", "GET").status == 500
+        assert call("metrics", "GET").status == 200 and scene.client().send(ask()).answer().status == 200
+
+
+def test_every_class_is_told_from_the_start_and_words_unknown_count_nowhere() -> None:
+    made = Figures(["chat", "deep"])
+    made.answered("deep", "left")
+    made.answered("nobody", "served")
+    assert made.write(1, 2, 3).splitlines() == [
+        *(f"router.handled.{c}.{f}=0" for c in ("chat", "deep") for f in FATES),
+        *("router.upstream_tries=0", "router.in_progress=1"),
+        *("router.known_engines=2", "router.skipped_engines=3"),
+    ]
+
+
+def test_figures_are_what_the_peers_saw() -> None:
+    """Served, turned away, failed, broken, malformed, left, cut off before they were whole: each once."""
+    seen: list[str] = []
+
+    def by_word(sock: socket.socket, message: Message) -> bool | None:
+        seen.append(word := message.body.decode())
+        if word == "full":
+            sock.sendall(TURNED_AWAY)
+        elif word == "break":
+            sock.sendall(HEAD + chunk(EVENTS[0]))
+        elif word == "serve":
+            serve_all(sock, message)
+        return word == "break" or None
+
+    with operated(by_word) as (scene, _, call, engine):
+        start = figures(call)
+        assert start["router.handled.chat.passed"] == 0 and start["router.known_engines"] == 1
+        asked = {"serve": 200, "full": 503, "wait": 504}
+        for word, status in asked.items():
+            left = 200 if word == "wait" else 5000
+            asking = scene.client().send(ask(word.encode(), left, X_Correlation_Id=word))
+            assert asking.answer().status == status
+        with pytest.raises(ConnectionResetError):
+            scene.client().send(ask(b"break", X_Correlation_Id="b")).answer()
+        assert scene.client().send(ask(X_Facts="odd")).answer().status == 400
+        leaving = scene.client().send(ask(b"leave", X_Correlation_Id="l"))
+        until(lambda: "leave" in seen)
+        assert figures(call)["router.in_progress"] == 1
+        leaving.sock.close()
+        until(lambda: scene.host.open_requests() == 0)
+        told = figures(call)
+        assert told["router.handled.chat.passed"] == 1 and told["router.handled.chat.dropped"] == 1
+        assert told["router.handled.chat.bad_gateway"] == 3  # at its deadline, broken, malformed
+        assert told["router.upstream_tries"] == len(engine.requests) and told["router.in_progress"] == 0
+        engine.listener.close()  # nothing is written whole to one that refuses connections
+        engine.close()
+        scene.client().send(ask(X_Correlation_Id="c")).answer()
+        assert figures(call)["router.upstream_tries"] == told["router.upstream_tries"]
+
+
+def test_engines_avoided_by_hand_and_by_choice_are_told_once_each() -> None:
+    with operated(serve_all, serve_all, serve_all) as (scene, _, call, *_):
+        until(lambda: len(scene.host._router.pool.replicas) == 3)
+        scene.host._router.pool.replicas["e0"].suspect_until = scene.host.now() + 60_000
+        call("engines/e0/suspend")
+        call("engines/e1/suspend")
+        told = figures(call)
+        assert (told["router.known_engines"], told["router.skipped_engines"]) == (3, 2)
+
+
+# Suspended engines
+
+
+def news(scene: Any, *entries: dict[str, Any], whole: bool = False) -> None:
+    raw = {"index": 9, "snapshot": whole, "endpoints": list(entries)}
+    scene.host.destinations._news(msgspec.convert(raw, HostList))
+
+
+def test_nothing_goes_to_a_suspended_engine_whatever_discovery_says() -> None:
+    with operated(serve_all, serve_all) as (scene, _, call, first, second):
+        assert [call("engines/e0/suspend").status for _ in range(2)] == [200, 200]
+        listed = entry("e0", first.port, since_ms=5.0)
+        for number, said in enumerate(([listed], [entry("e0", 0, status="terminated")], [listed])):
+            news(scene, *said)
+            for again in range(4):
+                scene.client().send(ask(X_Correlation_Id=f"{number}-{again}")).answer()
+        news(scene, listed, entry("e1", second.port), whole=True)
+        scene.client().send(ask(X_Correlation_Id="whole")).answer()
+        assert not first.requests and len(second.requests) == 13
+        assert call("engines/e0/resume").status == 200  # once for both
+        until(lambda: scene.host._router.pool.replicas["e0"].serving)
+        assert scene.host._router.pool.replicas["e0"].started_at > 5.0  # it may have been restarted: cold
+        call("engines/e1/suspend")
+        until(lambda: not scene.host._router.pool.replicas["e1"].serving)
+        scene.host._router.pool.replicas["e0"].cold_level = 0.0
+        assert scene.client().send(ask(X_Correlation_Id="back")).answer().status == 200 and first.requests
+
+
+def test_an_engine_suspended_while_a_connection_came_up_gets_neither_prompt_nor_probe() -> None:
+    with operated(serve_all) as (scene, _, call, engine):
+        take = scene.host._endpoints._pool.take
+
+        def slow_take(endpoint: str) -> Any:
+            connection = take(endpoint)
+            scene.host.destinations.suspend(endpoint)
+            return connection
+
+        scene.host._endpoints._pool.take = slow_take
+        scene.host._endpoints.probe("e0")
+        until(lambda: scene.heard(i.ProbeAnswered))
+        assert scene.heard(i.ProbeAnswered)[0].outcome is i.Outcome.MOOT
+        call("engines/e0/resume")
+        until(lambda: scene.host._router.pool.replicas["e0"].serving)
+        scene.host._router.pool.replicas["e0"].cold_level = 0.0
+        assert scene.client().send(ask()).answer().status == 503
+        assert scene.heard(i.AttemptEnded)[0].outcome is i.Outcome.UNREACHABLE and not engine.requests
+
+
+def test_the_table_of_suspensions_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(destinations, "MOST_SUSPENDED", 1)
+    with operated(serve_all, serve_all) as (_, _, call, *_):
+        assert [call(f"engines/e{n}/suspend").status for n in (0, 0, 1)] == [200, 200, 503]
+        assert call("engines/e0/resume").status == 200 and call("engines/e1/suspend").status == 200
+
+
+# A router that is drained by hand
+
+
+def test_a_drained_router_sends_clients_away_and_takes_them_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    go_on = Event()
+
+    def long(sock: socket.socket, message: Message) -> None:
+        if message.body != b"long":
+            return serve_all(sock, message)
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        go_on.wait()
+        sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
+
+    monkeypatch.setattr(inbound, "FRONT_S", 0.1)
+    monkeypatch.setattr(inbound, "NEWCOMER_MS", 100.0)
+    with operated(long) as (scene, _, call, _):
+        idle, silent, streaming = scene.client(), scene.client(), scene.client()
+        assert idle.send(ask()).answer().status == 200
+        streaming.send(ask(b"long", X_Correlation_Id="long"))
+        until(lambda: scene.heard(i.StreamStarted))
+        assert [call("router/drain").status for _ in range(2)] == [200, 200]
+        late = scene.client().send(UP).answer()
+        assert late.status == 503 and late.fields[b"connection"] == b"close"
+        assert scene.client().send(ask(X_Correlation_Id="late")).answer().fields[b"connection"] == b"close"
+        assert idle.ended() and silent.ended()
+        assert call("readyz", "GET").status == 200  # it can serve: only clients are sent away
+        go_on.set()
+        assert streaming.answer().take_body() and streaming.ended()
+        until(lambda: not scene.inbound._clients)
+        assert [call("router/activate").status for _ in range(2)] == [200, 200]
+        back = scene.client()
+        assert back.send(UP).answer().status == 200
+        gevent.sleep(0.3)
+        assert back.send(ask(X_Correlation_Id="back")).answer().status == 200
+
+
+def test_the_last_drain_goes_on_beside_one_by_hand() -> None:
+    with operated(serve_all, options={"drain_accept_ms": 10.0, "drain_keep_ms": 10.0}) as (scene, _, call, _):
+        scene.client().send(ask()).answer()
+        call("router/drain")
+        scene.inbound.drain()
+        assert not scene.inbound._clients
+        assert call("router/activate").status == 200 and not scene.inbound.ready()
+        assert call("readyz", "GET").status == 503
--- a/tests/test_taps.py
+++ b/tests/test_taps.py
@@ -103,6 +103,7 @@
         client = scene.client().send(ask())
         assert client.answer().status == 200
         client.sock.close()
+        assert scene.client().send(ask(X_Facts="odd")).answer().status == 400  # turned away, not taken
         until(lambda: any(told[0] == "closing" for told in sound.heard))
         assert scene.host.taps._observers == (sound,)
         assert scene.client().send(ask()).answer().status == 200
