Upgrade on the inherited socket: words and state pass to the next process, nothing is lost

Seen in the tests: with all engines suspended no successor ever became ready, since readyz asked for an endpoint in service; it now asks what discovery says, and /up what is left of that.

--- a/spoolbarrow/admin/control.py
+++ b/spoolbarrow/admin/control.py
@@ -16,6 +16,7 @@
 from spoolbarrow.admin import calls
 from spoolbarrow.admin.calls import Call, Verb
 from spoolbarrow.admin.figures import Figures
+from spoolbarrow.admin.orders import Orders
 from spoolbarrow.config import Address
 from spoolbarrow.net import http1
 from spoolbarrow.net.destinations import NoRoom
@@ -54,11 +55,24 @@
         self._figures.answered(self._name(cls), how)
 
 
+def listen(address: Address) -> socket.socket:
+    """A listener; OSError, naming the key, where the address can't be had."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise OSError(f"control: {error}") from error
+    return listener
+
+
 class Control:
     """The listener and what its callers may do."""
 
-    def __init__(self, address: Address, host: Host, inbound: Inbound) -> None:
-        self._address, self._host, self._inbound = address, host, inbound
+    def __init__(self, host: Host, inbound: Inbound, orders: Orders) -> None:
+        self._host, self._inbound, self._orders = host, inbound, orders
         self.figures = Figures(host.config.classes)
         self._counting = Counting(self.figures, self._class)
         host.taps.add(self._counting)
@@ -66,26 +80,22 @@
         self._listener: socket.socket | None = None
         self._accepting: gevent.Greenlet[..., None] | None = None
 
-    def start(self) -> None:
-        """Listen; OSError where the address can't be had."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(self._address)
-            listener.listen(BACKLOG)
-        except OSError:
-            listener.close()
-            raise
+    def move(self, listener: socket.socket) -> None:
+        """Answer calls that come by this listener, and by no other."""
+        self._stop_listening()
         self._listener = listener
         self._accepting = gevent.spawn(self._accept, listener)
 
-    def close(self) -> None:
-        """Stop listening; callers under way are cut off."""
-        self._host.taps.remove(self._counting)
+    def _stop_listening(self) -> None:
         if self._accepting is not None:
             self._accepting.kill()
         if self._listener is not None:
             self._listener.close()
+
+    def close(self) -> None:
+        """Stop listening; callers under way are cut off."""
+        self._host.taps.remove(self._counting)
+        self._stop_listening()
         gevent.killall(list(self._silent.values()))
 
     def _class(self, number: int) -> str:
@@ -158,21 +168,20 @@
             return 200, self.figures.write(self._host.in_progress(), known, skipped)
         log("call", verb=verb.value, engine=call.engine)
         if verb is Verb.DRAIN:
-            self._inbound.send_away()
+            self._orders.drain()
         elif verb is Verb.ACTIVATE:
-            self._inbound.take_back()
+            self._orders.activate()
         else:
             self._engine(call)
         return 200, verb.value
 
     def _engine(self, call: Call) -> None:
-        destinations = self._host.destinations
-        if not destinations.has(call.engine):
+        if not self._host.destinations.has(call.engine):
             raise Fault(404, "no such engine")
         if call.verb is Verb.RESUME:
-            return destinations.resume(call.engine)
+            return self._orders.resume(call.engine)
         try:
-            destinations.suspend(call.engine)
+            self._orders.suspend(call.engine)
         except NoRoom as error:
             raise Fault(503, str(error)) from None
 
--- /dev/null
+++ b/spoolbarrow/admin/operations.py
@@ -0,0 +1,138 @@
+"""The operators' side of one process: its listener, the orders that hold, the router's other processes.
+
+Joins what `control`, `orders`, `state` and `handover` own; `serve` starts it where operators call or a
+listening socket is inherited. It keeps the configuration as it was read: while another process of the router
+lives, only a part of the room is this one's.
+"""
+
+from __future__ import annotations
+
+import os
+
+from gevent import socket
+
+from spoolbarrow import handover
+from spoolbarrow.admin import state, words
+from spoolbarrow.admin.control import Control, listen
+from spoolbarrow.admin.orders import Orders
+from spoolbarrow.config import Config
+from spoolbarrow.handover import Handover
+from spoolbarrow.net.host import Host
+from spoolbarrow.net.inbound import Inbound
+from spoolbarrow.net.log import log
+
+
+class Operations:
+    """From the start of a process to its end."""
+
+    def __init__(self, config: Config) -> None:
+        """ConfigError where what is inherited can't be used."""
+        self._config = config
+        self.inherited = handover.inherited()
+        self._handover: Handover | None = None
+        self._control: Control | None = None
+        self._shared = False  # another process lives
+        directory = os.environ.get("TMPDIR")
+        if directory:
+            try:
+                self._handover = Handover(directory, config.name)
+            except OSError as error:
+                log("handover_failed", what="folder", why=str(error))
+
+    def fit(self, config: Config) -> Config:
+        """A configuration with this process's part of the room."""
+        return config if self._handover is None else self._handover.fit(config)
+
+    def alone(self) -> bool:
+        """Whether no older process of this router lives."""
+        return self._handover is None or not self._handover.older
+
+    def succeeded(self) -> bool:
+        """Whether a newer process takes clients from the same socket."""
+        return self.inherited is not None and self._handover is not None and bool(self._handover.newer)
+
+    def start(self, host: Host, inbound: Inbound) -> None:
+        """Take over what an older process passes on, and begin to decide; OSError where calls can't come."""
+        self._host, self._inbound = host, inbound
+        self._orders = orders = Orders(host, inbound)
+        passed = None
+        if self._handover is not None:
+            dead = self._handover.look()
+            self._adopt(self._handover.others_words(dead))
+            self._handover.forget(dead)
+            orders.tell = self._tell
+            self._tell()  # what the dead were told is this process's to pass on from here
+            passed = self._read_state(self._handover.await_state())
+        if passed is None:
+            host.start()
+        else:
+            given = passed
+            host.start(passed.known, passed.resumed, lambda router: state.install(given, router))
+        if self._config.control is not None:
+            self._control = Control(host, inbound, orders)
+            self._control.move(listen(self._config.control))
+        if self._handover is not None and self.inherited is not None:
+            self._handover.start(self._looked, self._adopt, self._write_state)
+
+    def prepare(self, config: Config) -> socket.socket | None:
+        """What a new configuration needs that can fail: OSError, and nothing is changed."""
+        moved = config.control != self._config.control
+        return listen(config.control) if moved and config.control is not None else None
+
+    def apply(self, config: Config, listener: socket.socket | None) -> None:
+        """Go by a new configuration, with what was prepared for it."""
+        moved, self._config = config.control != self._config.control, config
+        if listener is not None:
+            if self._control is None:
+                self._control = Control(self._host, self._inbound, self._orders)
+            self._control.move(listener)
+        elif moved and self._control is not None:
+            self._control.close()
+            self._control = None
+        if self._control is not None:
+            self._control.figures.name(config.classes)
+
+    def close(self) -> None:
+        """End."""
+        if self._control is not None:
+            self._control.close()
+        if self._handover is not None:
+            self._handover.close()
+
+    def _looked(self) -> None:
+        """Guards the limits of the router: two processes have them together."""
+        shared = bool(self._handover and (self._handover.older or self._handover.newer))
+        if shared is not self._shared:
+            self._shared = shared
+            fitting = self.fit(self._config)
+            self._inbound.config = fitting
+            self._host.apply(fitting)
+
+    def _tell(self) -> None:
+        assert self._handover is not None
+        self._handover.write_words(self._orders.words.write(self._config.name))
+
+    def _adopt(self, texts: list[bytes]) -> None:
+        changed = False
+        for text in texts:
+            try:
+                changed |= self._orders.adopt(words.read(text, self._config.name))
+            except ValueError as error:
+                log("handover_failed", what="words", why=str(error))
+        if changed:
+            self._tell()
+
+    def _write_state(self) -> bytes:
+        known, resumed = self._host.destinations.export()
+        return state.write(self._config.name, known, resumed, self._host.router())
+
+    def _read_state(self, text: bytes | None) -> state.State | None:
+        if text is None:
+            if not self.alone():
+                log("handover_failed", what="state", why="none came")
+            return None
+        try:
+            return state.read(text, self._config.name)
+        except ValueError as error:
+            log("handover_failed", what="state", why=str(error))
+            return None
--- /dev/null
+++ b/spoolbarrow/admin/orders.py
@@ -0,0 +1,61 @@
+"""Operators' orders carried out: on this process and, by way of `tell`, on the router's others."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from spoolbarrow.admin.words import AWAY, Words
+from spoolbarrow.net.destinations import NoRoom
+from spoolbarrow.net.host import Host
+from spoolbarrow.net.inbound import Inbound
+from spoolbarrow.net.log import log
+
+
+class Orders:
+    """The words that hold, and what they do here."""
+
+    def __init__(self, host: Host, inbound: Inbound) -> None:
+        self._host, self._inbound = host, inbound
+        self.words = Words()
+        self.tell: Callable[[], None] | None = None  # has the other processes know, before a yes
+
+    def suspend(self, engine: str) -> None:
+        """Nothing more to an engine; NoRoom where too many are suspended."""
+        self._host.destinations.suspend(engine)
+        self._say(engine, True)
+
+    def resume(self, engine: str) -> None:
+        """An engine is used again."""
+        self._host.destinations.resume(engine)
+        self._say(engine, False)
+
+    def drain(self) -> None:
+        """Clients are sent away."""
+        self._inbound.send_away()
+        self._say(AWAY, True)
+
+    def activate(self) -> None:
+        """Clients are taken again."""
+        self._inbound.take_back()
+        self._say(AWAY, False)
+
+    def _say(self, matter: str, on: bool) -> None:
+        now = self._host.now()
+        self.words.tidy(now)
+        if self.words.say(matter, on, now) and self.tell is not None:
+            self.tell()
+
+    def adopt(self, other: Words) -> bool:
+        """Carry out what another process was told later than this one; whether that was anything."""
+        changed = self.words.merge(other)
+        for matter, word in changed.items():
+            log("word", engine=matter, on=word.on)
+            try:
+                if matter == AWAY:
+                    (self._inbound.send_away if word.on else self._inbound.take_back)()
+                else:
+                    destinations = self._host.destinations
+                    (destinations.suspend if word.on else destinations.resume)(matter)
+            except NoRoom as error:
+                log("word_lost", engine=matter, why=str(error))
+        return bool(changed)
--- /dev/null
+++ b/spoolbarrow/admin/state.py
@@ -0,0 +1,93 @@
+"""What the next process of this router should know: the list, and what the decisions have learnt.
+
+Owns the form, and which attributes of the decisions are learnt and worth passing on; times in it are Unix ms,
+as the host's clock is on one machine. What is missing or does not fit is left as at a start. Free of I/O.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from spoolbarrow.config import HostList
+from spoolbarrow.router import Entitlement, Router
+
+VERSION = 1
+MOST_HEAT = 2000  # prefixes whose counts are passed on, the most used ones
+OF_ROUTER = ("answer_ms", "request_tokens", "hedges", "probe_lag")
+OF_POOL = (
+    "heat_sum", "heat_at", "work", "work_at", "zone_load", "zone_memory", "zone_at", "lateness", "home_read",
+    "missed",
+)
+OF_REPLICA = (
+    "report_at", "heard_at", "reports", "memory", "load", "slow", "slow_at", "failing", "failed_at",
+    "suspect_until", "strikes", "silent", "cold_level", "cold_at",
+)
+OF_ENTITLEMENT = ("burst", "debt", "used", "used_at", "saved", "saved_at")  # not what is in flight there
+
+
+class State(Struct):
+    """One process's knowledge, for another process of the same version."""
+
+    v: int
+    name: str
+    known: HostList
+    resumed: dict[str, float]  # when operators took an engine back
+    router: dict[str, Any]
+    pool: dict[str, Any]
+    heat: dict[str, float]
+    replicas: dict[str, dict[str, Any]]
+    entitlements: dict[str, dict[str, float]]
+
+
+def _of(thing: object, names: tuple[str, ...]) -> dict[str, Any]:
+    return {name: getattr(thing, name) for name in names}
+
+
+def write(name: str, known: HostList, resumed: dict[str, float], router: Router) -> bytes:
+    """The text of a state."""
+    pool = router.pool
+    hottest = sorted(pool.heat.items(), key=lambda item: -item[1])[:MOST_HEAT]
+    return msgspec.json.encode(State(
+        VERSION, name, known, resumed, _of(router, OF_ROUTER), _of(pool, OF_POOL),
+        {str(prefix): heat for prefix, heat in hottest},
+        {replica.id: _of(replica, OF_REPLICA) for replica in pool.replicas.values()},
+        {str(tenant): _of(e, OF_ENTITLEMENT) for tenant, e in router.entitlements.items()},
+    ))
+
+
+def read(text: bytes, name: str) -> State:
+    """The state in a text; ValueError where it is torn, of another version or another router."""
+    state = msgspec.json.decode(text, type=State)
+    if state.v != VERSION or state.name != name:
+        raise ValueError(f"version {state.v} of {state.name!r}")
+    return state
+
+
+def install(state: State, router: Router) -> None:
+    """Have the decisions know it, once they have the list; it must fit their settings, or is left out."""
+    pool = router.pool
+    _put(router, OF_ROUTER, state.router)
+    _put(pool, OF_POOL, state.pool)
+    pool.heat = {int(prefix): heat for prefix, heat in state.heat.items()}
+    for id, told in state.replicas.items():
+        replica = pool.replicas.get(id)
+        if replica is not None:
+            _put(replica, OF_REPLICA, told)
+    for tenant, account in state.entitlements.items():
+        if int(tenant) < max(1, len(router.settings.tenants)):
+            entitlement = router.entitlements.setdefault(int(tenant), Entitlement())
+            _put(entitlement, OF_ENTITLEMENT, account)
+
+
+def _put(thing: object, names: tuple[str, ...], told: dict[str, Any]) -> None:
+    """Take over values of the type and, for tables, the size that is there: others are another program's."""
+    for name in names:
+        old, new = getattr(thing, name), told.get(name)
+        if isinstance(old, float) and isinstance(new, int) and not isinstance(new, bool):
+            new = float(new)
+        same_size = not isinstance(old, list) or (isinstance(new, list) and len(new) == len(old))
+        if type(new) is type(old) and same_size:
+            setattr(thing, name, new)
--- /dev/null
+++ b/spoolbarrow/handover.py
@@ -0,0 +1,182 @@
+"""An upgrade: the inherited listening socket, and what passes between the processes that are one router.
+
+Owns the files in `$TMPDIR/spoolbarrow/` and who of those there lives. Each process writes only its own files,
+whole or not at all; a lock that it holds for life says that it is there. What the words and the state mean is
+for `admin.words` and `admin.state` to know; nothing here is imported where operators call nowhere and no
+socket is inherited.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import time
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from pathlib import Path
+
+import gevent
+from gevent import socket
+from msgspec.structs import replace
+
+from spoolbarrow.config import Config, ConfigError
+from spoolbarrow.net.log import log, unexpected
+
+INHERITED = "NODE_INHERITED_FD"
+FOLDER = "spoolbarrow"
+LOOK_S = 0.05  # between looks at the others' files
+STATE_WAIT_S = 1.0  # a process that starts waits so long at most for the state of the one before it
+MOST_STATE = 8 << 20  # bytes of a state that is read
+MOST_FILES = 64  # looked at in the folder: there are never more than a few processes
+
+
+def inherited(environment: Mapping[str, str] = os.environ) -> socket.socket | None:
+    """The listening socket that the environment names, if it does; ConfigError where it is none."""
+    text = environment.get(INHERITED)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ConfigError(f"{INHERITED}: {text!r} is not the number of a descriptor")
+    try:
+        listener = socket.socket(fileno=int(text))
+    except (OSError, OverflowError) as error:
+        raise ConfigError(f"{INHERITED}: {text} is no socket: {error}") from None
+    listens = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    if not listens or (listener.family, listener.type) != (socket.AF_INET, socket.SOCK_STREAM):
+        listener.detach()
+        raise ConfigError(f"{INHERITED}: {text} is no listening TCP socket")
+    return listener
+
+
+class Handover:
+    """This process among those that are the router of one name."""
+
+    def __init__(self, directory: str, name: str) -> None:
+        """OSError where the folder can't be used."""
+        self._name = name
+        self._folder = Path(directory) / FOLDER
+        self._folder.mkdir(mode=0o700, exist_ok=True)
+        # Names sort by age: who is later is the successor.
+        self.me = f"{time.time_ns():020d}-{os.getpid()}"
+        self._lock = os.open(self._path("lock"), os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
+        fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        self.older: list[str] = []  # the others that live
+        self.newer: list[str] = []
+        self._served: set[str] = set()  # those that the state was written for
+        self._read: dict[str, tuple[int, int]] = {}  # words taken over: by whom, which writing of them
+        self._looking: gevent.Greenlet[..., None] | None = None
+        self.look()
+
+    def _path(self, kind: str, of: str = "") -> Path:
+        return self._folder / f"{of or self.me}.{kind}"
+
+    def look(self) -> list[str]:
+        """See who lives; those that are dead and left files."""
+        with os.scandir(self._folder) as entries:
+            names = sorted(entry.name for _, entry in zip(range(MOST_FILES), entries, strict=False))
+        others = [name.removesuffix(".lock") for name in names if name.endswith(".lock")]
+        alive = [other for other in others if other != self.me and self._lives(other)]
+        self.older = [other for other in alive if other < self.me]
+        self.newer = [other for other in alive if other > self.me]
+        return [other for other in others if other != self.me and other not in alive]
+
+    def _lives(self, other: str) -> bool:
+        try:
+            held = os.open(self._path("lock", other), os.O_RDWR | os.O_CLOEXEC)
+        except OSError:
+            return False
+        try:
+            fcntl.flock(held, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            return False
+        except OSError:
+            return True
+        finally:
+            os.close(held)
+
+    def write_words(self, text: bytes) -> None:
+        """Have the others know; a fault is logged: what was said holds in this process all the same."""
+        self._write("words", text)
+
+    def _write(self, kind: str, text: bytes) -> None:
+        partial = self._path(f"{kind}-partial")
+        try:
+            partial.write_bytes(text)
+            partial.replace(self._path(kind))
+        except OSError as error:
+            log("handover_failed", what=kind, why=str(error))
+
+    def others_words(self, dead: list[str]) -> list[bytes]:
+        """Words of the others, those not read yet; the files of the dead are gone after this."""
+        texts = []
+        for other in (*self.older, *self.newer, *dead):
+            path = self._path("words", other)
+            with suppress(OSError):
+                status = path.stat()
+                writing = (status.st_ino, status.st_mtime_ns)
+                if self._read.get(other) != writing:
+                    self._read[other] = writing
+                    texts.append(path.read_bytes())
+        return texts
+
+    def forget(self, dead: list[str]) -> None:
+        """Remove what the dead left."""
+        for other in dead:
+            self._read.pop(other, None)
+            self._served.discard(other)
+            for kind in ("words", "words-partial", "state", "state-partial", "lock"):
+                self._path(kind, other).unlink(missing_ok=True)
+
+    def start(
+        self, looked: Callable[[], None], adopt: Callable[[list[bytes]], None], state: Callable[[], bytes]
+    ) -> None:
+        """Go on looking: `looked` hears so each time, `adopt` what others were told, and `state` is asked for
+        what a newer process is to know.
+        """
+        self._looking = gevent.spawn(self._go_on, looked, adopt, state)
+
+    def _go_on(
+        self, looked: Callable[[], None], adopt: Callable[[list[bytes]], None], state: Callable[[], bytes]
+    ) -> None:
+        while True:
+            try:
+                dead = self.look()
+                looked()
+                if texts := self.others_words(dead):
+                    adopt(texts)
+                self.forget(dead)
+                if unserved := set(self.newer) - self._served:
+                    self._served |= unserved
+                    self._write("state", state())
+                    log("handed_over", to=sorted(unserved))
+            except Exception as error:  # the next look may fare better; serving never hears of it
+                unexpected("handover", error)
+            gevent.sleep(LOOK_S)
+
+    def await_state(self) -> bytes | None:
+        """The state of the process before this one; None where there is none or it does not come in time."""
+        until = time.monotonic() + STATE_WAIT_S
+        while self.older and time.monotonic() < until:
+            path = self._path("state", self.older[-1])
+            with suppress(OSError):
+                # Written since this one's lock was there: before, it was for another.
+                if path.stat().st_mtime_ns >= int(self.me.partition("-")[0]):
+                    return path.read_bytes() if path.stat().st_size <= MOST_STATE else None
+            gevent.sleep(LOOK_S / 5)
+            self.look()
+        return None
+
+    def fit(self, config: Config) -> Config:
+        """This process's part of the router's room while another one lives."""
+        if not (self.older or self.newer):
+            return config
+        return replace(
+            config, max_inbound=config.max_inbound // 2, max_outbound=config.max_outbound // 2,
+            max_held=config.max_held // 2,
+        )
+
+    def close(self) -> None:
+        """End: words stay for whoever comes next."""
+        if self._looking is not None:
+            self._looking.kill()
+        self._path("state").unlink(missing_ok=True)
+        os.close(self._lock)
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -37,7 +37,7 @@
     ) -> None:
         self._config, self._tell, self._left = config, tell, left
         self._now = now
-        self._said: dict[str, i.ReplicaEntry] = {}  # what discovery said last of each that is listed
+        self._lines: dict[str, ListEntry] = {}  # what discovery said last of each that is listed
         self._suspended: set[str] = set()
         self._resumed: dict[str, float] = {}  # when, of those listed: they may have been restarted meanwhile
         self._index: int | None = config.known.index  # None: the whole list must be asked for
@@ -101,14 +101,14 @@
         else:
             self._aside[entry.name] = (entry.name, where, entry.status == "in_service", entry.since_ms)
 
-    def restore(self) -> None:
-        """Begin with the list as this router last had it."""
-        self._take(self._config.known, i.ListKind.RESTORED)
-
     def usable(self) -> bool:
         """Whether some endpoint is in service."""
         return bool(self._serving)
 
+    def told_usable(self) -> bool:
+        """Whether discovery has some endpoint in service, be it suspended or not."""
+        return any(STATES[line.status] is i.ReplicaState.SERVING for line in self._lines.values())
+
     def address(self, name: str) -> Address | None:
         """Where an endpoint listens."""
         return self._addresses.get(name)
@@ -145,18 +145,41 @@
         if name not in self._suspended:
             return
         self._suspended.discard(name)
-        if name in self._said:
+        if name in self._lines:
             self._resumed[name] = self._now()
-            if self._said[name].state is i.ReplicaState.SERVING:
+            if STATES[self._lines[name].status] is i.ReplicaState.SERVING:
                 self._serving.add(name)
         self._say_again(name)
 
+    def export(self) -> tuple[HostList, dict[str, float]]:
+        """The list as this router has it, and when operators took endpoints of it back."""
+        # Who sets endpoints aside hears of them from a whole list only: version 0 is answered with that.
+        aside = self._aside_type or self._aside_group >= 0
+        index = 0 if aside or self._index is None else self._index
+        return HostList(index, True, list(self._lines.values())), dict(self._resumed)
+
+    def restore(self, known: HostList | None = None, resumed: dict[str, float] | None = None) -> None:
+        """Begin with the list as this router last had it: as configured, or as another process passed it."""
+        known = self._config.known if known is None else known
+        self._index, self._resumed = known.index, dict(resumed or {})
+        self._take(known, i.ListKind.RESTORED)
+
     def _say_again(self, name: str) -> None:
-        if name in self._said:
-            self._tell(i.ReplicaList(i.ListKind.CHANGES, (self._masked(self._said[name]),)))
+        if name in self._lines:
+            self._tell(i.ReplicaList(i.ListKind.CHANGES, (self._masked(self._lines[name]),)))
 
-    def _masked(self, entry: i.ReplicaEntry) -> i.ReplicaEntry:
+    def _masked(self, line: ListEntry) -> i.ReplicaEntry:
         """What the decisions hear of a line: operators' word goes before discovery's."""
+        config = self._config
+        entry = i.ReplicaEntry(
+            line.name,
+            config.zones.get(line.zone, config.settings.zone),
+            config.kinds.get(line.type, 0),
+            line.group,
+            STATES[line.status],
+            line.weight,
+            line.since_ms,  # Unix time, as the host's clock counts too
+        )
         if entry.replica in self._suspended and entry.state is i.ReplicaState.SERVING:
             return replace(entry, state=i.ReplicaState.DRAINING)
         resumed = self._resumed.get(entry.replica, 0.0)
@@ -249,11 +272,9 @@
                     self._forget(entry.name)
                     entries.append(i.ReplicaEntry(entry.name, state=i.ReplicaState.GONE))
                 continue
-            made = self._entry(entry)
-            if made is None:
+            if not self._accepts(entry):
                 continue
-            self._said[entry.name] = made
-            made = self._masked(made)
+            made = self._masked(entry)
             entries.append(made)
             if made.state is i.ReplicaState.SERVING:
                 self._serving.add(entry.name)
@@ -274,30 +295,22 @@
         self._addresses.pop(name, None)
         self._started.pop(name, None)
         self._types.pop(name, None)
-        self._said.pop(name, None)
+        self._lines.pop(name, None)
         self._resumed.pop(name, None)
         self._left(name)
 
-    def _entry(self, entry: ListEntry) -> i.ReplicaEntry | None:
-        """The decisions' form of a line; one that can't be used is logged and left out."""
-        config = self._config
+    def _accepts(self, entry: ListEntry) -> bool:
+        """Keep what a line says; one that can't be used is logged and left out."""
         try:
             listens = address("address", entry.address)
         except ConfigError:
             listens = None
         if entry.status not in STATES or listens is None:
             log("bad_entry", name=entry.name, address=entry.address, status=entry.status)
-            return None
+            return False
         if (self._addresses.get(entry.name), self._started.get(entry.name)) != (listens, entry.since_ms):
             self._left(entry.name)  # it moved or restarted: connections to what it was are of no use
         self._addresses[entry.name], self._started[entry.name] = listens, entry.since_ms
         self._types[entry.name] = (entry.type, entry.group)
-        return i.ReplicaEntry(
-            entry.name,
-            config.zones.get(entry.zone, config.settings.zone),
-            config.kinds.get(entry.type, 0),
-            entry.group,
-            STATES[entry.status],
-            entry.weight,
-            entry.since_ms,  # Unix time, as the host's clock counts too
-        )
+        self._lines[entry.name] = entry
+        return True
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -18,7 +18,7 @@
 from msgspec.structs import replace
 
 from spoolbarrow import interface as i
-from spoolbarrow.config import Config
+from spoolbarrow.config import Config, HostList
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.endpoint import Endpoints
 from spoolbarrow.net.http1 import Message
@@ -77,9 +77,16 @@
         }
         self._loop: gevent.Greenlet[[], None] | None = None
 
-    def start(self) -> None:
-        """Begin deciding, on the list as last held."""
-        self.destinations.restore()
+    def start(
+        self, known: HostList | None = None, resumed: dict[str, float] | None = None,
+        warm: Callable[[Router], None] | None = None,
+    ) -> None:
+        """Begin deciding, on the list as last held; `warm` has the decisions know what was passed with it."""
+        self.destinations.restore(known, resumed)
+        if warm is not None:
+            events, self._inbox = self._inbox, []
+            self._decide(self.now(), events)
+            warm(self._router)
         if not self.config.settings.subscribe:
             self.destinations.watch()  # the decisions expect news unasked
         self._loop = gevent.spawn(self._run)
@@ -91,6 +98,10 @@
         self._endpoints.apply(config)
         self.destinations.apply(config)
 
+    def router(self) -> Router:
+        """The decisions, for whoever passes on what they learnt; only the host's greenlet has them decide."""
+        return self._router
+
     def stop(self) -> None:
         """End what still runs for no request."""
         self.destinations.close()
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -29,7 +29,9 @@
 DISCARD_PAUSE_S = 0.001  # between reads of what a client still sends after its error
 SWEEP_S = 0.2
 FRONT_S = 0.4  # after a drain began, the front sends connections so long at most (0.1 s to ask, 0.2 s more)
+SUCCEEDED_KEEP_MS = 1000.0  # after SIGTERM clients may use connections so long, where another accepts
 NEWCOMER_MS = 400.0  # then a connection that has said nothing yet still may, so long
+ABLE_S = 0.01  # between looks at whether this process can serve yet
 EMPTYING_S = 0.05  # between looks at which connections are idle while clients are sent away
 MAX_PATIENCE = 2.0  # of the class's deadline: nobody waits longer
 REPEATS_STREAM = b"again"
@@ -411,6 +413,7 @@
     def __init__(self, config: Config, host: Host) -> None:
         self.config, self.host = config, host
         self.draining = False  # no new connections should come
+        self.succeeded = False  # another process of this router takes them
         self.closing = False  # nor are those that came kept
         self.sent_away = False  # an operator wants no clients here for now
         self._emptying: gevent.Greenlet[[], None] | None = None
@@ -418,12 +421,20 @@
         self.buffer = bytearray(RECV)
         self._clients: set[Client] = set()
         self._listener: socket.socket | None = None
-        self._accepting: gevent.Greenlet[[socket.socket], None] | None = None
+        self._inherited = False  # other processes accept from it, too
+        self._accepting: gevent.Greenlet[[socket.socket, bool], None] | None = None
         self._sweeper: gevent.Greenlet[[], None] | None = None
 
-    def start(self) -> None:
-        """Listen; OSError where the address can't be had."""
-        self._listen(self.config)
+    def start(self, inherited: socket.socket | None = None, alone: bool = True) -> None:
+        """Listen, or accept from a socket that listens already; OSError where the address can't be had.
+
+        Where another process accepts from it (`alone` is false), this one begins once it can serve.
+        """
+        if inherited is None:
+            self._listen(self.config)
+        else:
+            self._listener, self._inherited = inherited, True
+            self._accepting = gevent.spawn(self._accept, inherited, alone)
         self._sweeper = gevent.spawn(self._sweep)
 
     def apply(self, config: Config) -> None:
@@ -442,16 +453,17 @@
             listener.close()
             raise
         self._stop_listening()
-        self._listener = listener
-        self._accepting = gevent.spawn(self._accept, listener)
+        self._listener, self._inherited = listener, False
+        self._accepting = gevent.spawn(self._accept, listener, True)
 
     def ready(self) -> bool:
         """Whether clients may be sent here."""
-        return self.able() and not self.sent_away
+        ending = self.draining and not self.succeeded
+        return not (ending or self.sent_away) and self.host.destinations.usable()
 
     def able(self) -> bool:
-        """Whether this process can serve; also one that has no clients for now, by an operator's word."""
-        return not self.draining and self.host.destinations.usable()
+        """Whether this process could serve; also where operators' words keep clients or endpoints from it."""
+        return not self.draining and self.host.destinations.told_usable()
 
     def send_away(self) -> None:
         """Have no clients until `take_back`: the front is told so, answers end connections, idle ones close.
@@ -479,7 +491,7 @@
                     client.close(Why.ENDED)
             gevent.sleep(EMPTYING_S)
 
-    def drain(self) -> None:
+    def drain(self, succeeded: bool = False) -> None:
         """Answer what was taken and what still comes within the grace, then close what is idle.
 
         Clients may have nowhere else to go while routers are restarted one after the other, so those that
@@ -487,14 +499,20 @@
         A stream that outlasts the grace would break at SIGKILL, when the next router may be draining too:
         its client is let go early, while there is another one to go on with. For the same reason nothing
         is left without an answer.
+        Where another process accepts from the same socket (`succeeded`), clients do have somewhere else to
+        go: nothing more is accepted, answers end connections, and idle ones end sooner. The router goes on.
         """
+        self.succeeded = succeeded
         self.draining = True
         begun, options = self.host.now(), self.config.options
-        gevent.sleep(options.drain_accept_ms / 1000)
+        if not succeeded:
+            gevent.sleep(options.drain_accept_ms / 1000)
         self._stop_listening()
+        self.closing = succeeded
+        keep = min(SUCCEEDED_KEEP_MS, options.drain_keep_ms) if succeeded else options.drain_keep_ms
         while self._clients:
             passed = self.host.now() - begun
-            if passed >= options.drain_keep_ms:
+            if passed >= keep:
                 self.closing = True
                 for client in [c for c in self._clients if c.idle() and not c.unread()]:
                     client.close(Why.ENDED)
@@ -516,8 +534,10 @@
         """A client's connection is closed."""
         self._clients.discard(client)
 
-    def _accept(self, listener: socket.socket) -> None:
+    def _accept(self, listener: socket.socket, at_once: bool) -> None:
         accepted = 0
+        while not (at_once or self.able()):
+            gevent.sleep(ABLE_S)
         while True:
             if len(self._clients) >= self.config.max_inbound and not self._make_room():
                 gevent.sleep(0.02)
@@ -541,7 +561,10 @@
     def _stop_listening(self) -> None:
         if self._accepting is not None and self._listener is not None:
             self._accepting.kill()
-            self._listener.close()
+            # One that was inherited stays as long as the process: closed here, the others' would still wake
+            # this one's event loop for each connection.
+            if not self._inherited:
+                self._listener.close()
 
     def _make_room(self) -> bool:
         """Close those that have longest had nothing under way; those that never asked anything go first."""
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -20,6 +20,7 @@
 from spoolbarrow.net.log import log, standard
 
 if TYPE_CHECKING:
+    from spoolbarrow.admin.operations import Operations
     from spoolbarrow.door import keeper
     from spoolbarrow.door.keeper import Keeper
     from spoolbarrow.flows import exporter
@@ -31,6 +32,7 @@
     Prepared = tuple[exporter.Prepared | None, copier.Prepared | None, keeper.Prepared | None]
 
 TIDY_S = 2.0
+INHERITED = "NODE_INHERITED_FD"  # where set, a socket that listens was passed on at the start
 OPERATOR = "SPOOLBARROW_"  # what begins so in the environment is the operator's
 
 
@@ -134,16 +136,25 @@
             self._flows = None
 
 
-def reload(host: Host, inbound: Inbound, subsystems: Subsystems) -> None:
+def reload(host: Host, inbound: Inbound, subsystems: Subsystems, operations: Operations | None) -> None:
     """Go by the configuration files as they are now; a faulty or late one changes nothing."""
     if inbound.draining:
         return log("reload_ignored", why="draining")
     try:
-        settings, operator = config.load(), operators()
+        read, operator = config.load(), operators()
+        settings = read if operations is None else operations.fit(read)
         prepared = subsystems.prepare(operator, settings)
-        inbound.apply(settings)  # the last that can fail
+        calls = None if operations is None else operations.prepare(read)
+        try:
+            inbound.apply(settings)  # the last that can fail
+        except OSError:
+            if calls is not None:
+                calls.close()
+            raise
     except (config.ConfigError, OSError) as error:
         return log("reload_failed", error=str(error))
+    if operations is not None:
+        operations.apply(read, calls)
     host.apply(settings)
     subsystems.apply(operator, prepared)
     log("reloaded", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
@@ -152,8 +163,14 @@
 def main() -> int:
     """Serve until SIGTERM, then finish what was taken."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end a program that is not up yet
+    operations: Operations | None = None
     try:
         settings, operator = config.load(), operators()
+        if settings.control is not None or INHERITED in os.environ:
+            from spoolbarrow.admin.operations import Operations
+
+            operations = Operations(settings)
+            settings = operations.fit(settings)
     except config.ConfigError as error:
         log("bad_config", error=str(error))
         return 2
@@ -169,22 +186,18 @@
         log("bad_config", error=str(error))
         return 2
     # Before it listens: what sends SIGHUP may know of no other sign that the program is up.
-    gevent.signal_handler(signal.SIGHUP, reload, host, inbound, subsystems)
+    gevent.signal_handler(signal.SIGHUP, reload, host, inbound, subsystems, operations)
     try:
-        inbound.start()
+        if operations is None:
+            inbound.start()
+            host.start()
+        else:
+            inbound.start(operations.inherited, operations.alone())
+            operations.start(host, inbound)
     except OSError as error:
-        log("bad_config", error=f"listen: {error}")
+        text = str(error)
+        log("bad_config", error=text if text.startswith("control: ") else f"listen: {text}")
         return 2
-    host.start()
-    if settings.control is not None:
-        from spoolbarrow.admin.control import Control
-
-        control = Control(settings.control, host, inbound)
-        try:
-            control.start()
-        except OSError as error:
-            log("bad_config", error=f"control: {error}")
-            return 2
     standard.start()
     gc.freeze()  # what is loaded by now lives as long as the process
     log("started", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
@@ -194,8 +207,10 @@
         gc.collect()
     log("draining", open=host.open_requests())
     subsystems.drain()
-    inbound.drain()
+    inbound.drain(operations is not None and operations.succeeded())
     host.stop()
+    if operations is not None:
+        operations.close()
     subsystems.close()
     log("ended")
     standard.stop()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,330 @@
+"""Upgrades: two processes that are one router, what passes between them, and what goes wrong on the way."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+
+from spoolbarrow import handover
+from spoolbarrow import interface as i
+from spoolbarrow.admin import state, words
+from spoolbarrow.admin.orders import Orders
+from spoolbarrow.admin.words import AWAY, Words
+from spoolbarrow.config import ConfigError, HostList, ListEntry
+from spoolbarrow.handover import Handover
+from spoolbarrow.net.http1 import Message
+from spoolbarrow.router import Router
+from tests.stage import (
+    EVENTS,
+    HEAD,
+    LISTEN,
+    Client,
+    Party,
+    ask,
+    chunk,
+    entry,
+    free_port,
+    make_config,
+    serve_all,
+    stage,
+    until,
+)
+
+ROOT = Path(__file__).resolve().parent.parent
+SETTINGS = i.Settings(nodes=2, classes=(i.RequestClass(aim_ms=1000.0, deadline_ms=5000.0, worth=1.0),))
+
+
+# Words
+
+
+def test_the_later_word_holds_in_whatever_order_it_is_heard() -> None:
+    one, two = Words(), Words()
+    assert one.say("e0", True, 10.0) and not one.say("e0", True, 11.0) and not two.say("e1", False, 1.0)
+    assert two.say("e0", True, 12.0) and two.say("e0", False, 5.0)  # set back
+    assert {m: word.on for m, word in one.merge(two).items()} == {"e0": False} and not two.merge(one)
+    assert one.say(AWAY, True, 20.0) and set(two.merge(one)) == {AWAY}
+    one.tidy(30.0 + words.KEPT_MS)
+    assert list(words.read(one.write("n0"), "n0")._words) == [AWAY]  # what was taken back is forgotten
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"", b'{"v":1,"name":"n0","wor', b'{"v":9,"name":"n0","words":{}}', Words().write("n1"), b" " * 2**21],
+)
+def test_words_that_are_torn_or_foreign_are_not_taken(text: bytes) -> None:
+    with pytest.raises(ValueError):
+        words.read(text, "n0")
+
+
+# State
+
+
+def learned() -> Router:
+    router = Router(SETTINGS, 1)
+    router.handle(0.0, [i.ReplicaList(i.ListKind.WHOLE, (i.ReplicaEntry("e0"), i.ReplicaEntry("e1")))])
+    replica = router.pool.replicas["e0"]
+    replica.cold_level, replica.cold_at, replica.suspect_until = -0.75, 50.0, 4000.0
+    router.pool.heat, router.pool.work, router.request_tokens = {7: 3.0}, 900.0, 4321.0
+    router.handle(1.0, [i.RequestArrived("r", 0, 4000.0, prompt_tokens=100)])
+    router.entitlements[0].debt = 0.4
+    return router
+
+
+def test_what_was_learnt_and_spent_reaches_the_next_process() -> None:
+    router = learned()
+    known = HostList(5, True, [ListEntry("e0", "127.0.0.1:1", since_ms=9.0)])
+    read = state.read(state.write("n0", known, {"e0": 77.0}, router), "n0")
+    assert read.known == known and read.resumed == {"e0": 77.0}
+    other = Router(SETTINGS, 2)
+    other.handle(2.0, [i.ReplicaList(i.ListKind.RESTORED, (i.ReplicaEntry("e0"),))])
+    state.install(read, other)
+    replica = other.pool.replicas["e0"]
+    assert (replica.cold_level, replica.cold_at, replica.suspect_until) == (-0.75, 50.0, 4000.0)
+    assert (other.pool.heat, other.pool.work) == ({7: 3.0}, router.pool.work)
+    assert other.entitlements[0].debt == 0.4 and other.entitlements[0].in_flight == 0  # that ends there
+    assert set(other.pool.replicas) == {"e0"}
+
+
+def test_state_that_does_not_fit_is_left_out() -> None:
+    read = state.read(state.write("n0", HostList(), {}, learned()), "n0")
+    read.pool |= {"zone_load": [1.0, 2.0, 3.0], "work": "much"}
+    read.entitlements["9"] = {"debt": 1.0}
+    other = Router(SETTINGS, 2)
+    state.install(read, other)
+    assert other.pool.zone_load == [0.0] and other.pool.work == 0.0 and 9 not in other.entitlements
+    for text in (b"", b'{"v":1', state.write("n1", HostList(), {}, learned())):
+        with pytest.raises(ValueError):
+            state.read(text, "n0")
+
+
+# Who is there
+
+
+def test_a_process_is_there_while_it_holds_its_lock(tmp_path: Path) -> None:
+    one = Handover(str(tmp_path), "n0")
+    two = Handover(str(tmp_path), "n0")
+    one.look()
+    assert one.newer == [two.me] and two.older == [one.me] and not one.older
+    one.write_words(b"said")
+    assert two.others_words([]) == [b"said"] and two.others_words([]) == []
+    one.close()  # as a kill would, but for what is left of it
+    dead = two.look()
+    assert dead == [one.me] and not two.older
+    two.forget(dead)
+    assert {path.name for path in (tmp_path / handover.FOLDER).iterdir()} == {f"{two.me}.lock"}
+    two.close()
+
+
+def test_words_of_the_dead_hold(tmp_path: Path) -> None:
+    first = Handover(str(tmp_path), "n0")
+    first.write_words(b"banned")
+    first.close()
+    second = Handover(str(tmp_path), "n0")
+    assert second.others_words(second.look()) == [b"banned"]
+    second.close()
+
+
+def test_a_folder_that_cannot_be_written_costs_only_what_would_be_passed_on(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    one = Handover(str(tmp_path), "n0")
+    one._folder = tmp_path / "gone"
+    one.write_words(b"said")
+    assert "handover_failed" in capfd.readouterr().err
+    os.close(one._lock)
+
+
+@pytest.mark.parametrize("text", ["", "three", "-1", "1000000", "99999999999999999999"])
+def test_what_is_no_descriptor_is_a_fault_that_names_its_variable(text: str) -> None:
+    with pytest.raises(ConfigError, match=f"^{handover.INHERITED}: "):
+        handover.inherited({handover.INHERITED: text})
+
+
+def test_only_a_listening_tcp_socket_is_taken() -> None:
+    with socket.socket() as idle, open(os.devnull) as file:
+        for number in (idle.fileno(), file.fileno()):
+            with pytest.raises(ConfigError, match="no "):
+                handover.inherited({handover.INHERITED: str(number)})
+    assert handover.inherited({}) is None
+
+
+def test_words_of_another_process_are_carried_out() -> None:
+    with stage(serve_all) as (scene, _):
+        orders, other = Orders(scene.host, scene.inbound), Words()
+        other.say("e0", True, 1.0)
+        other.say(AWAY, True, 1.0)
+        assert orders.adopt(other) and not orders.adopt(other)
+        assert scene.host.destinations.suspended("e0") and scene.inbound.sent_away
+        other.say("e0", False, 2.0)
+        other.say(AWAY, False, 2.0)
+        orders.adopt(other)
+        assert scene.host.destinations.serving("e0") and not scene.inbound.sent_away
+
+
+# Real processes
+
+
+class Service:
+    """A platform that starts processes of one router on one listening socket."""
+
+    def __init__(self, folder: Path, raw: dict[str, Any]) -> None:
+        self.folder, self.raw = folder, raw
+        self.listener = socket.socket()
+        self.listener.bind((LISTEN, 0))
+        self.listener.listen(256)
+        self.port: int = self.listener.getsockname()[1]
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.calls: list[int] = []
+
+    def start(self, ready: bool = True) -> int:
+        """Start one more process: its number."""
+        number, control = len(self.processes), free_port()
+        file = self.folder / f"config-{number}.json"
+        file.write_bytes(msgspec.json.encode({**self.raw, "control": f"{LISTEN}:{control}"}))
+        descriptor = self.listener.fileno()
+        environment = {
+            **os.environ, "NODE_CONFIG": str(file), "TMPDIR": str(self.folder),
+            handover.INHERITED: str(descriptor),
+        }
+        with open(self.folder / f"log-{number}", "wb") as log:
+            self.processes.append(subprocess.Popen(
+                [sys.executable, "-m", "spoolbarrow"], cwd=ROOT, env=environment, stderr=log,
+                pass_fds=[descriptor],
+            ))
+        self.calls.append(control)
+        if ready:
+            until(lambda: self.call(number, "readyz", "GET") == 200)
+        return number
+
+    def call(self, number: int, path: str, method: str = "POST") -> int:
+        try:
+            raw = f"{method} /v1/{path} HTTP/1.1\r\n\r\n".encode()
+            return Client(self.calls[number]).send(raw).answer().status
+        except OSError:
+            return 0
+
+    def end(self, number: int) -> int:
+        """SIGTERM, as after a yes: the exit status."""
+        process = self.processes[number]
+        process.send_signal(signal.SIGTERM)
+        until(lambda: process.poll() is not None)
+        return process.returncode
+
+    def log(self, number: int) -> str:
+        return (self.folder / f"log-{number}").read_text()
+
+
+@contextmanager
+def service(folder: Path, *parties: Party, **changes: Any) -> Iterator[Service]:
+    endpoints = [entry(f"e{n}", party.port) for n, party in enumerate(parties)]
+    made = Service(folder, make_config(endpoints, **changes))
+    try:
+        yield made
+    finally:
+        for process in made.processes:
+            process.kill()
+            process.wait()
+        made.listener.close()
+        for party in parties:
+            party.close()
+
+
+def test_ten_upgrades_in_a_row_under_load_lose_nothing(tmp_path: Path) -> None:
+    """Every request gets one final answer, from the router that holds the socket at that time."""
+
+    def in_steps(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        gevent.sleep(0.05)
+        sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
+
+    answers: dict[str, list[int]] = {}
+    unheard = ended = 0
+
+    def load(who: int) -> None:
+        nonlocal unheard
+        client, number = None, 0
+        while not ended:
+            name, number = f"{who}-{number}", number + 1
+            got = answers.setdefault(name, [])
+            while not got:
+                client = client or Client(made.port)
+                try:
+                    answer = client.send(ask(X_Correlation_Id=name)).answer()
+                    got.append(answer.status)
+                    if answer.fields.get(b"connection") == b"close":
+                        client = None
+                except ConnectionError:  # closed between requests: it comes again by another connection
+                    client, unheard = None, unheard + 1
+            gevent.sleep(0.02)
+
+    with service(tmp_path, Party(in_steps)) as made:
+        old = made.start()
+        clients = [gevent.spawn(load, who) for who in range(8)]
+        for _ in range(10):
+            new = made.start()
+            assert made.end(old) == 0
+            old = new
+        ended = 1
+        gevent.joinall(clients, raise_error=True)
+        assert len(answers) > 100 and all(got == [200] for got in answers.values())
+        assert unheard <= 20
+        assert all("unexpected" not in made.log(number) for number in range(11))
+
+
+def test_bans_and_drains_hold_over_an_upgrade_and_words_said_to_either_hold_in_both(tmp_path: Path) -> None:
+    engines = [Party(serve_all), Party(serve_all)]
+
+    def asked(number: int) -> int:
+        return Client(made.port).send(ask(X_Correlation_Id=str(number))).answer().status
+
+    def up() -> int:
+        return Client(made.port).send(b"GET /up HTTP/1.1\r\n\r\n").answer().status
+
+    with service(tmp_path, *engines) as made:
+        first = made.start()
+        assert made.call(first, "engines/e0/suspend") == 200 and made.call(first, "router/drain") == 200
+        second = made.start()
+        assert {up() for _ in range(8)} == {503}
+        assert made.call(first, "router/activate") == 200  # said to the older one
+        until(lambda: {up() for _ in range(8)} == {200})
+        assert made.call(second, "engines/e1/suspend") == 200  # and to the newer one
+        until(lambda: '"on":true' in made.log(first).rpartition("e1")[2])
+        assert {asked(n) for n in range(8)} == {503} and not any(party.requests for party in engines)
+        assert made.end(first) == 0
+        third = made.start()
+        assert made.call(second, "engines/e1/resume") == 200
+        until(lambda: '"on":false' in made.log(third).rpartition("e1")[2])
+        assert made.end(second) == 0
+        assert made.call(third, "engines/e0/suspend") == 200 and not engines[0].requests
+
+
+def test_a_new_process_that_does_not_come_up_leaves_the_old_one_as_it_was(tmp_path: Path) -> None:
+    with service(tmp_path, Party(serve_all)) as made:
+        old = made.start()
+        new = made.start(ready=False)
+        until(lambda: "handed_over" in made.log(old))
+        made.processes[new].kill()
+        made.raw["settings"]["Classes"] = []
+        faulty = made.start(ready=False)
+        until(lambda: made.processes[faulty].poll() is not None)
+        assert made.processes[faulty].returncode == 2
+        made.raw = make_config([])  # one without an endpoint is never ready
+        made.raw["name"] = "n1"
+        idle = made.start(ready=False)
+        until(lambda: made.call(idle, "readyz", "GET") == 503)
+        asking = [Client(made.port).send(ask(X_Correlation_Id=str(n))) for n in range(8)]
+        assert {client.answer().status for client in asking} == {200}
+        assert made.end(idle) == 0
+        until(lambda: len(list((tmp_path / handover.FOLDER).glob("*.lock"))) == 1)
+        assert made.call(old, "readyz", "GET") == 200
