Pass running streams to the next process of an upgrade instead of breaking them off

Ruled out: the door (0 requests ended there), calls (0 late), memory. Change: a second after SIGTERM each stream goes to the newer process between two chunks (net/passing.py, handover.py).

--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -8,7 +8,10 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Sequence
+from functools import partial
 
+import gevent
 from gevent import socket
 
 from spoolbarrow import handover
@@ -17,10 +20,14 @@
 from spoolbarrow.admin.orders import Orders
 from spoolbarrow.config import Config
 from spoolbarrow.handover import Handover
+from spoolbarrow.net import passing
+from spoolbarrow.net.endpoint import Underway
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
 from spoolbarrow.net.log import log
 
+PASS_AFTER_S = 1.0  # after SIGTERM: most streams end by then, and SIGKILL is 2.7 s away
+
 
 class Operations:
     """From the start of a process to its end."""
@@ -73,6 +80,31 @@
             self._control.move(listen(self._config.control))
         if self._handover is not None and self.inherited is not None:
             self._handover.start(self._looked, self._adopt, self._write_state)
+            try:
+                self._handover.listen_for_streams(partial(passing.take, host, inbound))
+            except OSError as error:
+                log("handover_failed", what="streams", why=str(error))  # a path that is too long, say
+
+    def drain(self) -> bool:
+        """SIGTERM has come: whether a newer process takes clients; streams that last pass on to it."""
+        if self._handover is None or not self.succeeded():
+            return False
+        gevent.spawn_later(PASS_AFTER_S, self._pass_streams)
+        return True
+
+    def _pass_streams(self) -> None:
+        self._host.give = self._give
+
+    def _give(self, underway: Underway) -> bool:
+        assert self._handover is not None
+        return passing.give(self._host, underway, self._send_stream)
+
+    def _send_stream(self, text: bytes, descriptors: Sequence[int]) -> bool | None:
+        assert self._handover is not None
+        taken = self._handover.send_stream(text, descriptors)
+        if not taken:
+            self._host.give = None  # the clock of the drain sees to the rest
+        return taken
 
     def prepare(self, config: Config) -> socket.socket | None:
         """What a new configuration needs that can fail: OSError, and nothing is changed."""
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -11,7 +11,8 @@
 import fcntl
 import os
 import time
-from collections.abc import Callable, Mapping
+from array import array
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from pathlib import Path
 
@@ -27,6 +28,10 @@
 LOOK_S = 0.05  # between looks at the others' files
 STATE_WAIT_S = 1.0  # a process that starts waits so long at most for the state of the one before it
 MOST_STATE = 8 << 20  # bytes of a state that is read
+MOST_STREAM = 1 << 16  # bytes of a message on a stream: its tail is the most of it
+MOST_DESCRIPTORS = 2  # of a stream: its client's connection and its endpoint's
+STREAM_S = 0.5  # a stream is passed on within this, or not at all
+STREAMS_BACKLOG = 256
 MOST_FILES = 64  # looked at in the folder: there are never more than a few processes
 
 
@@ -48,6 +53,27 @@
     return listener
 
 
+def _receive(giver: socket.socket) -> tuple[bytes, list[int]]:
+    """A message and the descriptors that came with it; OSError where it is too long or cut off."""
+    held = array("i")
+    room = socket.CMSG_SPACE(MOST_DESCRIPTORS * held.itemsize)
+    data, rights, _, _ = giver.recvmsg(MOST_STREAM, room, socket.MSG_CMSG_CLOEXEC)
+    for level, kind, numbers in rights:
+        if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
+            held.frombytes(numbers[: len(numbers) - len(numbers) % held.itemsize])
+    try:
+        while len(data) < 4 or len(data) < 4 + int.from_bytes(data[:4]):
+            more = giver.recv(MOST_STREAM)
+            if not more or len(data) > MOST_STREAM:
+                raise OSError("a message that is cut off or too long")
+            data += more
+    except BaseException:
+        for number in held:
+            os.close(number)
+        raise
+    return data[4:], list(held)
+
+
 class Handover:
     """This process among those that are the router of one name."""
 
@@ -65,6 +91,8 @@
         self._served: set[str] = set()  # those that the state was written for
         self._read: dict[str, tuple[int, int]] = {}  # words taken over: by whom, which writing of them
         self._looking: gevent.Greenlet[..., None] | None = None
+        self._streams: socket.socket | None = None
+        self._taking: gevent.Greenlet[..., None] | None = None
         self.look()
 
     def _path(self, kind: str, of: str = "") -> Path:
@@ -123,7 +151,7 @@
         for other in dead:
             self._read.pop(other, None)
             self._served.discard(other)
-            for kind in ("words", "words-partial", "state", "state-partial", "lock"):
+            for kind in ("words", "words-partial", "state", "state-partial", "streams", "lock"):
                 self._path(kind, other).unlink(missing_ok=True)
 
     def start(
@@ -152,6 +180,58 @@
                 unexpected("handover", error)
             gevent.sleep(LOOK_S)
 
+    def listen_for_streams(self, take: Callable[[bytes, list[int]], Callable[[], None]]) -> None:
+        """Have older processes pass on their streams: `take` has a message and its descriptors; OSError."""
+        listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            listener.bind(str(self._path("streams")))
+            listener.listen(STREAMS_BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self._streams = listener
+        self._taking = gevent.spawn(self._take_streams, listener, take)
+
+    def _take_streams(
+        self, listener: socket.socket, take: Callable[[bytes, list[int]], Callable[[], None]]
+    ) -> None:
+        while True:
+            try:
+                giver, _ = listener.accept()
+                with giver, gevent.Timeout(STREAM_S):
+                    text, descriptors = _receive(giver)
+                    try:
+                        go = take(text, descriptors)
+                    except (ValueError, OSError) as error:
+                        log("handover_failed", what="stream", why=str(error))
+                        giver.sendall(b"n")
+                        continue
+                    try:
+                        giver.sendall(b"y")
+                    finally:
+                        go()  # a giver that can't be told shuts the connections down
+            except (OSError, gevent.Timeout) as error:
+                log("handover_failed", what="stream", why=f"{type(error).__name__}: {error}")
+            except Exception as error:
+                unexpected("handover", error)
+
+    def send_stream(self, text: bytes, descriptors: Sequence[int]) -> bool | None:
+        """Pass a stream to the newest process: taken, not taken, or not known."""
+        if not self.newer:
+            return False
+        sent = False
+        try:
+            with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as taker, gevent.Timeout(STREAM_S):
+                taker.connect(str(self._path("streams", self.newer[-1])))
+                rights = (socket.SOL_SOCKET, socket.SCM_RIGHTS, array("i", descriptors))
+                sent = True
+                done = taker.sendmsg([len(text).to_bytes(4), text], [rights])
+                taker.sendall((len(text).to_bytes(4) + text)[done:])
+                return {b"y": True, b"n": False}.get(taker.recv(1))
+        except (OSError, gevent.Timeout) as error:
+            log("handover_failed", what="stream", why=f"{type(error).__name__}: {error}")
+            return None if sent else False
+
     def await_state(self) -> bytes | None:
         """The state of the process before this one; None where there is none or it does not come in time."""
         until = time.monotonic() + STATE_WAIT_S
@@ -178,5 +258,9 @@
         """End: words stay for whoever comes next."""
         if self._looking is not None:
             self._looking.kill()
-        self._path("state").unlink(missing_ok=True)
+        if self._taking is not None and self._streams is not None:
+            self._taking.kill()
+            self._streams.close()
+        for kind in ("state", "streams"):
+            self._path(kind).unlink(missing_ok=True)
         os.close(self._lock)
--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -74,6 +74,9 @@
     def probed(self, endpoint: str, outcome: i.Outcome, lag: float, report: i.Report | None) -> None:
         """The result of a probe."""
 
+    def passes(self, underway: Underway) -> bool:
+        """Between two chunks of a stream: whether it has just gone to another process of this router."""
+
 
 class Connection:
     """One connection to an endpoint; one request at a time goes over it."""
@@ -98,6 +101,15 @@
             return 0.0
 
 
+class Underway:
+    """An attempt that was written, and its answer as far as it has come."""
+
+    def __init__(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> None:
+        self.attempt, self.connection, self.parser = attempt, connection, parser
+        self.tail = b""  # the last of what was passed on
+        self.claimed = False  # its stream is the client's
+
+
 class AnswerReader:
     """Reads an answer, each of its pieces in good time.
 
@@ -177,6 +189,13 @@
             self._open -= 1
             raise
 
+    def adopt(self, endpoint: str, sock: socket) -> Connection:
+        """A connection that another process of this router opened; OSError where it has ended."""
+        address = self._destinations.address(endpoint) or sock.getpeername()
+        number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
+        self._open += 1
+        return Connection(endpoint, address, sock, number)
+
     def _learn_settle(self, connection: Connection) -> None:
         """Guards against a second answer that comes so late that it passes for the next request's."""
         late = SETTLE_FACTOR * connection.unasked_ms(self._host.now())
@@ -242,7 +261,7 @@
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
-        attempt.greenlet = gevent.spawn(self._attempt, attempt)
+        attempt.greenlet = gevent.spawn(self._attempt, attempt, None)
 
     def probe(self, endpoint: str) -> None:
         """Start a probe."""
@@ -267,10 +286,29 @@
             gevent.sleep(1.0)
             self._pool.sweep()
 
-    def _attempt(self, attempt: Attempt) -> None:
+    def take_over(
+        self, attempt: Attempt, sock: socket, head: list[tuple[bytes, bytes]], tail: bytes
+    ) -> Underway:
+        """A stream that another process of this router has begun; OSError where its connection has ended."""
+        connection = self._pool.adopt(attempt.endpoint, sock)
+        attempt.connection = connection.number
+        options = self._config.options
+        parser = http1.ResponseParser(options.max_head, options.max_body)
+        lines = b"".join(b"%s: %s\r\n" % field for field in head)
+        # Fed what the other process was, up to the end of a chunk, the parser stands where that one's did.
+        parser.feed(memoryview(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n"))
+        underway = Underway(attempt, connection, parser)
+        underway.tail, underway.claimed = tail, True
+        return underway
+
+    def carry_on(self, underway: Underway) -> None:
+        """Go on with a stream that was taken over."""
+        underway.attempt.greenlet = gevent.spawn(self._attempt, underway.attempt, underway)
+
+    def _attempt(self, attempt: Attempt, underway: Underway | None) -> None:
         outcome, kept, report = i.Outcome.RESET, 0, None
         try:
-            outcome, kept, report = self._exchange(attempt)
+            outcome, kept, report = self._exchange(attempt) if underway is None else self._read(underway)
         except NotSent as error:
             outcome = i.Outcome.UNREACHABLE
             log("not_sent", request=attempt.request.key, endpoint=attempt.endpoint, why=str(error))
@@ -292,12 +330,15 @@
         connection, moot = self._write(attempt)
         if connection is None:
             return moot, 0, None
+        options = self._config.options
+        parser = http1.ResponseParser(options.max_head, options.max_body)
+        return self._read(Underway(attempt, connection, parser))
+
+    def _read(self, underway: Underway) -> tuple[i.Outcome, int, i.Report | None]:
+        attempt, connection, parser = underway.attempt, underway.connection, underway.parser
         whole = reusable = False
         try:
-            options = self._config.options
-            parser = http1.ResponseParser(options.max_head, options.max_body)
-            reader = AnswerReader(parser, connection.sock, self._buffer, options)
-            tail, claimed = b"", False
+            reader = AnswerReader(parser, connection.sock, self._buffer, self._config.options)
             while not parser.whole:
                 reader.read()
                 if parser.status == 200 and not parser.framed():
@@ -307,18 +348,21 @@
                     # Guards against what an endpoint says unasked passing for the answer to this request.
                     raise http1.Fault(502, "a 200 that is no stream of events")
                 parts = parser.take_body()
-                if parser.status == 200 and (parts or (parser.whole and not claimed)):
-                    if not claimed:
+                if parser.status == 200 and (parts or (parser.whole and not underway.claimed)):
+                    if not underway.claimed:
                         if not self._host.claim(attempt):
                             return i.Outcome.CANCELLED, 0, None  # another attempt was first
-                        claimed = True
+                        underway.claimed = True
                     attempt.request.answer.pass_on(parts)
                     if self._host.taps.active:
                         self._host.taps.passed_on(attempt.request, parts)
-                    tail = (tail + b"".join(parts))[-TAIL:]
+                    underway.tail = (underway.tail + b"".join(parts))[-TAIL:]
+                    if parser.between and self._host.passes(underway):
+                        whole = True  # for this process: only its descriptor is closed
+                        return i.Outcome.CANCELLED, 0, None
             whole, reusable = True, parser.reusable
-            report = parse_load(parser.fields.get(LOAD, b"")) or _tail_report(tail)
-            return self._outcome(attempt, parser), _kept_tokens(tail), report
+            report = parse_load(parser.fields.get(LOAD, b"")) or _tail_report(underway.tail)
+            return self._outcome(attempt, parser), _kept_tokens(underway.tail), report
         finally:
             if reusable:
                 self._pool.give_back(connection)
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -20,7 +20,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config, HostList
 from spoolbarrow.net.destinations import DestinationSet
-from spoolbarrow.net.endpoint import Endpoints
+from spoolbarrow.net.endpoint import Endpoints, Underway
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.request import Answer, Attempt, Request
@@ -44,6 +44,19 @@
         return (time.monotonic() + self._offset) * 1000.0
 
 
+class Taken(Protocol):
+    """What another process of this router tells of a stream; times as on the host's clock."""
+
+    id: str
+    cls: int
+    tenant: int
+    taken_at: float
+    deadline: float
+    endpoint: str
+    sent_at: float
+    first_at: float
+
+
 class Decider(Protocol):
     """What the host asks: the decisions, or what stands before them."""
 
@@ -76,6 +89,7 @@
             i.Probe: self._probe, i.SetTimer: self._set_timer, i.Subscribe: self._subscribe,
         }
         self._loop: gevent.Greenlet[[], None] | None = None
+        self.give: Callable[[Underway], bool] | None = None  # where streams go to another process
 
     def start(
         self, known: HostList | None = None, resumed: dict[str, float] | None = None,
@@ -98,6 +112,10 @@
         self._endpoints.apply(config)
         self.destinations.apply(config)
 
+    def endpoints(self) -> Endpoints:
+        """Who carries attempts out."""
+        return self._endpoints
+
     def router(self) -> Router:
         """The decisions, for whoever passes on what they learnt; only the host's greenlet has them decide."""
         return self._router
@@ -233,6 +251,32 @@
         self._forget(request)
         attempt.stop()
 
+    def passes(self, underway: Underway) -> bool:
+        """Whether a stream has just gone to another process of this router."""
+        return self.give is not None and self.give(underway)
+
+    def given(self, attempt: Attempt) -> None:
+        """Another process has taken this stream over: nothing more of it is told here."""
+        if not attempt.request.over:
+            self._settle(attempt.request, "given")
+        self.ended(attempt, i.Outcome.CANCELLED)
+
+    def take_over(self, stream: Taken, answer: Answer, connection: int) -> tuple[Request, Attempt]:
+        """A stream that another process took and began; the decisions never hear of it."""
+        key = str(next(self._keys))
+        facts = i.RequestArrived(key, stream.cls, 0.0, stream.tenant)
+        request = Request(
+            key, stream.id, Message(), answer, facts, stream.taken_at, stream.deadline, connection
+        )
+        attempt = Attempt(request, 0, stream.endpoint, stream.sent_at)
+        attempt.first_at, request.stream = stream.first_at, attempt
+        request.attempts.append(attempt)
+        self._requests[key] = request
+        self._ids.add(stream.id)
+        if self.taps.active:
+            self.taps.request_taken(request, facts)
+        return request, attempt
+
     def probed(self, endpoint: str, outcome: i.Outcome, lag: float, report: i.Report | None) -> None:
         """The result of a probe."""
         if report is not None and self.taps.active:
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -176,6 +176,7 @@
         self.headed = self.whole = self.reusable = False
         self.begun = False  # its head has begun
         self.in_chunk = False  # a chunk was announced whose end has not come
+        self.between = False  # what was fed ended where a chunk or the head did
         self.pieces = 0  # heads and chunks that have begun
         self._chunk = 0
         self._body: list[bytes] = []
@@ -196,6 +197,7 @@
             self.reusable = False  # the answer came whole; what follows it is nobody's
         if not self.headed and self._head > self._max_head:
             raise Fault(502, "head too large")
+        self.between = self.headed and not (self.in_chunk or self.whole) and bytes(data[-2:]) == b"\r\n"
 
     def read(self, sock: socket, buffer: bytearray) -> None:
         """Parse what comes next on a connection; blocks, raises OSError or Fault."""
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -169,6 +169,14 @@
         pieces = [b"0\r\n\r\n"] if self.message.chunks else []
         gevent.spawn(self._write_whole, pieces, self._close)
 
+    def closes(self) -> bool:
+        """Whether its client was told that the connection ends with this answer."""
+        return self._close
+
+    def begun(self) -> None:
+        """Another process of this router has written its head already."""
+        self._begun = True
+
     def abort(self) -> None:
         """No last chunk: the connection's end tells the client that the stream broke."""
         self.client.close()
@@ -204,6 +212,8 @@
         self._room = Event()
         self._held = 0
         self._closed = False
+        self._paused = False  # its reader is to end without the connection
+        self.reader: gevent.Greenlet[[], None] | None = None
         self.ending = False  # its last answer is written; only the client's end is waited for
 
     def idle(self) -> bool:
@@ -245,7 +255,29 @@
         except Exception as error:
             unexpected("client", error)
         finally:
-            self.lost()
+            if not self._paused:
+                self.lost()
+
+    def go_on(self) -> None:
+        """Begin, or begin again, to read what the client sends."""
+        self._paused = False
+        self.reader = gevent.spawn(self.run)
+
+    def pause(self) -> bool:
+        """Stop reading, if the client has sent nothing that is not read and answered; whether it did."""
+        parser = self._parser
+        busy = self.ending or parser.reading or parser.whole or parser.fault is not None
+        if busy or self.unread() or self.reader is None:
+            return False
+        self._paused = True
+        self.reader.kill()
+        return not self._closed
+
+    def detach(self) -> None:
+        """The connection is another process's now: only this one's descriptor is closed."""
+        self.exchange = None
+        self.close(Why.DONE)
+        self.count()
 
     def write(self, pieces: list[bytes]) -> None:
         """Write some of an answer; blocks while the client is slow."""
@@ -530,6 +562,15 @@
         for client in list(self._clients):
             client.close(Why.ENDED)
 
+    def take_over(self, sock: socket.socket, chunks: bool, closing: bool) -> Exchange:
+        """A connection on which another process of this router has begun an answer; nothing is read yet."""
+        client = Client(self, sock)
+        client.fresh = False
+        client.exchange = Exchange(client, Message(chunks=chunks, keep_alive=not closing))
+        client.exchange.begun()
+        self._clients.add(client)
+        return client.exchange
+
     def gone(self, client: Client) -> None:
         """A client's connection is closed."""
         self._clients.discard(client)
@@ -553,7 +594,7 @@
             sock.settimeout(None)
             client = Client(self, sock)
             self._clients.add(client)
-            gevent.spawn(client.run)
+            client.go_on()
             accepted += 1
             if accepted % ACCEPT_AT_ONCE == 0:
                 gevent.sleep(ACCEPT_PAUSE_S)
--- /dev/null
+++ b/spoolbarrow/net/passing.py
@@ -0,0 +1,108 @@
+"""A running stream on its way from one process of this router to the next.
+
+Owns its form in a message, when it may go, and how either side lets go of it or takes it up. How messages and
+descriptors travel is `handover`'s business. Nothing here is imported where no upgrade can come.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+import msgspec
+from gevent import socket
+from msgspec import Struct
+
+from spoolbarrow.net.endpoint import Underway
+from spoolbarrow.net.host import Host
+from spoolbarrow.net.inbound import Exchange, Inbound
+from spoolbarrow.net.log import log
+
+VERSION = 1
+Send = Callable[[bytes, Sequence[int]], bool | None]  # taken, not taken, or not known
+
+
+class Stream(Struct):
+    """What the next process must know; times are Unix ms, as the host's clock is on one machine."""
+
+    v: int
+    id: str
+    cls: int
+    tenant: int
+    taken_at: float
+    deadline: float
+    endpoint: str
+    sent_at: float
+    first_at: float
+    head: list[tuple[str, str]]  # fields of the endpoint's answer
+    tail: str  # the last of what was passed on: usage may stand there
+    chunks: bool  # the client reads chunked answers
+    closing: bool  # it was told that its connection ends with the answer
+
+
+def read(text: bytes) -> Stream:
+    """The stream in a message; ValueError where it is torn or of another version."""
+    stream = msgspec.json.decode(text, type=Stream)
+    if stream.v != VERSION:
+        raise ValueError(f"version {stream.v}")
+    return stream
+
+
+def give(host: Host, underway: Underway, send: Send) -> bool:
+    """Hand a stream over, asked between two of its chunks; whether it is no longer this process's."""
+    attempt, request = underway.attempt, underway.attempt.request
+    exchange = request.answer
+    if not isinstance(exchange, Exchange) or not exchange.client.pause() or request.over:
+        return False
+    stream = Stream(
+        VERSION, request.id, request.cls, request.tenant, request.taken_at, request.deadline,
+        attempt.endpoint, attempt.sent_at, attempt.first_at,
+        [(name.decode("latin-1"), value.decode("latin-1")) for name, value in underway.parser.fields.items()],
+        underway.tail.decode("latin-1"), exchange.message.chunks, exchange.closes(),
+    )
+    text = msgspec.json.encode(stream)
+    taken = send(text, (exchange.client.sock.fileno(), underway.connection.sock.fileno()))
+    if taken is None:
+        # Perhaps it was taken: two processes must never read one connection, so that nobody does.
+        for sock in (underway.connection.sock, exchange.client.sock):
+            with suppress(OSError):  # it was reset meanwhile
+                sock.shutdown(socket.SHUT_RDWR)
+        raise ConnectionResetError("lost on its way to the next process")
+    if not taken:
+        exchange.client.go_on()
+        return False
+    log("stream_given", request=request.key, id=request.id)
+    host.given(attempt)
+    exchange.client.detach()
+    return True
+
+
+def take(host: Host, inbound: Inbound, text: bytes, descriptors: Sequence[int]) -> Callable[[], None]:
+    """Take a stream up; what is returned sets it going. ValueError or OSError: it is not taken.
+
+    The descriptors are this process's either way.
+    """
+    socks = [socket.socket(fileno=number) for number in descriptors]
+    try:
+        client, engine = socks  # ValueError where there are not two
+        stream = read(text)
+        if host.is_open(stream.id):
+            raise ValueError("a request of this name is open")
+        client.getpeername()
+        engine.getpeername()
+    except BaseException:
+        for sock in socks:
+            sock.close()
+        raise
+    exchange = inbound.take_over(client, stream.chunks, stream.closing)
+    request, attempt = host.take_over(stream, exchange, exchange.client.number)
+    exchange.request = request
+    head = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in stream.head]
+    underway = host.endpoints().take_over(attempt, engine, head, stream.tail.encode("latin-1"))
+    log("stream_taken", request=request.key, id=request.id)
+
+    def go() -> None:
+        exchange.client.go_on()
+        host.endpoints().carry_on(underway)
+
+    return go
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -87,7 +87,7 @@
         self.ended = False
         self.outcome: i.Outcome | None = None
         self.first_at = self.ended_at = 0.0
-        self.greenlet: gevent.Greenlet[[Attempt], None] | None = None
+        self.greenlet: gevent.Greenlet[..., None] | None = None
 
     def account(self, since: float) -> dict[str, object]:
         """What became of it, for the log."""
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -207,7 +207,7 @@
         gc.collect()
     log("draining", open=host.open_requests())
     subsystems.drain()
-    inbound.drain(operations is not None and operations.succeeded())
+    inbound.drain(operations is not None and operations.drain())
     host.stop()
     if operations is not None:
         operations.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,6 +15,7 @@
 import msgspec
 import pytest
 from gevent import socket
+from gevent.event import Event
 
 from spoolbarrow import handover
 from spoolbarrow import interface as i
@@ -23,6 +24,7 @@
 from spoolbarrow.admin.words import AWAY, Words
 from spoolbarrow.config import ConfigError, HostList, ListEntry
 from spoolbarrow.handover import Handover
+from spoolbarrow.net import passing
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.router import Router
 from tests.stage import (
@@ -328,3 +330,196 @@
         assert made.end(idle) == 0
         until(lambda: len(list((tmp_path / handover.FOLDER).glob("*.lock"))) == 1)
         assert made.call(old, "readyz", "GET") == 200
+
+
+# Streams
+
+
+@contextmanager
+def two_processes(*script: Any) -> Iterator[tuple[Any, Any, Any]]:
+    """Two routers of which the first passes its streams to the second: (old, new, engine)."""
+    with stage(*script) as (old, engine), stage() as (new,):
+
+        def send(text: bytes, descriptors: Any) -> bool:
+            passing.take(new.host, new.inbound, text, [os.dup(number) for number in descriptors])()
+            return True
+
+        old.send = send
+        old.host.give = lambda underway: passing.give(old.host, underway, old.send)
+        yield old, new, engine
+
+
+def test_a_stream_goes_on_in_the_next_process_with_each_event_once() -> None:
+    step = Event()
+
+    def in_steps(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        step.wait()
+        sock.sendall(chunk(EVENTS[1])[:5])  # cut anywhere
+        gevent.sleep(0.05)
+        sock.sendall(chunk(EVENTS[1])[5:] + b"0\r\n\r\n")
+
+    with two_processes(in_steps) as (old, new, _):
+        client = old.client().send(ask())
+        until(lambda: new.host.in_progress() == 1)
+        until(lambda: not old.inbound._clients and old.host.open_requests() == 0)
+        assert old.heard(i.AttemptEnded)[0].closed and old.host.in_progress() == 0
+        assert old.host._endpoints._pool._open == 0 and new.host._endpoints._pool._open == 1
+        step.set()
+        answer = client.answer()
+        assert answer.status == 200 and b"".join(answer.take_body()) == b"".join(EVENTS)
+        until(lambda: new.host.open_requests() == 0)
+        assert client.send(ask()).answer().status == 503  # it is the new one's now, which has no engine
+        assert len(new.heard(i.RequestArrived)) == 1 and len(old.heard(i.RequestArrived)) == 1
+
+
+def test_a_client_that_leaves_after_the_passing_frees_its_engine() -> None:
+    def begin(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+
+    with two_processes(begin) as (old, new, engine):
+        client = old.client().send(ask())
+        until(lambda: new.host.in_progress() == 1)
+        client.sock.close()
+        until(lambda: engine.ends == 1 and new.host.open_requests() == 0 and not new.inbound._clients)
+
+
+def test_an_engine_that_breaks_after_the_passing_ends_the_clients_connection() -> None:
+    step = Event()
+
+    def half(sock: socket.socket, message: Message) -> bool:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        step.wait()
+        return True
+
+    with two_processes(half) as (old, new, _):
+        client = old.client().send(ask())
+        until(lambda: new.host.in_progress() == 1)
+        step.set()
+        with pytest.raises(ConnectionResetError):
+            client.answer()
+
+
+@pytest.mark.parametrize("taken", [False, None])
+def test_a_stream_that_is_not_taken_stays_and_one_that_may_be_ends_for_both(taken: bool | None) -> None:
+    tries: list[bytes] = []
+
+    def send(text: bytes, descriptors: Any) -> bool | None:
+        tries.append(text)
+        return taken
+
+    def in_two(sock: socket.socket, message: Message) -> None:
+        begin_only(sock, message)
+        until(lambda: tries)
+        sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
+
+    with two_processes(in_two) as (old, new, _):
+        old.send = send
+        client = old.client().send(ask())
+        if taken is False:
+            for name in ("n", "m"):
+                assert client.answer().status == 200
+                client.send(ask(X_Correlation_Id=name))
+        else:
+            with pytest.raises(ConnectionResetError):
+                client.answer()
+        assert passing.read(tries[0]).id == "9b1f" and not new.inbound._clients
+
+
+def begin_only(sock: socket.socket, message: Message) -> None:
+    sock.sendall(HEAD + chunk(EVENTS[0]))
+
+
+def test_nothing_is_passed_while_something_of_it_is_half_read() -> None:
+    step = Event()
+
+    def cut(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]) + chunk(EVENTS[1])[:7])
+        step.wait()
+        sock.sendall(chunk(EVENTS[1])[7:] + b"0\r\n\r\n")
+
+    with two_processes(cut) as (old, new, _):
+        client = old.client().send(ask())
+        until(lambda: old.heard(i.StreamStarted))
+        gevent.sleep(0.05)
+        assert not new.inbound._clients
+        step.set()
+        assert client.answer().status == 200
+    with two_processes(begin_only) as (old, new, _):  # nor where the client has sent more already
+        old.client().send(ask() + ask(X_Correlation_Id="next"))
+        until(lambda: old.heard(i.StreamStarted))
+        gevent.sleep(0.05)
+        assert not new.inbound._clients and old.host.in_progress() == 1
+
+
+@pytest.mark.parametrize("text", [b"", b'{"v":1', b'{"v":2}', b"[]"])
+def test_a_message_that_is_torn_or_foreign_is_not_taken(text: bytes) -> None:
+    with stage() as (new,):
+        ends = socket.socketpair()
+        with pytest.raises(ValueError):
+            passing.take(new.host, new.inbound, text, [os.dup(end.fileno()) for end in ends])
+        with pytest.raises(ValueError):
+            passing.take(new.host, new.inbound, text, [])
+        assert not new.inbound._clients
+        for end in ends:
+            end.close()
+
+
+def test_streams_travel_between_processes_or_stay(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    one, two = Handover(str(tmp_path), "n0"), Handover(str(tmp_path), "n0")
+    one.look()
+    ends = socket.socketpair()
+    numbers = [end.fileno() for end in ends]
+    assert one.send_stream(b"x", numbers) is False  # nobody listens yet
+    got: list[tuple[bytes, list[int]]] = []
+
+    def take(text: bytes, descriptors: list[int]) -> Any:
+        got.append((text, descriptors))
+        if text == b"bad":
+            raise ValueError("no")
+        if text == b"slow":
+            gevent.sleep(1.0)
+        return lambda: None
+
+    two.listen_for_streams(take)
+    text = b"y" * 60_000  # more than one read
+    assert one.send_stream(text, numbers) is True and got[0][0] == text and len(got[0][1]) == 2
+    assert not set(got[0][1]) & set(numbers) and not os.get_inheritable(got[0][1][0])
+    assert one.send_stream(b"bad", numbers) is False
+    monkeypatch.setattr(handover, "STREAM_S", 0.05)
+    assert one.send_stream(b"slow", numbers) is None
+    for _, descriptors in got:
+        for number in descriptors:
+            os.close(number)
+    for handed in (one, two):
+        handed.close()
+    for end in ends:
+        end.close()
+
+
+def test_long_streams_outlive_the_process_that_began_them(tmp_path: Path) -> None:
+    go_on = Event()
+
+    def long(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD)
+        while not go_on.is_set():
+            sock.sendall(chunk(EVENTS[0]))
+            gevent.sleep(0.05)
+        sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
+
+    with service(tmp_path, Party(long)) as made:
+        first = made.start()
+        clients = [Client(made.port).send(ask(X_Correlation_Id=str(n))) for n in range(4)]
+        assert all(client.sock.recv(1) == b"H" for client in clients)
+        second = made.start()
+        assert made.end(first) == 0
+        assert made.log(second).count("stream_taken") == 4 and "moved" not in made.log(first)
+        go_on.set()
+        for client in clients:
+            rest = b"H"
+            while not rest.endswith(b"0\r\n\r\n"):
+                got = client.sock.recv(65536)
+                assert got
+                rest += got
+            body = rest.partition(b"\r\n\r\n")[2]
+            assert body.replace(chunk(EVENTS[0]), b"") == chunk(EVENTS[1]) + b"0\r\n\r\n"
