--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import gevent
@@ -23,7 +23,7 @@
 from spoolbarrow.net import passing
 from spoolbarrow.net.endpoint import Underway
 from spoolbarrow.net.host import Host
-from spoolbarrow.net.inbound import Inbound
+from spoolbarrow.net.inbound import Client, Inbound
 from spoolbarrow.net.log import log
 
 PASS_AFTER_S = 1.0  # after SIGTERM: most streams end by then, and SIGKILL is 2.7 s away
@@ -85,12 +85,20 @@
             except OSError as error:
                 log("handover_failed", what="streams", why=str(error))  # a path that is too long, say
 
-    def drain(self) -> bool:
-        """SIGTERM has come: whether a newer process takes clients; streams that last pass on to it."""
-        if self._handover is None or not self.succeeded():
-            return False
+    def drain(self) -> Callable[[Client], bool] | None:
+        """SIGTERM has come: what passes idle connections on, where a newer process takes clients.
+
+        Streams that last pass on to it by themselves.
+        """
+        if not self.succeeded():
+            return None
         gevent.spawn_later(PASS_AFTER_S, self._pass_streams)
-        return True
+        return self._give_idle
+
+    def _give_idle(self, client: Client) -> bool:
+        assert self._handover is not None
+        # One whose next request is coming in is served here, and that is no reason to give up on the others.
+        return client.unread() or passing.give_idle(client, self._handover.send_stream) or not client.idle()
 
     def _pass_streams(self) -> None:
         self._host.give = self._give
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -82,6 +82,8 @@
         self._name = name
         self._folder = Path(directory) / FOLDER
         self._folder.mkdir(mode=0o700, exist_ok=True)
+        # A Unix socket's path holds 107 bytes, and the folder's alone may be longer: a descriptor names it.
+        self._directory = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         # Names sort by age: who is later is the successor.
         self.me = f"{time.time_ns():020d}-{os.getpid()}"
         self._lock = os.open(self._path("lock"), os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
@@ -98,6 +100,9 @@
     def _path(self, kind: str, of: str = "") -> Path:
         return self._folder / f"{of or self.me}.{kind}"
 
+    def _streams_path(self, of: str = "") -> str:
+        return f"/proc/self/fd/{self._directory}/{self._path('streams', of).name}"
+
     def look(self) -> list[str]:
         """See who lives; those that are dead and left files."""
         with os.scandir(self._folder) as entries:
@@ -184,7 +189,7 @@
         """Have older processes pass on their streams: `take` has a message and its descriptors; OSError."""
         listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
-            listener.bind(str(self._path("streams")))
+            listener.bind(self._streams_path())
             listener.listen(STREAMS_BACKLOG)
         except OSError:
             listener.close()
@@ -222,7 +227,7 @@
         sent = False
         try:
             with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as taker, gevent.Timeout(STREAM_S):
-                taker.connect(str(self._path("streams", self.newer[-1])))
+                taker.connect(self._streams_path(self.newer[-1]))
                 rights = (socket.SOL_SOCKET, socket.SCM_RIGHTS, array("i", descriptors))
                 sent = True
                 done = taker.sendmsg([len(text).to_bytes(4), text], [rights])
@@ -263,4 +268,5 @@
             self._streams.close()
         for kind in ("state", "streams"):
             self._path(kind).unlink(missing_ok=True)
+        os.close(self._directory)
         os.close(self._lock)
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+from collections.abc import Callable
 from heapq import nsmallest
 
 import gevent
@@ -523,7 +524,7 @@
                     client.close(Why.ENDED)
             gevent.sleep(EMPTYING_S)
 
-    def drain(self, succeeded: bool = False) -> None:
+    def drain(self, pass_on: Callable[[Client], bool] | None = None) -> None:
         """Answer what was taken and what still comes within the grace, then close what is idle.
 
         Clients may have nowhere else to go while routers are restarted one after the other, so those that
@@ -531,19 +532,21 @@
         A stream that outlasts the grace would break at SIGKILL, when the next router may be draining too:
         its client is let go early, while there is another one to go on with. For the same reason nothing
         is left without an answer.
-        Where another process accepts from the same socket (`succeeded`), clients do have somewhere else to
-        go: nothing more is accepted, answers end connections, and idle ones end sooner. The router goes on.
+        Where another process accepts from the same socket, the router goes on: nothing more is accepted here,
+        and `pass_on` hands idle connections to that process. One that it does not take is ended as else.
         """
-        self.succeeded = succeeded
+        self.succeeded = succeeded = pass_on is not None
         self.draining = True
         begun, options = self.host.now(), self.config.options
         if not succeeded:
             gevent.sleep(options.drain_accept_ms / 1000)
         self._stop_listening()
-        self.closing = succeeded
         keep = min(SUCCEEDED_KEEP_MS, options.drain_keep_ms) if succeeded else options.drain_keep_ms
         while self._clients:
             passed = self.host.now() - begun
+            for client in [c for c in self._clients if c.idle()]:
+                if pass_on is not None and not pass_on(client):
+                    pass_on, self.closing = None, True  # answers end connections: clients come back by others
             if passed >= keep:
                 self.closing = True
                 for client in [c for c in self._clients if c.idle() and not c.unread()]:
@@ -562,13 +565,18 @@
         for client in list(self._clients):
             client.close(Why.ENDED)
 
-    def take_over(self, sock: socket.socket, chunks: bool, closing: bool) -> Exchange:
-        """A connection on which another process of this router has begun an answer; nothing is read yet."""
+    def take_idle(self, sock: socket.socket) -> Client:
+        """A connection that another process of this router accepted; nothing is read yet."""
         client = Client(self, sock)
         client.fresh = False
+        self._clients.add(client)
+        return client
+
+    def take_over(self, sock: socket.socket, chunks: bool, closing: bool) -> Exchange:
+        """A connection on which another process of this router has begun an answer; nothing is read yet."""
+        client = self.take_idle(sock)
         client.exchange = Exchange(client, Message(chunks=chunks, keep_alive=not closing))
         client.exchange.begun()
-        self._clients.add(client)
         return client.exchange
 
     def gone(self, client: Client) -> None:
--- a/spoolbarrow/net/log.py
+++ b/spoolbarrow/net/log.py
@@ -44,6 +44,9 @@
     "accept_paused": "warning",
     "client_stalled": "warning",
     "log_dropped": "warning",
+    "handover_failed": "warning",
+    "word_lost": "warning",
+    "control_paused": "warning",
 }
 
 
--- a/spoolbarrow/net/passing.py
+++ b/spoolbarrow/net/passing.py
@@ -1,7 +1,7 @@
-"""A running stream on its way from one process of this router to the next.
+"""Clients' connections, idle or with a running stream, on their way to the next process of this router.
 
-Owns its form in a message, when it may go, and how either side lets go of it or takes it up. How messages and
-descriptors travel is `handover`'s business. Nothing here is imported where no upgrade can come.
+Owns their form in a message, when one may go, and how either side lets go of it or takes it up. How messages
+and descriptors travel is `handover`'s business. Nothing here is imported where no upgrade can come.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 
 from spoolbarrow.net.endpoint import Underway
 from spoolbarrow.net.host import Host
-from spoolbarrow.net.inbound import Exchange, Inbound
+from spoolbarrow.net.inbound import Client, Exchange, Inbound
 from spoolbarrow.net.log import log
 
 VERSION = 1
@@ -40,6 +40,9 @@
     closing: bool  # it was told that its connection ends with the answer
 
 
+IDLE = b"idle"  # the message that comes with a connection on which nothing is under way
+
+
 def read(text: bytes) -> Stream:
     """The stream in a message; ValueError where it is torn or of another version."""
     stream = msgspec.json.decode(text, type=Stream)
@@ -77,12 +80,27 @@
     return True
 
 
+def give_idle(client: Client, send: Send) -> bool:
+    """Hand over a connection on which nothing is under way; whether it is no longer this process's."""
+    if not client.idle() or not client.pause():
+        return False
+    taken = send(IDLE, (client.sock.fileno(),))
+    if taken is False:
+        client.go_on()
+        return False
+    # Where it may have been taken, its client finds it closed, which between requests it may.
+    client.detach()
+    return True
+
+
 def take(host: Host, inbound: Inbound, text: bytes, descriptors: Sequence[int]) -> Callable[[], None]:
     """Take a stream up; what is returned sets it going. ValueError or OSError: it is not taken.
 
     The descriptors are this process's either way.
     """
     socks = [socket.socket(fileno=number) for number in descriptors]
+    if text == IDLE and len(socks) == 1:
+        return inbound.take_idle(socks[0]).go_on
     try:
         client, engine = socks  # ValueError where there are not two
         stream = read(text)
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -207,7 +207,7 @@
         gc.collect()
     log("draining", open=host.open_requests())
     subsystems.drain()
-    inbound.drain(operations is not None and operations.drain())
+    inbound.drain(operations.drain() if operations is not None else None)
     host.stop()
     if operations is not None:
         operations.close()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import os
+import signal
+import subprocess
+import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
+from pathlib import Path
 from typing import Any
 
 import gevent
@@ -12,6 +17,7 @@
 from gevent import socket
 from gevent.event import Event
 
+from spoolbarrow import config
 from spoolbarrow import interface as i
 from spoolbarrow.admin import calls, control
 from spoolbarrow.admin.calls import Call, Verb
@@ -32,11 +38,13 @@
     chunk,
     entry,
     free_port,
+    make_config,
     serve_all,
     stage,
     until,
 )
 
+ROOT = Path(__file__).resolve().parent.parent
 FATES = ("passed", "dropped", "bad_gateway")
 UP = b"GET /up HTTP/1.1\r\n\r\n"
 
@@ -288,3 +296,70 @@
         assert not scene.inbound._clients
         assert call("router/activate").status == 200 and not scene.inbound.ready()
         assert call("readyz", "GET").status == 503
+
+
+# The configuration
+
+
+def test_a_faulty_control_is_a_fault_that_names_its_key(tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    environment = {"NODE_CONFIG": str(file)}
+    file.write_bytes(msgspec.json.encode(make_config([])))
+    assert config.load(environment).control is None
+    assert config.load({**environment, "NODE_CONTROL": "127.0.0.1:7"}).control == ("127.0.0.1", 7)
+    with pytest.raises(config.ConfigError, match=r"^NODE_CONTROL: "):
+        config.load({**environment, "NODE_CONTROL": "here"})
+    file.write_bytes(msgspec.json.encode(make_config([], control="127.0.0.1:8")))
+    assert config.load({**environment, "NODE_CONTROL": "127.0.0.1:7"}).control == ("127.0.0.1", 8)
+    with pytest.raises(config.ConfigError, match=r"^control: "):
+        config.parse(msgspec.json.encode(make_config([], control="127.0.0.1")))
+
+
+def test_control_moves_at_sighup_and_one_that_cannot_be_had_changes_nothing(tmp_path: Path) -> None:
+    taken = socket.socket()
+    taken.bind((LISTEN, 0))
+    taken.listen()
+    file, first, second = tmp_path / "config.json", free_port(), free_port()
+    raw = make_config([entry("e0", 9)])
+
+    def configure(port: int) -> None:
+        file.write_bytes(msgspec.json.encode({**raw, "control": f"{LISTEN}:{port}"}))
+
+    def ready(port: int) -> bool:
+        try:
+            return Client(port).send(b"GET /v1/readyz HTTP/1.1\r\n\r\n").answer().status == 200
+        except OSError:
+            return False
+
+    configure(first)
+    environment = {**os.environ, "NODE_CONFIG": str(file), "TMPDIR": str(tmp_path)}
+    run = [sys.executable, "-m", "spoolbarrow"]
+    with subprocess.Popen(run, cwd=ROOT, env=environment, stderr=subprocess.PIPE) as router:
+        assert router.stderr is not None
+        until(lambda: ready(first))
+        configure(taken.getsockname()[1])
+        router.send_signal(signal.SIGHUP)
+        while b"reload_failed" not in (line := router.stderr.readline()):
+            pass
+        assert b'"error":"control: ' in line and ready(first)
+        configure(second)
+        router.send_signal(signal.SIGHUP)
+        until(lambda: ready(second))
+        assert not ready(first)
+        router.kill()
+    configure(taken.getsockname()[1])
+    done = subprocess.run(run, cwd=ROOT, env=environment, stderr=subprocess.PIPE)
+    assert done.returncode == 2 and b'"error":"control: ' in done.stderr
+    environment["NODE_INHERITED_FD"] = "0"
+    done = subprocess.run(run, cwd=ROOT, env=environment, stderr=subprocess.PIPE)
+    assert done.returncode == 2 and b'"error":"NODE_INHERITED_FD: ' in done.stderr
+    taken.close()
+
+
+def test_what_is_off_is_not_imported() -> None:
+    code = (
+        "import sys, spoolbarrow.serve; "
+        "print([m for m in sys.modules if 'admin' in m or 'handover' in m or 'passing' in m])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert done.stdout.strip() == "[]"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -144,7 +144,7 @@
     one._folder = tmp_path / "gone"
     one.write_words(b"said")
     assert "handover_failed" in capfd.readouterr().err
-    os.close(one._lock)
+    one.close()
 
 
 @pytest.mark.parametrize("text", ["", "three", "-1", "1000000", "99999999999999999999"])
@@ -280,7 +280,7 @@
         ended = 1
         gevent.joinall(clients, raise_error=True)
         assert len(answers) > 100 and all(got == [200] for got in answers.values())
-        assert unheard <= 20
+        assert unheard == 0  # connections pass on as well
         assert all("unexpected" not in made.log(number) for number in range(11))
 
 
@@ -373,6 +373,21 @@
         assert len(new.heard(i.RequestArrived)) == 1 and len(old.heard(i.RequestArrived)) == 1
 
 
+def test_an_idle_connection_goes_on_in_the_next_process() -> None:
+    with two_processes(serve_all) as (old, _, engine):
+        client, busy = old.client(), old.client().send(ask()[:30])
+        assert client.send(ask()).answer().status == 200
+        until(lambda: len(old.inbound._clients) == 2 and old.host.open_requests() == 0)
+        given = [passing.give_idle(one, old.send) for one in list(old.inbound._clients)]
+        assert sorted(given) == [False, True]  # not the one that is half read
+        assert client.send(ask()).answer().status == 503 and len(engine.requests) == 1  # the new one has none
+        assert busy.send(ask()[30:]).answer().status == 200
+        (left,) = old.inbound._clients
+        until(lambda: left.idle())
+        assert not passing.give_idle(left, lambda text, descriptors: False)
+        assert busy.send(ask(X_Correlation_Id="on")).answer().status == 200  # and is read on here
+
+
 def test_a_client_that_leaves_after_the_passing_frees_its_engine() -> None:
     def begin(sock: socket.socket, message: Message) -> None:
         sock.sendall(HEAD + chunk(EVENTS[0]))
@@ -466,7 +481,9 @@
 
 
 def test_streams_travel_between_processes_or_stay(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    one, two = Handover(str(tmp_path), "n0"), Handover(str(tmp_path), "n0")
+    folder = tmp_path / ("long" * 30)  # longer than a Unix socket's path may be
+    folder.mkdir()
+    one, two = Handover(str(folder), "n0"), Handover(str(folder), "n0")
     one.look()
     ends = socket.socketpair()
     numbers = [end.fileno() for end in ends]
