Take nothing after a drain's grace where nobody asks for the rest of a broken stream

Ruled out: requests without an answer (answer_all had answered them). Lines at fault: Inbound.drain keeps connections for drain_keep_ms, 2 s, which is right only where streams can be moved (Specifics.Resume); what comes later than 0.7 s and is cut off breaks the rule. Change: without it connections are kept for drain_accept_ms, and what still comes is refused at once.

--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -398,6 +398,9 @@
             # Guards the request of that name: an endpoint could not tell the two apart.
             raise Fault(409, "X-Correlation-Id: a request of this name is open")
         settings, options = inbound.config.settings, inbound.config.options
+        if inbound.closing and not (inbound.succeeded or inbound.config.resumes):
+            self._turned_away(message, "fail_fast")
+            return exchange.fail_fast(options.drain_accept_ms)
         # Guards against running out of memory or over what the platform allows to be open at once.
         if inbound.held > inbound.config.max_held or inbound.host.open_requests() >= settings.max_open:
             log("no_room", held=inbound.held, open=inbound.host.open_requests())
@@ -528,7 +531,8 @@
         """Answer what was taken and what still comes within the grace, then close what is idle.
 
         Clients may have nowhere else to go while routers are restarted one after the other, so those that
-        have a connection may use it for a while after new ones go elsewhere.
+        have a connection may use it for a while after new ones go elsewhere; not where a stream that SIGKILL
+        cuts off is lost to its client: what would be taken then is refused.
         A stream that outlasts the grace would break at SIGKILL, when the next router may be draining too:
         its client is let go early, while there is another one to go on with. For the same reason nothing
         is left without an answer.
@@ -542,6 +546,9 @@
             gevent.sleep(options.drain_accept_ms / 1000)
         self._stop_listening()
         keep = min(SUCCEEDED_KEEP_MS, options.drain_keep_ms) if succeeded else options.drain_keep_ms
+        if not (succeeded or self.config.resumes):
+            # Nobody asks for the rest of a stream that SIGKILL cuts off: what is taken must be whole by then.
+            keep = min(keep, options.drain_accept_ms)
         while self._clients:
             passed = self.host.now() - begun
             for client in [c for c in self._clients if c.idle()]:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -399,3 +399,28 @@
             router.kill()
             for party in (engine, old, new):
                 party.close()
+
+
+def test_where_nobody_asks_for_the_rest_a_drain_takes_only_what_can_be_whole() -> None:
+    """Guards against streams that SIGKILL cuts off: their clients lose them."""
+    options = {"drain_accept_ms": 100.0, "drain_keep_ms": 60_000.0}
+    seen = Event()
+
+    def in_two(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        seen.wait()
+        sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
+
+    with stage(in_two, options=options) as (scene, engine):
+        idle, busy = scene.client().send(b"GET /up HTTP/1.1\r\n\r\n"), scene.client().send(ask())
+        idle.answer()
+        until(lambda: scene.heard(i.StreamStarted))
+        draining = gevent.spawn(scene.inbound.drain)
+        assert idle.ended()
+        busy.send(ask(X_Correlation_Id="late"))
+        seen.set()
+        assert busy.answer().status == 200
+        refused = busy.answer()
+        assert refused.status == 503 and refused.fields[b"retry-after"] and busy.ended()
+        draining.join()
+        assert len(engine.requests) == 1
