Count memory that running requests hold as fullness, so that the pace of tokens holds

Lines at fault: ReplicaPool.wait counted all memory held for 150 ms, and fullness is measured by it.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -38,8 +38,8 @@
 HOPELESS = 1.5  # aims; predicted later than this, an attempt is refused: predictions spread about as much
 CUT_SAMPLE, CUT_SPAN = 200, 1.0  # newest admitted, for the cut; fullness beyond full at which it is highest
 MEMORY_FULL = 0.85  # share of memory held: above it running requests are thrown back and read again
-MEMORY_MS = 4000.0  # wait counted for the whole memory beyond that
-QUEUED_MS, RUNNING_MS = 30.0, 150.0  # wait counted for a request in the queue; for memory held (long steps)
+MEMORY_MS = 4000.0  # wait counted for all beyond that; all in all it counts as full: long steps miss the pace
+QUEUED_MS = 30.0  # wait counted for a request in the queue
 # Reports
 TRUST = 0.6  # of a fresh answer against its zone's mean: others sent too, and the least of several flatters
 ZONE_LEARN = 0.15  # weight of one answer in its zone's mean: few come from other zones
@@ -219,7 +219,7 @@
         self.zone_load: list[float] = []
         self.zone_memory: list[float] = []
         self.zone_at: list[float] = []
-        self.lateness = 1.0
+        self.lateness, self.full_ms = 1.0, 0.0
         self.home_read: list[float] = []  # tokens read at a session's home; a first guess, then learnt
         self.missed: list[list[float]] = [[], [], []]  # share of the prefix read, by rank
         self.configure(settings)
@@ -314,7 +314,7 @@
         memory += weight * (replica.memory - memory)
         since = replica.report_at - REPORT_LAG_MS
         wait += sum(a.read for a in replica.unstarted if a.sent_at > since) / READ_RATE
-        wait += RUNNING_MS * memory + max(0.0, memory - MEMORY_FULL) * MEMORY_MS
+        wait += self.full_ms * memory + max(0.0, memory - MEMORY_FULL) * MEMORY_MS
         if replica.probe_out and now - replica.probed_at > HOLD_MS:
             wait += SILENT_MS  # asked and not answered: paused, silent or deep in work
         if replica.slow > 1.0:
@@ -433,8 +433,8 @@
         steps = max(1, len(worths) - 1)
         self.tiers = [round(3.0 * worths.index(c.worth) / steps) for c in settings.classes]
         self.mean_aim = sum(c.aim_ms for c in settings.classes) / len(settings.classes)
-        pace = [c.token_aim_ms for c in settings.classes if c.token_aim_ms > 0]
-        self.full_ms = FULL_STEPS * sum(pace) / len(pace) if pace else FULL_SHARE * self.mean_aim
+        pace = [FULL_STEPS * c.token_aim_ms for c in settings.classes if c.token_aim_ms > 0]
+        self.full_ms = self.pool.full_ms = sum(pace) / len(pace) if pace else FULL_SHARE * self.mean_aim
         self.weights = [
             CLASS_WEIGHTS[tier] / (1.0 + ALPHA_SLO * c.aim_ms / self.mean_aim)
             for tier, c in zip(self.tiers, settings.classes, strict=True)
