Learn how long each replica's streams take, and count the excess against it

Ruled out: waiting for the first token; spoilt answers (28 streams, lost either way). Lines at fault: ReplicaPool._least knew of reading, memory and this node's streams, not of steps that are long. The test fails on the decisions before.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -37,8 +37,7 @@
 FULL_SHARE = 0.25  # of the mean aim, where no token aim is told
 HOPELESS = 1.5  # aims; predicted later than this, an attempt is refused: predictions spread about as much
 CUT_SAMPLE, CUT_SPAN = 200, 1.0  # newest admitted, for the cut; fullness beyond full at which it is highest
-MEMORY_FULL = 0.85  # share of memory held: above it running requests are thrown back and read again
-MEMORY_MS = 4000.0  # wait counted for all beyond that; all in all it counts as full: long steps miss the pace
+MEMORY_FULL, MEMORY_MS = 0.85, 4000.0  # memory held: beyond it requests are thrown back; wait for all beyond
 QUEUED_MS = 30.0  # wait counted for a request in the queue
 # Reports
 TRUST = 0.6  # of a fresh answer against its zone's mean: others sent too, and the least of several flatters
@@ -53,10 +52,9 @@
 FAR_PROBES = 0.2  # share of the spare probes, one a request, that go to other zones
 # Reading
 READ_RATE = 12.0  # tokens a millisecond; an order of magnitude, since loads are only compared
-STEP_MS = 30.0  # first-token time that is not reading, ms
 RUNNING_PRICE = 40.0  # a stream of this node's that runs there; on a slow replica they last, and add up
 READ_PRICE = 8.0  # a token read keeps all who run on the replica waiting, not only the request itself
-DECODE_MS = 30.0  # streaming time taken as one token: counts are not told
+STEP_MS, DECODE_MS = 30.0, 30.0  # first-token time that is not reading; streaming time taken as one token
 LEARN = 0.05  # weight of one sample in learnt means
 # Homes
 HOME_AIM, HOME_BUSY = 0.65, 0.4  # of the aim, and of fullness: see where they are used
@@ -104,7 +102,7 @@
         self.memory = self.load = 0.0
         self.unstarted: list[Attempt] = []
         self.running = 0
-        self.slow, self.slow_at, self.failing, self.failed_at = 1.0, 0.0, 0.0, 0.0
+        self.slow, self.slow_at, self.failing, self.failed_at, self.pace = 1.0, 0.0, 0.0, 0.0, 1.0
         self.suspect_until, self.strikes, self.silent = -1e12, 0, False
         self.cold_level = self.cold_at = self.started_at = 0.0
         self.update(entry)
@@ -250,7 +248,8 @@
                 replica.started_at = entry.started_at_ms
                 # It restarted: nothing known of the old process holds, and its budget starts at a random
                 # phase, so that nodes with less than one request of budget each do not spend it together.
-                replica.report_at, replica.suspect_until, replica.strikes, replica.slow = -1e12, -1e12, 0, 1.0
+                replica.report_at = replica.suspect_until = -1e12
+                replica.strikes, replica.slow, replica.pace = 0, 1.0, 1.0
                 replica.cold_level, replica.cold_at = -self.rng.random(), max(now, entry.started_at_ms)
             if entry.state is ReplicaState.GONE:
                 del self.replicas[entry.replica]
@@ -656,7 +655,7 @@
             price = 1.0 if hurried else READ_PRICE
             # Failing is a reason to choose another, not to think the fleet full and refuse.
             cost = pool.wait(replica, now, True) + RUNNING_PRICE * replica.running + price * read / READ_RATE
-            cost *= 1.0 + 0.1 * self.rng.random()
+            cost = (cost + self.full_ms * max(0.0, replica.pace - 1.0)) * (1.0 + 0.1 * self.rng.random())
             if replica.zone != self.settings.zone:
                 cost += cross
             elif wait * pool.lateness > self.full_ms and pool.remote:
@@ -765,8 +764,9 @@
         if event.outcome is Outcome.SERVED:
             self.pool.heard(replica, now)
             if attempt.first_ms >= 0.0:
-                spent = now - attempt.sent_at - attempt.first_ms
-                self.answer_ms[request.kind] += LEARN * (spent - self.answer_ms[request.kind])
+                spent, usual = now - attempt.sent_at - attempt.first_ms, self.answer_ms[request.kind]
+                replica.pace += 2.0 * LEARN * (min(spent / usual, 4.0) - replica.pace)
+                self.answer_ms[request.kind] += LEARN * (spent - usual)
             self.pool.learn(request, attempt, event.kept_tokens)
             replica.failing *= 0.7
         elif event.outcome is Outcome.REJECTED:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -412,3 +412,20 @@
     stuck = sends(ask(router, 1.0, "q"))[0].replica
     assert Probe(stuck) not in router.handle(1000.0, [TimerFired("sweep")])
     assert Probe(stuck) in router.handle(1600.0, [TimerFired("sweep")])
+
+
+def test_a_replica_whose_streams_take_longer_than_elsewhere_is_chosen_less() -> None:
+    """Guards the pace of tokens: nothing waits to be read there, so no report tells of it."""
+    router = Router(make_settings(zones=1), 3)
+    router.handle(0.0, [serving("a", "b")])
+    now, used = 0.0, Counter[str]()
+    for k in range(60):
+        now += 10_000.0
+        router.handle(now, [ProbeAnswered(n, Outcome.SERVED, 1.0, Report(0.1, 0.0)) for n in "ab"])
+        (send,) = sends(ask(router, now, f"q{k}"))
+        used[send.replica] += k >= 30
+        router.handle(now + 100.0, [StreamStarted(f"q{k}", 0, send.replica, 100.0)])
+        spent = 9000.0 if send.replica == "a" else 1000.0
+        ended = AttemptEnded(f"q{k}", 0, send.replica, Outcome.SERVED, True, spent)
+        router.handle(now + 100.0 + spent, [ended])
+    assert used["b"] > 4 * used["a"]
