--- a/spoolbarrow/admin/control.py
+++ b/spoolbarrow/admin/control.py
@@ -33,7 +33,7 @@
 MAX_HEAD, MAX_BODY = 8192, 4096  # bytes
 RECV = 4096
 BACKLOG = 64
-TEXT = b"Content-Type: text/plain; charset=utf-8\r\n"
+TEXT = b"text/plain; charset=utf-8"
 
 
 class Counting(Observer):
@@ -57,15 +57,10 @@
 
 def listen(address: Address) -> socket.socket:
     """A listener; OSError, naming the key, where the address can't be had."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
-        listener.listen(BACKLOG)
+        return http1.listen(address, BACKLOG)
     except OSError as error:
-        listener.close()
         raise OSError(f"control: {error}") from error
-    return listener
 
 
 class Control:
@@ -150,7 +145,7 @@
             call = calls.read(parser.whole.popleft())
             status, text = self._carry_out(call)
             if call.verb is Verb.METRICS:
-                return _text_pieces(text)
+                return http1.answer_pieces(status, text.encode(), True, kind=TEXT)
             return http1.answer_pieces(status, _told(text, status), True)
         except Fault as error:
             return http1.answer_pieces(error.status, _told(str(error), error.status), True, *error.headers)
@@ -188,9 +183,3 @@
 
 def _told(text: str, status: int = 200) -> bytes:
     return orjson.dumps({"status": text} if status == 200 else {"error": {"message": text, "code": status}})
-
-
-def _text_pieces(text: str) -> list[bytes]:
-    body = text.encode()
-    head = b"HTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n" % (TEXT, len(body))
-    return [head, body]
--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -42,7 +42,7 @@
         directory = os.environ.get("TMPDIR")
         if directory:
             try:
-                self._handover = Handover(directory, config.name)
+                self._handover = Handover(directory)
             except OSError as error:
                 log("handover_failed", what="folder", why=str(error))
 
@@ -141,7 +141,7 @@
 
     def _looked(self) -> None:
         """Guards the limits of the router: two processes have them together."""
-        shared = bool(self._handover and (self._handover.older or self._handover.newer))
+        shared = self._handover is not None and self._handover.shared()
         if shared is not self._shared:
             self._shared = shared
             fitting = self.fit(self._config)
--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -22,6 +22,7 @@
 Address = tuple[str, int]
 MISSING = "Object missing required field "  # msgspec's words
 CONTROL = "NODE_CONTROL"  # the same as the key `control`, which goes before it
+INHERITED = "NODE_INHERITED_FD"  # the number of a listening socket that was passed on at the start
 MIN_SOCKETS = 64  # below this the fixed needs leave nothing for clients
 
 
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -20,10 +20,9 @@
 from gevent import socket
 from msgspec.structs import replace
 
-from spoolbarrow.config import Config, ConfigError
+from spoolbarrow.config import INHERITED, Config, ConfigError
 from spoolbarrow.net.log import log, unexpected
 
-INHERITED = "NODE_INHERITED_FD"
 FOLDER = "spoolbarrow"
 LOOK_S = 0.05  # between looks at the others' files
 STATE_WAIT_S = 1.0  # a process that starts waits so long at most for the state of the one before it
@@ -75,11 +74,10 @@
 
 
 class Handover:
-    """This process among those that are the router of one name."""
+    """This process among those that share a folder: they are one router."""
 
-    def __init__(self, directory: str, name: str) -> None:
+    def __init__(self, directory: str) -> None:
         """OSError where the folder can't be used."""
-        self._name = name
         self._folder = Path(directory) / FOLDER
         self._folder.mkdir(mode=0o700, exist_ok=True)
         # A Unix socket's path holds 107 bytes, and the folder's alone may be longer: a descriptor names it.
@@ -250,9 +248,13 @@
             self.look()
         return None
 
+    def shared(self) -> bool:
+        """Whether another process of the router lives."""
+        return bool(self.older or self.newer)
+
     def fit(self, config: Config) -> Config:
         """This process's part of the router's room while another one lives."""
-        if not (self.older or self.newer):
+        if not self.shared():
             return config
         return replace(
             config, max_inbound=config.max_inbound // 2, max_outbound=config.max_outbound // 2,
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -169,10 +169,7 @@
         key = str(next(self._keys))
         facts = replace(facts, request=key)
         request = Request(key, id, message, answer, facts, self.now(), deadline, connection)
-        self._requests[key] = request
-        self._ids.add(id)
-        if self.taps.active:
-            self.taps.request_taken(request, facts)
+        self._enter(request, facts)
         self._post(facts)
         self._at(deadline, lambda: self._deadline(key))
         return request
@@ -271,11 +268,15 @@
         attempt = Attempt(request, 0, stream.endpoint, stream.sent_at)
         attempt.first_at, request.stream = stream.first_at, attempt
         request.attempts.append(attempt)
-        self._requests[key] = request
-        self._ids.add(stream.id)
+        self._enter(request, facts)
+        return request, attempt
+
+    def _enter(self, request: Request, facts: i.RequestArrived) -> None:
+        """It is open from here on, until `_forget`."""
+        self._requests[request.key] = request
+        self._ids.add(request.id)
         if self.taps.active:
             self.taps.request_taken(request, facts)
-        return request, attempt
 
     def probed(self, endpoint: str, outcome: i.Outcome, lag: float, report: i.Report | None) -> None:
         """The result of a probe."""
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 
 import httptools
-from gevent.socket import AF_INET, IPPROTO_TCP, SOCK_STREAM, TCP_NODELAY, socket
+from gevent.socket import AF_INET, IPPROTO_TCP, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, TCP_NODELAY, socket
 from msgspec import Struct
 
 from spoolbarrow.config import Address
@@ -282,6 +282,19 @@
     return sock
 
 
+def listen(address: Address, backlog: int) -> socket:
+    """A listener; OSError where the address can't be had."""
+    listener = socket(AF_INET, SOCK_STREAM)
+    try:
+        listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 def request_pieces(message: Message, address: Address, time_left_ms: int) -> list[bytes]:
     """A request written out again for another connection, as pieces for a gathered write."""
     pieces = [message.method, b" ", message.target, b" HTTP/1.1\r\nHost: ", _host(address), b"\r\n"]
@@ -298,9 +311,11 @@
     return [b"GET ", target, b" HTTP/1.1\r\nHost: ", _host(address), b"\r\n\r\n"]
 
 
-def answer_pieces(status: int, body: bytes, close: bool, *headers: bytes) -> list[bytes]:
-    """A whole answer with a JSON body."""
-    pieces = [b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n" % (status, REASONS[status])]
+def answer_pieces(
+    status: int, body: bytes, close: bool, *headers: bytes, kind: bytes = b"application/json"
+) -> list[bytes]:
+    """A whole answer; its body is JSON unless `kind` says what else."""
+    pieces = [b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\n" % (status, REASONS[status], kind)]
     pieces += [header + b"\r\n" for header in headers]
     if close:
         pieces.append(b"Connection: close\r\n")
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -480,14 +480,7 @@
         self.config = config
 
     def _listen(self, config: Config) -> None:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(config.listen)
-            listener.listen(BACKLOG)
-        except OSError:
-            listener.close()
-            raise
+        listener = http1.listen(config.listen, BACKLOG)
         self._stop_listening()
         self._listener, self._inherited = listener, False
         self._accepting = gevent.spawn(self._accept, listener, True)
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -32,7 +32,6 @@
     Prepared = tuple[exporter.Prepared | None, copier.Prepared | None, keeper.Prepared | None]
 
 TIDY_S = 2.0
-INHERITED = "NODE_INHERITED_FD"  # where set, a socket that listens was passed on at the start
 OPERATOR = "SPOOLBARROW_"  # what begins so in the environment is the operator's
 
 
@@ -166,7 +165,7 @@
     operations: Operations | None = None
     try:
         settings, operator = config.load(), operators()
-        if settings.control is not None or INHERITED in os.environ:
+        if settings.control is not None or config.INHERITED in os.environ:
             from spoolbarrow.admin.operations import Operations
 
             operations = Operations(settings)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -22,7 +22,7 @@
 from spoolbarrow.admin import state, words
 from spoolbarrow.admin.orders import Orders
 from spoolbarrow.admin.words import AWAY, Words
-from spoolbarrow.config import ConfigError, HostList, ListEntry
+from spoolbarrow.config import INHERITED, ConfigError, HostList, ListEntry
 from spoolbarrow.handover import Handover
 from spoolbarrow.net import passing
 from spoolbarrow.net.http1 import Message
@@ -114,8 +114,8 @@
 
 
 def test_a_process_is_there_while_it_holds_its_lock(tmp_path: Path) -> None:
-    one = Handover(str(tmp_path), "n0")
-    two = Handover(str(tmp_path), "n0")
+    one = Handover(str(tmp_path))
+    two = Handover(str(tmp_path))
     one.look()
     assert one.newer == [two.me] and two.older == [one.me] and not one.older
     one.write_words(b"said")
@@ -129,10 +129,10 @@
 
 
 def test_words_of_the_dead_hold(tmp_path: Path) -> None:
-    first = Handover(str(tmp_path), "n0")
+    first = Handover(str(tmp_path))
     first.write_words(b"banned")
     first.close()
-    second = Handover(str(tmp_path), "n0")
+    second = Handover(str(tmp_path))
     assert second.others_words(second.look()) == [b"banned"]
     second.close()
 
@@ -140,7 +140,7 @@
 def test_a_folder_that_cannot_be_written_costs_only_what_would_be_passed_on(
     tmp_path: Path, capfd: pytest.CaptureFixture[str]
 ) -> None:
-    one = Handover(str(tmp_path), "n0")
+    one = Handover(str(tmp_path))
     one._folder = tmp_path / "gone"
     one.write_words(b"said")
     assert "handover_failed" in capfd.readouterr().err
@@ -149,15 +149,15 @@
 
 @pytest.mark.parametrize("text", ["", "three", "-1", "1000000", "99999999999999999999"])
 def test_what_is_no_descriptor_is_a_fault_that_names_its_variable(text: str) -> None:
-    with pytest.raises(ConfigError, match=f"^{handover.INHERITED}: "):
-        handover.inherited({handover.INHERITED: text})
+    with pytest.raises(ConfigError, match=f"^{INHERITED}: "):
+        handover.inherited({INHERITED: text})
 
 
 def test_only_a_listening_tcp_socket_is_taken() -> None:
     with socket.socket() as idle, open(os.devnull) as file:
         for number in (idle.fileno(), file.fileno()):
             with pytest.raises(ConfigError, match="no "):
-                handover.inherited({handover.INHERITED: str(number)})
+                handover.inherited({INHERITED: str(number)})
     assert handover.inherited({}) is None
 
 
@@ -197,7 +197,7 @@
         descriptor = self.listener.fileno()
         environment = {
             **os.environ, "NODE_CONFIG": str(file), "TMPDIR": str(self.folder),
-            handover.INHERITED: str(descriptor),
+            INHERITED: str(descriptor),
         }
         with open(self.folder / f"log-{number}", "wb") as log:
             self.processes.append(subprocess.Popen(
@@ -483,7 +483,7 @@
 def test_streams_travel_between_processes_or_stay(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     folder = tmp_path / ("long" * 30)  # longer than a Unix socket's path may be
     folder.mkdir()
-    one, two = Handover(str(folder), "n0"), Handover(str(folder), "n0")
+    one, two = Handover(str(folder)), Handover(str(folder))
     one.look()
     ends = socket.socketpair()
     numbers = [end.fileno() for end in ends]
