Add the verdicts of failover: zones and regions judged by shares of failing endpoints

Change: spoolbarrow/failover/, free of I/O and clock. Each listed endpoint counts once by its last outcome within 2 s; a zone is suspect at half of those heard from failing (two at least), failed after 1 s of that, or at once when discovery lists none in service; a return ramps from 0.1 to 1 over 5 s; a failure during it doubles the hold up to 30 s. A slow zone is suspect and keeps its share. Regions follow their zones. Measured: the nine cases of tests/test_failover.py (one in eight failing stays healthy; a zone flapping every 0.2 to 2 s over 30 to 90 s moves traffic away no more than 6 times plus once a 30 s hold). Serving does not import it yet.

--- /dev/null
+++ b/spoolbarrow/failover/verdicts.py
@@ -0,0 +1,196 @@
+"""Verdicts on zones and regions, by one rule that every router applies to the same kinds of evidence.
+
+A zone's fault is a share of its endpoints: each endpoint counts once, by its last outcome within the
+window, so that the verdict depends on how many endpoints are gone and not on how much traffic one router
+sends. A zone that discovery lists without any endpoint in service is failed at once: all routers read that.
+
+Suspicion becomes failure after `confirm_ms`; a failed zone returns after its hold once nothing fails, and
+takes a share that grows from `ramp_start` to 1 over `ramp_ms`. Each failure during a return doubles the
+hold, up to `hold_most_ms`, and the hold only shrinks back after `hold_most_ms` of health: a zone that flaps
+moves traffic at most once a hold. A slow zone is suspect but keeps its share: the decisions weigh waits.
+
+All times are milliseconds on the caller's clock. Nothing here does I/O or reads a clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from enum import Enum
+from statistics import median
+
+from msgspec import Struct, field
+
+
+class State(Enum):
+    """What a zone or region is taken for."""
+
+    HEALTHY = "healthy"
+    SUSPECT = "suspect"  # failing or slow, not long enough or not badly enough to move traffic
+    FAILED = "failed"  # its endpoints get no new work
+    RETURNING = "returning"  # back, on a ramp
+
+
+class Settings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How evidence is weighed; times in milliseconds."""
+
+    window_ms: float = 2000.0  # an outcome older than this says nothing
+    confirm_ms: float = 1000.0  # suspicion that lasts so long is failure
+    hold_ms: float = 2000.0  # shortest time failed before a return
+    hold_most_ms: float = 30000.0  # longest hold; also the health that shrinks the hold again
+    ramp_ms: float = 5000.0  # from the return to the whole share
+    ramp_start: float = 0.1  # share at the return
+    fail_share: float = 0.5  # of the endpoints heard from, failing, to suspect the zone
+    min_failing: int = 2  # and at least so many
+    slow_factor: float = 3.0  # median wait of a zone against the others' to call it slow
+    slow_min_ms: float = 200.0  # and at least so long
+    regions: Mapping[str, tuple[str, ...]] = field(default_factory=dict)  # region: its zones
+
+
+class Heard(Struct, frozen=True):
+    """One outcome of an attempt or probe: `ok` for an answer, else a failed connection or silence."""
+
+    endpoint: str
+    at_ms: float
+    ok: bool
+    wait_ms: float = -1.0  # to the first byte of the answer; negative: not known
+
+
+class Evidence(Struct, frozen=True):
+    """What a router has: the list (endpoint: zone, in service or not) and outcomes since the last call."""
+
+    listed: Mapping[str, tuple[str, bool]]
+    heard: tuple[Heard, ...] = ()
+
+
+class Verdict(Struct, frozen=True):
+    """A zone's or region's verdict since `since_ms`, why, and the share of its fair load it may take."""
+
+    state: State
+    reason: str
+    since_ms: float
+    share: float = 1.0
+
+
+class _Zone:
+    __slots__ = ("state", "reason", "since", "hold", "healthy_since")
+
+    def __init__(self, hold: float) -> None:
+        self.state, self.reason, self.since = State.HEALTHY, "no fault seen", 0.0
+        self.hold, self.healthy_since = hold, 0.0
+
+
+class Verdicts:
+    """Verdicts of one router; its tables hold listed endpoints and configured or listed zones only."""
+
+    def __init__(self, settings: Settings, zones: Iterable[str] = ()) -> None:
+        self.settings = settings
+        self._last: dict[str, Heard] = {}  # each listed endpoint's last outcome
+        self._zones: dict[str, _Zone] = {}
+        for zone in (*zones, *(z for members in settings.regions.values() for z in members)):
+            self._zones.setdefault(zone, _Zone(settings.hold_ms))
+
+    def handle(self, now: float, evidence: Evidence) -> dict[str, Verdict]:
+        """Take new outcomes and the list as it is now; return the verdict of every zone and region by name.
+
+        Outcomes of endpoints that are not listed are dropped, and so are older ones than an endpoint's last.
+        """
+        for heard in evidence.heard:
+            last = self._last.get(heard.endpoint)
+            if heard.endpoint in evidence.listed and (last is None or heard.at_ms >= last.at_ms):
+                self._last[heard.endpoint] = heard
+        for name in [n for n in self._last if n not in evidence.listed]:
+            del self._last[name]
+        for named, _ in evidence.listed.values():
+            self._zones.setdefault(named, _Zone(self.settings.hold_ms))
+        counts = self._count(now, evidence.listed)
+        slow = self._slow(now, evidence.listed)
+        verdicts = {}
+        for name, zone in self._zones.items():
+            serving, well, failing = counts.get(name, (0, 0, 0))
+            self._step(now, zone, serving, well, failing, name in slow)
+            verdicts[name] = Verdict(zone.state, zone.reason, zone.since, self._share(now, zone))
+        for region, members in self.settings.regions.items():
+            verdicts[region] = self._region(members, verdicts)
+        return verdicts
+
+    def _count(self, now: float, listed: Mapping[str, tuple[str, bool]]) -> dict[str, tuple[int, int, int]]:
+        counts: dict[str, list[int]] = {}
+        for name, (zone, serving) in listed.items():
+            row = counts.setdefault(zone, [0, 0, 0])
+            if not serving:
+                continue
+            row[0] += 1
+            heard = self._last.get(name)
+            if heard is not None and now - heard.at_ms <= self.settings.window_ms:
+                row[1 if heard.ok else 2] += 1
+        return {zone: (row[0], row[1], row[2]) for zone, row in counts.items()}
+
+    def _slow(self, now: float, listed: Mapping[str, tuple[str, bool]]) -> set[str]:
+        waits: dict[str, list[float]] = {}
+        for name, heard in self._last.items():
+            if heard.ok and heard.wait_ms >= 0 and now - heard.at_ms <= self.settings.window_ms:
+                waits.setdefault(listed[name][0], []).append(heard.wait_ms)
+        slow, s = set(), self.settings
+        for zone, own in waits.items():
+            others = [w for z, ws in waits.items() if z != zone for w in ws]
+            if others and median(own) >= max(s.slow_min_ms, s.slow_factor * median(others)):
+                slow.add(zone)
+        return slow
+
+    def _step(self, now: float, zone: _Zone, serving: int, well: int, failing: int, slow: bool) -> None:
+        s = self.settings
+        sick = failing >= s.min_failing and failing >= s.fail_share * (failing + well)
+        empty = serving == 0
+        state = zone.state
+        if empty and state in (State.HEALTHY, State.SUSPECT, State.RETURNING):
+            self._fail(now, zone, "none of its endpoints in service")
+        elif sick and state is State.RETURNING:
+            self._fail(now, zone, f"{failing} of {failing + well} endpoints heard from fail again")
+        elif sick and state is State.SUSPECT and now - zone.since >= s.confirm_ms:
+            self._fail(now, zone, f"{failing} of {failing + well} endpoints heard from fail")
+        elif sick and state is State.HEALTHY:
+            self._set(now, zone, State.SUSPECT, f"{failing} of {failing + well} endpoints heard from fail")
+        elif not sick and state is State.SUSPECT and not slow:
+            self._set(now, zone, State.HEALTHY, "no fault seen")
+        elif slow and state is State.HEALTHY:
+            self._set(now, zone, State.SUSPECT, "slow: its waits several times the others'")
+        elif state is State.FAILED and not empty and not sick and now - zone.since >= zone.hold:
+            self._set(now, zone, State.RETURNING, f"back after {zone.hold / 1000:g} s")
+        elif state is State.RETURNING and now - zone.since >= s.ramp_ms:
+            self._set(now, zone, State.HEALTHY, "returned")
+            zone.healthy_since = now
+        if zone.state is State.HEALTHY and now - zone.healthy_since >= s.hold_most_ms:
+            zone.hold, zone.healthy_since = s.hold_ms, now
+
+    def _fail(self, now: float, zone: _Zone, reason: str) -> None:
+        if zone.state is State.RETURNING:  # failed again before it was whole: wait longer next time
+            zone.hold = min(self.settings.hold_most_ms, 2 * zone.hold)
+        self._set(now, zone, State.FAILED, reason)
+
+    @staticmethod
+    def _set(now: float, zone: _Zone, state: State, reason: str) -> None:
+        zone.state, zone.reason, zone.since = state, reason, now
+
+    def _share(self, now: float, zone: _Zone) -> float:
+        s = self.settings
+        if zone.state is State.FAILED:
+            return 0.0
+        if zone.state is State.RETURNING:
+            return min(1.0, s.ramp_start + (1 - s.ramp_start) * (now - zone.since) / s.ramp_ms)
+        return 1.0
+
+    @staticmethod
+    def _region(members: tuple[str, ...], verdicts: Mapping[str, Verdict]) -> Verdict:
+        own = [verdicts[zone] for zone in members]
+        states = {v.state for v in own}
+        if states == {State.FAILED}:
+            return Verdict(State.FAILED, "all its zones failed", max(v.since_ms for v in own), 0.0)
+        if states <= {State.FAILED, State.RETURNING}:
+            back = [v for v in own if v.state is State.RETURNING]
+            return Verdict(State.RETURNING, "a zone returns", min(v.since_ms for v in back),
+                           sum(v.share for v in own) / len(own))
+        if states & {State.FAILED, State.SUSPECT, State.RETURNING}:
+            sick = [v for v in own if v.state is not State.HEALTHY]
+            return Verdict(State.SUSPECT, f"{len(sick)} of {len(own)} zones not healthy",
+                           min(v.since_ms for v in sick), sum(v.share for v in own) / len(own))
+        return Verdict(State.HEALTHY, "all its zones healthy", 0.0)
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,114 @@
+"""Verdicts on zones and regions: the hard cases of docs/failover.md, on the pure part."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from spoolbarrow.failover import Evidence, Heard, Settings, State, Verdicts
+
+SETTINGS = Settings(regions={"west": ("a", "b"), "east": ("c",)})
+ZONES = {"a": 8, "b": 8, "c": 8}
+
+
+def listed(gone: frozenset[str] = frozenset()) -> dict[str, tuple[str, bool]]:
+    return {f"{z}{n}": (z, z not in gone) for z, count in ZONES.items() for n in range(count)}
+
+
+def outcomes(now: float, failing: dict[str, int], wait: float = 20.0, slow: str = "") -> tuple[Heard, ...]:
+    """Every endpoint heard from at `now`; the first `failing[zone]` of a zone fail."""
+    return tuple(
+        Heard(f"{z}{n}", now, n >= failing.get(z, 0), 10 * wait if z == slow else wait)
+        for z, count in ZONES.items() for n in range(count)
+    )
+
+
+def play(verdicts: Verdicts, until: float, failing: dict[str, int], gone: frozenset[str] = frozenset(),
+         start: float = 0.0, step: float = 100.0, slow: str = "") -> list[dict[str, State]]:
+    seen = []
+    now = start
+    while now < until:
+        told = verdicts.handle(now, Evidence(listed(gone), outcomes(now, failing, slow=slow)))
+        seen.append({name: v.state for name, v in told.items()})
+        now += step
+    return seen
+
+
+def test_a_zone_lost_wholly_fails_after_confirmation_only() -> None:
+    verdicts = Verdicts(SETTINGS)
+    seen = play(verdicts, 3000.0, {"a": 8})
+    assert seen[0]["a"] is State.SUSPECT
+    first = next(n for n, s in enumerate(seen) if s["a"] is State.FAILED)
+    assert first * 100.0 == SETTINGS.confirm_ms
+    assert seen[-1]["b"] is State.HEALTHY and seen[-1]["west"] is State.SUSPECT
+
+
+def test_a_zone_that_discovery_lists_empty_fails_at_once() -> None:
+    verdicts = Verdicts(SETTINGS)
+    told = verdicts.handle(0.0, Evidence(listed(frozenset({"b"}))))
+    assert told["b"].state is State.FAILED and told["b"].share == 0.0
+    assert told["a"].state is State.HEALTHY
+
+
+def test_one_in_eight_failing_is_no_zone_fault() -> None:
+    assert all(s["a"] is State.HEALTHY for s in play(Verdicts(SETTINGS), 10000.0, {"a": 1}))
+
+
+def test_a_region_lost_with_all_its_zones() -> None:
+    seen = play(Verdicts(SETTINGS), 2000.0, {"a": 8, "b": 8})
+    assert seen[-1]["west"] is State.FAILED and seen[-1]["east"] is State.HEALTHY
+
+
+def test_a_slow_zone_is_suspect_and_keeps_its_share() -> None:
+    verdicts = Verdicts(SETTINGS)
+    play(verdicts, 1000.0, {}, slow="c")
+    told = verdicts.handle(1000.0, Evidence(listed(), outcomes(1000.0, {}, slow="c")))
+    assert told["c"].state is State.SUSPECT and told["c"].share == 1.0 and "slow" in told["c"].reason
+
+
+def test_routers_cut_off_apart_disagree_only_on_their_own_view() -> None:
+    # A reaches zone a, B does not: B moves its own traffic, A keeps it; both by the same rule.
+    a, b = Verdicts(SETTINGS), Verdicts(SETTINGS)
+    assert play(a, 3000.0, {})[-1]["a"] is State.HEALTHY
+    assert play(b, 3000.0, {"a": 8})[-1]["a"] is State.FAILED
+
+
+def test_a_return_ramps_from_its_start_to_the_whole_share() -> None:
+    verdicts = Verdicts(SETTINGS)
+    play(verdicts, 2000.0, {"a": 8})
+    # Failed: no traffic, so nothing is heard of it; its failures age out of the window.
+    now, shares = 2000.0, []
+    while now < 12000.0:
+        told = verdicts.handle(now, Evidence(listed()))["a"]
+        shares.append((told.state, told.share))
+        now += 100.0
+    states = [s for s, _ in shares]
+    assert State.RETURNING in states and states[-1] is State.HEALTHY
+    ramp = [share for s, share in shares if s is State.RETURNING]
+    assert ramp[0] == SETTINGS.ramp_start and ramp == sorted(ramp)
+
+
+def test_entries_of_endpoints_no_longer_listed_are_dropped() -> None:
+    verdicts = Verdicts(SETTINGS)
+    verdicts.handle(0.0, Evidence(listed(), outcomes(0.0, {})))
+    verdicts.handle(100.0, Evidence({"a0": ("a", True)}))
+    assert set(verdicts._last) == {"a0"}
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(period=st.sampled_from([200.0, 500.0, 1000.0, 2000.0]), seconds=st.integers(30, 90))
+def test_a_flapping_zone_moves_traffic_at_most_once_a_hold(period: float, seconds: int) -> None:
+    verdicts = Verdicts(SETTINGS)
+    now, moves, last = 0.0, [], State.HEALTHY
+    while now < seconds * 1000.0:
+        down = int(now // period) % 2 == 0
+        state = verdicts.handle(now, Evidence(listed(), outcomes(now, {"a": 8} if down else {})))["a"].state
+        if (state is State.FAILED) != (last is State.FAILED):
+            moves.append(now)
+        last, now = state, now + 50.0
+    # Each failure during a return doubles the hold (2, 4, 8, 16, then 30 s): moves away thin out.
+    away = moves[::2]
+    assert all(b - a >= SETTINGS.hold_ms for a, b in pairwise(away))
+    assert len(away) <= 6 + seconds * 1000.0 / SETTINGS.hold_most_ms
