--- a/spoolbarrow/failover/verdicts.py
+++ b/spoolbarrow/failover/verdicts.py
@@ -2,7 +2,8 @@
 
 A zone's fault is a share of its endpoints: each endpoint counts once, by its last outcome within the
 window, so that the verdict depends on how many endpoints are gone and not on how much traffic one router
-sends. A zone that discovery lists without any endpoint in service is failed at once: all routers read that.
+sends. A zone that discovery lists without any endpoint in service, once it had some, is failed at once:
+all routers read that list.
 
 Suspicion becomes failure after `confirm_ms`; a failed zone returns after its hold once nothing fails, and
 takes a share that grows from `ramp_start` to 1 over `ramp_ms`. Each failure during a return doubles the
@@ -72,11 +73,12 @@
 
 
 class _Zone:
-    __slots__ = ("state", "reason", "since", "hold", "healthy_since")
+    __slots__ = ("state", "reason", "since", "hold", "healthy_since", "listed")
 
     def __init__(self, hold: float) -> None:
         self.state, self.reason, self.since = State.HEALTHY, "no fault seen", 0.0
         self.hold, self.healthy_since = hold, 0.0
+        self.listed = False  # some endpoint of it has been in service: before that, none is no fault
 
 
 class Verdicts:
@@ -140,7 +142,8 @@
     def _step(self, now: float, zone: _Zone, serving: int, well: int, failing: int, slow: bool) -> None:
         s = self.settings
         sick = failing >= s.min_failing and failing >= s.fail_share * (failing + well)
-        empty = serving == 0
+        zone.listed = zone.listed or serving > 0
+        empty = serving == 0 and zone.listed
         state = zone.state
         if empty and state in (State.HEALTHY, State.SUSPECT, State.RETURNING):
             self._fail(now, zone, "none of its endpoints in service")
--- /dev/null
+++ b/spoolbarrow/lab/proxy.py
@@ -0,0 +1,146 @@
+"""A fault proxy on loopback: between routers and engines, it passes, drops, resets, delays or slows bytes.
+
+    python -m spoolbarrow.lab.proxy SECONDS TARGET_PORT...     prints one listening port a target, then obeys
+
+Each target gets a listener of its own on 127.0.0.1. Lines on standard input set a listener's fault, by its
+index (`*` for all): `pass`, `drop` (connections are taken and nothing passes either way), `reset` (new and
+open connections are reset), `delay MS` (each piece waits so long), `slow BYTES_PER_S`, `oneway` (what the
+router sends passes, nothing comes back). Each line is answered `ok` or `error: ...` on standard output.
+It ends after SECONDS, or when standard input closes. Connections are bounded (`MOST_OPEN` a listener;
+beyond that, new ones are reset and counted).
+"""
+
+from __future__ import annotations
+
+import socket as plain
+import struct
+import sys
+from contextlib import suppress
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.fileobject import FileObject
+
+HOST = "127.0.0.1"
+MOST_OPEN = 512
+PIECE = 65536
+MODES = ("pass", "drop", "reset", "delay", "slow", "oneway")
+
+
+def _reset(sock: Any) -> None:
+    """Close with RST rather than FIN."""
+    with suppress(OSError):
+        sock.setsockopt(plain.SOL_SOCKET, plain.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class Gate:
+    """One listener before one target, and its fault."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.mode, self.value = "pass", 0.0
+        self.open: set[Any] = set()
+        self.refused = 0  # connections reset because MOST_OPEN were open
+        self.listener = socket.socket()
+        self.listener.setsockopt(plain.SOL_SOCKET, plain.SO_REUSEADDR, 1)
+        self.listener.bind((HOST, 0))
+        self.listener.listen(256)
+        self.port: int = self.listener.getsockname()[1]
+
+    def set(self, mode: str, value: float) -> None:
+        """Apply a fault from now on; `reset` also ends what is open."""
+        self.mode, self.value = mode, value
+        if mode == "reset":
+            for sock in list(self.open):
+                _reset(sock)
+            self.open.clear()
+
+    def serve(self) -> None:
+        """Accept for ever."""
+        while True:
+            client, _ = self.listener.accept()
+            if self.mode == "reset" or len(self.open) >= MOST_OPEN:
+                self.refused += self.mode != "reset"
+                _reset(client)
+                continue
+            gevent.spawn(self._join, client)
+
+    def _join(self, client: Any) -> None:
+        try:
+            engine = socket.create_connection((HOST, self.target), 2)
+        except OSError:
+            return _reset(client)
+        self.open |= {client, engine}
+        ends = [gevent.spawn(self._pump, client, engine, True)]
+        ends.append(gevent.spawn(self._pump, engine, client, False))
+        gevent.joinall(ends, count=1)
+        gevent.killall(ends, block=False)
+        for sock in (client, engine):
+            self.open.discard(sock)
+            sock.close()
+
+    def _pump(self, source: Any, sink: Any, outward: bool) -> None:
+        try:
+            while data := source.recv(PIECE):
+                self._pass(sink, data, outward)
+        except OSError:
+            pass
+
+    def _pass(self, sink: Any, data: bytes, outward: bool) -> None:
+        mode = self.mode
+        if mode == "drop" or (mode == "oneway" and not outward):
+            return
+        if mode == "delay":
+            gevent.sleep(self.value / 1000)
+        if mode == "slow":
+            for at in range(0, len(data), 64):
+                sink.sendall(data[at:at + 64])
+                gevent.sleep(64 / self.value)
+            return
+        sink.sendall(data)
+
+
+def obey(gates: list[Gate], line: str) -> str:
+    """Carry out one line of standard input; its answer."""
+    words = line.split()
+    if len(words) not in (2, 3) or words[1] not in MODES:
+        return f"error: want INDEX MODE [VALUE], MODE one of {', '.join(MODES)}"
+    if words[0] == "*":
+        chosen = gates
+    elif words[0].isdigit() and int(words[0]) < len(gates):
+        chosen = [gates[int(words[0])]]
+    else:
+        return f"error: no listener {words[0]}"
+    needs = words[1] in ("delay", "slow")
+    try:
+        value = float(words[2]) if needs else 0.0
+    except (IndexError, ValueError):
+        return f"error: {words[1]} wants a positive number"
+    if needs and value <= 0:
+        return f"error: {words[1]} wants a positive number"
+    for gate in chosen:
+        gate.set(words[1], value)
+    return "ok"
+
+
+def main(argv: list[str]) -> None:
+    """Serve the listeners, obey standard input, end in time."""
+    seconds, targets = float(argv[0]), [int(port) for port in argv[1:]]
+    gates = [Gate(target) for target in targets]
+    for gate in gates:
+        gevent.spawn(gate.serve)
+    print(" ".join(str(gate.port) for gate in gates), flush=True)
+    ear = FileObject(sys.stdin.fileno(), "r", close=False)
+
+    def listen() -> None:
+        for line in ear:
+            if line.strip():
+                print(obey(gates, line), flush=True)
+
+    gevent.spawn(listen).join(timeout=seconds)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -50,6 +50,8 @@
         self._aside_type, self._aside_group = "", -1
         self._aside: dict[str, tuple[str, Address, bool, float]] = {}
         self._aside_tell: Callable[[list[tuple[str, Address, bool, float]]], None] | None = None
+        self._zones_out: frozenset[str] = frozenset()  # failed by failover's verdict: like suspended
+        self._zones_back: dict[str, float] = {}  # returning since, by zone: its endpoints began anew then
 
     def apply(self, config: Config) -> None:
         """Go by a new configuration: another discovery is asked afresh, and calls to the old one dropped.
@@ -129,6 +131,29 @@
         """Whether an operator can mean this endpoint: it is listed, or was when it was suspended."""
         return name in self._addresses or name in self._suspended
 
+    def listing(self) -> dict[str, tuple[str, bool]]:
+        """Each listed endpoint's zone, and whether it is in service by discovery's word and operators'."""
+        serving = i.ReplicaState.SERVING
+        return {
+            name: (line.zone, STATES[line.status] is serving and name not in self._suspended)
+            for name, line in self._lines.items()
+        }
+
+    def zones(self, out: frozenset[str], back: dict[str, float]) -> None:
+        """Failover's verdicts: zones `out` take no new work; those of `back` began anew then (ms)."""
+        changed = (out ^ self._zones_out) | {z for z in back.keys() | self._zones_back.keys()
+                                            if back.get(z) != self._zones_back.get(z)}
+        self._zones_out, self._zones_back = out, dict(back)
+        for name, line in list(self._lines.items()):
+            if line.zone not in changed:
+                continue
+            if self._masked(line).state is i.ReplicaState.SERVING:
+                self._serving.add(name)
+            else:
+                self._serving.discard(name)
+                self._left(name)
+            self._say_again(name)
+
     def suspend(self, name: str) -> None:
         """Send nothing more to an endpoint, whatever discovery says, until it is resumed; NoRoom."""
         if name in self._suspended:
@@ -180,9 +205,10 @@
             line.weight,
             line.since_ms,  # Unix time, as the host's clock counts too
         )
-        if entry.replica in self._suspended and entry.state is i.ReplicaState.SERVING:
+        out = entry.replica in self._suspended or line.zone in self._zones_out
+        if out and entry.state is i.ReplicaState.SERVING:
             return replace(entry, state=i.ReplicaState.DRAINING)
-        resumed = self._resumed.get(entry.replica, 0.0)
+        resumed = max(self._resumed.get(entry.replica, 0.0), self._zones_back.get(line.zone, 0.0))
         return replace(entry, started_at_ms=resumed) if resumed > entry.started_at_ms else entry
 
     def watch(self) -> None:
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -280,8 +280,10 @@
 
     def probed(self, endpoint: str, outcome: i.Outcome, lag: float, report: i.Report | None) -> None:
         """The result of a probe."""
-        if report is not None and self.taps.active:
-            self.taps.probe_answered(endpoint, report)
+        if self.taps.active:
+            if report is not None:
+                self.taps.probe_answered(endpoint, report)
+            self.taps.probe_ended(endpoint, outcome, lag)
         self._post(i.ProbeAnswered(endpoint, outcome, lag, report))
 
     # The loop
--- a/spoolbarrow/net/taps.py
+++ b/spoolbarrow/net/taps.py
@@ -78,6 +78,9 @@
     def probe_answered(self, endpoint: str, report: i.Report) -> None:
         """An endpoint told its load."""
 
+    def probe_ended(self, endpoint: str, outcome: i.Outcome, lag: float) -> None:
+        """A probe has its outcome, after `lag` ms, answered or not."""
+
     def request_answered(self, request: Request) -> None:
         """What a request comes to is settled, in `answered`; attempts may still be out."""
 
@@ -192,6 +195,14 @@
             except Exception as error:
                 self._failed(observer, error)
 
+    def probe_ended(self, endpoint: str, outcome: i.Outcome, lag: float) -> None:
+        """A probe has its outcome."""
+        for observer in self._observers:
+            try:
+                observer.probe_ended(endpoint, outcome, lag)
+            except Exception as error:
+                self._failed(observer, error)
+
     def request_answered(self, request: Request) -> None:
         """What a request comes to is settled."""
         for observer in self._observers:
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -139,6 +139,21 @@
     most_waiting: Whole = 256
 
 
+class FailoverTable(Struct, forbid_unknown_fields=True, frozen=True):
+    """`[failover]`: verdicts on zones and regions (docs/operators/failover.md); times in milliseconds."""
+
+    regions: dict[str, Annotated[list[str], Meta(min_length=1)]] = {}  # region: its zones
+    window_ms: Positive = 2000.0
+    confirm_ms: Positive = 1000.0
+    hold_ms: Positive = 2000.0
+    hold_most_ms: Positive = 30000.0
+    ramp_ms: Positive = 5000.0
+    ramp_start: Share = 0.1
+    fail_share: Annotated[float, Meta(gt=0, le=1)] = 0.5
+    min_failing: Whole = 2
+    period_ms: Annotated[float, Meta(ge=10)] = 100.0  # how often the evidence is weighed
+
+
 class Operator(Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
@@ -146,6 +161,7 @@
     flows: FlowsTable | None = None
     shadow: ShadowTable | None = None
     door: DoorTable | None = None
+    failover: FailoverTable | None = None
 
 
 class Collector(Struct, frozen=True):
@@ -230,6 +246,8 @@
     try:
         if operator.flows is not None:
             collectors(operator.flows)
+        if operator.failover is not None and operator.failover.hold_most_ms < operator.failover.hold_ms:
+            raise ConfigError("failover.hold_most_ms: less than failover.hold_ms")
     except ConfigError as error:
         return Operator(), [str(error)]
     return operator, []
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -25,11 +25,14 @@
     from spoolbarrow.door.keeper import Keeper
     from spoolbarrow.flows import exporter
     from spoolbarrow.flows.exporter import Exporter
-    from spoolbarrow.operator import Operator
+    from spoolbarrow.net.failover import ZoneWatch
+    from spoolbarrow.operator import FailoverTable, Operator
     from spoolbarrow.shadow import copier
     from spoolbarrow.shadow.copier import Copier
 
-    Prepared = tuple[exporter.Prepared | None, copier.Prepared | None, keeper.Prepared | None]
+    Prepared = tuple[
+        exporter.Prepared | None, copier.Prepared | None, keeper.Prepared | None, FailoverTable | None
+    ]
 
 TIDY_S = 2.0
 OPERATOR = "SPOOLBARROW_"  # what begins so in the environment is the operator's
@@ -52,6 +55,7 @@
         self._flows: Exporter | None = None
         self._shadow: Copier | None = None
         self._door: Keeper | None = None
+        self._failover: ZoneWatch | None = None
 
     def prepare(self, operator: Operator | None, settings: config.Config) -> Prepared:
         """Everything about new settings that can fail; ConfigError where it does, and nothing is changed."""
@@ -73,11 +77,16 @@
             from spoolbarrow.door import keeper
 
             door = keeper.Prepared(operator.door, settings)
-        return flows, shadow, door
+        failover = None if operator is None else operator.failover
+        for region, zones in {} if failover is None else failover.regions.items():
+            for zone in zones:
+                if zone not in settings.zones:
+                    raise config.ConfigError(f"failover.regions.{region}: {zone} is no zone of the settings")
+        return flows, shadow, door, failover
 
     def apply(self, operator: Operator | None, prepared: Prepared) -> None:
         """Go by settings that were prepared; what is not set is as without a file."""
-        flows, shadow, door = prepared
+        flows, shadow, door, failover = prepared
         if operator is None:
             standard.configure()
         else:
@@ -106,6 +115,19 @@
             from spoolbarrow.door.keeper import Keeper
 
             self._door = Keeper(self._host, door)
+        if failover is None:
+            self._end_failover()
+        elif self._failover is not None:
+            self._failover.apply(failover)
+        else:
+            from spoolbarrow.net.failover import ZoneWatch
+
+            self._failover = ZoneWatch(self._host, failover)
+
+    @property
+    def failover(self) -> ZoneWatch | None:
+        """Failover's watch, where it is on."""
+        return self._failover
 
     def drain(self) -> None:
         """The router begins to end: copies do at once, so that live requests have the whole grace."""
@@ -129,6 +151,11 @@
             self._door.stop()
             self._door = None
 
+    def _end_failover(self) -> None:
+        if self._failover is not None:
+            self._failover.stop()
+            self._failover = None
+
     def _end_flows(self) -> None:
         if self._flows is not None:
             self._flows.close()
