--- a/spoolbarrow/admin/calls.py
+++ b/spoolbarrow/admin/calls.py
@@ -22,6 +22,7 @@
     RESUME = "resume"
     DRAIN = "drain"
     ACTIVATE = "activate"
+    ZONES = "zones"
 
 
 class Call(Struct, frozen=True):
@@ -33,11 +34,11 @@
 
 METHODS = {
     Verb.READY: b"GET", Verb.METRICS: b"GET", Verb.SUSPEND: b"POST", Verb.RESUME: b"POST",
-    Verb.DRAIN: b"POST", Verb.ACTIVATE: b"POST",
+    Verb.DRAIN: b"POST", Verb.ACTIVATE: b"POST", Verb.ZONES: b"GET",
 }
 PLAIN = {
     b"/v1/readyz": Verb.READY, b"/v1/metrics": Verb.METRICS,
-    b"/v1/router/drain": Verb.DRAIN, b"/v1/router/activate": Verb.ACTIVATE,
+    b"/v1/router/drain": Verb.DRAIN, b"/v1/router/activate": Verb.ACTIVATE, b"/v1/zones": Verb.ZONES,
 }
 ENGINES = b"/v1/engines/"
 OF_ENGINE = {b"suspend": Verb.SUSPEND, b"resume": Verb.RESUME}
--- a/spoolbarrow/admin/control.py
+++ b/spoolbarrow/admin/control.py
@@ -143,6 +143,10 @@
             if parser.fault is not None and not parser.whole:
                 raise parser.fault
             call = calls.read(parser.whole.popleft())
+            if call.verb is Verb.ZONES:
+                verdicts = self._host.destinations.verdicts
+                told = {"failover": "off"} if verdicts is None else {"failover": "on", "zones": verdicts}
+                return http1.answer_pieces(200, orjson.dumps(told), True)
             status, text = self._carry_out(call)
             if call.verb is Verb.METRICS:
                 return http1.answer_pieces(status, text.encode(), True, kind=TEXT)
--- a/spoolbarrow/cli/check.py
+++ b/spoolbarrow/cli/check.py
@@ -24,7 +24,12 @@
         environment["NODE_CONFIG"] = str(config)
     if file is not None:
         environment[operator.VARIABLE] = str(file)
-    found = [("config", _faults_of_config(environment)), ("operator", operator.read(environment)[1])]
+    told, faults_of_operator = operator.read(environment)
+    faults_of_config = _faults_of_config(environment)
+    if told.failover is not None and not faults_of_config:
+        zones = platform_config.parse(platform_config.read(environment)).zones
+        faults_of_operator += operator.zone_faults(told.failover, zones)
+    found = [("config", faults_of_config), ("operator", faults_of_operator)]
     for name, faults in found:
         for fault in faults:
             click.echo(f"{name}: {fault}")
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -52,6 +52,7 @@
         self._aside_tell: Callable[[list[tuple[str, Address, bool, float]]], None] | None = None
         self._zones_out: frozenset[str] = frozenset()  # failed by failover's verdict: like suspended
         self._zones_back: dict[str, float] = {}  # returning since, by zone: its endpoints began anew then
+        self.verdicts: dict[str, dict[str, object]] | None = None  # failover's, by zone and region; None: off
 
     def apply(self, config: Config) -> None:
         """Go by a new configuration: another discovery is asked afresh, and calls to the old one dropped.
@@ -139,8 +140,11 @@
             for name, line in self._lines.items()
         }
 
-    def zones(self, out: frozenset[str], back: dict[str, float]) -> None:
+    def zones(
+        self, out: frozenset[str], back: dict[str, float], verdicts: dict[str, dict[str, object]] | None
+    ) -> None:
         """Failover's verdicts: zones `out` take no new work; those of `back` began anew then (ms)."""
+        self.verdicts = verdicts
         changed = (out ^ self._zones_out) | {z for z in back.keys() | self._zones_back.keys()
                                             if back.get(z) != self._zones_back.get(z)}
         self._zones_out, self._zones_back = out, dict(back)
--- a/spoolbarrow/net/failover.py
+++ b/spoolbarrow/net/failover.py
@@ -58,7 +58,7 @@
         """Hear nothing more, and give every zone back."""
         self._host.taps.remove(self)
         self._loop.kill(block=False)
-        self._host.destinations.zones(frozenset(), {})
+        self._host.destinations.zones(frozenset(), {}, None)
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """An attempt's outcome is evidence of its endpoint."""
@@ -104,4 +104,8 @@
             if last is None or last.state is not verdict.state:
                 log("failover", place=name, state=verdict.state.value, reason=verdict.reason)
         self.told = told
-        destinations.zones(out, back)
+        shown: dict[str, dict[str, object]] = {
+            name: {"state": v.state.value, "reason": v.reason, "since_ms": v.since_ms, "share": v.share}
+            for name, v in told.items()
+        }
+        destinations.zones(out, back, shown)
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -10,7 +10,7 @@
 import ipaddress
 import os
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from datetime import datetime
 from pathlib import Path
 from typing import Annotated, Any
@@ -223,6 +223,14 @@
     return found
 
 
+def zone_faults(table: FailoverTable, zones: Collection[str]) -> list[str]:
+    """What `[failover]` names that the platform's settings do not have: one fault a zone, with its key."""
+    return [
+        f"failover.regions.{region}: {zone} is no zone of the settings"
+        for region, members in table.regions.items() for zone in members if zone not in zones
+    ]
+
+
 def read(environment: Mapping[str, str] = os.environ) -> tuple[Operator, list[str]]:
     """The operator's settings and all faults in them; with a fault, the settings are the defaults."""
     raw: dict[str, Any] = {}
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -8,6 +8,7 @@
 import gc
 import os
 import signal
+from collections.abc import Collection
 from importlib.util import find_spec
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,13 @@
 OPERATOR = "SPOOLBARROW_"  # what begins so in the environment is the operator's
 
 
+def zone_faults(table: FailoverTable, zones: Collection[str]) -> list[str]:
+    """`operator.zone_faults`, loaded where a table asks for it."""
+    from spoolbarrow import operator
+
+    return operator.zone_faults(table, zones)
+
+
 def operators() -> Operator | None:
     """The operator's settings, where there are any; ConfigError where they can't be used."""
     if not any(name.startswith(OPERATOR) for name in os.environ):
@@ -78,10 +86,8 @@
 
             door = keeper.Prepared(operator.door, settings)
         failover = None if operator is None else operator.failover
-        for region, zones in {} if failover is None else failover.regions.items():
-            for zone in zones:
-                if zone not in settings.zones:
-                    raise config.ConfigError(f"failover.regions.{region}: {zone} is no zone of the settings")
+        if failover is not None and (faults := zone_faults(failover, settings.zones)):
+            raise config.ConfigError(faults[0])
         return flows, shadow, door, failover
 
     def apply(self, operator: Operator | None, prepared: Prepared) -> None:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -79,6 +79,7 @@
         (b"POST", b"/v1/engines/s-1%2F2/suspend", Call(Verb.SUSPEND, "s-1/2")),
         (b"POST", b"/v1/engines/s/resume", Call(Verb.RESUME, "s")),
         (b"POST", b"/v1/router/activate", Call(Verb.ACTIVATE)),
+        (b"GET", b"/v1/zones", Call(Verb.ZONES)),
         (b"GET", b"/v1/router/drain", 405),
         (b"POST", b"/v1/metrics", 405),
         (b"POST", b"/v1/engines//suspend", 404),
@@ -363,3 +364,17 @@
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     assert done.stdout.strip() == "[]"
+
+
+def test_zones_tell_failover_off_and_then_its_verdicts() -> None:
+    from spoolbarrow.net.failover import ZoneWatch
+    from spoolbarrow.operator import FailoverTable
+
+    with operated(serve_all) as (scene, _, call, _engine):
+        assert msgspec.json.decode(b"".join(call("zones", "GET").take_body())) == {"failover": "off"}
+        watch = ZoneWatch(scene.host, FailoverTable(period_ms=600_000.0))
+        watch.weigh(scene.host.now())
+        told = msgspec.json.decode(b"".join(call("zones", "GET").take_body()))
+        assert told["failover"] == "on" and told["zones"]["a"]["state"] == "healthy"
+        watch.stop()
+        assert msgspec.json.decode(b"".join(call("zones", "GET").take_body())) == {"failover": "off"}
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -176,3 +176,15 @@
     with pytest.raises(config.ConfigError, match=r"^failover\.regions\.west: x is no zone"):
         Subsystems(None).prepare(operator, settings)  # type: ignore[arg-type]
     assert not none
+
+
+def test_check_names_a_zone_of_failover_that_the_settings_lack(tmp_path: Path) -> None:
+    from tests.stage import make_config
+    from tests.test_cli import call
+
+    (tmp_path / "config.json").write_bytes(msgspec.json.encode(make_config([])))
+    (tmp_path / "operator.toml").write_text("[failover]\nregions = {west = ['a'], east = ['x']}\n")
+    status, output = call(
+        "check", "--config", str(tmp_path / "config.json"), "--operator", str(tmp_path / "operator.toml")
+    )
+    assert (status, output) == (2, "operator: failover.regions.east: x is no zone of the settings\n")
