Let the fleet's stand-in engines reuse the benchmarks' listener and answers

Seen in the read of the change: tests/fleet.py wrote again the loop of benchmarks/standin.py that accepts and answers each request, and its head, event and chunk. Change: it imports them. Behaviour the same: tests/test_fleet_failover.py 2 passed, ruff and mypy clean.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -26,61 +26,33 @@
 # The stand-ins' side: run in processes of their own
 
 
-def _serve(port: int, answer: Callable[[Any, Any], None]) -> Any:
+def _serve(answer: Callable[[Any, Any], None]) -> Any:
+    """A listener on a free port, answering each request by `answer`, as the benchmarks' stand-ins do."""
     import gevent
-    from gevent import socket
-
-    from spoolbarrow.net.http1 import RequestParser
-
-    listener = socket.socket()
-    listener.bind((HOST, port))
-    listener.listen(256)
-
-    def converse(sock: Any) -> None:
-        parser = RequestParser(16_384, 262_144)
-        try:
-            while data := sock.recv(65_536):
-                parser.feed(memoryview(data))
-                while parser.whole:
-                    answer(sock, parser.whole.popleft())
-        except OSError:
-            pass
-        finally:
-            sock.close()
-
-    def accept() -> None:
-        while True:
-            gevent.spawn(converse, listener.accept()[0])
-
-    gevent.spawn(accept)
-    return listener
-
+    import standin
 
-def _plain(body: bytes) -> bytes:
-    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    listener = standin.listen()
+    gevent.spawn(standin.serve, listener, answer)
+    return listener
 
 
 def engines(seconds: float, count: int) -> None:
     """Engines that answer probes at once and stream four events 20 ms apart."""
     import gevent
-
-    event = b'data: {"choices":[{"index":0,"delta":{"content":"w"},"finish_reason":null}]}\n\n'
-    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-    def chunk(part: bytes) -> bytes:
-        return b"%x\r\n%s\r\n" % (len(part), part)
+    from standin import EVENT, HEAD, PLAIN, chunk
 
     def answer(sock: Any, message: Any) -> None:
         if message.method == b"GET":
-            sock.sendall(_plain(b"x1=0,load_share=0.1,x0=0.1"))
+            body = b"x1=0,load_share=0.1,x0=0.1"
+            sock.sendall(PLAIN % (len(body), body))
             return
-        sock.sendall(head + chunk(event))
+        sock.sendall(HEAD + chunk(EVENT))
         for _ in range(3):
             gevent.sleep(0.02)
-            sock.sendall(chunk(event))
+            sock.sendall(chunk(EVENT))
         sock.sendall(chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
 
-    listeners = [_serve(0, answer) for _ in range(count)]
+    listeners = [_serve(answer) for _ in range(count)]
     print(" ".join(str(one.getsockname()[1]) for one in listeners), flush=True)
     gevent.sleep(seconds)
 
@@ -88,17 +60,18 @@
 def discovery(seconds: float, file: str) -> None:
     """The whole list as FILE holds it now; a watch is told it once and then kept open."""
     import gevent
+    from standin import PLAIN
 
     def answer(sock: Any, message: Any) -> None:
         whole = Path(file).read_bytes()
         if b"stream=1" not in message.target:
-            sock.sendall(_plain(whole))
+            sock.sendall(PLAIN % (len(whole), whole))
             return
         sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         sock.sendall(b"%x\r\n%s\r\n" % (len(whole) + 1, whole + b"\n"))
         gevent.sleep(seconds)
 
-    print(_serve(0, answer).getsockname()[1], flush=True)
+    print(_serve(answer).getsockname()[1], flush=True)
     gevent.sleep(seconds)
 
 
@@ -235,5 +208,6 @@
 
 
 if __name__ == "__main__":
+    sys.path.insert(0, str(ROOT / "benchmarks"))  # the stand-ins' pieces
     {"engines": lambda: engines(float(sys.argv[2]), int(sys.argv[3])),
      "discovery": lambda: discovery(float(sys.argv[2]), sys.argv[3])}[sys.argv[1]]()
