Tell failover's dropped outcomes in the log, and import its zone check where it is used

Seen in the read of the change: ZoneWatch counted outcomes beyond MOST_HEARD but told nobody, against the rule that every bound tells its drops; serve.py wrapped operator.zone_faults in a function of its own only to import it late. Change: each period with drops logs failover_dropped with their number and the total; prepare imports zone_faults where a [failover] table is there.

--- a/spoolbarrow/net/failover.py
+++ b/spoolbarrow/net/failover.py
@@ -44,7 +44,7 @@
         self._host, self._period = host, table.period_ms
         self._verdicts = Verdicts(settings(table), host.config.zones)
         self._heard: list[Heard] = []
-        self.dropped = 0  # outcomes beyond MOST_HEARD in a period
+        self.dropped = self._told_dropped = 0  # outcomes beyond MOST_HEARD in a period, and those logged
         self.told: dict[str, Verdict] = {}
         host.taps.add(self)
         self._loop = gevent.spawn(self._run)
@@ -93,6 +93,9 @@
         destinations = self._host.destinations
         listing = destinations.listing()
         heard, self._heard = self._heard, []
+        if self.dropped > self._told_dropped:
+            log("failover_dropped", outcomes=self.dropped - self._told_dropped, since_start=self.dropped)
+            self._told_dropped = self.dropped
         told = self._verdicts.handle(now, Evidence(listing, tuple(heard)))
         zones = {zone for zone, _ in listing.values()}
         out = frozenset(z for z in zones if told[z].state is State.FAILED)
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -8,7 +8,6 @@
 import gc
 import os
 import signal
-from collections.abc import Collection
 from importlib.util import find_spec
 from typing import TYPE_CHECKING
 
@@ -39,13 +38,6 @@
 OPERATOR = "SPOOLBARROW_"  # what begins so in the environment is the operator's
 
 
-def zone_faults(table: FailoverTable, zones: Collection[str]) -> list[str]:
-    """`operator.zone_faults`, loaded where a table asks for it."""
-    from spoolbarrow import operator
-
-    return operator.zone_faults(table, zones)
-
-
 def operators() -> Operator | None:
     """The operator's settings, where there are any; ConfigError where they can't be used."""
     if not any(name.startswith(OPERATOR) for name in os.environ):
@@ -86,8 +78,11 @@
 
             door = keeper.Prepared(operator.door, settings)
         failover = None if operator is None else operator.failover
-        if failover is not None and (faults := zone_faults(failover, settings.zones)):
-            raise config.ConfigError(faults[0])
+        if failover is not None:
+            from spoolbarrow.operator import zone_faults
+
+            if faults := zone_faults(failover, settings.zones):
+                raise config.ConfigError(faults[0])
         return flows, shadow, door, failover
 
     def apply(self, operator: Operator | None, prepared: Prepared) -> None:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -188,3 +188,21 @@
         "check", "--config", str(tmp_path / "config.json"), "--operator", str(tmp_path / "operator.toml")
     )
     assert (status, output) == (2, "operator: failover.regions.east: x is no zone of the settings\n")
+
+
+def test_outcomes_beyond_the_bound_are_dropped_and_told(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    from spoolbarrow import interface as i
+    from spoolbarrow.net import failover
+    from spoolbarrow.operator import FailoverTable
+    from tests.stage import serve_all, stage
+
+    monkeypatch.setattr(failover, "MOST_HEARD", 1)
+    with stage(serve_all) as (scene, _):
+        watch = failover.ZoneWatch(scene.host, FailoverTable(period_ms=600_000.0))
+        for _ in range(3):
+            watch.probe_ended("e0", i.Outcome.SERVED, 1.0)
+        watch.weigh(scene.host.now())
+        watch.stop()
+    assert watch.dropped == 2 and '"event":"failover_dropped","outcomes":2' in capfd.readouterr().err
