Ask silent, failed and unheard zones before judging them, so that cut-off zones fail everywhere

Seen with five router processes and a gate of the fault proxy for each router and engine: a zone whose bytes are dropped was never failed (375 requests, no verdict within 30 s), since late probes say nothing since slow zones were failed by them, and the decisions leave silent endpoints out and call late attempts off (net/failover.py, probe_ended and SAYS_NOTHING). Ruled out: the proxy (reset fails the zone in 6 s) and the list (zones told right). Also seen: a zone that was slow for long and then failed was not confirmed, as confirmation was counted from the slowness (verdicts.py, _step).

Way chosen: a late probe or timed-out request is doubt; where most of a zone is in doubt, three endpoints are asked with a second's patience on connections of their own, and that is the outcome. Failed zones are asked before they return, and zones without word once a window, so that routers which send nothing there agree. Rejected: longer time-outs for all probes (the decisions wait on them); called-off attempts as failures.

The harness moves into the lab (lab/cluster.py), with a gate for each router and engine, discovery that tells changes, and engines that count what they are sent; the proxy resets what lost bytes when a fault ends.

--- a/spoolbarrow/failover/verdicts.py
+++ b/spoolbarrow/failover/verdicts.py
@@ -5,6 +5,12 @@
 sends. A zone that discovery lists without any endpoint in service, once it had some, is failed at once:
 all routers read that list.
 
+Silence is no failure by itself: an endpoint that let a short probe or a request wait in vain is in doubt,
+since a slow or busy one does that too. Where most of a zone's endpoints are in doubt, `to_check` names some
+to be asked with patience, and what comes of that is their outcome. A failed zone is asked so as well, and
+not brought back on clients' requests before its endpoints answer; so is one that this router has no word of,
+so that routers which send nothing there reach the verdict of those that do.
+
 Suspicion becomes failure after `confirm_ms`; a failed zone returns after its hold once nothing fails, and
 takes a share that grows from `ramp_start` to 1 over `ramp_ms`. Each failure during a return doubles the
 hold, up to `hold_most_ms`, and the hold only shrinks back after `hold_most_ms` of health: a zone that flaps
@@ -44,15 +50,19 @@
     min_failing: int = 2  # and at least so many
     slow_factor: float = 3.0  # median wait of a zone against the others' to call it slow
     slow_min_ms: float = 200.0  # and at least so long
+    checks: bool = True  # whether endpoints in doubt can be asked; else a zone returns unasked after its hold
+    check_ms: float = 500.0  # a zone is asked again so long after
+    check_most: int = 3  # endpoints of a zone asked at a time
     regions: Mapping[str, tuple[str, ...]] = field(default_factory=dict)  # region: its zones
 
 
 class Heard(Struct, frozen=True):
-    """One outcome of an attempt or probe: `ok` for an answer, else a failed connection or silence."""
+    """One outcome of an attempt, probe or check: `ok` for an answer, None for one not waited for to the end,
+    else a failed connection or long silence."""
 
     endpoint: str
     at_ms: float
-    ok: bool
+    ok: bool | None
     wait_ms: float = -1.0  # to the first byte of the answer; negative: not known
 
 
@@ -73,10 +83,12 @@
 
 
 class _Zone:
-    __slots__ = ("state", "reason", "since", "hold", "healthy_since", "listed")
+    __slots__ = ("state", "reason", "since", "sick_since", "hold", "healthy_since", "listed", "checked_at")
 
     def __init__(self, hold: float) -> None:
         self.state, self.reason, self.since = State.HEALTHY, "no fault seen", 0.0
+        self.sick_since: float | None = None
+        self.checked_at = 0.0  # some of its endpoints were last named to be asked
         self.hold, self.healthy_since = hold, 0.0
         self.listed = False  # some endpoint of it has been in service: before that, none is no fault
 
@@ -87,6 +99,8 @@
     def __init__(self, settings: Settings, zones: Iterable[str] = ()) -> None:
         self.settings = settings
         self._last: dict[str, Heard] = {}  # each listed endpoint's last outcome
+        self._doubted: set[str] = set()  # those that have let something wait in vain since they last answered
+        self._checked: dict[str, float] = {}  # when each was last named to be asked
         self._zones: dict[str, _Zone] = {}
         for zone in (*zones, *(z for members in settings.regions.values() for z in members)):
             self._zones.setdefault(zone, _Zone(settings.hold_ms))
@@ -98,10 +112,18 @@
         """
         for heard in evidence.heard:
             last = self._last.get(heard.endpoint)
-            if heard.endpoint in evidence.listed and (last is None or heard.at_ms >= last.at_ms):
+            if heard.endpoint not in evidence.listed or (last is not None and heard.at_ms < last.at_ms):
+                continue
+            if heard.ok is None:
+                self._doubted.add(heard.endpoint)
+            else:
                 self._last[heard.endpoint] = heard
-        for name in [n for n in self._last if n not in evidence.listed]:
-            del self._last[name]
+                if heard.ok:
+                    self._doubted.discard(heard.endpoint)
+        for table in (self._last, self._checked):
+            for name in [n for n in table if n not in evidence.listed]:
+                del table[name]
+        self._doubted &= evidence.listed.keys()
         for named, _ in evidence.listed.values():
             self._zones.setdefault(named, _Zone(self.settings.hold_ms))
         counts = self._count(now, evidence.listed)
@@ -115,6 +137,35 @@
             verdicts[region] = self._region(members, verdicts)
         return verdicts
 
+    def to_check(self, now: float, listed: Mapping[str, tuple[str, bool]]) -> list[str]:
+        """Endpoints to be asked now whether they answer: of zones in doubt, failed, or not heard from.
+
+        Named are those not asked for longest, `check_most` a zone and `check_ms` at the most.
+        """
+        s = self.settings
+        if not s.checks:
+            return []
+        serving: dict[str, list[str]] = {}
+        for name, (zone, serves) in listed.items():
+            if serves:
+                serving.setdefault(zone, []).append(name)
+        named: list[str] = []
+        for zone, names in serving.items():
+            its = self._zones[zone]
+            heard = [n for n in names if n in self._last and now - self._last[n].at_ms <= s.window_ms]
+            doubted = sum(name in self._doubted for name in names)
+            sure = sum(name not in self._doubted for name in heard)
+            doubt = doubted >= s.min_failing and doubted >= s.fail_share * (doubted + sure)
+            unheard = len(heard) < min(s.min_failing, len(names))
+            wanted = doubt or unheard or its.state is State.FAILED
+            if wanted and now - its.checked_at >= s.check_ms:
+                its.checked_at = now
+                names.sort(key=lambda name: (self._checked.get(name, 0.0), name))
+                for name in names[: s.check_most]:
+                    self._checked[name] = now
+                    named.append(name)
+        return named
+
     def _count(self, now: float, listed: Mapping[str, tuple[str, bool]]) -> dict[str, tuple[int, int, int]]:
         counts: dict[str, list[int]] = {}
         for name, (zone, serving) in listed.items():
@@ -145,11 +196,17 @@
         zone.listed = zone.listed or serving > 0
         empty = serving == 0 and zone.listed
         state = zone.state
+        if not sick:
+            zone.sick_since = None
+        elif zone.sick_since is None:
+            zone.sick_since = now
+        confirmed = zone.sick_since is not None and now - zone.sick_since >= s.confirm_ms
+        answers = not s.checks or well >= min(s.min_failing, serving)
         if empty and state in (State.HEALTHY, State.SUSPECT, State.RETURNING):
             self._fail(now, zone, "none of its endpoints in service")
         elif sick and state is State.RETURNING:
             self._fail(now, zone, f"{failing} of {failing + well} endpoints heard from fail again")
-        elif sick and state is State.SUSPECT and now - zone.since >= s.confirm_ms:
+        elif confirmed and state is State.SUSPECT:
             self._fail(now, zone, f"{failing} of {failing + well} endpoints heard from fail")
         elif sick and state is State.HEALTHY:
             self._set(now, zone, State.SUSPECT, f"{failing} of {failing + well} endpoints heard from fail")
@@ -157,7 +214,7 @@
             self._set(now, zone, State.HEALTHY, "no fault seen")
         elif slow and state is State.HEALTHY:
             self._set(now, zone, State.SUSPECT, "slow: its waits several times the others'")
-        elif state is State.FAILED and not empty and not sick and now - zone.since >= zone.hold:
+        elif state is State.FAILED and not empty and not sick and answers and now - zone.since >= zone.hold:
             self._set(now, zone, State.RETURNING, f"back after {zone.hold / 1000:g} s")
         elif state is State.RETURNING and now - zone.since >= s.ramp_ms:
             self._set(now, zone, State.HEALTHY, "returned")
--- a/spoolbarrow/lab/proxy.py
+++ b/spoolbarrow/lab/proxy.py
@@ -2,11 +2,12 @@
 
     python -m spoolbarrow.lab.proxy SECONDS TARGET_PORT...     prints one listening port a target, then obeys
 
-Each target gets a listener of its own on 127.0.0.1. Lines on standard input set a listener's fault, by its
-index (`*` for all): `pass`, `drop` (connections are taken and nothing passes either way), `reset` (new and
-open connections are reset), `delay MS` (each piece waits so long), `slow BYTES_PER_S`, `oneway` (what the
-router sends passes, nothing comes back). Each line is answered `ok` or `error: ...` on standard output.
-It ends after SECONDS, or when standard input closes. Connections are bounded (`MOST_OPEN` a listener;
+Each target gets a listener of its own on 127.0.0.1. Lines on standard input set the fault of listeners, by
+index (`0,3,4`, or `*` for all): `pass`, `drop` (connections are taken and nothing passes either way),
+`reset` (new and open connections are reset), `delay MS` (each piece waits so long), `slow BYTES_PER_S`,
+`oneway` (what the router sends passes, nothing comes back). Connections that lost bytes so are reset when
+the fault ends, as those of a machine that is back. Each line is answered `ok` or `error: ...` on standard
+output. It ends after SECONDS, or when standard input closes. Connections are bounded (`MOST_OPEN` a listener;
 beyond that, new ones are reset and counted).
 """
 
@@ -16,11 +17,13 @@
 import struct
 import sys
 from contextlib import suppress
+from functools import partial
 from typing import Any
 
 import gevent
 from gevent import socket
-from gevent.fileobject import FileObject
+
+from spoolbarrow.lab.orders import obey_lines
 
 HOST = "127.0.0.1"
 MOST_OPEN = 512
@@ -42,6 +45,7 @@
         self.target = target
         self.mode, self.value = "pass", 0.0
         self.open: set[Any] = set()
+        self.torn: set[Any] = set()  # of them, those that lost bytes
         self.refused = 0  # connections reset because MOST_OPEN were open
         self.listener = socket.socket()
         self.listener.setsockopt(plain.SOL_SOCKET, plain.SO_REUSEADDR, 1)
@@ -50,12 +54,12 @@
         self.port: int = self.listener.getsockname()[1]
 
     def set(self, mode: str, value: float) -> None:
-        """Apply a fault from now on; `reset` also ends what is open."""
+        """Apply a fault from now on; `reset` ends what is open, any other what lost bytes before."""
         self.mode, self.value = mode, value
-        if mode == "reset":
-            for sock in list(self.open):
-                _reset(sock)
-            self.open.clear()
+        for sock in list(self.open if mode == "reset" else self.torn):
+            _reset(sock)
+            self.open.discard(sock)
+        self.torn.clear()
 
     def serve(self) -> None:
         """Accept for ever."""
@@ -79,19 +83,21 @@
         gevent.killall(ends, block=False)
         for sock in (client, engine):
             self.open.discard(sock)
+            self.torn.discard(sock)
             sock.close()
 
     def _pump(self, source: Any, sink: Any, outward: bool) -> None:
         try:
             while data := source.recv(PIECE):
-                self._pass(sink, data, outward)
+                if self.mode == "drop" or (self.mode == "oneway" and not outward):
+                    self.torn |= {source, sink}
+                else:
+                    self._pass(sink, data)
         except OSError:
             pass
 
-    def _pass(self, sink: Any, data: bytes, outward: bool) -> None:
+    def _pass(self, sink: Any, data: bytes) -> None:
         mode = self.mode
-        if mode == "drop" or (mode == "oneway" and not outward):
-            return
         if mode == "delay":
             gevent.sleep(self.value / 1000)
         if mode == "slow":
@@ -107,12 +113,12 @@
     words = line.split()
     if len(words) not in (2, 3) or words[1] not in MODES:
         return f"error: want INDEX MODE [VALUE], MODE one of {', '.join(MODES)}"
-    if words[0] == "*":
-        chosen = gates
-    elif words[0].isdigit() and int(words[0]) < len(gates):
-        chosen = [gates[int(words[0])]]
-    else:
-        return f"error: no listener {words[0]}"
+    chosen = gates
+    if words[0] != "*":
+        named = words[0].split(",")
+        if not all(one.isdigit() and int(one) < len(gates) for one in named):
+            return f"error: no listener {words[0]}"
+        chosen = [gates[int(one)] for one in named]
     needs = words[1] in ("delay", "slow")
     try:
         value = float(words[2]) if needs else 0.0
@@ -132,14 +138,7 @@
     for gate in gates:
         gevent.spawn(gate.serve)
     print(" ".join(str(gate.port) for gate in gates), flush=True)
-    ear = FileObject(sys.stdin.fileno(), "r", close=False)
-
-    def listen() -> None:
-        for line in ear:
-            if line.strip():
-                print(obey(gates, line), flush=True)
-
-    gevent.spawn(listen).join(timeout=seconds)
+    obey_lines(seconds, partial(obey, gates))
 
 
 if __name__ == "__main__":
--- a/spoolbarrow/net/failover.py
+++ b/spoolbarrow/net/failover.py
@@ -1,9 +1,10 @@
 """Failover on the sockets: outcomes heard through the taps, verdicts weighed each period, applied to the set.
 
 Owns the evidence that waits to be weighed (bounded: what comes beyond `MOST_HEARD` in one period is dropped
-and counted) and the last verdicts. The verdicts are the pure part's (`spoolbarrow.failover`); the destination
-set masks a failed zone's endpoints as a suspension does, and lists a returning zone's as started anew, so the
-decisions ramp them as cold. The last zone with endpoints in service is never masked.
+and counted), the checks of endpoints in doubt (`MOST_CHECKS` at once; beyond it none is made, and the pure
+part names others later) and the last verdicts. The verdicts are the pure part's (`spoolbarrow.failover`);
+the destination set masks a failed zone's endpoints as a suspension does, and lists a returning zone's as
+started anew, so the decisions ramp them as cold. The last zone with endpoints in service is never masked.
 """
 
 from __future__ import annotations
@@ -13,7 +14,9 @@
 import gevent
 
 from spoolbarrow import interface as i
+from spoolbarrow.config import Address
 from spoolbarrow.failover import Evidence, Heard, Settings, State, Verdict, Verdicts
+from spoolbarrow.net import http1
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.taps import Observer
 
@@ -24,12 +27,15 @@
 
 MOST_HEARD = 8192  # outcomes in one period
 FAILING = frozenset({i.Outcome.UNREACHABLE, i.Outcome.TIMEOUT, i.Outcome.RESET})  # no connection, or silence
+MOST_CHECKS = 16
+MAX_HEAD = 4096  # of a check's answer
 SAYS_NOTHING = frozenset({i.Outcome.CANCELLED, i.Outcome.MOOT})  # of the endpoint's health
 
 
-def settings(table: FailoverTable) -> Settings:
-    """The pure part's settings from the operator's table."""
+def settings(table: FailoverTable, checks: bool) -> Settings:
+    """The pure part's settings from the operator's table; `checks`: whether the platform allows probes."""
     return Settings(
+        checks=checks, check_ms=table.check_ms, check_most=table.check_most,
         window_ms=table.window_ms, confirm_ms=table.confirm_ms, hold_ms=table.hold_ms,
         hold_most_ms=table.hold_most_ms, ramp_ms=table.ramp_ms, ramp_start=table.ramp_start,
         fail_share=table.fail_share, min_failing=table.min_failing,
@@ -41,8 +47,9 @@
     """Hears outcomes of attempts and probes; `told` has the last verdicts by zone and region."""
 
     def __init__(self, host: Host, table: FailoverTable) -> None:
-        self._host, self._period = host, table.period_ms
-        self._verdicts = Verdicts(settings(table), host.config.zones)
+        self._host, self._table = host, table
+        self._verdicts = Verdicts(settings(table, host.config.settings.probing), host.config.zones)
+        self._checks: set[gevent.Greenlet[..., None]] = set()
         self._heard: list[Heard] = []
         self.dropped = self._told_dropped = 0  # outcomes beyond MOST_HEARD in a period, and those logged
         self.told: dict[str, Verdict] = {}
@@ -51,13 +58,14 @@
 
     def apply(self, table: FailoverTable) -> None:
         """Go by new settings: what was weighed so far is kept."""
-        self._period = table.period_ms
-        self._verdicts.settings = settings(table)
+        self._table = table
+        self._verdicts.settings = settings(table, self._host.config.settings.probing)
 
     def stop(self) -> None:
         """Hear nothing more, and give every zone back."""
         self._host.taps.remove(self)
         self._loop.kill(block=False)
+        gevent.killall(list(self._checks), block=False)
         self._host.destinations.zones(frozenset(), {}, None)
 
     def attempt_ended(self, attempt: Attempt) -> None:
@@ -66,14 +74,36 @@
         if outcome is None or outcome in SAYS_NOTHING:
             return
         wait = attempt.first_at - attempt.sent_at if attempt.first_at else -1.0
-        self._hear(Heard(attempt.endpoint, attempt.ended_at, outcome not in FAILING, wait))
+        self._hear(Heard(attempt.endpoint, attempt.ended_at, self._well(outcome), wait))
 
     def probe_ended(self, endpoint: str, outcome: i.Outcome, lag: float) -> None:
-        """So is a probe's, but for a late one: a busy or slow engine misses a probe's short hold."""
-        if outcome not in SAYS_NOTHING and outcome is not i.Outcome.TIMEOUT:
-            ok = outcome not in FAILING
+        """So is a probe's."""
+        if outcome not in SAYS_NOTHING:
+            ok = self._well(outcome)
             self._hear(Heard(endpoint, self._host.now(), ok, lag if ok else -1.0))
 
+    def _well(self, outcome: i.Outcome) -> bool | None:
+        """None where nothing came in time: a busy or slow endpoint does that, too, and can be asked."""
+        if outcome is i.Outcome.TIMEOUT and self._verdicts.settings.checks:
+            return None
+        return outcome not in FAILING
+
+    def _check(self, endpoint: str, where: Address) -> None:
+        """Ask with patience, on a connection of its own: any answer is one."""
+        begun, well = self._host.now(), False
+        try:
+            limit = self._table.check_timeout_ms / 1000
+            with gevent.Timeout(limit), http1.connect(where, limit) as sock:
+                http1.send_pieces(sock, http1.get_pieces(b"/alive", where))
+                parser, buffer = http1.ResponseParser(MAX_HEAD), bytearray(MAX_HEAD)
+                while not parser.headed:
+                    parser.read(sock, buffer)
+                well = True
+        except (OSError, http1.Fault, gevent.Timeout):
+            pass
+        now = self._host.now()
+        self._hear(Heard(endpoint, now, well, now - begun if well else -1.0))
+
     def _hear(self, heard: Heard) -> None:
         if len(self._heard) < MOST_HEARD:
             self._heard.append(heard)
@@ -82,7 +112,7 @@
 
     def _run(self) -> None:
         while True:
-            gevent.sleep(self._period / 1000)
+            gevent.sleep(self._table.period_ms / 1000)
             try:
                 self.weigh(self._host.now())
             except Exception as error:  # never into serving: the zones stay as last told
@@ -97,6 +127,12 @@
             log("failover_dropped", outcomes=self.dropped - self._told_dropped, since_start=self.dropped)
             self._told_dropped = self.dropped
         told = self._verdicts.handle(now, Evidence(listing, tuple(heard)))
+        for name in self._verdicts.to_check(now, listing):
+            where = destinations.address(name)
+            if where is not None and len(self._checks) < MOST_CHECKS:
+                check = gevent.spawn(self._check, name, where)
+                self._checks.add(check)
+                check.link(self._checks.discard)
         zones = {zone for zone, _ in listing.values()}
         out = frozenset(z for z in zones if told[z].state is State.FAILED)
         if out and all(z in out for z, serving in listing.values() if serving):
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -151,6 +151,9 @@
     ramp_start: Share = 0.1
     fail_share: Annotated[float, Meta(gt=0, le=1)] = 0.5
     min_failing: Whole = 2
+    check_ms: Positive = 500.0  # a zone in doubt, or failed, is asked so often
+    check_timeout_ms: Positive = 1000.0  # and each of its endpoints waited for so long
+    check_most: Whole = 3  # endpoints of a zone asked at a time
     period_ms: Annotated[float, Meta(ge=10)] = 100.0  # how often the evidence is weighed
 
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -14,6 +13,8 @@
 
 from spoolbarrow import config
 from spoolbarrow import interface as i
+from spoolbarrow.lab.cluster import LISTEN as LISTEN
+from spoolbarrow.lab.cluster import free_ports
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Message, RequestParser, ResponseParser
 from spoolbarrow.net.inbound import Inbound
@@ -71,17 +72,8 @@
         self.listener.close()
 
 
-# Guards against another program that takes a port between its choice and the router's bind: connections
-# leave from 127.0.0.1, and each process of tests listens at an address of its own.
-_pid = os.getpid()
-LISTEN = f"127.{64 + (_pid >> 16 & 63)}.{_pid >> 8 & 255}.{_pid & 255}"
-
-
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((LISTEN, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    return free_ports(1)[0]
 
 
 def entry(name: str, port: int, **changes: Any) -> dict[str, Any]:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -81,9 +81,10 @@
     assert play(b, 3000.0, {"a": 8})[-1]["a"] is State.FAILED
 
 
-def test_a_return_ramps_from_its_start_to_the_whole_share() -> None:
-    verdicts = Verdicts(SETTINGS)
+def test_where_nothing_can_be_asked_a_return_ramps_from_its_start_to_the_whole_share() -> None:
+    verdicts = Verdicts(msgspec.structs.replace(SETTINGS, checks=False))
     play(verdicts, 2000.0, {"a": 8})
+    assert not verdicts.to_check(2000.0, listed())
     # Failed: no traffic, so nothing is heard of it; its failures age out of the window.
     now, shares = 2000.0, []
     while now < 12000.0:
@@ -96,11 +97,77 @@
     assert ramp[0] == SETTINGS.ramp_start and ramp == sorted(ramp)
 
 
+def doubts(now: float) -> Evidence:
+    """Probes of zone a come to nothing in their short time; the others answer."""
+    heard = outcomes(now, {})
+    return Evidence(listed(), tuple(
+        msgspec.structs.replace(h, ok=None) if h.endpoint[0] == "a" else h for h in heard
+    ))
+
+
+@pytest.mark.parametrize("answers", [False, True])
+def test_a_zone_whose_probes_come_late_fails_only_where_it_does_not_answer_with_patience(
+    answers: bool,
+) -> None:
+    verdicts, now, named = Verdicts(SETTINGS), 0.0, set()
+    seen: list[State] = []
+    while now < 6000.0:
+        seen.append(verdicts.handle(now, doubts(now))["a"].state)
+        asked = verdicts.to_check(now, listed())
+        assert len(asked) <= SETTINGS.check_most and all(name[0] == "a" for name in asked)
+        named |= set(asked)
+        verdicts.handle(now, Evidence(listed(), tuple(Heard(n, now, answers, 900.0) for n in asked)))
+        now += 100.0
+    assert len(named) == ZONES["a"]  # in turn
+    assert (State.FAILED in seen) is not answers
+
+
+def test_a_failed_zone_returns_only_when_it_answers_what_it_is_asked() -> None:
+    verdicts = Verdicts(SETTINGS)
+    play(verdicts, 2000.0, {"a": 8})
+    now, back = 2000.0, 0.0
+    while now < 20000.0:
+        elsewhere = tuple(heard for heard in outcomes(now, {}) if heard.endpoint[0] != "a")
+        state = verdicts.handle(now, Evidence(listed(), elsewhere))["a"].state
+        assert state is State.FAILED or now > 15000.0
+        if state is State.RETURNING:
+            back = back or now
+        asked = verdicts.to_check(now, listed())
+        well = now > 15000.0
+        verdicts.handle(now, Evidence(listed(), tuple(Heard(name, now, well) for name in asked)))
+        now += 100.0
+    assert 0 < back - 15000.0 <= SETTINGS.window_ms + SETTINGS.check_ms
+
+
+def test_a_zone_that_is_not_heard_from_is_asked_once_a_window_and_so_found_lost() -> None:
+    verdicts, now, asked = Verdicts(SETTINGS), 0.0, 0
+    while now < 10000.0:  # nothing is sent anywhere
+        verdicts.handle(now, Evidence(listed()))
+        named = verdicts.to_check(now, listed())
+        asked += len(named)
+        verdicts.handle(now, Evidence(listed(), tuple(Heard(n, now, n[0] != "c") for n in named)))
+        now += 100.0
+    told = verdicts.handle(now, Evidence(listed()))
+    assert {z: told[z].state for z in ZONES} == {"a": State.HEALTHY, "b": State.HEALTHY, "c": State.FAILED}
+    quiet = 2 * SETTINGS.check_most * 10000.0 / SETTINGS.window_ms  # of zones a and b
+    assert asked <= quiet + SETTINGS.check_most * 10000.0 / SETTINGS.check_ms
+
+
+def test_a_slow_zone_that_begins_to_fail_is_confirmed_first() -> None:
+    verdicts = Verdicts(SETTINGS)
+    play(verdicts, 5000.0, {}, slow="a")
+    seen = play(verdicts, 8000.0, {"a": 8}, start=5000.0)
+    assert next(n for n, s in enumerate(seen) if s["a"] is State.FAILED) * 100.0 == SETTINGS.confirm_ms
+
+
 def test_entries_of_endpoints_no_longer_listed_are_dropped() -> None:
     verdicts = Verdicts(SETTINGS)
     verdicts.handle(0.0, Evidence(listed(), outcomes(0.0, {})))
     verdicts.handle(100.0, Evidence({"a0": ("a", True)}))
     assert set(verdicts._last) == {"a0"}
+    verdicts.handle(200.0, Evidence({"a0": ("a", True)}, (Heard("a0", 200.0, None),)))
+    verdicts.handle(300.0, Evidence({"b0": ("b", True)}))
+    assert not verdicts._last and not verdicts._doubted and not verdicts._checked
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -1,108 +1,153 @@
 """Failover with several processes: five routers, engines in three zones and two regions, faults injected
-between them by the project's own proxy. Each case waits for events, never for the clock."""
+between them by the project's own proxy. Each case waits for events, never for the clock, and ends with each
+request answered once: 200, or 503 with `Retry-After`; a stream that a fault resets is broken off for its
+client, too."""
 
 from __future__ import annotations
 
-import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
-from typing import Any
 
-from spoolbarrow.net.http1 import ResponseParser
-from tests.fleet import HOST, fleet
+import pytest
+
+from spoolbarrow.lab.cluster import BROKEN, Cluster, Load, Process, cluster
 
 ZONES = {"a": 4, "b": 4, "c": 4}
 ROUTERS = ["a", "a", "b", "b", "c"]
-OPERATOR = "[failover]\nregions = {west = ['a', 'b'], east = ['c']}\nperiod_ms = 50\n"
-
-
-class Load:
-    """Clients that ask each router in turn, one request at a time each, until stopped; statuses kept."""
-
-    def __init__(self, ports: list[int], clients: int = 2) -> None:
-        self.statuses: list[int] = []
-        self.unanswered = 0
-        self.retry_after_missing = 0
-        self._stop = threading.Event()
-        self._threads = [threading.Thread(target=self._ask, args=(ports, n)) for n in range(clients)]
-        for thread in self._threads:
-            thread.start()
-
-    def _ask(self, ports: list[int], number: int) -> None:
-        import socket
-
-        sent = 0
-        while not self._stop.is_set() and sent < 4000:
-            port = ports[(sent + number) % len(ports)]
-            body = b'{"model":"chat","stream":true}'
-            head = (
-                f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: {number}-{sent}\r\n"
-                f"X-Service-Class: chat\r\nX-Account: acme\r\nX-Session-Key: {sent:x}\r\n"
-                f"X-Time-Left-Ms: 5000\r\nX-Facts: prompt_len=40,max_out=8\r\n"
-                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-            ).encode()
-            sent += 1
-            try:
-                with socket.create_connection((HOST, port), 10) as sock:
-                    sock.settimeout(10)
-                    sock.sendall(head + body)
-                    parser, raw = ResponseParser(16384), b""
-                    while not parser.whole:
-                        data = sock.recv(65536)
-                        if not data:
-                            parser.end()
-                            continue
-                        raw += data
-                        parser.feed(memoryview(data))
-                    self.statuses.append(parser.status)
-                    if parser.status == 503 and b"\r\nretry-after:" not in raw.lower():
-                        self.retry_after_missing += 1
-            except Exception:
-                self.unanswered += 1
-
-    def stop(self) -> None:
-        self._stop.set()
-        for thread in self._threads:
-            thread.join(30)
-
-
-def states(router: Any, place: str) -> list[str]:
-    return [told["state"] for told in router.events("failover") if told["place"] == place]
-
-
-def test_a_zone_lost_wholly_fails_at_every_router_that_uses_it_and_returns(tmp_path: Path) -> None:
-    with fleet(tmp_path, ZONES, ROUTERS, OPERATOR) as (routers, proxy, ports, _):
-        load = Load(ports)
+ALL = range(len(ROUTERS))
+OPERATOR = "[failover]\nregions = {west = ['a', 'b'], east = ['c']}\nperiod_ms = 50\nramp_ms = 1500\n"
+
+
+@contextmanager
+def loaded(tmp: Path, operator: str = OPERATOR, faults: int = 1) -> Iterator[Cluster]:
+    """A cluster under load; each of the `faults` may break off what streams just then: one a client."""
+    with cluster(tmp, ZONES, ROUTERS, operator) as made:
+        load = Load(made)
         try:
-            for index in range(ZONES["a"]):  # the proxy's listeners follow the engines: zone a's first
-                assert proxy.tell(f"{index} reset") == "ok"
-            for router in routers[:2]:  # the zone's own routers send to it first
-                router.wait_for(lambda r=router: "failed" in states(r, "a"))
-            for index in range(ZONES["a"]):
-                assert proxy.tell(f"{index} pass") == "ok"
-            for router in routers[:2]:
-                router.wait_for(lambda r=router: states(r, "a")[-1:] == ["healthy"])
+            yield made
         finally:
             load.stop()
-        assert load.statuses and load.unanswered == 0 and load.retry_after_missing == 0
-        assert set(load.statuses) <= {200, 503}
-        for router in routers:  # the other zones were never taken for failed
-            assert "failed" not in states(router, "b") + states(router, "c"), router.events("failover")
+        statuses = load.statuses()
+        assert statuses.keys() <= {200, 503, BROKEN} and statuses[200] > 50, statuses
+        assert statuses[BROKEN] <= faults * len(ROUTERS), statuses
+        assert load.retry_after_missing == 0
+        assert not [line for router in made.routers for line in router.lines if '"unexpected"' in line]
+
+
+def asked(router: Process) -> int:
+    return len(router.events("request"))
+
+
+def more_requests(made: Cluster, count: int) -> None:
+    """Until each router has answered so many more."""
+    for router in made.routers:
+        until = asked(router) + count
+        router.wait_for(lambda r=router, u=until: asked(r) >= u)  # type: ignore[misc]
+
+
+def never_failed(made: Cluster, *places: str) -> None:
+    for n in ALL:
+        for place in places:
+            assert "failed" not in made.states(n, place), made.routers[n].events("failover")
+
+
+@pytest.mark.parametrize("fault", ["reset", "drop", "oneway"])
+def test_a_lost_zone_fails_at_every_router_and_returns_at_every_router(tmp_path: Path, fault: str) -> None:
+    with loaded(tmp_path) as made:
+        gates = made.gates(made.of_zone["a"])
+        made.fault(fault, gates)
+        made.wait_state(ALL, "a", "failed")
+        more_requests(made, 10)  # served elsewhere meanwhile
+        made.fault("pass", gates)
+        made.wait_state(ALL, "a", "healthy")
+        never_failed(made, "b", "c", "east")
 
 
 def test_a_slow_zone_is_never_failed(tmp_path: Path) -> None:
-    with fleet(tmp_path, ZONES, ROUTERS, OPERATOR) as (routers, proxy, ports, _):
-        load = Load(ports)
-        try:
-            for index in range(ZONES["a"]):
-                assert proxy.tell(f"{index} delay 250") == "ok"
-            for router in routers:  # probes of zone a come late all this while: a slow zone is no dead one
-                heard = len(router.events("request"))
-                router.wait_for(lambda r=router, n=heard: len(r.events("request")) >= n + 30)
-        finally:
-            load.stop()
-        assert load.unanswered == 0 and load.retry_after_missing == 0
-        for router in routers:
-            assert "failed" not in states(router, "a"), router.events("failover")
-            told = [e for e in router.events("failover") if e["place"] == "a"]
-            suspect = [e["reason"] for e in told if e["state"] == "suspect"]
-            assert all("slow" in reason for reason in suspect), suspect
+    with loaded(tmp_path) as made:
+        made.fault("delay 250", made.gates(made.of_zone["a"]))
+        more_requests(made, 15)
+        never_failed(made, "a", "b", "c")
+        for router in made.routers:
+            told = [e for e in router.events("failover") if e["place"] == "a" and e["state"] == "suspect"]
+            assert all("slow" in e["reason"] for e in told), told
+
+
+def test_a_zone_cut_off_from_some_routers_moves_only_their_traffic(tmp_path: Path) -> None:
+    with loaded(tmp_path) as made:
+        made.fault("reset", made.gates(made.of_zone["a"], [0]))  # router 1, beside it, sees the zone
+        made.wait_state([0], "a", "failed")
+        before = made.counts()
+        more_requests(made, 15)
+        sent = [after["asked"].get("r1", 0) - past["asked"].get("r1", 0)
+                for after, past in zip(made.counts(), before, strict=True)]
+        near = sum(sent[n] for n in made.of_zone["a"])
+        assert near >= 0.9 * sum(sent), sent  # the other router of the zone keeps its traffic there
+        assert made.control(0, "zones")["zones"]["a"]["state"] in ("failed", "returning")
+        for n in (1, 2, 3, 4):
+            assert "failed" not in made.states(n, "a"), made.routers[n].events("failover")
+
+
+def test_a_majority_fails_a_zone_that_one_router_still_reaches(tmp_path: Path) -> None:
+    with loaded(tmp_path, OPERATOR + "hold_ms = 30000\n") as made:
+        made.fault("reset", made.gates(made.of_zone["c"], [0, 1, 2, 3]))
+        made.wait_state([0, 1, 2, 3], "c", "failed")
+        more_requests(made, 5)
+        assert "failed" not in made.states(4, "c")
+
+
+def test_a_flapping_zone_moves_traffic_once_a_hold(tmp_path: Path) -> None:
+    # Lost, and back before the router has returned to it or just after: moves away are at most one a hold,
+    # and the hold doubles with each loss during a return.
+    settings = OPERATOR + "hold_ms = 400\nhold_most_ms = 8000\nconfirm_ms = 200\nwindow_ms = 500\n"
+    with loaded(tmp_path, settings, faults=3) as made:
+        gates = made.gates(made.of_zone["a"])
+        for _ in range(3):
+            made.fault("reset", gates)
+            more_requests(made, 6)
+            made.fault("pass", gates)
+            more_requests(made, 6)
+        made.wait_state([0, 1], "a", "returning")
+        for n in (0, 1):
+            failed = [e for e in made.routers[n].events("failover")
+                      if e["place"] == "a" and e["state"] in ("failed", "returning")]
+            times: list[float] = [e["time"] for e in failed if e["state"] == "failed"]
+            back: list[float] = [e["time"] for e in failed if e["state"] == "returning"]
+            for nth, (out, again) in enumerate(zip(times, back, strict=False)):
+                assert again - out >= 0.35, (nth, failed)  # a hold, less a period and what the log rounds off
+            assert len(times) <= 3, failed
+
+
+def test_one_engine_in_four_failing_is_no_zone_fault(tmp_path: Path) -> None:
+    with loaded(tmp_path) as made:
+        made.fault("reset", made.gates([made.of_zone[zone][0] for zone in ZONES]))
+        more_requests(made, 20)
+        never_failed(made, "a", "b", "c")
+
+
+def test_a_lost_region_fails_and_its_traffic_goes_to_the_other(tmp_path: Path) -> None:
+    with loaded(tmp_path) as made:
+        west = made.of_zone["a"] + made.of_zone["b"]
+        made.fault("reset", made.gates(west))
+        made.wait_state(ALL, "west", "failed")
+        before = made.counts()
+        more_requests(made, 10)
+        sent = [sum(after["asked"].values()) - sum(past["asked"].values())
+                for after, past in zip(made.counts(), before, strict=True)]
+        assert sum(sent[n] for n in made.of_zone["c"]) >= 50 and not any(sent[n] for n in west)
+        made.fault("pass", made.gates(west))
+        made.wait_state(ALL, "west", "healthy")
+        never_failed(made, "c", "east")
+
+
+def test_a_zone_that_discovery_lists_empty_fails_everywhere_and_returns_everywhere(tmp_path: Path) -> None:
+    with loaded(tmp_path) as made:
+        made.out |= set(made.of_zone["a"])
+        made.list_again()
+        made.wait_state(ALL, "a", "failed")
+        more_requests(made, 5)
+        made.out.clear()
+        made.list_again()
+        made.wait_state(ALL, "a", "healthy")
+        never_failed(made, "b", "c")
