Answer a call that has come before silent callers behind it make its connection give way

Seen with the new benchmarks/service.py (20 callers that say nothing, upgrades under load): one call of 240 ended with a reset. Checked: with plain sockets, a whole call in the backlog and 32 silent connections behind it; it is reset each time. Ruled out: the 3 s limit (the call took 2 ms), the upgrade (it happens without one). At fault: Control._accept, which takes a whole burst without yielding and makes the oldest connection give way before its greenlet has ever run. Now a full listener lets what has come be read first.

--- /dev/null
+++ b/benchmarks/service.py
@@ -0,0 +1,225 @@
+"""Daily service measured: how late the operators' listener answers under load, and what upgrades cost.
+
+    python benchmarks/service.py [--short]
+
+One router on loopback serves clients on kept connections, through one upgrade after another on an inherited
+socket. Meanwhile an operator fetches the figures, and callers that say nothing hold as many connections as
+they can. Calls are compared with those of the same router before its clients come; answers that ran during
+an upgrade with those that did not.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import gevent
+import orjson
+from gevent import socket
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks")]
+
+import standin  # noqa: E402
+from rig import ENGINES, EVENTS, FIRST_MS, GAP_MS  # noqa: E402
+
+from spoolbarrow.config import INHERITED  # noqa: E402
+from spoolbarrow.net.http1 import Fault, ResponseParser  # noqa: E402
+
+CLIENTS = 24
+SILENT = 20  # callers that say nothing: more than the listener holds
+SILENT_PAUSE_S = 0.5
+CALL_EACH_S = 0.05
+DUE_MS = 1000.0  # of an answer to a call
+REST_S = 3.0  # between upgrades
+MEDIAN_WITHIN = 1.1  # answers during upgrades against the others
+LAG_WITHIN = 0.25  # of what is allowed, at the 99th percentile
+
+
+class Platform:
+    """What holds the clients' socket, and starts one process of the router after another on it."""
+
+    def __init__(self, folder: Path, discovery: int) -> None:
+        self._folder, self._discovery = folder, discovery
+        self.listener = standin.listen()
+        self.port: int = self.listener.getsockname()[1]
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.control = 0  # where the newest process listens for calls
+
+    def start(self) -> None:
+        """One more process; returns when it is ready."""
+        with socket.socket() as probe:
+            probe.bind((standin.HOST, 0))
+            control = probe.getsockname()[1]
+        number, descriptor = len(self.processes), self.listener.fileno()
+        file = self._folder / f"{number}.json"
+        raw = standin.config(self.port, self._discovery) | {"control": f"{standin.HOST}:{control}"}
+        file.write_bytes(orjson.dumps(raw))
+        told = {"NODE_CONFIG": str(file), "TMPDIR": str(self._folder), INHERITED: str(descriptor)}
+        with (self._folder / f"{number}.log").open("wb") as log:
+            self.processes.append(subprocess.Popen(
+                [sys.executable, "-m", "spoolbarrow"], cwd=ROOT, env=os.environ | told, stderr=log,
+                pass_fds=[descriptor],
+            ))
+        for _ in range(400):
+            if call(control, "readyz")[0] == 200:
+                break
+            gevent.sleep(0.05)
+        else:
+            raise OSError("the new process is never ready")
+        self.control = control
+
+    def end_oldest(self) -> None:
+        """SIGTERM to the oldest that runs; returns when it has exited."""
+        oldest = next(one for one in self.processes if one.poll() is None)
+        oldest.terminate()
+        while oldest.poll() is None:
+            gevent.sleep(0.02)
+
+    def close(self) -> None:
+        """End all."""
+        for one in self.processes:
+            one.kill()
+            one.wait()
+
+
+def call(port: int, path: str) -> tuple[int, float]:
+    """A call to the operators' listener: its status, 0 where none came, and ms to its last byte."""
+    begun, parser, buffer = time.perf_counter(), ResponseParser(16_384), bytearray(65_536)
+    try:
+        with socket.create_connection((standin.HOST, port), 5.0) as sock:
+            sock.sendall(f"GET /v1/{path} HTTP/1.1\r\n\r\n".encode())
+            while not parser.whole:
+                parser.read(sock, buffer)
+                parser.take_body()
+    except (OSError, Fault):
+        return 0, (time.perf_counter() - begun) * 1000
+    return parser.status, (time.perf_counter() - begun) * 1000
+
+
+class Load:
+    """Clients on kept connections; each answer with when it began and ended."""
+
+    def __init__(self, port: int) -> None:
+        self._port, self.ended = port, False
+        self.answers: list[tuple[float, float, standin.Timed]] = []
+        self.failed = self.unheard = self.told_to_go = 0
+
+    def work(self, worker: int) -> None:
+        """Until `ended`."""
+        client, number = standin.Client(self._port), 0
+        while not self.ended:
+            number += 1
+            begun = time.monotonic()
+            try:
+                timed = client.ask(f"{worker}-{number}", worker * 100_003 + number)
+            except (OSError, Fault):
+                self.unheard += 1  # the connection was closed under the request
+                client = standin.Client(self._port)
+                continue
+            self.answers.append((begun, time.monotonic(), timed))
+            self.failed += timed.status != 200
+            if timed.closing:
+                self.told_to_go += 1
+                client = standin.Client(self._port)
+
+
+def fetch(platform: Platform, count: int) -> list[tuple[int, float]]:
+    """Calls at a steady pace."""
+    found = []
+    for _ in range(count):
+        found.append(call(platform.control, "metrics"))
+        gevent.sleep(CALL_EACH_S)
+    return found
+
+
+def summed(calls: list[tuple[int, float]]) -> dict[str, Any]:
+    """Of calls: how many, how many wrongly or late, and how long they took."""
+    times = [ms for _, ms in calls]
+    return {
+        "calls": len(calls), "statuses": sorted({status for status, _ in calls}),
+        "late_or_wrong": sum(status != 200 or ms > DUE_MS for status, ms in calls),
+        "median_ms": round(statistics.median(times), 2),
+        "p99_ms": round(statistics.quantiles(times, n=100)[98], 2),
+    }
+
+
+def be_silent(platform: Platform, load: Load) -> None:
+    """A caller that connects, says nothing until it is sent off, and comes again."""
+    while not load.ended:
+        try:
+            with socket.create_connection((standin.HOST, platform.control), 5.0) as sock:
+                sock.recv(4096)
+        except OSError:
+            pass  # it gave way to others
+        gevent.sleep(SILENT_PAUSE_S)
+
+
+def main() -> dict[str, Any]:
+    """Everything, as one object."""
+    arguments = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    arguments.add_argument("--short", action="store_true", help="ends within 45 s")
+    upgrades = 3 if arguments.parse_args().short else 15
+    command = [str(ROOT / "benchmarks" / "standin.py"), *map(str, (FIRST_MS, EVENTS, GAP_MS, ENGINES))]
+    environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+    engines = subprocess.Popen([sys.executable, *command], stdout=subprocess.PIPE, env=environment)
+    assert engines.stdout is not None
+    spans: list[tuple[float, float]] = []
+    with tempfile.TemporaryDirectory() as directory:
+        platform = Platform(Path(directory), int(engines.stdout.readline()))
+        try:
+            platform.start()
+            calm = fetch(platform, 40)
+            load = Load(platform.port)
+            workers = [gevent.spawn(load.work, n) for n in range(CLIENTS)]
+            callers = [gevent.spawn(be_silent, platform, load) for _ in range(SILENT)]
+            busy: list[tuple[int, float]] = []
+            for _ in range(upgrades):
+                busy += fetch(platform, round(REST_S / CALL_EACH_S))
+                begun = time.monotonic()
+                platform.start()
+                platform.end_oldest()
+                spans.append((begun, time.monotonic()))
+            busy += fetch(platform, round(REST_S / CALL_EACH_S))
+            load.ended = True
+            gevent.joinall(workers, raise_error=True)
+            gevent.killall(callers)
+            faults = sum((Path(directory) / f"{n}.log").read_bytes().count(b'"unexpected"')
+                         for n in range(upgrades + 1))
+        finally:
+            platform.close()
+            engines.kill()
+            engines.wait()
+    during = [t for begin, end, t in load.answers if any(begin < b and end > a for a, b in spans)]
+    others = [t for begin, end, t in load.answers if not any(begin < b and end > a for a, b in spans)]
+    ratios = {
+        f"{field}_{name}": round(of([getattr(t, field) for t in during])
+                                 / of([getattr(t, field) for t in others]), 3)
+        for field in ("first_ms", "whole_ms")
+        for name, of in (("median", statistics.median), ("p99", lambda v: statistics.quantiles(v, n=100)[98]))
+    }
+    told = {"calm": summed(calm), "busy": summed(busy)}
+    holds = (
+        load.failed == load.unheard == faults == 0 and told["busy"]["late_or_wrong"] == 0
+        and told["busy"]["p99_ms"] <= LAG_WITHIN * DUE_MS and ratios["whole_ms_median"] <= MEDIAN_WITHIN
+    )
+    return {
+        "name": "service", "holds": holds, "upgrades": upgrades, "clients": CLIENTS, "silent": SILENT,
+        "answers": len(load.answers), "during_upgrades": len(during), "failed": load.failed,
+        "unheard": load.unheard, "told_to_go": load.told_to_go, "faults": faults,
+        "during_against_others": ratios, "calls": told,
+        "upgrade_s": round(statistics.median(b - a for a, b in spans), 2),
+    }
+
+
+if __name__ == "__main__":
+    result = main()
+    print(orjson.dumps(result).decode())
+    sys.exit(0 if result["holds"] else 1)
--- a/benchmarks/standin.py
+++ b/benchmarks/standin.py
@@ -112,6 +112,7 @@
     status: int
     first_ms: float
     whole_ms: float
+    closing: bool = False  # the router ends the connection after it
 
 
 class Client:
@@ -141,7 +142,8 @@
             if not first and parser.take_body():
                 first = time.perf_counter()
         end = time.perf_counter()
-        return Timed(parser.status, ((first or end) - begun) * 1000, (end - begun) * 1000)
+        closing = parser.fields.get(b"connection", b"").lower() == b"close"
+        return Timed(parser.status, ((first or end) - begun) * 1000, (end - begun) * 1000, closing)
 
     def close(self) -> tcpinfo.Counters:
         """End it; what the kernel counted."""
--- a/spoolbarrow/admin/control.py
+++ b/spoolbarrow/admin/control.py
@@ -105,6 +105,8 @@
                 log("control_paused", why=str(error))
                 gevent.sleep(0.1)
                 continue
+            if len(self._silent) >= CALLERS:
+                gevent.sleep(0)  # in a burst, none has been read yet: whose call has come is answered first
             if len(self._silent) >= CALLERS:
                 # The one that has had most time to speak gives way.
                 oldest = next(iter(self._silent))
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import os
+import select
 import signal
+import socket as plain
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -116,6 +118,18 @@
         assert caller.answer().status == status and caller.ended()
 
 
+def test_a_call_that_has_come_is_answered_though_silent_callers_come_in_a_burst_behind_it() -> None:
+    with operated(serve_all) as (_, listener, *_rest):
+        where = listener._listener.getsockname()
+        asking = plain.create_connection(where, 20)  # all wait in the backlog, none accepted yet
+        asking.sendall(b"GET /v1/readyz HTTP/1.1\r\n\r\n")
+        silent = [plain.create_connection(where, 20) for _ in range(2 * control.CALLERS)]
+        until(lambda: select.select([asking], [], [], 0)[0])  # an answer, or its end
+        assert asking.recv(4096).startswith(b"HTTP/1.1 200")
+        for one in (asking, *silent):
+            one.close()
+
+
 def test_silent_callers_hold_nobody_up_and_the_oldest_gives_way(monkeypatch: pytest.MonkeyPatch) -> None:
     with operated(serve_all) as (_, listener, call, _):
         port = listener._listener.getsockname()[1]
