--- a/spoolbarrow/failover/__init__.py
+++ b/spoolbarrow/failover/__init__.py
@@ -5,6 +5,6 @@
 (`docs/failover.md`).
 """
 
-from spoolbarrow.failover.verdicts import Evidence, Heard, Settings, State, Verdict, Verdicts
+from spoolbarrow.failover.verdicts import Evidence, Heard, Settings, State, Verdict, Verdicts, masks
 
-__all__ = ["Evidence", "Heard", "Settings", "State", "Verdict", "Verdicts"]
+__all__ = ["Evidence", "Heard", "Settings", "State", "Verdict", "Verdicts", "masks"]
--- a/spoolbarrow/failover/verdicts.py
+++ b/spoolbarrow/failover/verdicts.py
@@ -14,13 +14,16 @@
 Suspicion becomes failure after `confirm_ms`; a failed zone returns after its hold once nothing fails, and
 takes a share that grows from `ramp_start` to 1 over `ramp_ms`. Each failure during a return doubles the
 hold, up to `hold_most_ms`, and the hold only shrinks back after `hold_most_ms` of health: a zone that flaps
-moves traffic at most once a hold. A slow zone is suspect but keeps its share: the decisions weigh waits.
+moves traffic at most once a hold. The last zone with endpoints in service is never failed: the decisions do
+what they can there, and it did not go out of service, so it does not return. A slow zone is suspect but
+keeps its share: the decisions weigh waits.
 
 All times are milliseconds on the caller's clock. Nothing here does I/O or reads a clock.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from enum import Enum
 from statistics import median
@@ -94,11 +97,17 @@
 
 
 class Verdicts:
-    """Verdicts of one router; its tables hold listed endpoints and configured or listed zones only."""
+    """Verdicts of one router; its tables hold listed endpoints and configured or listed zones only.
+
+    A call costs what was heard within the window, not the size of the fleet: a list that is the same object
+    as the last one is not read again.
+    """
 
     def __init__(self, settings: Settings, zones: Iterable[str] = ()) -> None:
         self.settings = settings
-        self._last: dict[str, Heard] = {}  # each listed endpoint's last outcome
+        self._listed: Mapping[str, tuple[str, bool]] = {}
+        self._serving: dict[str, list[str]] = {}  # listed endpoints in service, by zone
+        self._last: dict[str, Heard] = {}  # each listed endpoint's last outcome; the latest heard is last
         self._doubted: set[str] = set()  # those that have let something wait in vain since they last answered
         self._checked: dict[str, float] = {}  # when each was last named to be asked
         self._zones: dict[str, _Zone] = {}
@@ -110,87 +119,103 @@
 
         Outcomes of endpoints that are not listed are dropped, and so are older ones than an endpoint's last.
         """
+        if evidence.listed is not self._listed:
+            self._read_list(evidence.listed)
         for heard in evidence.heard:
             last = self._last.get(heard.endpoint)
-            if heard.endpoint not in evidence.listed or (last is not None and heard.at_ms < last.at_ms):
+            if heard.endpoint not in self._listed or (last is not None and heard.at_ms < last.at_ms):
                 continue
             if heard.ok is None:
                 self._doubted.add(heard.endpoint)
             else:
+                self._last.pop(heard.endpoint, None)
                 self._last[heard.endpoint] = heard
                 if heard.ok:
                     self._doubted.discard(heard.endpoint)
-        for table in (self._last, self._checked):
-            for name in [n for n in table if n not in evidence.listed]:
-                del table[name]
-        self._doubted &= evidence.listed.keys()
-        for named, _ in evidence.listed.values():
-            self._zones.setdefault(named, _Zone(self.settings.hold_ms))
-        counts = self._count(now, evidence.listed)
-        slow = self._slow(now, evidence.listed)
+        recent = self._recent(now)
+        slow = self._slow(recent)
         verdicts = {}
         for name, zone in self._zones.items():
-            serving, well, failing = counts.get(name, (0, 0, 0))
-            self._step(now, zone, serving, well, failing, name in slow)
+            serves = [heard for heard in recent.get(name, ()) if self._listed[heard.endpoint][1]]
+            well = sum(heard.ok is True for heard in serves)
+            serving = len(self._serving.get(name, ()))
+            self._step(now, zone, serving, well, len(serves) - well, name in slow, self._elsewhere(name))
             verdicts[name] = Verdict(zone.state, zone.reason, zone.since, self._share(now, zone))
         for region, members in self.settings.regions.items():
             verdicts[region] = self._region(members, verdicts)
         return verdicts
 
-    def to_check(self, now: float, listed: Mapping[str, tuple[str, bool]]) -> list[str]:
+    def to_check(self, now: float) -> list[str]:
         """Endpoints to be asked now whether they answer: of zones in doubt, failed, or not heard from.
 
-        Named are those not asked for longest, `check_most` a zone and `check_ms` at the most.
+        Named are those not asked for longest, once in `check_ms` for each zone: `check_most`, or as many as
+        it takes to judge a zone that nothing is known against.
         """
         s = self.settings
         if not s.checks:
             return []
-        serving: dict[str, list[str]] = {}
-        for name, (zone, serves) in listed.items():
-            if serves:
-                serving.setdefault(zone, []).append(name)
+        recent, doubts = self._recent(now), Counter(self._listed[name][0] for name in self._doubted)
         named: list[str] = []
-        for zone, names in serving.items():
-            its = self._zones[zone]
-            heard = [n for n in names if n in self._last and now - self._last[n].at_ms <= s.window_ms]
-            doubted = sum(name in self._doubted for name in names)
-            sure = sum(name not in self._doubted for name in heard)
-            doubt = doubted >= s.min_failing and doubted >= s.fail_share * (doubted + sure)
+        for zone, names in self._serving.items():
+            its, heard = self._zones[zone], recent.get(zone, [])
+            sure = sum(one.endpoint not in self._doubted for one in heard)
+            doubt = doubts[zone] >= s.min_failing and doubts[zone] >= s.fail_share * (doubts[zone] + sure)
             unheard = len(heard) < min(s.min_failing, len(names))
-            wanted = doubt or unheard or its.state is State.FAILED
-            if wanted and now - its.checked_at >= s.check_ms:
+            many = s.check_most if doubt or its.state is State.FAILED else s.min_failing * unheard
+            if many and now - its.checked_at >= s.check_ms:
                 its.checked_at = now
                 names.sort(key=lambda name: (self._checked.get(name, 0.0), name))
-                for name in names[: s.check_most]:
+                for name in names[:many]:
                     self._checked[name] = now
                     named.append(name)
         return named
 
-    def _count(self, now: float, listed: Mapping[str, tuple[str, bool]]) -> dict[str, tuple[int, int, int]]:
-        counts: dict[str, list[int]] = {}
-        for name, (zone, serving) in listed.items():
-            row = counts.setdefault(zone, [0, 0, 0])
-            if not serving:
-                continue
-            row[0] += 1
-            heard = self._last.get(name)
-            if heard is not None and now - heard.at_ms <= self.settings.window_ms:
-                row[1 if heard.ok else 2] += 1
-        return {zone: (row[0], row[1], row[2]) for zone, row in counts.items()}
-
-    def _slow(self, now: float, listed: Mapping[str, tuple[str, bool]]) -> set[str]:
-        waits: dict[str, list[float]] = {}
-        for name, heard in self._last.items():
-            if heard.ok and heard.wait_ms >= 0 and now - heard.at_ms <= self.settings.window_ms:
-                waits.setdefault(listed[name][0], []).append(heard.wait_ms)
+    def _read_list(self, listed: Mapping[str, tuple[str, bool]]) -> None:
+        self._listed = listed
+        self._serving = {}
+        for name, (zone, serves) in listed.items():
+            self._zones.setdefault(zone, _Zone(self.settings.hold_ms))
+            if serves:
+                self._serving.setdefault(zone, []).append(name)
+        for table in (self._last, self._checked):
+            for name in [n for n in table if n not in listed]:
+                del table[name]
+        self._doubted &= listed.keys()
+
+    def _recent(self, now: float) -> dict[str, list[Heard]]:
+        """What was heard within the window, by zone."""
+        found: dict[str, list[Heard]] = {}
+        window = self.settings.window_ms
+        for heard in reversed(self._last.values()):
+            age = now - heard.at_ms
+            if age > 2 * window:
+                break  # they were heard in turn, or nearly so: the others are older
+            if age <= window:
+                found.setdefault(self._listed[heard.endpoint][0], []).append(heard)
+        return found
+
+    def _slow(self, recent: Mapping[str, list[Heard]]) -> set[str]:
+        waits = {
+            zone: [one.wait_ms for one in heard if one.ok and one.wait_ms >= 0]
+            for zone, heard in recent.items()
+        }
         slow, s = set(), self.settings
         for zone, own in waits.items():
             others = [w for z, ws in waits.items() if z != zone for w in ws]
-            if others and median(own) >= max(s.slow_min_ms, s.slow_factor * median(others)):
+            if own and others and median(own) >= max(s.slow_min_ms, s.slow_factor * median(others)):
                 slow.add(zone)
         return slow
 
-    def _step(self, now: float, zone: _Zone, serving: int, well: int, failing: int, slow: bool) -> None:
+    def _elsewhere(self, name: str) -> bool:
+        """Whether another zone has endpoints in service and has not failed."""
+        return any(
+            zone.state is not State.FAILED and self._serving.get(other)
+            for other, zone in self._zones.items() if other != name
+        )
+
+    def _step(
+        self, now: float, zone: _Zone, serving: int, well: int, failing: int, slow: bool, elsewhere: bool
+    ) -> None:
         s = self.settings
         sick = failing >= s.min_failing and failing >= s.fail_share * (failing + well)
         zone.listed = zone.listed or serving > 0
@@ -204,9 +229,9 @@
         answers = not s.checks or well >= min(s.min_failing, serving)
         if empty and state in (State.HEALTHY, State.SUSPECT, State.RETURNING):
             self._fail(now, zone, "none of its endpoints in service")
-        elif sick and state is State.RETURNING:
+        elif sick and state is State.RETURNING and elsewhere:
             self._fail(now, zone, f"{failing} of {failing + well} endpoints heard from fail again")
-        elif confirmed and state is State.SUSPECT:
+        elif confirmed and state is State.SUSPECT and elsewhere:
             self._fail(now, zone, f"{failing} of {failing + well} endpoints heard from fail")
         elif sick and state is State.HEALTHY:
             self._set(now, zone, State.SUSPECT, f"{failing} of {failing + well} endpoints heard from fail")
@@ -254,3 +279,19 @@
             return Verdict(State.SUSPECT, f"{len(sick)} of {len(own)} zones not healthy",
                            min(v.since_ms for v in sick), sum(v.share for v in own) / len(own))
         return Verdict(State.HEALTHY, "all its zones healthy", 0.0)
+
+
+def masks(
+    told: Mapping[str, Verdict], listed: Mapping[str, tuple[str, bool]]
+) -> tuple[frozenset[str], dict[str, float]]:
+    """Of the listed zones: those to take no new work, and those that began anew, with when (ms).
+
+    Where nothing would be left in service, none is taken out: the decisions carry on as without failover.
+    """
+    if all(one.state in (State.HEALTHY, State.SUSPECT) for one in told.values()):
+        return frozenset(), {}
+    zones = {zone for zone, _ in listed.values()}
+    out = frozenset(zone for zone in zones if told[zone].state is State.FAILED)
+    if out and all(zone in out for zone, serves in listed.values() if serves):
+        out = frozenset()
+    return out, {zone: told[zone].since_ms for zone in zones if told[zone].state is State.RETURNING}
--- a/spoolbarrow/lab/fleet.py
+++ b/spoolbarrow/lab/fleet.py
@@ -123,8 +123,13 @@
     if trouble.name in NOBODY:
         return Planned(trouble, (), (), size)
     of = scenario.routers if trouble.name in ROUTERS else scenario.engines
-    victims = tuple(sorted(rng.sample(range(of), max(1, min(of, round(trouble.part * of))))))
+    among: range | list[int] = range(of)
+    if trouble.zone >= 0 and trouble.name not in ROUTERS:
+        among = [n for n in among if n % scenario.zones == trouble.zone]
+    hit = max(1, min(len(among), round(trouble.part * len(among))))
+    victims = tuple(sorted(rng.sample(among, hit)))
     cut: tuple[int, ...] = ()
     if trouble.name == "partition":
-        cut = (rng.randrange(scenario.routers),)
+        many = max(1, round(trouble.size * scenario.routers))
+        cut = tuple(rng.sample(range(scenario.routers), many))
     return Planned(trouble, victims, cut, size)
--- a/spoolbarrow/lab/policies.py
+++ b/spoolbarrow/lab/policies.py
@@ -269,9 +269,17 @@
     return Doored(settings, seed)
 
 
+def zoned(settings: Settings, seed: int, truth: Truth) -> Decider:
+    """The project's decisions with failover between zones."""
+    from spoolbarrow.lab.zoned import Zoned
+
+    return Zoned(settings, seed)
+
+
 POLICIES: dict[str, Callable[[Settings, int, Truth], Decider]] = {
     "spoolbarrow": own,
     "door": doored,
+    "failover": zoned,
     "random": AnyEngine,
     "round-robin": RoundRobin,
     "least-in-flight": LeastInFlight,
--- a/spoolbarrow/lab/scenario.py
+++ b/spoolbarrow/lab/scenario.py
@@ -135,6 +135,7 @@
     begin_s: float
     length_s: float = 5.0
     part: float = 0.1  # of the engines or routers; at least one
+    zone: int = -1  # of whose engines alone; negative: of all
     size: float = 0.0  # 0: the trouble's usual one
 
 
@@ -253,6 +254,8 @@
     for n, t in enumerate(s.troubles):
         if t.begin_s < 0 or t.length_s < 0 or not 0 < t.part <= 1 or t.size < 0:
             found.append(f"troubles[{n}]: begin, length and size must not be negative, part within 0 and 1")
+        if t.zone >= s.zones:
+            found.append(f"troubles[{n}].zone: there are {s.zones} zones, counted from 0")
     return found
 
 
--- a/spoolbarrow/net/failover.py
+++ b/spoolbarrow/net/failover.py
@@ -15,7 +15,7 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address
-from spoolbarrow.failover import Evidence, Heard, Settings, State, Verdict, Verdicts
+from spoolbarrow.failover import Evidence, Heard, Settings, Verdict, Verdicts, masks
 from spoolbarrow.net import http1
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.taps import Observer
@@ -127,17 +127,13 @@
             log("failover_dropped", outcomes=self.dropped - self._told_dropped, since_start=self.dropped)
             self._told_dropped = self.dropped
         told = self._verdicts.handle(now, Evidence(listing, tuple(heard)))
-        for name in self._verdicts.to_check(now, listing):
+        for name in self._verdicts.to_check(now):
             where = destinations.address(name)
             if where is not None and len(self._checks) < MOST_CHECKS:
                 check = gevent.spawn(self._check, name, where)
                 self._checks.add(check)
                 check.link(self._checks.discard)
-        zones = {zone for zone, _ in listing.values()}
-        out = frozenset(z for z in zones if told[z].state is State.FAILED)
-        if out and all(z in out for z, serving in listing.values() if serving):
-            out = frozenset()  # nowhere else to go: the decisions carry on as without failover
-        back = {z: told[z].since_ms for z in zones if told[z].state is State.RETURNING}
+        out, back = masks(told, listing)
         for name, verdict in told.items():
             last = self.told.get(name)
             if last is None or last.state is not verdict.state:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -11,7 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from spoolbarrow.failover import Evidence, Heard, Settings, State, Verdicts
+from spoolbarrow.failover import Evidence, Heard, Settings, State, Verdicts, masks
+from spoolbarrow.lab import zoned
+from spoolbarrow.lab.scenario import ScenarioError, convert
+from spoolbarrow.lab.simulate import Simulation
+from spoolbarrow.lab.zoned import Zoned
 
 SETTINGS = Settings(regions={"west": ("a", "b"), "east": ("c",)})
 ZONES = {"a": 8, "b": 8, "c": 8}
@@ -84,7 +88,7 @@
 def test_where_nothing_can_be_asked_a_return_ramps_from_its_start_to_the_whole_share() -> None:
     verdicts = Verdicts(msgspec.structs.replace(SETTINGS, checks=False))
     play(verdicts, 2000.0, {"a": 8})
-    assert not verdicts.to_check(2000.0, listed())
+    assert not verdicts.to_check(2000.0)
     # Failed: no traffic, so nothing is heard of it; its failures age out of the window.
     now, shares = 2000.0, []
     while now < 12000.0:
@@ -113,7 +117,7 @@
     seen: list[State] = []
     while now < 6000.0:
         seen.append(verdicts.handle(now, doubts(now))["a"].state)
-        asked = verdicts.to_check(now, listed())
+        asked = verdicts.to_check(now)
         assert len(asked) <= SETTINGS.check_most and all(name[0] == "a" for name in asked)
         named |= set(asked)
         verdicts.handle(now, Evidence(listed(), tuple(Heard(n, now, answers, 900.0) for n in asked)))
@@ -132,7 +136,7 @@
         assert state is State.FAILED or now > 15000.0
         if state is State.RETURNING:
             back = back or now
-        asked = verdicts.to_check(now, listed())
+        asked = verdicts.to_check(now)
         well = now > 15000.0
         verdicts.handle(now, Evidence(listed(), tuple(Heard(name, now, well) for name in asked)))
         now += 100.0
@@ -143,7 +147,7 @@
     verdicts, now, asked = Verdicts(SETTINGS), 0.0, 0
     while now < 10000.0:  # nothing is sent anywhere
         verdicts.handle(now, Evidence(listed()))
-        named = verdicts.to_check(now, listed())
+        named = verdicts.to_check(now)
         asked += len(named)
         verdicts.handle(now, Evidence(listed(), tuple(Heard(n, now, n[0] != "c") for n in named)))
         now += 100.0
@@ -153,6 +157,20 @@
     assert asked <= quiet + SETTINGS.check_most * 10000.0 / SETTINGS.check_ms
 
 
+def test_the_last_zone_in_service_is_never_failed() -> None:
+    # Where there is one zone, or the others have failed: it would return as cold without having been out.
+    seen = play(Verdicts(SETTINGS), 8000.0, {"a": 8, "b": 8, "c": 8})
+    assert all([one[zone] for zone in "abc"].count(State.FAILED) <= 2 for one in seen)
+    assert seen[-1]["c"] is State.SUSPECT
+    verdicts = Verdicts(Settings())
+    alone = {f"a{n}": ("a", True) for n in range(8)}
+    for now in range(0, 20000, 100):
+        lost = tuple(Heard(name, float(now), int(name[1]) < 3 or now > 9000) for name in alone)
+        told = verdicts.handle(float(now), Evidence(alone, lost))
+        assert told["a"].state in (State.HEALTHY, State.SUSPECT)
+        assert masks(told, alone) == (frozenset(), {})
+
+
 def test_a_slow_zone_that_begins_to_fail_is_confirmed_first() -> None:
     verdicts = Verdicts(SETTINGS)
     play(verdicts, 5000.0, {}, slow="a")
@@ -273,3 +291,30 @@
         watch.weigh(scene.host.now())
         watch.stop()
     assert watch.dropped == 2 and '"event":"failover_dropped","outcomes":2' in capfd.readouterr().err
+
+
+DAY: dict[str, Any] = {
+    "name": "zones", "length_s": 16.0, "zones": 3, "routers": 9, "engines": 24,
+    "classes": {"ask": {"aim_ms": 1500.0, "deadline_ms": 5000.0}},
+}
+
+
+@pytest.mark.parametrize("trouble", ["vanish", "hang"])
+def test_in_the_lab_every_router_fails_a_lost_zone_in_time_and_takes_it_back(trouble: str) -> None:
+    lost = {"name": trouble, "zone": 1, "part": 1.0, "begin_s": 4.0, "length_s": 5.0}
+    simulation = Simulation(convert({**DAY, "troubles": [lost]}), "failover", 3)
+    report = simulation.play()
+    assert not report["rules_broken"]
+    for node in simulation.nodes.all:
+        assert isinstance(node.decider, Zoned)
+        changes = node.decider.changes
+        assert {zone for _, zone, state in changes if state is State.FAILED} == {"1"}
+        at = next(now for now, _, state in changes if state is State.FAILED) - 4000.0
+        checked = 1000.0 + SETTINGS.check_ms
+        assert at <= SETTINGS.window_ms + checked + SETTINGS.confirm_ms + 2 * zoned.PERIOD_MS
+        assert [state for _, zone, state in changes if zone == "1"][-1] in (State.RETURNING, State.HEALTHY)
+
+
+def test_a_trouble_of_a_zone_that_is_none_names_its_key() -> None:
+    with pytest.raises(ScenarioError, match=r"troubles\[0\].zone"):
+        convert({**DAY, "troubles": [{"name": "hang", "begin_s": 1.0, "zone": 3}]})
