Add the store's consensus as a pure state machine, played under faults in virtual time

Way chosen: Raft of our own (store/raft.py) with pre-votes and quorum checks, a message or the time in, what to save, send and apply out; lab/quorum.py plays histories by seed (loss, doubling, reordering, one-way cuts, crashes between writes and messages, leaping clocks) and holds what must hold at each step.

Nothing of it is loaded by serving.

--- /dev/null
+++ b/spoolbarrow/lab/quorum.py
@@ -0,0 +1,385 @@
+"""Members of the store in virtual time: clocks, disks and a network that fail, and what must hold yet.
+
+One seed is one history: messages are lost, delayed, doubled and overtaken, members are cut off (one way too),
+crash between any two writes and come back with what their disks hold, clocks leap. At every step it is held:
+one leader a term; nobody applies another entry at an index than the others did, or leaves one out; what was
+applied anywhere is never lost; at the end, logs match where terms do. Once the faults end, a new entry must
+be committed everywhere, in bounded time. `Broken` tells which of these does not hold.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from heapq import heappop, heappush
+from random import Random
+
+from msgspec import Struct, structs
+
+from spoolbarrow.store.raft import (
+    Append,
+    Entry,
+    Hard,
+    Install,
+    Message,
+    Raft,
+    Ready,
+    Role,
+    Saved,
+    Settings,
+    Snapshot,
+    Vote,
+)
+
+TICK_MS = 20.0
+FAULTS_MS = 6000.0  # faults begin and end within it
+HEALED_MS = 6000.0  # in which a new entry must be everywhere
+KEPT = 12  # entries that a member keeps before it compacts
+CHANCES = {"crash_in_save": (0.01, 0.2), "crash_voting": (0.3, 0.9), "crash_leading": (0.02, 0.2)}
+FAULTS = ("net", "net", "cut", "one way", "crash", "leap", "all", *CHANCES)
+SPREADS = (0.05, 1.0)  # of elections: at once, or one after the other
+
+
+class Broken(AssertionError):
+    """Something that must always hold does not."""
+
+
+class Net(Struct):
+    """How bad the network is now."""
+
+    lost: float = 0.0
+    doubled: float = 0.0
+    delay_ms: tuple[float, float] = (1.0, 10.0)
+
+
+class Member:
+    """One member's process and its disk."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.raft: Raft | None = None  # None while it is down
+        self.life = 0
+        self.leap = 0.0  # of its clock
+        # The disk:
+        self.hard, self.snapshot = Hard(), Snapshot()
+        self.entries: list[Entry] = []
+        # What the process has applied, all of it:
+        self.state: list[str] = []
+        self.applied = 0
+
+
+class Play:
+    """One history by its seed. `make` builds members: a mutant, to see that it is found."""
+
+    def __init__(self, seed: int, size: int = 3, make: Callable[..., Raft] = Raft) -> None:
+        self.rng, self.make = Random(seed), make
+        # Small batches, so that a log is mended in many steps.
+        self.settings = Settings(batch=2, spread=SPREADS[seed % len(SPREADS)])
+        self.names = [f"m{n}" for n in range(size)]
+        self.members = {name: Member(name) for name in self.names}
+        self.now = 0.0
+        self.net = Net()
+        self.cut: set[tuple[str, str]] = set()  # nothing passes from the first to the second
+        self.events: list[tuple[float, int, Callable[..., object], tuple[object, ...]]] = []
+        self.count = 0
+        self.leaders: dict[int, str] = {}  # by term
+        self.applied: dict[int, Entry] = {}  # by index: what was applied first anywhere
+        self.proposed = 0
+        self.steps = 0
+        self.crash_in_save = 0.0  # chance, at each write
+        self.crash_voting = self.crash_leading = 0.0  # at each vote given, and each message of a leader's
+
+    def at(self, when: float, call: Callable[..., object], *args: object) -> None:
+        """Call it then."""
+        self.count += 1
+        heappush(self.events, (when, self.count, call, args))
+
+    def run(self) -> None:
+        """The whole history; Broken where something does not hold."""
+        for name in self.names:
+            self.start(name)
+        for _ in range(self.rng.randint(8, 30)):
+            self.at(self.rng.uniform(0.0, FAULTS_MS), self.trouble)
+        at = 0.0
+        while at < FAULTS_MS:
+            at += self.rng.expovariate(1 / 20.0)
+            self.at(at, self.propose)
+        self._play(FAULTS_MS)
+        self.heal()
+        self._match()
+        self._play(FAULTS_MS + HEALED_MS / 2)
+        before = self.last()
+        if not self.propose():
+            raise Broken("no leader once the faults have ended")
+        self._play(FAULTS_MS + HEALED_MS)
+        if any(member.applied <= before for member in self.members.values()):
+            raise Broken("what was proposed once the faults had ended is not everywhere")
+        self._match()
+
+    def last(self) -> int:
+        """The highest index applied anywhere."""
+        return max(self.applied, default=0)
+
+    def _play(self, until: float) -> None:
+        while self.events and self.events[0][0] <= until:
+            self.now, _, call, args = heappop(self.events)
+            call(*args)
+        self.now = until
+
+    # Members
+
+    def start(self, name: str) -> None:
+        """A process begins from its disk."""
+        member = self.members[name]
+        if member.raft is not None:
+            return
+        member.life += 1
+        saved = Saved(member.hard, member.snapshot, tuple(member.entries))
+        rng = Random(self.rng.random())
+        try:
+            member.raft = self.make(name, self.names, self.now + member.leap, rng, saved, self.settings)
+        except ValueError as error:
+            raise Broken(f"what {name} saved is no log: {error}") from error
+        self._load(member, member.snapshot)
+        self.at(self.now, self.tick, name, member.life)
+
+    def crash(self, name: str) -> None:
+        """Its process ends; the disk stays."""
+        member = self.members[name]
+        member.raft = None
+        away = (1.0, 20.0) if self.rng.random() < 0.5 else (50.0, 1500.0)
+        self.at(self.now + self.rng.uniform(*away), self.start, name)
+
+    def tick(self, name: str, life: int) -> None:
+        """Time passes for one."""
+        member = self.members[name]
+        if member.raft is not None and member.life == life:
+            self.do(member, member.raft.handle(self.now + member.leap))
+            self.at(self.now + TICK_MS * self.rng.uniform(0.8, 1.2), self.tick, name, life)
+
+    def propose(self) -> bool:
+        """A client asks whoever takes itself for the leader; whether anybody does."""
+        leaders = [m for m in self.members.values() if m.raft is not None and m.raft.role is Role.LEADER]
+        if not leaders:
+            return False
+        member = self.rng.choice(leaders)
+        assert member.raft is not None
+        self.proposed += 1
+        done = member.raft.propose(self.now + member.leap, b"%d" % self.proposed)
+        if done is not None:
+            self.do(member, done[1])
+        return True
+
+    def arrive(self, message: Message) -> None:
+        """A message is there."""
+        member = self.members[message.dst]
+        if member.raft is not None and (message.src, message.dst) not in self.cut:
+            self.do(member, member.raft.handle(self.now + member.leap, message))
+
+    def do(self, member: Member, ready: Ready) -> None:
+        """Save, send, apply; a crash may come before each write and each message."""
+        self.steps += 1
+        for write in self._writes(member, ready):
+            if self.crash_in_save and self.rng.random() < self.crash_in_save:
+                return self.crash(member.name)
+            write()
+        raft = member.raft
+        assert raft is not None
+        for message in ready.messages:
+            self.send(message)
+            voting = isinstance(message, Vote) and message.granted and not message.pre
+            chance = self.crash_voting * voting + self.crash_leading * (raft.role is Role.LEADER)
+            if chance and self.rng.random() < chance:
+                return self.crash(member.name)
+        if raft.role is Role.LEADER and self.leaders.setdefault(raft.term, member.name) != member.name:
+            raise Broken(f"two leaders in term {raft.term}")
+        if ready.snapshot is not None and ready.snapshot.index > member.applied:
+            self._load(member, ready.snapshot)
+        for entry in ready.committed:
+            self._apply(member, entry)
+        if member.applied - raft.snapshot.index > KEPT:
+            state = json.dumps(member.state).encode()
+            self.do(member, raft.compact(member.applied, state))
+
+    def _writes(self, member: Member, ready: Ready) -> Iterator[Callable[[], None]]:
+        if ready.hard is not None:
+            yield lambda: setattr(member, "hard", ready.hard)
+        if ready.snapshot is not None or ready.truncate is not None or ready.entries:
+            yield lambda: self._save_log(member, ready)
+
+    def _save_log(self, member: Member, ready: Ready) -> None:
+        entries = member.entries
+        if ready.truncate is not None:
+            entries = [entry for entry in entries if entry.index < ready.truncate]
+        if ready.snapshot is not None:
+            member.snapshot = ready.snapshot
+            entries = [entry for entry in entries if entry.index > ready.snapshot.index]
+        member.entries = entries + list(ready.entries)
+
+    def _apply(self, member: Member, entry: Entry) -> None:
+        if entry.index != member.applied + 1:
+            raise Broken(f"{member.name} applies {entry.index} after {member.applied}")
+        first = self.applied.setdefault(entry.index, entry)
+        if first != entry:
+            raise Broken(f"{member.name} applies {entry} where {first} was applied")
+        member.applied = entry.index
+        if entry.data:
+            member.state.append(entry.data.decode())
+
+    def _load(self, member: Member, snapshot: Snapshot) -> None:
+        member.applied = snapshot.index
+        member.state = json.loads(snapshot.data) if snapshot.data else []
+        wanted = [e.data.decode() for i in range(1, snapshot.index + 1) if (e := self.applied[i]).data]
+        if member.state != wanted:
+            raise Broken(f"{member.name} loads another state at {snapshot.index} than was applied")
+
+    # The network and its faults
+
+    def send(self, message: Message) -> None:
+        """A message leaves: it may be lost, or come twice, or late."""
+        for _ in range(1 + (self.rng.random() < self.net.doubled)):
+            if self.rng.random() >= self.net.lost:
+                delay = self.rng.uniform(*self.net.delay_ms)
+                if isinstance(message, Install):
+                    delay *= 3.0
+                self.at(self.now + delay, self.arrive, message)
+
+    def trouble(self) -> None:
+        """One fault, with its end."""
+        rng = self.rng
+        kind = rng.choice(FAULTS)
+        end = self.now + rng.uniform(100.0, 2000.0)
+        if kind == "net":
+            late = rng.choice((10.0, 100.0, 500.0))
+            self.net = Net(rng.uniform(0.0, 0.4), rng.uniform(0.0, 0.3), (1.0, late))
+            self.at(end, self.calm)
+        elif kind in ("cut", "one way"):
+            apart = set(rng.sample(self.names, rng.randint(1, len(self.names) // 2)))
+            pairs = {(a, b) for a in apart for b in self.names if b not in apart}
+            if kind == "cut":
+                pairs |= {(b, a) for a, b in pairs}
+            elif rng.random() < 0.5:
+                pairs = {(b, a) for a, b in pairs}
+            self.cut |= pairs
+            self.at(end, self.cut.difference_update, pairs)
+        elif kind == "crash":
+            self.crash(rng.choice(self.names))
+        elif kind in CHANCES:
+            setattr(self, kind, rng.uniform(*CHANCES[kind]))
+            self.at(end, setattr, self, kind, 0.0)
+        elif kind == "leap":
+            member = self.members[rng.choice(self.names)]
+            member.leap += rng.choice((-1.0, 1.0)) * rng.uniform(100.0, 5000.0)
+        else:
+            for name in self.names:
+                self.crash(name)
+
+    def calm(self) -> None:
+        """The network is well."""
+        self.net = Net()
+
+    def heal(self) -> None:
+        """Faults end."""
+        self.calm()
+        self.cut.clear()
+        self.crash_in_save = self.crash_voting = self.crash_leading = 0.0
+        for name in self.names:
+            self.start(name)
+
+    def _match(self) -> None:
+        """Where two logs have an entry of the same index and term, they are the same up to there."""
+        logs = [{entry.index: entry for entry in m.entries} for m in self.members.values()]
+        for n, one in enumerate(logs):
+            for other in logs[:n]:
+                both = sorted(one.keys() & other.keys(), reverse=True)
+                same = [index for index in both if one[index].term == other[index].term]
+                for index in both:
+                    if same and index <= same[0] and one[index] != other[index]:
+                        raise Broken(f"logs that agree at {same[0]} differ at {index}")
+
+
+def survives(seed: int, size: int = 3, make: Callable[..., Raft] = Raft) -> str:
+    """Play one seed: empty where all holds, else what does not."""
+    try:
+        Play(seed, size, make).run()
+    except AssertionError as error:
+        return str(error) or type(error).__name__
+    return ""
+
+
+class VoteForgotten(Raft):
+    """Does not save whom it voted for."""
+
+    def _ready(self) -> Ready:
+        ready = super()._ready()
+        return ready if ready.hard is None else structs.replace(ready, hard=Hard(ready.hard.term, ""))
+
+
+class VotesTwice(Raft):
+    """Votes for whoever asks."""
+
+    def _may_vote(self, ask: object) -> bool:
+        return True
+
+
+class VotesForStale(Raft):
+    """Votes for members whose logs lack what is committed."""
+
+    def _as_fresh(self, ask: object) -> bool:
+        return True
+
+
+class CommitsOldTerm(Raft):
+    """Commits entries of older terms by counting (figure 8 of the paper)."""
+
+    def _committable(self, index: int) -> bool:
+        return True
+
+    def _add(self, data: bytes) -> Entry:
+        if not data:  # nor does it mark its term
+            self._advance()
+            return Entry(self.last_index, self.term)
+        return super()._add(data)
+
+
+class AppendsBlindly(Raft):
+    """Takes entries whatever comes before them."""
+
+    def _follows(self, message: Append) -> bool:
+        return message.prev_index <= self.last_index
+
+
+class KeepsConflicts(Raft):
+    """Keeps what another leader put in the place of an entry."""
+
+    def _conflicts(self, entry: Entry) -> bool:
+        return False
+
+
+class CommitsBeyond(Raft):
+    """Takes for committed what it has not compared with the leader's log."""
+
+    def _known_committed(self, message: Append, match: int) -> int:
+        return min(message.commit, self.last_index)
+
+
+class SmallQuorum(Raft):
+    """Half of the members are enough for it."""
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)  # type: ignore[arg-type]
+        self.quorum = (len(self.others) + 1) // 2
+
+
+class EntriesUnsaved(Raft):
+    """Answers for entries that it has not saved."""
+
+    def _ready(self) -> Ready:
+        ready = super()._ready()
+        return structs.replace(ready, entries=ready.entries[:-1]) if self._rng.random() < 0.1 else ready
+
+
+MUTANTS = (
+    VoteForgotten, VotesTwice, VotesForStale, CommitsOldTerm, AppendsBlindly, KeepsConflicts, CommitsBeyond,
+    SmallQuorum, EntriesUnsaved,
+)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,218 @@
+"""Consensus: scripted dialogues that read like the paper's rules, histories under faults, and bugs put in on
+purpose, each of which one or the other must find."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+
+from spoolbarrow.lab import quorum
+from spoolbarrow.lab.quorum import survives
+from spoolbarrow.store import raft as r
+from spoolbarrow.store.raft import (
+    Append,
+    Appended,
+    Ask,
+    Entry,
+    Hard,
+    Install,
+    Raft,
+    Role,
+    Saved,
+    Snapshot,
+    Vote,
+)
+
+MEMBERS = ["m0", "m1", "m2"]
+
+
+def member(make: type[Raft] = Raft, saved: Saved = Saved(), members: list[str] = MEMBERS) -> Raft:  # noqa: B008
+    return make("m0", members, 0.0, Random(1), saved, r.Settings())
+
+
+def ask(src: str, term: int, last: tuple[int, int] = (0, 0), pre: bool = False) -> Ask:
+    return Ask(src=src, dst="m0", term=term, last_term=last[0], last_index=last[1], pre=pre)
+
+
+def append(term: int, prev: tuple[int, int], commit: int, *entries: Entry) -> Append:
+    return Append(
+        src="m1", dst="m0", term=term, prev_term=prev[0], prev_index=prev[1], commit=commit, entries=entries
+    )
+
+
+def log(*terms: int) -> tuple[Entry, ...]:
+    return tuple(Entry(n + 1, term, b"%d" % term) for n, term in enumerate(terms))
+
+
+def lead(make: type[Raft], saved: Saved, members: list[str] = MEMBERS) -> tuple[Raft, float]:
+    """A member that others vote for: the leader of the next term."""
+    made = member(make, saved, members)
+    now = 700.0
+    made.handle(now)
+    for pre in (True, False):
+        for name in members[1:]:
+            made.handle(now, Vote(src=name, dst="m0", term=saved.hard.term + 1, granted=True, pre=pre))
+    assert made.role is Role.LEADER
+    return made, now
+
+
+def a_vote_outlives_its_process(make: type[Raft]) -> None:
+    ready = member(make).handle(1.0, ask("m1", 1))
+    assert ready.messages == [Vote(src="m0", dst="m1", term=1, granted=True)]
+    again = member(make, Saved(ready.hard or Hard()))
+    (answer,) = again.handle(2.0, ask("m2", 1)).messages
+    assert isinstance(answer, Vote) and not answer.granted
+
+
+def one_vote_a_term(make: type[Raft]) -> None:
+    made = member(make)
+    made.handle(1.0, ask("m1", 1))
+    (answer,) = made.handle(2.0, ask("m2", 1)).messages
+    assert isinstance(answer, Vote) and not answer.granted
+
+
+def no_vote_for_a_log_that_lacks_entries(make: type[Raft]) -> None:
+    saved = Saved(Hard(3, ""), Snapshot(), log(1, 3))
+    for last in ((1, 9), (3, 1)):
+        (answer,) = member(make, saved).handle(1.0, ask("m1", 4, last)).messages
+        assert isinstance(answer, Vote) and not answer.granted
+
+
+def an_older_terms_entry_is_committed_only_behind_one_of_its_own(make: type[Raft]) -> None:
+    """Figure 8: an entry of term 2 lies on a majority in term 4, and may yet be replaced by one of term 3."""
+    five = [*MEMBERS, "m3", "m4"]
+    leader, now = lead(make, Saved(Hard(3, ""), Snapshot(), log(1, 2)), five)
+    for name in ("m1", "m2"):
+        ready = leader.handle(now, Appended(src=name, dst="m0", term=4, index=2, ok=True))
+        assert not ready.committed and leader.commit == 0
+    for name in ("m1", "m2"):
+        leader.handle(now, Appended(src=name, dst="m0", term=4, index=3, ok=True))
+    assert leader.commit == 3
+
+
+def what_is_not_compared_is_not_committed(make: type[Raft]) -> None:
+    made = member(make, Saved(Hard(1, ""), Snapshot(), log(1, 1, 1)))
+    ready = made.handle(1.0, append(2, (1, 1), 3))  # what lies behind the first may be another leader's
+    assert [entry.index for entry in ready.committed] == [1]
+
+
+def entries_follow_what_the_leader_has(make: type[Raft]) -> None:
+    made = member(make, Saved(Hard(1, ""), Snapshot(), log(1, 1)))
+    (answer,) = made.handle(1.0, append(3, (2, 2), 0, Entry(3, 3))).messages
+    assert answer == Appended(src="m0", dst="m1", term=3, index=1, ok=False) and made.last_index == 2
+
+
+def what_another_leader_wrote_gives_way(make: type[Raft]) -> None:
+    made = member(make, Saved(Hard(1, ""), Snapshot(), log(1, 1, 1)))
+    ready = made.handle(1.0, append(2, (1, 1), 0, Entry(2, 2, b"new")))
+    assert (ready.truncate, ready.entries, made.last_index) == (2, (Entry(2, 2, b"new"),), 2)
+    late = made.handle(2.0, append(2, (0, 0), 0, Entry(1, 1, b"1")))  # overtaken: it takes nothing back
+    assert late.truncate is None and made.last_index == 2
+
+
+def a_majority_is_more_than_half(make: type[Raft]) -> None:
+    made = member(make, members=[*MEMBERS, "m3"])
+    made.handle(700.0)
+    made.handle(700.0, Vote(src="m1", dst="m0", term=1, granted=True, pre=True))
+    assert made.role is Role.ASKING
+
+
+def what_is_answered_for_is_saved(make: type[Raft]) -> None:
+    made = member(make)
+    saved: list[Entry] = []
+    for index in range(1, 60):
+        previous = (1, index - 1) if index > 1 else (0, 0)
+        ready = made.handle(float(index), append(1, previous, 0, Entry(index, 1)))
+        saved += ready.entries
+        assert [entry.index for entry in saved] == list(range(1, index + 1))
+
+
+DIALOGUES = [
+    a_vote_outlives_its_process, one_vote_a_term, no_vote_for_a_log_that_lacks_entries,
+    an_older_terms_entry_is_committed_only_behind_one_of_its_own, what_is_not_compared_is_not_committed,
+    entries_follow_what_the_leader_has, what_another_leader_wrote_gives_way, a_majority_is_more_than_half,
+    what_is_answered_for_is_saved,
+]
+
+
+@pytest.mark.parametrize("dialogue", DIALOGUES)
+def test_the_rules(dialogue: Any) -> None:
+    dialogue(Raft)
+
+
+@pytest.mark.parametrize("mutant", quorum.MUTANTS)
+def test_each_bug_put_in_on_purpose_is_found_by_a_dialogue(mutant: type[Raft]) -> None:
+    found = []
+    for dialogue in DIALOGUES:
+        try:
+            dialogue(mutant)
+        except AssertionError:
+            found.append(dialogue.__name__)
+    assert found
+
+
+def test_who_hears_a_leader_votes_for_nobody_else_and_is_not_disturbed() -> None:
+    made = member()
+    made.handle(1.0, append(1, (0, 0), 0))
+    (answer,) = made.handle(100.0, ask("m2", 2, pre=True)).messages
+    assert isinstance(answer, Vote) and not answer.granted
+    assert made.handle(100.0, ask("m2", 9)).messages == [] and made.term == 1
+    (answer,) = made.handle(302.0, ask("m2", 2, pre=True)).messages  # the leader has been silent
+    assert isinstance(answer, Vote) and answer.granted and made.term == 1
+
+
+def test_a_leader_that_reaches_no_majority_stops_leading() -> None:
+    leader, now = lead(Raft, Saved())
+    assert leader.propose(now, b"x") is not None
+    leader.handle(now + 299.0)
+    leader.handle(now + 301.0)
+    assert leader.role is Role.FOLLOWER and leader.propose(now + 301.0, b"y") is None
+
+
+def test_a_member_that_lacks_what_is_no_longer_kept_gets_the_snapshot() -> None:
+    leader, now = lead(Raft, Saved(Hard(1, ""), Snapshot(5, 1, b"state"), ()))
+    (sent,) = leader.handle(now, Appended(src="m1", dst="m0", term=2, index=0, ok=False)).messages
+    assert sent == Install(src="m0", dst="m1", term=2, snapshot=Snapshot(5, 1, b"state"))
+    other = Raft("m1", MEMBERS, 0.0, Random(2), Saved(), r.Settings())
+    ready = other.handle(1.0, sent)
+    assert ready.snapshot == Snapshot(5, 1, b"state") and not ready.committed
+    assert ready.messages == [Appended(src="m1", dst="m0", term=2, index=5, ok=True)]
+    assert other.compact(5, b"state").snapshot == Snapshot(5, 1, b"state")
+    with pytest.raises(ValueError):
+        other.compact(6, b"more")
+
+
+def test_a_member_alone_commits_what_it_saves() -> None:
+    alone = member(members=["m0"])
+    alone.handle(700.0)
+    done = alone.propose(701.0, b"x")
+    assert done is not None
+    ready = done[1]
+    assert [e.data for e in ready.committed] == [b"x"] == [e.data for e in ready.entries]
+
+
+def test_messages_travel_as_json_or_msgpack() -> None:
+    union = Ask | Vote | Append | Appended | Install
+    sent = append(2, (1, 1), 0, Entry(2, 2, b"\x00\xff"))
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(sent), type=union) == sent
+    assert msgspec.json.decode(msgspec.json.encode(sent), type=union) == sent
+
+
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize("seed", range(25))
+def test_histories_under_faults_keep_what_must_hold(seed: int, size: int) -> None:
+    assert survives(seed, size) == ""
+
+
+@pytest.mark.parametrize(
+    "saved",
+    [Saved(entries=log(1, 1)[1:]), Saved(Hard(), Snapshot(3, 1), log(1))],
+)
+def test_what_is_no_log_is_not_begun_from(saved: Saved) -> None:
+    with pytest.raises(ValueError, match="follow the snapshot"):
+        member(saved=saved)
+    with pytest.raises(ValueError, match="one of the members"):
+        Raft("m9", MEMBERS, 0.0, Random(1), Saved(), r.Settings())
