Run the store's members as processes with a disk each, proven by killing, cutting and filling them

Way chosen: one SQLite file a member (application id and version checked, integrity check at the start, synchronous=FULL), each step of consensus one transaction before its messages leave; documents by key where a change names the revision it expects; bounded msgpack frames between members, HTTP for callers, spoolbarrow store serve | status | get | put. Rejected: LMDB (a dependency for a few writes a minute), pickled calls, one listener for both.

Three processes under a writer, a gate of the fault proxy from each to each other: leader killed twice during changes, leader cut off and back with an old log, two changes at once (ten rounds, one 200 and one 409 each), a disk of 24 pages full, all killed at once, a foreign file (exit 2). At the end every answered change is on all that run, every unknown one on all or none. Not read by routers yet, nothing loaded by serving.

--- a/spoolbarrow/cli/__init__.py
+++ b/spoolbarrow/cli/__init__.py
@@ -19,6 +19,7 @@
     "lab": "Play scenarios with a model of the fleet.",
     "shadow": "Shadow traffic: compare answers, see how copying goes.",
     "serve": "Serve until SIGTERM.",
+    "store": "Documents kept by several members: serve as one, read, write.",
     "version": "Print the version.",
 }
 EXIT_STATUS = """\b
--- a/spoolbarrow/lab/proxy.py
+++ b/spoolbarrow/lab/proxy.py
@@ -1,6 +1,6 @@
 """A fault proxy on loopback: between routers and engines, it passes, drops, resets, delays or slows bytes.
 
-    python -m spoolbarrow.lab.proxy SECONDS TARGET_PORT...     prints one listening port a target, then obeys
+    python -m spoolbarrow.lab.proxy SECONDS [HOST:]PORT...     prints one listening port a target, then obeys
 
 Each target gets a listener of its own on 127.0.0.1. Lines on standard input set the fault of listeners, by
 index (`0,3,4`, or `*` for all): `pass`, `drop` (connections are taken and nothing passes either way),
@@ -41,7 +41,7 @@
 class Gate:
     """One listener before one target, and its fault."""
 
-    def __init__(self, target: int) -> None:
+    def __init__(self, target: tuple[str, int]) -> None:
         self.target = target
         self.mode, self.value = "pass", 0.0
         self.open: set[Any] = set()
@@ -73,7 +73,7 @@
 
     def _join(self, client: Any) -> None:
         try:
-            engine = socket.create_connection((HOST, self.target), 2)
+            engine = socket.create_connection(self.target, 2)
         except OSError:
             return _reset(client)
         self.open |= {client, engine}
@@ -133,8 +133,8 @@
 
 def main(argv: list[str]) -> None:
     """Serve the listeners, obey standard input, end in time."""
-    seconds, targets = float(argv[0]), [int(port) for port in argv[1:]]
-    gates = [Gate(target) for target in targets]
+    seconds, targets = float(argv[0]), [target.rpartition(":") for target in argv[1:]]
+    gates = [Gate((host or HOST, int(port))) for host, _, port in targets]
     for gate in gates:
         gevent.spawn(gate.serve)
     print(" ".join(str(gate.port) for gate in gates), flush=True)
--- /dev/null
+++ b/tests/test_fleet_store.py
@@ -0,0 +1,230 @@
+"""The store with several processes: three members, cut off by the fault proxy, killed, their disks full or
+torn, under writers all the while. What was answered as written is on all members at the end, or on none."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from spoolbarrow.cli.store import ask
+from spoolbarrow.lab.cluster import LISTEN, Process, free_ports
+
+LIFE_S = 120.0
+
+
+def until(true: Callable[[], Any], seconds: float = 40.0) -> Any:
+    """What it gives once that is true."""
+    end = time.monotonic() + seconds
+    while not (found := true()):
+        assert time.monotonic() < end, "never came true"
+        time.sleep(0.03)
+    return found
+
+
+class Members:
+    """Three members, a gate of the proxy from each to each other."""
+
+    def __init__(self, folder: Path, pages: dict[int, int] | None = None) -> None:
+        self.folder, self.pages = folder, pages or {}
+        free = free_ports(6)
+        self.listens, self.controls = free[:3], [f"{LISTEN}:{port}" for port in free[3:]]
+        self.pairs = [(a, b) for a in range(3) for b in range(3) if a != b]
+        self.proxy = Process("-m", "spoolbarrow.lab.proxy", str(LIFE_S), *(
+            f"{LISTEN}:{self.listens[b]}" for _, b in self.pairs
+        ), stdin=True)
+        self.fronts = self.proxy.first_said().split()
+        self.processes = [self.start(n) for n in range(3)]
+        for one in self.processes:
+            one.wait_for(lambda one=one: bool(one.events("store_started")))  # type: ignore[misc]
+
+    def start(self, number: int) -> Process:
+        named = []
+        for other in range(3):
+            where = f"{LISTEN}:{self.listens[number]}"
+            if other != number:
+                where = f"127.0.0.1:{self.fronts[self.pairs.index((number, other))]}"
+            named += ["--member", f"m{other}={where}"]
+        return Process(
+            "-m", "spoolbarrow", "store", "serve", "--name", f"m{number}", *named,
+            "--listen", f"{LISTEN}:{self.listens[number]}", "--control", self.controls[number],
+            "--directory", str(self.folder), "--most-pages", str(self.pages.get(number, 0)),
+        )
+
+    def kill(self, number: int) -> None:
+        self.processes[number].popen.kill()
+        self.processes[number].popen.wait()
+
+    def cut(self, number: int, mode: str) -> None:
+        """At every gate to and from a member."""
+        gates = [n for n, pair in enumerate(self.pairs) if number in pair]
+        self.proxy.tell(f"{','.join(map(str, gates))} {mode}")
+
+    def status(self, number: int) -> dict[str, Any]:
+        return ask(self.controls[number], "GET", "/v1/status")[1]
+
+    def leader(self, among: Any = range(3)) -> int:
+        """A member that leads, and that a majority follows."""
+
+        def found() -> list[int]:
+            told = {n: self.status(n) for n in among}
+            return [n for n in told if told[n].get("role") == "leader"
+                    and sum(one.get("leader") == f"m{n}" for one in told.values()) >= 2]
+
+        return until(found)[0] if not (at := found()) else at[0]
+
+    def get(self, number: int, key: str) -> tuple[str, int] | None:
+        code, told = ask(self.controls[number], "GET", f"/v1/store/{key}")
+        return (told["value"], told["revision"]) if code == 200 else None
+
+    def end(self) -> None:
+        for one in (*self.processes, self.proxy):
+            one.end()
+
+
+class Writer:
+    """Writes one key after another through whoever leads; what was answered, and what is not known."""
+
+    def __init__(self, made: Members, size: int = 16) -> None:
+        self.made, self.size = made, size
+        self.written: dict[str, int] = {}
+        self.unknown: set[str] = set()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self) -> None:
+        number = 0
+        while not self._stop.is_set():
+            key, number = f"k{number}", number + 1
+            for member in self.made.controls:
+                code, told = ask(member, "PUT", f"/v1/store/{key}", key.encode() * self.size)
+                if code == 200:
+                    self.written[key] = told["revision"]
+                if code in (200, 503):
+                    self.unknown |= {key} if code == 503 else set()
+                    break
+                if code == 0 and "refused" not in told["error"]:
+                    self.unknown.add(key)  # it may have been written before its member died
+                    break
+
+    def more(self, count: int) -> None:
+        """Until so many more are written."""
+        goal = len(self.written) + count
+        until(lambda: len(self.written) >= goal)
+
+    def stop(self) -> None:
+        self._stop.set()
+        self._thread.join(30)
+
+
+@contextmanager
+def written(folder: Path, **more: Any) -> Iterator[tuple[Members, Writer]]:
+    """Members under a writer; at the end each change is on all of those that run, or on none."""
+    made = Members(folder, more.get("pages"))
+    try:
+        made.leader()
+        writer = Writer(made, more.get("size", 16))
+        try:
+            yield made, writer
+        finally:
+            writer.stop()
+        assert len(writer.written) > 20
+        well = [n for n in range(3) if not made.status(n)["fault"]]
+        until(lambda: len({made.status(n)["applied"] for n in well}) == 1)
+        for key, revision in writer.written.items():
+            assert {made.get(n, key) for n in well} == {(key * writer.size, revision)}
+        for key in writer.unknown:
+            assert len({made.get(n, key) for n in well}) == 1
+    finally:
+        made.end()
+
+
+def test_a_leader_that_is_killed_during_changes_loses_none_of_them(tmp_path: Path) -> None:
+    with written(tmp_path) as (made, writer):
+        for _ in range(2):
+            writer.more(10)
+            lost = made.leader()
+            made.kill(lost)
+            others = [n for n in range(3) if n != lost]
+            assert made.leader(others) != lost
+            writer.more(10)
+            made.processes[lost] = made.start(lost)
+            until(lambda n=lost: made.status(n).get("leader"))  # type: ignore[misc]
+
+
+def test_a_leader_that_is_cut_off_takes_no_changes_and_comes_back_with_an_old_log(tmp_path: Path) -> None:
+    with written(tmp_path) as (made, writer):
+        writer.more(10)
+        lost = made.leader()
+        made.cut(lost, "drop")
+        others = [n for n in range(3) if n != lost]
+        made.leader(others)
+        until(lambda: made.status(lost)["role"] != "leader")
+        code, told = ask(made.controls[lost], "PUT", "/v1/store/alone", b"x")
+        assert code == 409 and told["leader"] != f"m{lost}"
+        assert made.get(lost, "k0") is not None  # what it had is told on
+        writer.more(20)
+        made.cut(lost, "pass")
+        until(lambda: made.status(lost)["applied"] >= max(made.status(n)["applied"] for n in others))
+        assert made.get(lost, "alone") is None
+
+
+def test_of_two_changes_at_once_one_is_taken(tmp_path: Path) -> None:
+    with written(tmp_path) as (made, writer):
+        at = made.controls[made.leader()]
+        revision = 0
+        for turn in range(10):
+            codes: list[tuple[int, int]] = []
+
+            def change(who: int, expect: int = revision, codes: list[tuple[int, int]] = codes) -> None:
+                code, told = ask(at, "PUT", f"/v1/store/document?expect={expect}", b"by %d" % who)
+                codes.append((code, told["revision"]))
+
+            operators = [threading.Thread(target=change, args=(who,)) for who in range(2)]
+            for one in operators:
+                one.start()
+            for one in operators:
+                one.join(30)
+            assert sorted(code for code, _ in codes) == [200, 409], (turn, codes)
+            assert len({told for _, told in codes}) == 1  # both learn which revision it has now
+            revision = codes[0][1]
+        writer.more(25)
+
+
+def test_a_member_whose_disk_is_full_says_so_and_the_others_carry_on(tmp_path: Path) -> None:
+    with written(tmp_path, pages={1: 24}, size=256) as (made, writer):
+        until(lambda: made.status(1)["fault"])
+        assert "full" in made.status(1)["fault"] and made.status(1)["role"] == "stopped"
+        made.leader([0, 2])
+        writer.more(20)
+        code, told = ask(made.controls[1], "PUT", "/v1/store/x", b"x")
+        assert code == 503 and "full" in told["error"]
+
+
+def test_all_members_killed_at_once_come_back_with_every_change(tmp_path: Path) -> None:
+    with written(tmp_path) as (made, writer):
+        writer.more(30)
+        for n in range(3):
+            made.kill(n)
+        for n in range(3):
+            made.processes[n] = made.start(n)
+        made.leader()
+        writer.more(5)
+
+
+def test_a_file_that_is_torn_or_foreign_is_not_begun_from(tmp_path: Path) -> None:
+    (tmp_path / "m0.store").write_bytes(b"something else entirely" * 400)
+    listen, control = (f"{LISTEN}:{port}" for port in free_ports(2))
+    made = Process(
+        "-m", "spoolbarrow", "store", "serve", "--name", "m0", "--member", f"m0={listen}",
+        "--listen", listen, "--control", control, "--directory", str(tmp_path),
+    )
+    try:
+        made.wait_for(lambda: any("m0.store" in line and "not a database" in line for line in made.lines))
+        assert made.popen.wait(30) == 2
+    finally:
+        made.end()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import sqlite3
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -12,6 +14,8 @@
 from spoolbarrow.lab import quorum
 from spoolbarrow.lab.quorum import survives
 from spoolbarrow.store import raft as r
+from spoolbarrow.store import state
+from spoolbarrow.store.disk import Disk, DiskError
 from spoolbarrow.store.raft import (
     Append,
     Appended,
@@ -25,6 +29,7 @@
     Snapshot,
     Vote,
 )
+from spoolbarrow.store.state import Document, Outcome, Put, State
 
 MEMBERS = ["m0", "m1", "m2"]
 
@@ -216,3 +221,72 @@
         member(saved=saved)
     with pytest.raises(ValueError, match="one of the members"):
         Raft("m9", MEMBERS, 0.0, Random(1), Saved(), r.Settings())
+
+
+# The disk
+
+
+def begun(path: Path) -> Disk:
+    disk = Disk(path, "m0")
+    disk.save(r.Ready(hard=Hard(3, "m1"), entries=log(1, 2, 3)))
+    return disk
+
+
+def test_what_is_saved_is_there_again(tmp_path: Path) -> None:
+    disk = begun(tmp_path / "m0")
+    disk.save(r.Ready(truncate=3, entries=(Entry(3, 4, b"new"),)))
+    disk.save(r.Ready(snapshot=Snapshot(2, 2, b"state")))
+    disk.close()
+    again = Disk(tmp_path / "m0", "m0")
+    assert again.load() == Saved(Hard(3, "m1"), Snapshot(2, 2, b"state"), (Entry(3, 4, b"new"),))
+    again.close()
+
+
+def test_a_full_disk_is_told_and_keeps_what_was_saved(tmp_path: Path) -> None:
+    disk = begun(tmp_path / "m0")
+    disk.allow(6)
+    with pytest.raises(DiskError, match="full"):
+        for index in range(4, 4000):
+            disk.save(r.Ready(hard=Hard(index, ""), entries=(Entry(index, 3, b"x" * 900),)))
+    saved = disk.load()
+    last = saved.entries[-1].index
+    assert saved.hard.term == (last if last > 3 else 3)  # each save is there whole or not at all
+    disk.close()
+
+
+def test_a_file_that_is_foreign_or_damaged_is_refused(tmp_path: Path) -> None:
+    disk = begun(tmp_path / "m0")
+    for index in range(4, 200):
+        disk.save(r.Ready(entries=(Entry(index, 3, b"x" * 900),)))
+    disk.close()
+    whole = (tmp_path / "m0").read_bytes()
+    (tmp_path / "torn").write_bytes(whole[: len(whole) // 2])
+    (tmp_path / "flipped").write_bytes(whole[:8192] + bytes(4096) + whole[12288:])
+    (tmp_path / "other").write_bytes(b"no database at all, but long enough to look at" * 100)
+    other = sqlite3.connect(tmp_path / "foreign")
+    other.execute("create table log (x)")
+    other.close()
+    later = sqlite3.connect(tmp_path / "m0")
+    later.execute("pragma user_version=2")
+    later.close()
+    found = {"torn": "damaged|malformed", "flipped": "damaged|malformed", "other": "not a database",
+             "foreign": "not a file of", "m0": "version 2"}
+    for name, why in found.items():
+        with pytest.raises(DiskError, match=why):
+            Disk(tmp_path / name, "m0").load()
+
+
+# What entries make
+
+
+def test_of_commands_that_expect_the_same_revision_one_is_carried_out() -> None:
+    made = State()
+    encode = msgspec.msgpack.encode
+    assert made.apply(1, b"") is None
+    assert made.apply(2, encode(Put("a", "key", b"one", 0))) == ("a", Outcome(2))
+    told = made.apply(3, encode(Put("b", "key", b"two", 0)))
+    assert told is not None and told[1].revision == 2 and "not 0" in told[1].why
+    assert made.apply(4, encode(Put("c", "key", b"three"))) == ("c", Outcome(4))
+    assert State(made.write()).documents == made.documents == {"key": Document(b"three", 4)}
+    assert state.fault(Put("d", "", b"")).startswith("key") and not state.fault(Put("d", "k", b"v"))
+    assert state.fault(Put("d", "k", b"v" * (state.MOST_VALUE + 1))).startswith("value")
