Answer for a stopped member as for one that does not lead, and wait a second for a leader

The writer asks members in turn and met 503 (unknown) from the stopped one before the leader, each time; at fault: Member._put, which answered unknown though nothing had been done. Ruled out: elections (the two others had a leader). Now 409 like any member that does not lead. Elections wait 1 to 2 s, so that a starved process is no lost leader.

--- a/spoolbarrow/cli/store.py
+++ b/spoolbarrow/cli/store.py
@@ -64,7 +64,7 @@
     try:
         made = Member(
             name, addresses, _address(listen, "--listen"), _address(control, "--control"),
-            directory / f"{name}.store", Settings(), most_pages,
+            directory / f"{name}.store", Settings(election_ms=1000.0, beat_ms=100.0), most_pages,
         )
     except (DiskError, OSError) as error:
         raise click.UsageError(str(error)) from error
--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -218,7 +218,7 @@
         if why := s.fault(put):
             return 400, {"error": why}
         if self.fault:
-            return 503, {"error": self.fault}
+            return 409, {"error": self.fault, "leader": ""}  # nothing was done here: another may be asked
         done = self._raft.propose(self._now(), _encode(put))
         if done is None:
             return 409, {"error": "another member leads", "leader": self._raft.leader}
