--- a/benchmarks/standin.py
+++ b/benchmarks/standin.py
@@ -13,8 +13,9 @@
 import orjson
 from gevent import socket
 
+from spoolbarrow.lab.cluster import converse
 from spoolbarrow.net import tcpinfo
-from spoolbarrow.net.http1 import RequestParser, ResponseParser
+from spoolbarrow.net.http1 import ResponseParser
 
 HOST = "127.0.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -35,21 +36,6 @@
     return sock
 
 
-def converse(sock: Any, answer: Any) -> None:
-    """Answer each request on a connection."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    parser = RequestParser(16_384, 262_144)
-    try:
-        while data := sock.recv(65_536):
-            parser.feed(memoryview(data))
-            while parser.whole:
-                answer(sock, parser.whole.popleft())
-    except OSError:
-        pass
-    finally:
-        sock.close()
-
-
 def serve(listener: Any, answer: Any) -> None:
     """Accept for ever."""
     while True:
--- a/spoolbarrow/lab/cluster.py
+++ b/spoolbarrow/lab/cluster.py
@@ -25,7 +25,7 @@
 from pathlib import Path
 from typing import IO, Any, NamedTuple
 
-from spoolbarrow.net.http1 import Fault, ResponseParser
+from spoolbarrow.net.http1 import Fault, RequestParser, ResponseParser
 
 HOST = "127.0.0.1"
 LIFE_S = 150.0  # of every process a cluster starts
@@ -88,9 +88,8 @@
         sock.sendall(chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
 
 
-def _converse(sock: Any, answer: Callable[[Any, Any], None]) -> None:
-    from spoolbarrow.net.http1 import RequestParser
-
+def converse(sock: Any, answer: Callable[[Any, Any], None]) -> None:
+    """Answer each request on a connection."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     parser = RequestParser(16_384, 262_144)
     try:
@@ -114,7 +113,7 @@
 
     def accept() -> None:
         while True:
-            gevent.spawn(_converse, listener.accept()[0], answer)
+            gevent.spawn(converse, listener.accept()[0], answer)
 
     gevent.spawn(accept)
     port: int = listener.getsockname()[1]
