Read the files once when a checked change is adopted, so that what is compared is what is acted on

Found on reading the change again: Subsystems.reload read and prepared both files to compare their digest, and then read them again to act on them; files that changed in between would have been acted on unchecked. Now one reading serves both. Agreement kept the operator's settings and never used them.

--- a/spoolbarrow/net/agreement.py
+++ b/spoolbarrow/net/agreement.py
@@ -70,7 +70,7 @@
     def apply(self, config: Config, operator: Operator) -> None:
         """These files are acted on from now on."""
         assert operator.agree is not None
-        self._operator, self._table = operator, operator.agree
+        self._table = operator.agree
         for item, contents in of_files(config, operator).items():
             self._note(item, self._table.revision, contents)
 
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -151,9 +151,13 @@
 
     def check(self) -> tuple[dict[Item, str], int]:
         """The digests of what the files say now, and their revision; ConfigError where they can't be used."""
+        _, settings, operator, _ = self._read()
+        return self._contents(settings, operator)
+
+    @staticmethod
+    def _contents(settings: config.Config, operator: Operator | None) -> tuple[dict[Item, str], int]:
         from spoolbarrow.net.agreement import of_files
 
-        _, settings, operator, _ = self._read()
         if operator is None or operator.agree is None:
             raise config.ConfigError("agree: missing")
         return of_files(settings, operator), operator.agree.revision
@@ -168,12 +172,12 @@
             return "draining"
         operations = self._operations
         try:
+            read, settings, operator, prepared = self._read()
             if wanted:
                 from spoolbarrow.agree import files
 
-                if files(self.check()[0]) != wanted:
+                if files(self._contents(settings, operator)[0]) != wanted:
                     raise config.ConfigError("agree: the files are not what was checked")
-            read, settings, operator, prepared = self._read()
             calls = None if operations is None else operations.prepare(read)
             try:
                 self._inbound.apply(settings)  # the last that can fail
