--- a/spoolbarrow/fleet/documents.py
+++ b/spoolbarrow/fleet/documents.py
@@ -1,8 +1,8 @@
 """The seam of the fleet's parts: the documents in the store, and what a part of the fleet has to offer.
 
-A part (the pool's split, sessions) is told nothing of leases, members or sequences: each router gives a bounded
-summary of what it saw, the lease's holder makes one decision of all summaries, and every router adopts it until
-it ends. Times are Unix milliseconds.
+A part (the pool's split, sessions) is told nothing of leases, members or sequences: each router gives a
+bounded summary of what it saw, the lease's holder makes one decision of all summaries, and every router adopts
+it until it ends. Times are Unix milliseconds.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from msgspec import Struct
 
 MOST_BODY = 65_536  # bytes of a summary's or a decision's body
-EVIDENCE, LEASE, DECISION = "fleet/evidence/", "fleet/lease/", "fleet/decision/"  # keys: KIND[/ROUTER] follows
+EVIDENCE, LEASE, DECISION = "fleet/evidence/", "fleet/lease/", "fleet/decision/"  # KIND[/ROUTER] follows
 
 
 class Summary(Struct, frozen=True):
@@ -54,10 +54,10 @@
         ...
 
     def decide(self, now: float, bodies: Sequence[bytes], last: bytes | None) -> bytes | None:
-        """The holder's: one decision from the newest body of each router, the same in whatever order they come.
+        """The holder's: one decision from the newest body of each router, the same whatever their order.
 
-        `last` is the decision that stands. None: keep what stands, or none. A body that can't be read, or says
-        what can't be, counts as absent.
+        `last` is the decision that stands. None: keep what stands, or none. A body that can't be read, or
+        says what can't be, counts as absent.
         """
         ...
 
