--- a/spoolbarrow/fleet/documents.py
+++ b/spoolbarrow/fleet/documents.py
@@ -1,8 +1,8 @@
 """The seam of the fleet's parts: the documents in the store, and what a part of the fleet has to offer.
 
 A part (the pool's split, sessions) is told nothing of leases, members or sequences: each router gives a
-bounded summary of what it saw, the lease's holder makes one decision of all summaries, and every router adopts
-it until it ends. Times are Unix milliseconds.
+bounded summary of what it saw, the lease's holder makes one decision of all summaries, and every router
+adopts it until it ends. Times are Unix milliseconds.
 """
 
 from __future__ import annotations
