Open cold engines to a drawn share of requests in place of a budget for each router

At fault: `ReplicaPool.cold_allows`, whose budget of one request in 70 s for each router begins at a random phase and is met by chance (7 engines of 60 are compared for a request), so that the sum over the fleet rises over longer than an engine is cold.

Change: each request draws whether a cold engine is open to it (0.4 of what rule 4 tolerates of those at home there, 0.2 shared over the fleet of all others), and those that are open are always compared. Nothing of it is state; an upgrade passes on no budgets.

--- a/spoolbarrow/admin/state.py
+++ b/spoolbarrow/admin/state.py
@@ -16,14 +16,14 @@
 
 VERSION = 1
 MOST_HEAT = 2000  # prefixes whose counts are passed on, the most used ones
-OF_ROUTER = ("answer_ms", "request_tokens", "hedges", "probe_lag")
+OF_ROUTER = ("answer_ms", "hedges", "probe_lag")
 OF_POOL = (
-    "heat_sum", "heat_at", "work", "work_at", "zone_load", "zone_memory", "zone_at", "lateness", "home_read",
+    "heat_sum", "heat_at", "request_tokens", "zone_load", "zone_memory", "zone_at", "lateness", "home_read",
     "missed",
 )
 OF_REPLICA = (
     "report_at", "heard_at", "reports", "memory", "load", "slow", "slow_at", "failing", "failed_at",
-    "suspect_until", "strikes", "silent", "cold_level", "cold_at",
+    "suspect_until", "strikes", "silent",
 )
 OF_ENTITLEMENT = ("burst", "debt", "used", "used_at", "saved", "saved_at")  # not what is in flight there
 
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -76,7 +76,7 @@
 HEDGE_COST, HEDGE_RATIO, HEDGE_DEPTH = 0.004, 0.2, 5.0  # waste paid for them, most for each request, saved up
 LATE_MAX = 6.0  # largest general factor of late first tokens: loaded replicas read slower than idle ones
 SWEEP_MS = 500.0  # between looks at what no event wakes
-COLD_SHARE = 0.5  # of what is tolerated, for the load that is borne: what is not kept there doubles the work
+COLD_HOME, COLD_OTHERS = 0.4, 0.2  # of what rule 4 tolerates, as if an engine bore the mean: some bear less
 ASK_SPREAD_MS, ASK_FIRST_MAX_MS = 40.0, 3000.0  # first call of the list within so much for each node
 ASK_RETRY_MS, ASK_RETRY_MAX_MS = 500.0, 8000.0
 
@@ -104,7 +104,7 @@
         self.running = 0
         self.slow, self.slow_at, self.failing, self.failed_at, self.pace = 1.0, 0.0, 0.0, 0.0, 1.0
         self.suspect_until, self.strikes, self.silent = -1e12, 0, False
-        self.cold_level = self.cold_at = self.started_at = 0.0
+        self.started_at = 0.0
         self.update(entry)
 
     def update(self, entry: ReplicaEntry) -> None:
@@ -144,7 +144,7 @@
         self.attempts: list[Attempt] = []
         self.homes: list[Replica] = []
         self.held = self.closed = self.started = False
-        self.priority, self.tokens, self.weight, self.tier = 0.0, 0.0, 0.0, 0
+        self.priority, self.tokens, self.weight, self.tier, self.draw = 0.0, 0.0, 0.0, 0, 0
         self.entitlement: Entitlement | None = None
 
     def out(self) -> bool:
@@ -213,7 +213,9 @@
         self.far: list[tuple[int, str, Replica]] = []
         self.walks: dict[tuple[int, int], dict[Replica, None]] = {}
         self.heat: dict[int, float] = {}
-        self.heat_sum = self.heat_at = self.work = self.work_at = 0.0
+        self.heat_sum = self.heat_at = 0.0
+        self.cold: list[Replica] = []
+        self.request_tokens = 2000.0  # mean tokens of a request, learnt
         self.zone_load: list[float] = []
         self.zone_memory: list[float] = []
         self.zone_at: list[float] = []
@@ -246,16 +248,14 @@
             replica.update(entry)
             if entry.started_at_ms > replica.started_at:
                 replica.started_at = entry.started_at_ms
-                # It restarted: nothing known of the old process holds, and its budget starts at a random
-                # phase, so that nodes with less than one request of budget each do not spend it together.
-                replica.report_at = replica.suspect_until = -1e12
+                replica.report_at = replica.suspect_until = -1e12  # nothing known of the old process holds
                 replica.strikes, replica.slow, replica.pace = 0, 1.0, 1.0
-                replica.cold_level, replica.cold_at = -self.rng.random(), max(now, entry.started_at_ms)
             if entry.state is ReplicaState.GONE:
                 del self.replicas[entry.replica]
         self.serving = [r for r in self.replicas.values() if r.serving]
         self.local = [r for r in self.serving if r.zone == self.settings.zone]
         self.remote = [r for r in self.serving if r.zone != self.settings.zone]
+        self.cold = [r for r in self.serving if r.started_at > max(0.0, now - self.settings.cold_ms)]
         after = set(self.serving)
         for ring, members in ((self.near, self.local), (self.far, self.remote)):
             if before - after:
@@ -329,21 +329,19 @@
         """Predicted time to the first token, ms: so long before reading begins, so many tokens to read."""
         return (wait + read / READ_RATE) * self.lateness + STEP_MS
 
-    def cold_allows(self, replica: Replica, tokens: float, now: float, spend: bool) -> bool:
-        """Rule 4: a cold replica gets this node's part of what it tolerates of an equal share, ramped."""
-        age = now - replica.started_at
-        if replica.started_at <= 0.0 or age >= self.settings.cold_ms:
+    def cold_allows(self, replica: Replica, request: Request, now: float, home: bool) -> bool:
+        """Rule 4: a cold replica is open to a drawn share of those at home there, and of all others.
+
+        Each request draws by itself, and the same again: what all nodes send adds up to that share whatever
+        each one's traffic is, and nothing is saved up that could come at once.
+        """
+        age, settings = now - replica.started_at, self.settings
+        if replica.started_at <= 0.0 or age >= settings.cold_ms:
             return True
-        start, most = self.settings.cold_from, COLD_SHARE * self.settings.overload_factor
-        ramp = start + (1.0 - start) * max(0.0, age) / self.settings.cold_ms
-        mean = self.work * exp((self.work_at - now) / USAGE_MS) / USAGE_MS / max(1, len(self.serving))
-        gained = most * ramp * mean * max(0.0, now - replica.cold_at) / max(tokens, 1.0)
-        replica.cold_level, replica.cold_at = min(0.0, replica.cold_level + gained), now
-        if replica.cold_level < 0.0:
-            return False
-        if spend:
-            replica.cold_level -= 1.0
-        return True
+        ramp = settings.cold_from + (1.0 - settings.cold_from) * max(0.0, age) / settings.cold_ms
+        share = COLD_HOME if home else COLD_OTHERS / max(1, len(self.serving))
+        share *= settings.overload_factor * ramp / max(1.0, request.tokens / self.request_tokens)
+        return _mix(request.draw, replica.points[0]) < share * _M64
 
     def answered(self, replica: Replica, report: Report | None, lag: float, now: float) -> None:
         """A probe (or outcome) brought news; one that timed out says that the wait is longer than that."""
@@ -401,7 +399,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
-        self.rng = Random(seed)
+        self.rng, self.draws = Random(seed), Random(~seed)
         self.pool = ReplicaPool(settings, self.rng)
         self.requests: dict[str, Request] = {}
         self.entitlements: dict[int, Entitlement] = {}
@@ -409,7 +407,6 @@
         self.now = 0.0
         self.answer_ms: list[float] = []  # streaming time, learnt
         self.configure(settings)
-        self.request_tokens = 2000.0  # mean tokens of a request, learnt
         self.hedges = 1.0
         self.probe_lag = 1.0
         self.subscribed, self.asking, self.asked_at, self.ask_failures = not settings.subscribe, False, 0.0, 0
@@ -547,8 +544,8 @@
         request.weight, request.tier = self.weights[event.cls], self.tiers[event.cls]
         self.requests[event.request] = request
         answer = self.answer_ms[event.cls] / DECODE_MS
-        request.tokens = request.prompt + answer
-        self.request_tokens += LEARN * (request.tokens - self.request_tokens)
+        request.tokens, request.draw = request.prompt + answer, self.draws.getrandbits(63)
+        pool.request_tokens += LEARN * (request.tokens - pool.request_tokens)
         self.hedges = min(HEDGE_DEPTH, self.hedges + self.hedge_ratio)
         request.homes = pool.homes(request, self.now)
         if settings.probing:
@@ -575,18 +572,18 @@
         tenants = self.settings.tenants
         quota = tenants[tenant].quota_per_s if 0 <= tenant < len(tenants) else 0.0
         if quota > 0.0:
-            return quota * self.request_tokens / 1000.0
+            return quota * self.pool.request_tokens / 1000.0
         # Not told: an equal share of the capacity that usage and probed fullness suggest.
         pool, zone = self.pool, self.settings.zone
         fullness = max(0.1, min(1.0, max(pool.zone_load[zone] / self.full_ms, pool.zone_memory[zone])))
         used = sum(e.usage(self.now) for e in self.entitlements.values())
         share = used * self.settings.nodes / fullness / max(1, len(self.entitlements))
-        return max(share, self.request_tokens / SLICE_DEPTH_MS)
+        return max(share, self.pool.request_tokens / SLICE_DEPTH_MS)
 
     def _decide(self, request: Request) -> None:
         """The checks, in the design's order, then placement."""
         request.held = False
-        now, settings = self.now, self.settings
+        now, settings, pool = self.now, self.settings, self.pool
         entitlement = self.entitlements.setdefault(request.tenant, Entitlement())
         choice = soonest = self._choose(request)
         if choice is not None and choice[2] * self.pool.lateness > self.full_ms:
@@ -605,10 +602,10 @@
         first = self.pool.first(wait, read)
         wait *= self.pool.lateness
         if not request.resumed:
-            saved = entitlement.save(now, slice_rate, self.request_tokens)
+            saved = entitlement.save(now, slice_rate, self.pool.request_tokens)
             refused = False
             if wait > self.full_ms and not request.promised:
-                seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / self.request_tokens
+                seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / pool.request_tokens
                 refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved < request.tokens
                 # Departure 3: the lowest of many is beaten by nearly all; the fuller, the higher the cut.
                 newest = (r.priority for r in reversed(self.requests.values()) if r.entitlement)
@@ -627,11 +624,14 @@
 
     def _choose(self, request: Request, hurried: bool = False) -> Choice | None:
         """The least loaded of the request's homes and the pool of fresh answers; hurried, the soonest."""
-        pool = self.pool
-        while pool.fresh and self.now - pool.fresh[0][0] > POOL_MS:
+        pool, now = self.pool, self.now
+        while pool.fresh and now - pool.fresh[0][0] > POOL_MS:
             pool.fresh.popleft()
         candidates = [(home, min(rank, 1)) for rank, home in enumerate(request.homes)]
         candidates += [(r, 2) for _, r in pool.fresh if r not in request.homes]
+        # A node meets a cold replica seldom by chance: those that this request may use are always compared.
+        cold = [r for r in pool.cold if now - r.started_at < self.settings.cold_ms and r not in request.homes]
+        candidates += [(r, 2) for r in cold if pool.cold_allows(r, request, now, False)]
         best = self._least(request, candidates, False, hurried)
         if best is None and pool.serving:
             # Nobody left to trust: suspicion must never empty the candidate set.
@@ -661,19 +661,16 @@
             elif wait * pool.lateness > self.full_ms and pool.remote:
                 cost += request.aim  # a full zone must not refuse what another has room for
             allowed = not request.attempts or request.may_send(self.settings, replica, now)
-            if cost < least and allowed and pool.cold_allows(replica, request.tokens, now, False):
+            if cost < least and allowed and pool.cold_allows(replica, request, now, rank == 0):
                 best, least = (replica, rank, wait, read), cost
         return best
 
     def _send(self, request: Request, replica: Replica, rank: int, wait: float, read: float) -> None:
         now, pool = self.now, self.pool
-        pool.cold_allows(replica, request.tokens, now, True)
         attempt = Attempt(request, replica, now, read, rank)
         attempt.predicted = predicted = pool.first(wait, read)
         request.attempts.append(attempt)
         replica.unstarted.append(attempt)
-        pool.work = pool.work * exp((pool.work_at - now) / USAGE_MS) + request.tokens
-        pool.work_at = now
         self.actions.append(Send(request.id, replica.id))
         late = max(HEDGE_MIN_MS, min(HEDGE_FACTOR * predicted, max(HEDGE_AIM * request.aim, predicted)))
         if now + late < request.deadline and len(request.attempts) < self.settings.max_attempts:
@@ -822,8 +819,8 @@
             entitlement, request.entitlement = request.entitlement, None
             if entitlement is not None:
                 entitlement.in_flight -= 1
-                slice_rate = self._baseline(request.tenant) / self.settings.nodes
-                seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / self.request_tokens
+                slice_rate, pool = self._baseline(request.tenant) / self.settings.nodes, self.pool
+                seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / pool.request_tokens
                 entitlement.completed(self.now, slice_rate, seconds, request.tier < 2)
         if not request.out():
             self.requests.pop(request.id, None)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -236,7 +236,7 @@
         assert scene.host._router.pool.replicas["e0"].started_at > 5.0  # it may have been restarted: cold
         call("engines/e1/suspend")
         until(lambda: not scene.host._router.pool.replicas["e1"].serving)
-        scene.host._router.pool.replicas["e0"].cold_level = 0.0
+        scene.host._router.pool.replicas["e0"].started_at = 0.0
         assert scene.client().send(ask(X_Correlation_Id="back")).answer().status == 200 and first.requests
 
 
@@ -255,7 +255,7 @@
         assert scene.heard(i.ProbeAnswered)[0].outcome is i.Outcome.MOOT
         call("engines/e0/resume")
         until(lambda: scene.host._router.pool.replicas["e0"].serving)
-        scene.host._router.pool.replicas["e0"].cold_level = 0.0
+        scene.host._router.pool.replicas["e0"].started_at = 0.0
         assert scene.client().send(ask()).answer().status == 503
         assert scene.heard(i.AttemptEnded)[0].outcome is i.Outcome.UNREACHABLE and not engine.requests
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -76,8 +76,8 @@
     router = Router(SETTINGS, 1)
     router.handle(0.0, [i.ReplicaList(i.ListKind.WHOLE, (i.ReplicaEntry("e0"), i.ReplicaEntry("e1")))])
     replica = router.pool.replicas["e0"]
-    replica.cold_level, replica.cold_at, replica.suspect_until = -0.75, 50.0, 4000.0
-    router.pool.heat, router.pool.work, router.request_tokens = {7: 3.0}, 900.0, 4321.0
+    replica.slow, replica.slow_at, replica.suspect_until = 2.5, 50.0, 4000.0
+    router.pool.heat, router.pool.request_tokens = {7: 3.0}, 4321.0
     router.handle(1.0, [i.RequestArrived("r", 0, 4000.0, prompt_tokens=100)])
     router.entitlements[0].debt = 0.4
     return router
@@ -92,19 +92,19 @@
     other.handle(2.0, [i.ReplicaList(i.ListKind.RESTORED, (i.ReplicaEntry("e0"),))])
     state.install(read, other)
     replica = other.pool.replicas["e0"]
-    assert (replica.cold_level, replica.cold_at, replica.suspect_until) == (-0.75, 50.0, 4000.0)
-    assert (other.pool.heat, other.pool.work) == ({7: 3.0}, router.pool.work)
+    assert (replica.slow, replica.slow_at, replica.suspect_until) == (2.5, 50.0, 4000.0)
+    assert (other.pool.heat, other.pool.request_tokens) == ({7: 3.0}, router.pool.request_tokens)
     assert other.entitlements[0].debt == 0.4 and other.entitlements[0].in_flight == 0  # that ends there
     assert set(other.pool.replicas) == {"e0"}
 
 
 def test_state_that_does_not_fit_is_left_out() -> None:
     read = state.read(state.write("n0", HostList(), {}, learned()), "n0")
-    read.pool |= {"zone_load": [1.0, 2.0, 3.0], "work": "much"}
+    read.pool |= {"zone_load": [1.0, 2.0, 3.0], "heat_sum": "much"}
     read.entitlements["9"] = {"debt": 1.0}
     other = Router(SETTINGS, 2)
     state.install(read, other)
-    assert other.pool.zone_load == [0.0] and other.pool.work == 0.0 and 9 not in other.entitlements
+    assert other.pool.zone_load == [0.0] and other.pool.heat_sum == 0.0 and 9 not in other.entitlements
     for text in (b"", b'{"v":1', state.write("n1", HostList(), {}, learned())):
         with pytest.raises(ValueError):
             state.read(text, "n0")
