Hold one clock for a silent list: notice, reconnect and hear within 6 s, and ask agents at once

A watch was given up after 4 s, the next call could take 4 s more and was backed off by up to 8 s, while what a silent watch missed counts as told after 6 s; a list over several lines broke the watch; a pushed list that broke was backed off as well, and a new process acted on its known list before it had asked its agent.

Now a watch is silent after 2.5 s without a whole word (what came while the process itself stood still is read first), the next is opened within 0.25 s without back-off, and its answer may take 3.2 s: 5.95 s together (docs/design.md, The list's clock). Objects are cut out by their brackets. Pushed lists are asked for whole before anything is decided, and again every 150 ms while the agent says nothing.

--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -58,8 +58,9 @@
     piece_ms: float = 1000.0  # an endpoint's head or chunk that has begun is whole by then, or spoilt
     stream_silence_ms: float = 3000.0  # a stream that stops for so long is broken
     answer_margin_ms: float = 15.0  # an answer leaves so long before its client gives up
-    watch_silence_ms: float = 4000.0  # a watch says something every 2 s: after this it is broken
-    call_timeout_ms: float = 4000.0  # discovery's head of an answer must have come by then
+    # Together under 6 s, with what lies between them (docs/design.md, "The list's clock").
+    watch_silence_ms: float = 2500.0  # a watch says something every 2 s: after this it is broken
+    call_timeout_ms: float = 3200.0  # discovery's head of an answer must have come by then
     head_timeout_ms: float = 2000.0  # the first request must be whole so long after connecting, another
     # one so long after its first byte
     keep_alive_ms: float = 2500.0  # a client's idle connection is kept so long
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -7,21 +7,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
 
 import gevent
-import msgspec
+from gevent.event import Event
 from msgspec.structs import replace
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
-from spoolbarrow.net import http1
+from spoolbarrow.net import asking
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import STATES
 
-RECV = 65536
-MAX_LINE = 1 << 22  # a longer line is no list
 MOST_SUSPENDED = 4096  # names; they stay while their endpoints are gone, so only operators take them out
-_decoder = msgspec.json.Decoder(HostList)
 
 
 class NoRoom(Exception):
@@ -43,6 +41,12 @@
         self._resumed: dict[str, float] = {}  # when, of those listed: they may have been restarted meanwhile
         self._index: int | None = config.known.index  # None: the whole list must be asked for
         self._watch: gevent.Greenlet[[], None] | None = None
+        self._rng = Random(config.seed)
+        self._spoke = False  # this watch has said something
+        self._agent_heard = Event()  # where lists are pushed: what the agent has is known
+        self._heard_at = now()
+        self._doubt: gevent.Greenlet[[], None] | None = None  # until the clock for silence runs out
+        self._unconfirmed = False
         self._addresses: dict[str, Address] = {}
         self._started: dict[str, float] = {}
         self._types: dict[str, tuple[str, int]] = {}  # and groups
@@ -65,6 +69,8 @@
         if moved or (config.zones, config.kinds) != (old.zones, old.kinds):
             self._index = None
             self.watch()
+        elif config.settings.subscribe != old.settings.subscribe:
+            self.watch()
 
     def set_aside(
         self, kind: str, group: int, tell: Callable[[list[tuple[str, Address, bool, float]]], None]
@@ -233,77 +239,116 @@
         return replace(entry, started_at_ms=resumed) if resumed > entry.started_at_ms else entry
 
     def watch(self) -> None:
-        """Ask for changes from now on; ends in exactly one FAILED, unless another watch takes its place."""
+        """Hear of changes from now on.
+
+        Where discovery is asked, this ends in exactly one FAILED, unless another watch takes its place; one
+        that falls silent is opened anew before that. Where lists are pushed it does not end.
+        """
         if self._watch is not None:
             self._watch.kill(block=False)
-        self._watch = gevent.spawn(self._follow)
+        self._count_silence()
+        asked = self._config.settings.subscribe
+        self._watch = gevent.spawn(self._follow if asked else self._follow_agent)
+
+    def hear_first(self) -> None:
+        """Watch, and wait a moment for what the agent has: it counts as told before anything is decided."""
+        self.watch()
+        self._agent_heard.wait(asking.AGENT_ANSWER_MS / 1000)
 
     def close(self) -> None:
         """Stop watching."""
-        if self._watch is not None:
-            self._watch.kill(block=False)
+        for one in (self._watch, self._doubt):
+            if one is not None:
+                one.kill(block=False)
 
     def _follow(self) -> None:
+        mute = 0  # watches in a row that never said a word
+        while True:
+            self._spoke = False
+            why = self._end_of(self._read_watch)
+            self._broken(why)
+            if why != "silent":
+                return self._tell(i.ReplicaList(i.ListKind.FAILED))
+            # Not backed off as a failed call is: the clock runs. Watches that never speak cost the service a
+            # call each, so they are opened less often, but still within the clock.
+            mute = 0 if self._spoke else mute + 1
+            pause = min(asking.MUTE_MS, asking.SPREAD_MS * 2.0 ** max(0, mute - 1))
+            gevent.sleep(pause * self._rng.random() / 1000)
+
+    def _follow_agent(self) -> None:
+        last = ""
+        while True:
+            self._spoke = False
+            why = self._end_of(self._read_agent)
+            if self._spoke or why != last:  # an agent without a watch is asked for ever: not a line each time
+                self._broken(why)
+            last = why
+            gevent.sleep(asking.AGENT_MS / 1000)
+
+    def _end_of(self, read: Callable[[], None]) -> str:
+        """Why a watch ended."""
         try:
-            self._read_watch()
-            why = "ended"
-        except (OSError, http1.Fault, msgspec.DecodeError, gevent.Timeout) as error:
-            why = f"{type(error).__name__}: {error}"
+            read()
+            return "ended"
+        except asking.Silent:
+            return "silent"
+        except asking.FAULTS as error:
+            return f"{type(error).__name__}: {error}"
         except Exception as error:
             unexpected("watch", error)
-            why = "unexpected"
-        log("watch_broken", why=why, index=self._index)
-        self._tell(i.ReplicaList(i.ListKind.FAILED))
+            return "unexpected"
 
     def _read_watch(self) -> None:
-        options = self._config.options
-        index = self._ask_whole() if self._index is None else self._index
-        parser, buffer = http1.ResponseParser(options.max_head), bytearray(RECV)
-        pending, told = b"", False
-        with http1.connect(self._config.discovery, options.call_timeout_ms / 1000) as sock:
-            target = b"/discovery/hosts?stream=1&index=%d" % index
-            http1.send_pieces(sock, http1.get_pieces(target, self._config.discovery))
-            while not parser.whole:
-                # Guards against a discovery that was cut off: nothing is said then, and the connection
-                # stays open. An empty line comes every 2 s from one that lives.
-                limit = options.watch_silence_ms if parser.headed else options.call_timeout_ms
-                with gevent.Timeout(limit / 1000):
-                    parser.read(sock, buffer)
-                if parser.headed and parser.status != 200:
-                    raise http1.Fault(502, f"discovery answered {parser.status}")
-                *lines, pending = (pending + b"".join(parser.take_body())).split(b"\n")
-                if len(pending) > MAX_LINE:
-                    raise http1.Fault(502, "line too long")
-                for line in lines:
-                    if line.strip():
-                        self._news(_decoder.decode(line))
-                    elif not told:
-                        self._tell(i.ReplicaList(i.ListKind.CHANGES))  # nothing missed: the call's answer
-                    told = True
-
-    def _ask_whole(self) -> int:
         options, discovery = self._config.options, self._config.discovery
-        parser, buffer, body = http1.ResponseParser(options.max_head), bytearray(RECV), b""
-        with (
-            gevent.Timeout(options.call_timeout_ms / 1000),
-            http1.connect(discovery, options.call_timeout_ms / 1000) as sock,
-        ):
-            http1.send_pieces(sock, http1.get_pieces(b"/discovery/hosts", discovery))
-            while not parser.whole:
-                parser.read(sock, buffer)
-                body += b"".join(parser.take_body())
-                if len(body) > MAX_LINE:
-                    raise http1.Fault(502, "list too long")
-        if parser.status != 200:
-            raise http1.Fault(502, f"discovery answered {parser.status}")
-        news = _decoder.decode(body)
-        self._news(news)
-        return news.index
+        if self._index is None:
+            self._news(asking.whole(discovery, options, options.call_timeout_ms))
+        self._read_words(options.call_timeout_ms)
+
+    def _read_agent(self) -> None:
+        self._news(asking.ask_agent(self._config.discovery, self._config.options))
+        self._agent_heard.set()
+        self._read_words(asking.AGENT_ANSWER_MS)
+
+    def _read_words(self, limit_ms: float) -> None:
+        options, discovery = self._config.options, self._config.discovery
+        for word in asking.follow(discovery, options, self._index or 0, self._now, limit_ms):
+            if word is not None:
+                self._news(word)
+            else:
+                self._heard()
+                if not self._spoke:
+                    self._tell(i.ReplicaList(i.ListKind.CHANGES))  # nothing missed: the call's answer
+            self._spoke = True
+
+    def _heard(self) -> None:
+        """Discovery spoke: the list is what it has."""
+        self._heard_at = self._now()
+        if self._doubt is not None:
+            self._doubt.kill(block=False)
+            self._doubt = None
+        if self._unconfirmed:
+            self._unconfirmed = False
+            log("list_confirmed", index=self._index)
+
+    def _broken(self, why: str) -> None:
+        log("watch_broken", why=why, index=self._index)
+        self._count_silence()
+
+    def _count_silence(self) -> None:
+        if self._doubt is None:
+            left = self._heard_at + asking.CLOCK_MS - self._now()
+            self._doubt = gevent.spawn_later(max(0.0, left) / 1000, self._run_out)
+
+    def _run_out(self) -> None:
+        """The clock has run out: what discovery may have said since counts as told, and is not known here."""
+        self._unconfirmed = True
+        log("list_unconfirmed", index=self._index, silent_ms=round(self._now() - self._heard_at))
 
     def _news(self, news: HostList) -> None:
         kind = i.ListKind.WHOLE if news.snapshot else i.ListKind.CHANGES
         self._take(news, kind)
         self._index = news.index
+        self._heard()
 
     def _take(self, news: HostList, kind: i.ListKind) -> None:
         if kind is not i.ListKind.CHANGES:
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -106,7 +106,7 @@
             self._decide(self.now(), events)
             warm(self._router)
         if not self.config.settings.subscribe:
-            self.destinations.watch()  # the decisions expect news unasked
+            self.destinations.hear_first()  # the decisions expect news unasked
         self._loop = gevent.spawn(self._run)
 
     def apply(self, config: Config) -> None:
--- a/spoolbarrow/net/log.py
+++ b/spoolbarrow/net/log.py
@@ -35,6 +35,7 @@
     "overdue": "error",
     "bad_entry": "warning",
     "watch_broken": "warning",
+    "list_unconfirmed": "warning",
     "not_sent": "warning",
     "reset": "warning",
     "endpoint_error": "warning",
--- /dev/null
+++ b/spoolbarrow/net/messages.py
@@ -0,0 +1,76 @@
+"""JSON objects in a stream of bytes, whole ones and the empty lines between them; pure, no I/O.
+
+An object may span lines, come in any pieces, and ends with its last bracket. What it means is left to others.
+"""
+
+from __future__ import annotations
+
+import re
+
+from spoolbarrow.net.http1 import Fault
+
+_MARKS = re.compile(rb'[{}\[\]"\\\n]')
+_OPEN, _CLOSE, _QUOTE, _ESCAPE, _LINE = b"{[", b"}]", ord('"'), ord("\\"), ord("\n")
+
+
+class Messages:
+    """Cuts a stream into messages of at most `most` bytes."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._pending = b""  # of what has begun, or of a line without one
+        self._depth = self._skip = 0  # brackets open; bytes to come that an escape takes with it
+        self._in_text = False
+        self._ended = False  # an object ended on this line: its end is no empty line
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Each object that is whole now, and b"" for each empty line between objects.
+
+        Fault 502 for what is neither, and for an object that is too long.
+        """
+        found: list[bytes] = []
+        start = 0
+        skip, self._skip = self._skip, 0
+        for match in _MARKS.finditer(data):
+            place = match.start()
+            if place < skip:
+                continue
+            mark = data[place]
+            if self._in_text:
+                if mark == _ESCAPE:
+                    skip = place + 2
+                elif mark == _QUOTE:
+                    self._in_text = False
+            elif mark in _OPEN:
+                if not self._depth:
+                    self._blank(data[start:place])
+                    start = place
+                self._depth += 1
+            elif self._depth:
+                if mark == _QUOTE:
+                    self._in_text = True
+                elif mark in _CLOSE:
+                    self._depth -= 1
+                    if not self._depth:
+                        found.append(self._pending + data[start : place + 1])
+                        self._pending, start, self._ended = b"", place + 1, True
+            elif mark == _LINE:
+                self._blank(data[start:place])
+                if not self._ended:
+                    found.append(b"")
+                start, self._ended = place + 1, False
+            else:
+                raise Fault(502, "neither an object nor an empty line")
+        self._skip = max(0, skip - len(data))
+        self._pending += data[start:]
+        if not self._depth:
+            self._blank(b"")
+        if len(self._pending) > self._most or any(len(one) > self._most for one in found):
+            raise Fault(502, "line too long")
+        return found
+
+    def _blank(self, rest: bytes) -> None:
+        """What lies outside objects says nothing, and is not kept."""
+        if (self._pending + rest).strip():
+            raise Fault(502, "neither an object nor an empty line")
+        self._pending = b""
