Pace calls of the list by the fleet: doubled spans after waiting in vain, turns where the rate is told

200 routers that start together call a small list service 4 times each at 5 calls a second, three quarters in vain, and a back-off of 8 s at most keeps them at it. The pacing is now a pure module (fleet/pacing.py) that the decisions use: a call that waited in vain doubles the span over which the fleet calls again, up to 28 s; a service that is down is asked over 80 ms a router; options.list_calls_per_s has routers take turns in an order all know; a move by SIGHUP is spread.

--- /dev/null
+++ b/benchmarks/list_pacing.py
@@ -0,0 +1,45 @@
+"""Ways for a fleet to call its list service (`spoolbarrow/lab/callers.py`), as tables.
+
+    python benchmarks/list_pacing.py [--short]
+
+Each cell is the mean of the seeds: calls a router, failed %, the longest wait over the time-out, calls in
+the busiest second, and when half and all had their list, over the least time that the service needs for that.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+from statistics import mean
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT)]
+
+from spoolbarrow.lab.callers import CASES, RATES, WAYS, Result, play  # noqa: E402
+
+
+def main() -> None:
+    """Print a table for each fleet and case."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--short", action="store_true", help="two seeds and 200 routers only")
+    short = parser.parse_args().short
+    seeds = range(2 if short else 20)
+    for routers in (200,) if short else (10, 100, 200, 400):
+        for title, known, down in CASES:
+            print(f"\n{routers} routers, {title}\n\n| way | 5 a second | 10 | 20 |\n{'| --- ' * 4}|")
+            for name, make in WAYS.items():
+                cells = []
+                for rate in RATES:
+                    cells.append(cell([play(make, routers, rate, known, down, seed) for seed in seeds]))
+                print(f"| {name} | {' | '.join(cells)} |")
+
+
+def cell(plays: list[Result]) -> str:
+    """Calls a router, failed %, longest wait, busiest second, half and all told."""
+    calls, failed, queue, busiest, half, last = (mean(values) for values in zip(*plays, strict=True))
+    return f"{calls:.2f}, {100 * failed:.0f}, {queue:.2f}, {busiest:.0f}, {half:.1f}, {last:.1f}"
+
+
+if __name__ == "__main__":
+    main()
--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -9,6 +9,7 @@
 
 import os
 from collections.abc import Mapping
+from math import inf, isfinite
 from pathlib import Path
 from typing import Any, get_args
 
@@ -61,6 +62,7 @@
     # Together under 6 s, with what lies between them (docs/design.md, "The list's clock").
     watch_silence_ms: float = 2500.0  # a watch says something every 2 s: after this it is broken
     call_timeout_ms: float = 3200.0  # discovery's head of an answer must have come by then
+    list_calls_per_s: float = inf  # whole lists that discovery can give to all routers; inf: nobody told
     head_timeout_ms: float = 2000.0  # the first request must be whole so long after connecting, another
     # one so long after its first byte
     keep_alive_ms: float = 2500.0  # a client's idle connection is kept so long
@@ -189,6 +191,8 @@
         seed = int(file.seed, 16)
     except ValueError:
         raise ConfigError(f"seed: {file.seed!r} is not hex") from None
+    if isfinite(file.options.list_calls_per_s):
+        settings = replace(settings, list_rate=file.options.list_calls_per_s)
     spare = file.limits.sockets - MIN_SOCKETS // 2  # the rest: files, listener, discovery, event loop
     return Config(
         name=file.name,
--- a/spoolbarrow/interface.py
+++ b/spoolbarrow/interface.py
@@ -105,6 +105,8 @@
     max_open: int = 10_000
     max_retry_after_ms: float = 1000.0
     drain_grace_ms: float = 1000.0
+    must_ask_ms: float = 0.0  # with no watch, changes count as told so long after the last call; 0: never
+    list_rate: float = 0.0  # whole lists a second that the list service can give, all told; 0: nobody told
     cold_from: float = 0.2
     cold_ms: float = 10_000.0
     overload_factor: float = 3.0
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -15,6 +15,7 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
+from spoolbarrow.fleet.pacing import spread_ms
 from spoolbarrow.net import asking
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import STATES
@@ -68,7 +69,8 @@
         moved = config.discovery != old.discovery
         if moved or (config.zones, config.kinds) != (old.zones, old.kinds):
             self._index = None
-            self.watch()
+            # All are told at once, mostly: an agent is asked now, one service for all by and by.
+            self.watch(self._rng.random() * spread_ms(config.settings) * config.settings.subscribe)
         elif config.settings.subscribe != old.settings.subscribe:
             self.watch()
 
@@ -238,8 +240,8 @@
         resumed = max(self._resumed.get(entry.replica, 0.0), self._zones_back.get(line.zone, 0.0))
         return replace(entry, started_at_ms=resumed) if resumed > entry.started_at_ms else entry
 
-    def watch(self) -> None:
-        """Hear of changes from now on.
+    def watch(self, pause_ms: float = 0.0) -> None:
+        """Hear of changes from now on, or after a pause.
 
         Where discovery is asked, this ends in exactly one FAILED, unless another watch takes its place; one
         that falls silent is opened anew before that. Where lists are pushed it does not end.
@@ -248,7 +250,7 @@
             self._watch.kill(block=False)
         self._count_silence()
         asked = self._config.settings.subscribe
-        self._watch = gevent.spawn(self._follow if asked else self._follow_agent)
+        self._watch = gevent.spawn_later(pause_ms / 1000, self._follow if asked else self._follow_agent)
 
     def hear_first(self) -> None:
         """Watch, and wait a moment for what the agent has: it counts as told before anything is decided."""
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -18,6 +18,7 @@
 from struct import unpack
 from typing import Any
 
+from spoolbarrow.fleet.pacing import Pacing
 from spoolbarrow.interface import (
     NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, Group, ListKind, Outcome, Probe,
     ProbeAnswered, Refuse, ReplicaEntry, ReplicaList, ReplicaState, Report, RequestArrived, RequestClass,
@@ -77,8 +78,7 @@
 LATE_MAX = 6.0  # largest general factor of late first tokens: loaded replicas read slower than idle ones
 SWEEP_MS = 500.0  # between looks at what no event wakes
 COLD_SHARE = 0.5  # of what is tolerated, for the load that is borne: what is not kept there doubles the work
-ASK_SPREAD_MS, ASK_FIRST_MAX_MS = 40.0, 3000.0  # first call of the list within so much for each node
-ASK_RETRY_MS, ASK_RETRY_MAX_MS = 500.0, 8000.0
+ASK_LOST_MS = 8000.0  # a call of the list whose answer has not come by then is made again
 
 _M64 = (1 << 64) - 1
 
@@ -402,7 +402,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.rng = Random(seed)
-        self.pool = ReplicaPool(settings, self.rng)
+        self.pool, self.pacing = ReplicaPool(settings, self.rng), Pacing(settings, self.rng)
         self.requests: dict[str, Request] = {}
         self.entitlements: dict[int, Entitlement] = {}
         self.actions: list[Action] = []
@@ -412,7 +412,7 @@
         self.request_tokens = 2000.0  # mean tokens of a request, learnt
         self.hedges = 1.0
         self.probe_lag = 1.0
-        self.subscribed, self.asking, self.asked_at, self.ask_failures = not settings.subscribe, False, 0.0, 0
+        self.subscribed, self.asking, self.asked_at = not settings.subscribe, False, 0.0
         self.awaited: dict[str, list[Request]] = {}  # requests held, by the replica asked
         self.begun = False
         self.on: dict[type, Callable[[Any], None]] = {
@@ -425,7 +425,7 @@
         """Decide by these settings from here on; what was learnt of replicas and tenants stays."""
         if settings.tenants != self.settings.tenants:
             self.entitlements.clear()
-        self.settings = settings
+        self.settings = self.pacing.settings = settings
         self.pool.configure(settings)
         self.answer_ms += [60.0 * DECODE_MS] * (len(settings.classes) - len(self.answer_ms))
         worths = sorted({c.worth for c in settings.classes}, reverse=True)
@@ -447,9 +447,7 @@
             self.begun = True
             self._timer("sweep", SWEEP_MS * (0.5 + self.rng.random()))
             if self.settings.subscribe:
-                # Nodes that start together would swamp the list service: the first call is spread.
-                spread = min(ASK_FIRST_MAX_MS, ASK_SPREAD_MS * self.settings.nodes)
-                self._timer("list", self.rng.random() * spread)
+                self._timer("list", self.pacing.first())  # nodes that start together would swamp the service
         for event in events:
             self.on[type(event)](event)
         return self.actions
@@ -459,12 +457,12 @@
 
     def _list(self, event: ReplicaList) -> None:
         if event.kind is ListKind.FAILED:
+            pause = self.pacing.failed(self.now - self.asked_at) if self.asking else self.pacing.broke()
             self.subscribed = self.asking = False
-            self.ask_failures = min(self.ask_failures + 1, 6)
-            longest = min(ASK_RETRY_MAX_MS, ASK_RETRY_MS * 2.0**self.ask_failures)
-            return self._timer("list", longest * (0.5 + 0.5 * self.rng.random()))
+            return self._timer("list", pause)
         if event.kind is not ListKind.RESTORED:
-            self.subscribed, self.asking, self.ask_failures = True, False, 0
+            self.subscribed, self.asking = True, False
+            self.pacing.answered()
         self.pool.take(event, self.now)
 
     def _fired(self, event: TimerFired) -> None:
@@ -486,7 +484,7 @@
 
     def _sweep(self) -> None:
         self._timer("sweep", SWEEP_MS * (0.75 + 0.5 * self.rng.random()))
-        if self.asking and self.now - self.asked_at > ASK_RETRY_MAX_MS:
+        if self.asking and self.now - self.asked_at > ASK_LOST_MS:
             self.asking = False  # a call whose answer never came must not end the asking
             self._fired(TimerFired("list"))
         spent = 0
--- a/spoolbarrow/wire.py
+++ b/spoolbarrow/wire.py
@@ -302,6 +302,7 @@
     ColdFrom: float = 0.2
     ColdMs: float = 10_000.0
     DrainGraceMs: float = 0.0
+    MustAskInMs: float = 0.0
     OverloadFactor: float = 3.0
     TipAfterMs: float = 2000.0
 
@@ -380,6 +381,7 @@
         max_open=p.Limits.MaxOpen,
         max_retry_after_ms=p.Limits.MaxRetryAfterMs,
         drain_grace_ms=p.Invariants.DrainGraceMs,
+        must_ask_ms=max(0.0, p.Invariants.MustAskInMs),
         cold_from=p.Invariants.ColdFrom,
         cold_ms=p.Invariants.ColdMs,
         overload_factor=p.Invariants.OverloadFactor,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -318,11 +318,12 @@
         delays.append(timers[0].in_ms)
         asked = router.handle(timers[0].in_ms, [TimerFired("list"), TimerFired("list")])
         assert sum(isinstance(a, Subscribe) for a in asked) == 1
-        waits = []
-        for k in range(6):
-            failed = router.handle(4000.0 + 9000.0 * k, [ReplicaList(ListKind.FAILED)])
+        waits, now = [], timers[0].in_ms
+        for _ in range(6):
+            failed = router.handle(now + 1.0, [ReplicaList(ListKind.FAILED)])  # at once: the service is down
             waits += [a.in_ms for a in failed if isinstance(a, SetTimer) and a.token == "list"]
-            router.handle(4000.0 + 9000.0 * k + waits[-1], [TimerFired("list")])
+            now += 1.0 + waits[-1]
+            router.handle(now, [TimerFired("list")])
         assert len(waits) == 6 and max(waits) <= 8000.0 and waits[-1] > waits[0]
         router.handle(90_000.0, [serving("a", "b")])
         late = router.handle(99_000.0, [TimerFired("list"), TimerFired("sweep")])
