--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -194,6 +194,11 @@
     tells(of, sock, False)
 
 
+def half_a_list_and_cut(of: Scripted, sock: Sock) -> bool:
+    say(sock, lines(9, "e0")[:30])
+    return True
+
+
 SILENCES = {
     "nothing more": (nothing_more, tells),
     "half a line": (half_a_line, tells),
@@ -206,6 +211,7 @@
     "silent, then silent from its first byte": (nothing_more, silent_from_its_first_byte, tells),
     "three without a word": (silent_from_its_first_byte,) * 3 + (tells,),
     "silent, then cut off": (nothing_more, lambda of, sock: True, tells),
+    "half a list, then cut off": (half_a_list_and_cut, tells),
     "an empty line that comes late is no silence": (words_come_late,),
 }
 
@@ -224,7 +230,7 @@
             assert all(b - a < CLOCK_S for a, b in zip(fell, mended, strict=True)), (name, fell, mended)
             assert len(one.targets) == len(SILENCES[name]), name
             failed = one.kinds.count(i.ListKind.FAILED)
-            assert failed == (name in ("never an answer", "silent, then cut off")), name
+            assert failed == (name == "never an answer" or name.endswith("cut off")), name
         # What was heard before the silence is not asked for again.
         assert played["nothing more"].targets[1] == b"/discovery/hosts?stream=1&index=7"
     finally:
@@ -284,6 +290,28 @@
         one.close()
 
 
+def test_a_whole_list_that_stops_half_way_is_asked_for_again() -> None:
+    """Of another discovery: nothing of the half is acted on, and its versions count from the whole one."""
+    text = lines(3, "e0", whole=True, indent=2)
+
+    def half(of: Scripted, sock: Sock) -> None:
+        sock.sendall((PLAIN % (b"200 OK", b"", len(text), text))[:-60])
+
+    def all_of_it(of: Scripted, sock: Sock) -> None:
+        sock.sendall(PLAIN % (b"200 OK", b"", len(text), text))
+
+    one, other = Scripted(tells), Scripted(half, all_of_it, nothing_more, call_timeout_ms=500.0)
+    try:
+        one.set.apply(other.config)
+        until(lambda: other.silent)
+        assert other.targets[:2] == [b"/discovery/hosts"] * 2
+        assert other.targets[2] == b"/discovery/hosts?stream=1&index=3" and not one.targets
+        assert one.kinds[:3] == [i.ListKind.RESTORED, i.ListKind.FAILED, i.ListKind.WHOLE] and one.heard
+    finally:
+        one.close()
+        other.close()
+
+
 # Pushed lists
 
 
