Divide a prefix's count by no less than the engines: many routers spread beginnings too widely

At fault: `ReplicaPool.homes` divides a prefix's count by the count of all requests, 20 at least: at 200 routers each sees 30 requests in half a minute, and a prefix seen once asks for eight homes of sixty engines.

Change: divided by no less than the number of engines; two routers count as before. Homes' loads are less even then, so cold engines are open to 0.3 of what rule 4 tolerates of those at home there (0.4 before).

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -77,7 +77,7 @@
 HEDGE_COST, HEDGE_RATIO, HEDGE_DEPTH = 0.004, 0.2, 5.0  # waste paid for them, most for each request, saved up
 LATE_MAX = 6.0  # largest general factor of late first tokens: loaded replicas read slower than idle ones
 SWEEP_MS = 500.0  # between looks at what no event wakes
-COLD_HOME, COLD_OTHERS = 0.4, 0.2  # of what rule 4 tolerates, as if an engine bore the mean: some bear less
+COLD_HOME, COLD_OTHERS = 0.3, 0.2  # of what rule 4 tolerates, as if an engine bore the mean: some bear less
 ASK_LOST_MS = 8000.0  # a call of the list whose answer has not come by then is made again
 
 _M64 = (1 << 64) - 1
@@ -284,7 +284,9 @@
         count = 1
         if request.prefix:
             heat = self.heat[key] = self.heat.get(key, 0.0) + 1.0
-            wanted = SPREAD * len(self.local or self.remote) * heat / max(self.heat_sum, 20.0)
+            # Of few requests seen, one says nothing of its prefix's share: it must not ask for many homes.
+            members = len(self.local or self.remote)
+            wanted = SPREAD * members * heat / max(self.heat_sum, members)
             while count < wanted:
                 count *= 2  # coarse steps: nodes that count few requests must still agree on homes
         session = request.session or self.rng.getrandbits(63)
