Keep a connection whose client still takes in its answer; test upgrades and closing

Seen: an idle connection closed by a drain while its client's machine had not taken in all of its answer; a request that crossed the close had the kernel reset the connection under the answer. It is now left until the answer has come. Tests of an upgrade's paths, of a newer process that hangs, of the instant of closing, and of platforms whose SIGKILL comes sooner.

--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
+import termios
 from collections.abc import Callable
 from heapq import nsmallest
 
@@ -237,6 +239,15 @@
         watched.register(self.sock.fileno(), select.POLLIN)
         return bool(watched.poll(0))
 
+    def answered(self) -> bool:
+        """Whether its client's machine has all that was written to it."""
+        unsent = bytearray(4)
+        try:
+            fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, unsent)
+        except OSError:
+            return True
+        return not any(unsent)
+
     def asked_more(self) -> bool:
         """Whether its client sent something behind the request that is served."""
         return bool(self._parser.reading or self._parser.whole) or self.unread()
@@ -596,10 +607,11 @@
 
         Guards requests on their way: what the kernel holds unread is read first. One that crosses the close
         is not read, so that its client may send it again: with only this side's end said, it would be read
-        and could not be answered.
+        and could not be answered. Nor is one closed that still takes in its answer: what crosses would have
+        the kernel reset the connection under it.
         """
         for client in [c for c in self._clients if c.idle() and not c.ending and not c.unread()]:
-            if not client.fresh or client.since < now - NEWCOMER_MS:
+            if client.answered() and (not client.fresh or client.since < now - NEWCOMER_MS):
                 client.close(Why.ENDED)
 
     def close(self) -> None:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -23,7 +23,11 @@
 import pytest
 from gevent import socket
 from gevent.event import Event
+from msgspec.structs import astuple
 
+from spoolbarrow.config import parse
+from spoolbarrow.net import inbound, passing
+from spoolbarrow.net.grace import grace
 from spoolbarrow.net.http1 import Message, ResponseParser
 from tests.stage import (
     EVENTS,
@@ -36,13 +40,16 @@
     entry,
     make_config,
     serve_all,
+    stage,
     until,
 )
+from tests.test_handover import service
 
 ROOT = Path(__file__).resolve().parent.parent
 END = b"0\r\n\r\n"
 RESUME = {"Specifics": {"Resume": True}}
 NEVER = 60_000.0
+PATIENT = {"head_timeout_ms": NEVER, "keep_alive_ms": NEVER, "stream_silence_ms": NEVER, "linger_ms": 200.0}
 TIMES = {"accept": 100.0, "keep": 300.0, "move": 600.0, "answer": 900.0}
 
 
@@ -51,6 +58,7 @@
 
     def __init__(self) -> None:
         self.go = Event()
+        self.held: list[socket.socket] = []
         super().__init__(self._play)
 
     def _play(self, sock: socket.socket, message: Message) -> None:
@@ -118,14 +126,24 @@
 
 @contextmanager
 def router(
-    folder: Path, times: dict[str, float] = TIMES, resume: bool = True, **changes: Any
+    folder: Path, times: dict[str, float] = TIMES, resume: bool = True, deadline: float = 5000.0,
+    full: socket.socket | None = None, **changes: Any
 ) -> Iterator[Router]:
-    engine = Engine()
-    raw = make_config([entry("e0", engine.port)])
+    """The program before an engine, or before a machine (`full`) that takes no connection up."""
+    engine, port = Engine(), 0
+    if full is not None:
+        full.bind((LISTEN, 0))
+        full.listen(0)
+        port = full.getsockname()[1]
+        for _ in range(2):
+            with suppress(TimeoutError):
+                engine.held.append(socket.create_connection((LISTEN, port), 0.2))
+    raw = make_config([entry("e0", port or engine.port)])
+    raw["settings"]["Classes"][0]["DeadlineMs"] = deadline
     raw["settings"] |= RESUME if resume else {}
     raw["settings"]["Limits"]["SecondCopies"] = resume
     raw["options"] = {f"drain_{name}_ms": time for name, time in times.items()}
-    raw["options"] |= {"head_timeout_ms": NEVER, "keep_alive_ms": NEVER, "stream_silence_ms": NEVER}
+    raw["options"] |= PATIENT
     raw |= changes
     made = Router(folder, raw, engine)
     try:
@@ -188,7 +206,7 @@
 def test_after_drain_answer_a_request_is_refused_at_once_and_never_sent_on(tmp_path: Path) -> None:
     """A stream whose client reads slowly holds its connection open; what it asks next was read behind it."""
     with router(tmp_path) as made:
-        slow, got = slow_client(made)
+        slow, got = slow_client(made.port, made.engine)
         waiting = made.waiting()
         made.term()
         waiting.answer()  # drain_answer_ms has passed
@@ -274,6 +292,91 @@
         made.ends()
 
 
+def test_a_connection_that_came_just_now_may_still_say_what_it_wants(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(inbound, "NEWCOMER_MS", NEVER)
+    with stage(options={"drain_accept_ms": 50.0}) as (scene,):
+        idle, newcomer = scene.client().send(b"GET /up HTTP/1.1\r\n\r\n"), scene.client()
+        idle.answer()
+        draining = gevent.spawn(scene.inbound.drain)
+        assert idle.ended()
+        assert refused(newcomer.send(ask())) and newcomer.ended()
+        draining.join()
+
+
+def test_a_request_gets_its_answer_or_its_connection_is_closed_before_it_is_read(tmp_path: Path) -> None:
+    """Clients ask one thing after the other on kept connections till these are closed, then too."""
+    with router(tmp_path, TIMES | {"accept": 30.0, "keep": 200.0}) as made:
+        asking, told, unheard = [made.used() for _ in range(24)], 0, []
+
+        def ask_on(who: int) -> None:
+            nonlocal told
+            for number in range(10_000):
+                name = f"{who}-{number}"
+                try:
+                    answer = asking[who].send(asked(name)).answer()
+                except ConnectionError:
+                    return unheard.append(name)
+                assert answer.status == 200
+                told += 1
+                if answer.fields.get(b"connection") == b"close":
+                    return None
+                gevent.sleep(0.001 * (who % 5))
+            return None
+
+        clients = [gevent.spawn(ask_on, who) for who in range(24)]
+        until(lambda: told > 100)
+        made.term()
+        gevent.joinall(clients, raise_error=True)
+        made.ends()
+        assert told == len(made.engine.requests) and not any(made.engine.got(name) for name in unheard)
+
+
+# What waits for its first event
+
+
+def test_what_cannot_have_run_is_refused_and_not_failed(tmp_path: Path) -> None:
+    """Its engine's machine never takes the connection up."""
+    with socket.socket() as full, router(tmp_path, full=full) as made:
+        waits = made.client().send(asked("waits"))
+        until(lambda: nothing_unsent(waits.sock))
+        made.term()
+        assert refused(waits) and waits.ended()
+        made.ends()
+
+
+def test_where_sigkill_comes_sooner_all_is_answered_sooner(tmp_path: Path) -> None:
+    """SIGKILL comes 2.2 s after SIGTERM; its own deadline, 2.9 s, would end the request with a 504."""
+    with router(tmp_path, {}, deadline=1500.0) as made:
+        waiting = made.client()
+        waiting.send(ask(b"silence", left=2900))
+        until(lambda: made.engine.requests)
+        made.term()
+        assert waiting.answer().status == 502
+        made.ends()
+
+
+@pytest.mark.parametrize(
+    ("longest", "resume", "succeeded", "times"),
+    [  # accept, keep, refuse, pass_on, move, answer
+        (15_000.0, True, False, (500, 2000, 2800, 1000, 2800, 3200)),
+        (3000.0, True, False, (500, 2000, 2800, 1000, 2800, 3200)),
+        (3000.0, False, False, (500, 500, 500, 1000, 2800, 3200)),
+        (3000.0, False, True, (0, 1000, 2800, 1000, 2800, 3200)),
+        (1500.0, True, False, (500, 500, 1300, 500, 1300, 1700)),
+        (200.0, True, False, (500, 500, 500, 500, 500, 500)),
+        (1500.0, True, True, (0, 0, 1300, 0, 1300, 1700)),
+    ],
+)
+def test_the_clock_of_a_drain_ends_before_sigkill(
+    longest: float, resume: bool, succeeded: bool, times: tuple[float, ...]
+) -> None:
+    raw = make_config([])
+    raw["settings"] |= RESUME if resume else {}
+    raw["settings"]["Classes"][0]["DeadlineMs"] = longest
+    told = grace(parse(msgspec.json.encode(raw)), succeeded)
+    assert astuple(told) == (*times, 500)
+
+
 # Streams
 
 
@@ -304,7 +407,7 @@
 def test_a_stream_that_its_engine_has_finished_is_passed_on_to_its_end(tmp_path: Path) -> None:
     """Its client reads slowly: at drain_move_ms the end stands in the router's machine, not yet read."""
     with router(tmp_path, TIMES | {"answer": NEVER}) as made:
-        slow, got = slow_client(made)
+        slow, got = slow_client(made.port, made.engine)
         runs = made.begun("runs")
         made.term()
         with pytest.raises(ConnectionResetError):
@@ -320,7 +423,7 @@
     return fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4) == b"\0" * 4
 
 
-def slow_client(made: Router) -> tuple[Client, bytes]:
+def slow_client(port: int, engine: Engine) -> tuple[Client, bytes]:
     """A client that has read some of a stream whose end stands unread in its router's machine."""
     full, finished, block = Event(), Event(), chunk(b"data: " + b"x" * 8000 + b"\n\n")
 
@@ -337,15 +440,83 @@
         until(lambda: nothing_unsent(sock))
         finished.set()
 
-    play, made.engine.script = made.engine.script, flood
+    play, engine.script = engine.script, flood
     client = Client.__new__(Client)
     client.sock = socket.socket()
     client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    client.sock.connect((LISTEN, made.port))
+    client.sock.connect((LISTEN, port))
     client.send(asked("slow"))
     full.wait()
-    made.engine.script, got = play, b""
+    engine.script, got = play, b""
     while not finished.is_set():
         got += client.sock.recv(4096)
         gevent.sleep(0.001)
     return client, got
+
+
+# While an upgrade hands over
+
+
+def test_an_upgrade_answers_what_the_older_process_has_read_and_passes_on_the_rest(tmp_path: Path) -> None:
+    engine = Engine()
+    with service(tmp_path, engine, options=PATIENT) as made:
+        old = made.start()
+        idle, half, ahead = (Client(made.port) for _ in range(3))
+        assert idle.send(asked("before")).answer().status == 200
+        half.send(asked("half")[:60])
+        ahead.send(asked("begun", b"begin") + asked("ahead"))
+        assert ahead.sock.recv(1) == b"H"
+        slow, got = slow_client(made.port, engine)
+        until(lambda: nothing_unsent(half.sock))
+        made.start()
+        made.processes[old].send_signal(signal.SIGTERM)
+        until(lambda: "draining" in made.log(old))
+        assert idle.send(asked("after")).answer().status == 200
+        assert half.send(asked("half")[60:]).answer().status == 200
+        engine.go.set()
+        assert rest(ahead).status == 200 and ahead.answer().status == 200
+        assert rest(slow, got).status == 200
+        until(lambda: made.processes[old].poll() is not None)
+        assert made.processes[old].returncode == 0 and len(engine.requests) == 6
+
+
+def test_a_newer_process_that_hangs_does_not_hold_up_the_drain(tmp_path: Path) -> None:
+    """Stopped by a signal, it holds its lock and says nothing. SIGKILL would come 3.7 s after SIGTERM."""
+    engine = Engine()
+    with service(tmp_path, engine, options=PATIENT | {"drain_answer_ms": 1000.0}) as made:
+        old = made.start()
+        idle = [Client(made.port).send(asked(f"{n}")) for n in range(16)]
+        assert all(client.answer().status == 200 for client in idle)
+        waiting = Client(made.port).send(asked("waits", b"silence"))
+        until(lambda: engine.got("waits"))
+        new = made.start()
+        made.processes[new].send_signal(signal.SIGSTOP)
+        made.processes[old].send_signal(signal.SIGTERM)
+        with gevent.Timeout(3.7):
+            assert waiting.answer().status == 502 and waiting.ended()
+            until(lambda: made.processes[old].poll() is not None)
+        assert made.processes[old].returncode == 0
+        assert sum(closed(client) for client in idle) == 15  # one may be the newer process's
+        made.processes[new].send_signal(signal.SIGCONT)
+
+
+def closed(client: Client) -> bool:
+    client.sock.settimeout(0.1)
+    try:
+        return client.ended()
+    except ConnectionResetError:
+        return True
+    except TimeoutError:
+        return False
+
+
+def test_a_connection_that_has_ended_is_not_passed_on() -> None:
+    """Another one's passing takes time, and its client may leave meanwhile."""
+    with stage() as (scene,):
+        client = scene.client().send(b"GET /up HTTP/1.1\r\n\r\n")
+        client.answer()
+        (held,) = scene.inbound._clients
+        until(held.idle)
+        client.sock.close()
+        until(lambda: not scene.inbound._clients)
+        assert not held.idle() and not passing.give_idle(held, lambda text, descriptors: True)
