--- a/spoolbarrow/net/grace.py
+++ b/spoolbarrow/net/grace.py
@@ -43,7 +43,7 @@
     elif not config.resumes:
         # Nobody asks for the rest of a stream that SIGKILL cuts off: what is taken must be whole by then.
         keep = min(keep, options.drain_accept_ms)
-    return Grace(
-        accept, keep, move if succeeded or config.resumes else keep, until(PASS_MS), move,
-        until(options.drain_answer_ms), min(options.drain_accept_ms, settings.max_retry_after_ms),
-    )
+    answer = until(options.drain_answer_ms)
+    refuse = min(answer, move if succeeded or config.resumes else keep)
+    retry_after = min(options.drain_accept_ms, settings.max_retry_after_ms)
+    return Grace(accept, keep, refuse, until(PASS_MS), move, answer, retry_after)
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -16,7 +16,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config
 from spoolbarrow.net import http1, tcpinfo
-from spoolbarrow.net.grace import grace
+from spoolbarrow.net.grace import Grace, grace
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.log import log, unexpected
@@ -573,30 +573,34 @@
         self._stop_listening()
         passing = None if pass_on is None else gevent.spawn(self._pass_idle, pass_on, times.retry_after)
         while self._clients or not (self._leaving is None or self._leaving.ready()):
-            now = self.host.now()
-            passed = now - begun
-            if passed >= times.refuse:
-                self.refusing_ms = times.retry_after
-            if passed >= times.keep:
-                self.closing = True
-                if passing is None or passing.ready():
-                    self._close_idle(now)
-            if self.config.resumes and passed >= times.move:
-                self.host.move_streams()
-            if passed >= times.answer:
-                self.host.answer_all(times.retry_after)
-                for client in list(self._clients):
-                    client.hurry(times.retry_after)
+            try:
+                self._end_what_is_due(self.host.now() - begun, times, passing is None or passing.ready())
+            except Exception as error:  # what one connection runs into must not leave the others unanswered
+                unexpected("drain", error)
             gevent.sleep(DRAIN_S)
         if passing is not None:
             passing.kill()
 
+    def _end_what_is_due(self, passed: float, times: Grace, closes: bool) -> None:
+        if passed >= times.refuse:
+            self.refusing_ms = times.retry_after
+        if passed >= times.keep:
+            self.closing = True
+            if closes:
+                self._close_idle(self.host.now())
+        if passed >= times.answer:
+            self.host.answer_all(times.retry_after)
+            for client in list(self._clients):
+                client.hurry(times.retry_after)
+        if self.config.resumes and passed >= times.move:
+            self.host.move_streams()
+
     def _pass_idle(self, pass_on: Callable[[Client], bool], retry_after_ms: float) -> None:
         """Hand idle connections on until one is not taken.
 
         Not in the drain's own loop: a process that does not answer must not hold up its clock.
         """
-        while all(pass_on(client) for client in list(self._clients) if client.idle()):
+        while all(pass_on(client) for client in list(self._clients) if client.idle() and not client.ending):
             gevent.sleep(DRAIN_S)
         self.closing = True  # answers end connections: clients come back by others
         if not self.config.resumes:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -27,8 +27,10 @@
 
 from spoolbarrow.config import parse
 from spoolbarrow.net import inbound, passing
+from spoolbarrow.net.endpoint import Connection, Underway
 from spoolbarrow.net.grace import grace
 from spoolbarrow.net.http1 import Message, ResponseParser
+from spoolbarrow.net.request import Attempt
 from tests.stage import (
     EVENTS,
     HEAD,
@@ -64,6 +66,8 @@
     def _play(self, sock: socket.socket, message: Message) -> None:
         if message.body == b"serve":
             serve_all(sock, message)
+        elif message.body == b"much":
+            sock.sendall(HEAD + chunk(b"data: " + b"x" * 10_000 + b"\n\n") + END)
         elif message.body == b"begin":
             sock.sendall(HEAD + chunk(EVENTS[0]))
             self.go.wait()
@@ -132,12 +136,12 @@
     """The program before an engine, or before a machine (`full`) that takes no connection up."""
     engine, port = Engine(), 0
     if full is not None:
-        full.bind((LISTEN, 0))
+        full.bind(("127.0.0.1", 0))  # where `entry` says that engines are
         full.listen(0)
         port = full.getsockname()[1]
         for _ in range(2):
             with suppress(TimeoutError):
-                engine.held.append(socket.create_connection((LISTEN, port), 0.2))
+                engine.held.append(socket.create_connection(("127.0.0.1", port), 0.2))
     raw = make_config([entry("e0", port or engine.port)])
     raw["settings"]["Classes"][0]["DeadlineMs"] = deadline
     raw["settings"] |= RESUME if resume else {}
@@ -205,7 +209,7 @@
 
 def test_after_drain_answer_a_request_is_refused_at_once_and_never_sent_on(tmp_path: Path) -> None:
     """A stream whose client reads slowly holds its connection open; what it asks next was read behind it."""
-    with router(tmp_path) as made:
+    with router(tmp_path, TIMES | {"move": NEVER}) as made:
         slow, got = slow_client(made.port, made.engine)
         waiting = made.waiting()
         made.term()
@@ -303,6 +307,29 @@
         draining.join()
 
 
+def test_a_request_that_has_come_and_is_not_read_yet_keeps_its_connection() -> None:
+    with stage(serve_all) as (scene, _):
+        client = scene.client()
+        for name in ("first", "second"):
+            until(lambda: [c for c in scene.inbound._clients if c.idle()])
+            client.send(asked(name))  # written, and no other greenlet has run
+            scene.inbound._close_idle(scene.host.now() + NEVER)
+            assert client.answer().status == 200
+
+
+def test_a_client_that_still_takes_in_its_answer_keeps_its_connection(tmp_path: Path) -> None:
+    """All of it is the kernel's: a request that crosses the close would reset it."""
+    with router(tmp_path, TIMES | {"move": NEVER, "answer": NEVER}) as made:
+        idle, slow = made.used(), slow_socket(made.port)
+        slow.send(asked("slow", b"much"))
+        until(lambda: '"served"' in made.log())
+        made.term()
+        assert idle.ended()  # drain_keep_ms has passed
+        slow.send(asked("next"))
+        assert rest(slow, b"").status == 200 and slow.answer().status == 200 and slow.ended()
+        made.ends()
+
+
 def test_a_request_gets_its_answer_or_its_connection_is_closed_before_it_is_read(tmp_path: Path) -> None:
     """Clients ask one thing after the other on kept connections till these are closed, then too."""
     with router(tmp_path, TIMES | {"accept": 30.0, "keep": 200.0}) as made:
@@ -418,11 +445,50 @@
         made.ends()
 
 
+@pytest.mark.parametrize(
+    ("read", "unread", "stays"),
+    [
+        (chunk(EVENTS[0]), b"", False),
+        (chunk(EVENTS[0]), chunk(b"data: 2\n\n"), False),
+        (chunk(EVENTS[0]), chunk(b"data: 0\r\n\r\n"), False),
+        (chunk(EVENTS[0])[:9], chunk(EVENTS[0])[9:] + END, True),
+        (chunk(EVENTS[0]), END, True),
+        (chunk(EVENTS[0]) + END[:3], END[3:], True),
+        (chunk(EVENTS[0]), b"0\r\nX-Backend-Load: queue=0\r\n\r\n", True),
+        (chunk(EVENTS[0]) + END, b"", True),
+        (chunk(EVENTS[1]), b"", True),
+    ],
+)
+def test_a_stream_stays_whose_end_has_come_as_far_as_this_machine(
+    read: bytes, unread: bytes, stays: bool
+) -> None:
+    engine, sock = socket.socketpair()
+    with engine, sock:
+        request: Any = None  # nothing is asked of it
+        connection = Connection("e", ("", 1), sock, 1)
+        underway = Underway(Attempt(request, 0, "e", 0.0), connection, ResponseParser(16384))
+        underway.parser.feed(memoryview(HEAD + read))
+        underway.tail = b"".join(underway.parser.take_body())
+        engine.sendall(unread)
+        assert underway.stays() is stays
+        engine.close()
+        assert underway.stays() is stays
+
+
 def nothing_unsent(sock: socket.socket) -> bool:
     """Whether the other side's machine has all that was written."""
     return fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4) == b"\0" * 4
 
 
+def slow_socket(port: int) -> Client:
+    """A client whose machine holds little that it has not read."""
+    client = Client.__new__(Client)
+    client.sock = socket.socket()
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.sock.connect((LISTEN, port))
+    return client
+
+
 def slow_client(port: int, engine: Engine) -> tuple[Client, bytes]:
     """A client that has read some of a stream whose end stands unread in its router's machine."""
     full, finished, block = Event(), Event(), chunk(b"data: " + b"x" * 8000 + b"\n\n")
@@ -437,20 +503,17 @@
         sock.settimeout(None)
         full.set()
         sock.sendall(block[written % len(block) :] + chunk(b"data: end\n\n") + END)
-        until(lambda: nothing_unsent(sock))
+        while not nothing_unsent(sock):
+            gevent.sleep(0)
         finished.set()
 
     play, engine.script = engine.script, flood
-    client = Client.__new__(Client)
-    client.sock = socket.socket()
-    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    client.sock.connect((LISTEN, port))
-    client.send(asked("slow"))
+    client = slow_socket(port).send(asked("slow"))
     full.wait()
     engine.script, got = play, b""
     while not finished.is_set():
-        got += client.sock.recv(4096)
-        gevent.sleep(0.001)
+        got += client.sock.recv(1024)
+        gevent.sleep(0)
     return client, got
 
 
@@ -520,3 +583,88 @@
         client.sock.close()
         until(lambda: not scene.inbound._clients)
         assert not held.idle() and not passing.give_idle(held, lambda text, descriptors: True)
+
+
+def test_a_stream_on_its_way_to_a_newer_process_is_not_broken_off() -> None:
+    asked_for, told = Event(), Event()
+
+    def send(text: bytes, descriptors: Any) -> bool:
+        asked_for.set()
+        told.wait()
+        return False
+
+    def in_two(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        told.wait()
+        sock.sendall(chunk(EVENTS[1]) + END)
+
+    with stage(in_two) as (scene, _):
+        scene.host.give = lambda underway: passing.give(scene.host, underway, send)
+        client = scene.client().send(ask())
+        asked_for.wait()
+        scene.host.move_streams()
+        told.set()
+        assert client.answer().status == 200
+
+
+def test_where_a_newer_process_takes_nothing_and_nobody_resumes_nothing_more_is_taken() -> None:
+    step, met = Event(), Event()
+
+    def in_two(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        step.wait()
+        sock.sendall(chunk(EVENTS[1]) + END)
+
+    with stage(in_two, options={"drain_accept_ms": NEVER, "drain_move_ms": NEVER}) as (scene, engine):
+        idle, busy = scene.client().send(b"GET /up HTTP/1.1\r\n\r\n"), scene.client().send(ask())
+        idle.answer()
+        until(lambda: engine.requests)
+        draining = gevent.spawn(scene.inbound.drain, lambda client: met.set())
+        met.wait()
+        busy.send(asked("next"))
+        step.set()
+        assert busy.answer().status == 200
+        assert refused(busy) and busy.ended() and len(engine.requests) == 1
+        idle.sock.close()
+        draining.join()
+
+
+def test_a_connection_that_was_told_to_go_does_not_keep_idle_ones_from_passing_on() -> None:
+    met: list[Any] = []
+
+    def pass_on(client: Any) -> bool:
+        met.append(client)
+        client.detach()
+        return True
+
+    with stage() as (scene,):
+        idle, leaving = scene.client(), scene.client()
+        leaving.send(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n").answer()
+        until(lambda: [client for client in scene.inbound._clients if client.ending])
+        draining = gevent.spawn(scene.inbound.drain, pass_on)
+        assert idle.ended()
+        until(lambda: len(scene.inbound._clients) == 1)
+        assert len(met) == 1 and not scene.inbound.closing
+        leaving.sock.close()
+        draining.join()
+
+
+def test_what_one_connection_runs_into_leaves_none_unanswered(monkeypatch: pytest.MonkeyPatch) -> None:
+    met = Event()
+
+    def fault(retry_after_ms: float) -> None:
+        monkeypatch.undo()
+        met.set()
+        raise ZeroDivisionError
+
+    def silent(sock: socket.socket, message: Message) -> None:
+        """Say nothing."""
+
+    with stage(silent, options={f"drain_{name}_ms": 20.0 for name in TIMES}) as (scene, engine):
+        waiting = scene.client().send(ask())
+        until(lambda: engine.requests)
+        monkeypatch.setattr(scene.host, "answer_all", fault)
+        draining = gevent.spawn(scene.inbound.drain)
+        assert waiting.answer().status == 502 and met.is_set()
+        waiting.sock.close()
+        draining.join()
