Ask TCP itself whether a client has its whole answer; test a changed address

TCP_INFO is what serving reads elsewhere already. A new listen address reset connections that waited at the old one, as a drain's end did; the mend is one, and now has a test for both.

--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import fcntl
 import select
-import termios
 from collections.abc import Callable
 from heapq import nsmallest
 
@@ -241,12 +239,7 @@
 
     def answered(self) -> bool:
         """Whether its client's machine has all that was written to it."""
-        unsent = bytearray(4)
-        try:
-            fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, unsent)
-        except OSError:
-            return True
-        return not any(unsent)
+        return not tcpinfo.awaits_peer(self.sock)
 
     def asked_more(self) -> bool:
         """Whether its client sent something behind the request that is served."""
--- a/spoolbarrow/net/tcpinfo.py
+++ b/spoolbarrow/net/tcpinfo.py
@@ -18,6 +18,8 @@
 CLOSED = 7
 OPT_TIMESTAMPS = 1  # bit of tcpi_options
 _OPTIONS = struct.Struct("=5xB")
+_UNACKED = struct.Struct("=24xI")  # segments
+_NOT_SENT = struct.Struct("=144xI")  # bytes
 _LAST_DATA_RECV = struct.Struct("=52xI")
 _ACKNOWLEDGED = struct.Struct("=120xQ")  # tcpi_bytes_acked; the SYN counts as one where this side opened it
 _RTT = struct.Struct("=68xI")
@@ -72,6 +74,12 @@
     return told
 
 
+def awaits_peer(sock: Inspectable) -> bool:
+    """Whether some of what was written has not come to the peer's machine, as far as is known here."""
+    raw = _read(sock)
+    return any(told.unpack_from(raw)[0] for told in (_UNACKED, _NOT_SENT))
+
+
 def peer_ended(sock: Inspectable) -> bool:
     """Whether the peer has said its end, or reset the connection."""
     return _read(sock)[0] in _FIN_TAKEN | {CLOSED}
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -10,6 +10,7 @@
 import fcntl
 import os
 import signal
+import socket as plain
 import subprocess
 import sys
 import termios
@@ -23,7 +24,7 @@
 import pytest
 from gevent import socket
 from gevent.event import Event
-from msgspec.structs import astuple
+from msgspec.structs import astuple, replace
 
 from spoolbarrow.config import parse
 from spoolbarrow.net import inbound, passing
@@ -40,6 +41,7 @@
     ask,
     chunk,
     entry,
+    free_port,
     make_config,
     serve_all,
     stage,
@@ -296,6 +298,17 @@
         made.ends()
 
 
+def test_a_connection_that_waits_when_the_address_changes_is_served() -> None:
+    with stage(serve_all) as (scene, _), plain.socket() as waits:
+        waits.connect(scene.config.listen)  # no other greenlet runs meanwhile
+        waits.sendall(ask())
+        scene.inbound.apply(replace(scene.config, listen=(LISTEN, free_port())))
+        client = Client.__new__(Client)
+        client.sock = socket.socket(fileno=os.dup(waits.fileno()))
+        assert client.answer().status == 200
+        client.sock.close()
+
+
 def test_a_connection_that_came_just_now_may_still_say_what_it_wants(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(inbound, "NEWCOMER_MS", NEVER)
     with stage(options={"drain_accept_ms": 50.0}) as (scene,):
@@ -332,7 +345,7 @@
 
 def test_a_request_gets_its_answer_or_its_connection_is_closed_before_it_is_read(tmp_path: Path) -> None:
     """Clients ask one thing after the other on kept connections till these are closed, then too."""
-    with router(tmp_path, TIMES | {"accept": 30.0, "keep": 200.0}) as made:
+    with router(tmp_path, TIMES | {"accept": 30.0, "move": NEVER, "answer": NEVER}) as made:
         asking, told, unheard = [made.used() for _ in range(24)], 0, []
 
         def ask_on(who: int) -> None:
