Take a call of the list that gets no answer for silence, and make it again within the clock

Ruled out: the drain check before writing (it was never told), false alarms of silence (65 watches broken, 66 fell silent). At fault: `DestinationSet._end_of` told a call without an answer as failed, and `Pacing.failed` spreads calls that waited in vain over 3 to 6 s at 200 routers.

Change: no answer at all is silence as a silent watch is, mended by the set itself in 0.25 s.

--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -292,7 +292,9 @@
         try:
             read()
             return "ended"
-        except asking.Silent:
+        except (asking.Silent, TimeoutError):
+            # Also a call that got no answer at all: a service that is too busy or down says so, and the clock
+            # runs from the call. Told as failed, it would be backed off past the clock.
             return "silent"
         except asking.FAULTS as error:
             return f"{type(error).__name__}: {error}"
