--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -23,7 +23,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT)]
 
-from spoolbarrow.cli.store import ask  # noqa: E402
+from spoolbarrow.cli.calls import call  # noqa: E402
+from spoolbarrow.cli.faults import NoAnswer  # noqa: E402
 from spoolbarrow.lab.cluster import LISTEN, Process, free_ports  # noqa: E402
 from spoolbarrow.lab.quorum import MUTANTS, Play, survives  # noqa: E402
 
@@ -43,6 +44,14 @@
     raise OSError("no RssAnon in /proc/PID/status")
 
 
+def ask(member: str, method: str, path: str, body: bytes = b"") -> tuple[int, dict[str, Any]]:
+    """A member's answer; status 0 with the reason where none came."""
+    try:
+        return call(member, method, path, body)
+    except NoAnswer as error:
+        return 0, {"error": str(error)}
+
+
 def members(count: int, keys: int) -> dict[str, Any]:
     """So many members take so many keys: changes a second, how long each took, memory, and what was lost."""
     free = free_ports(2 * count)
--- a/spoolbarrow/admin/calls.py
+++ b/spoolbarrow/admin/calls.py
@@ -10,9 +10,67 @@
 
 from msgspec import Struct
 
+from spoolbarrow.errors import Problem
 from spoolbarrow.net.http1 import Fault, Message
 
 
+class CallFault(Problem):
+    """An operator's call is not carried out; `answer` is the status of HTTP."""
+
+    answer = 400
+    where = "the path, the engine, or the field of the call"
+    headers: tuple[bytes, ...] = ()
+
+
+class BadCall(CallFault):
+    """A call is no request that can be read, or not whole in time."""
+
+    remedy = "Say it again as docs/operators/on-call.md has it, by `curl`."
+
+    def __init__(self, fault: Fault) -> None:
+        super().__init__("", str(fault))
+        self.answer, self.headers = fault.status, fault.headers
+
+
+class NoSuchPath(CallFault):
+    """There is no call of this path."""
+
+    answer = 404
+    remedy = "Look the path up in docs/operators/on-call.md."
+
+
+class WrongMethod(CallFault):
+    """There is a call of this path, by another method."""
+
+    answer = 405
+    remedy = "Say it by the method that is named (`curl -X POST` where it changes something)."
+
+    def __init__(self, path: str, wanted: bytes) -> None:
+        super().__init__("", f"{path} takes {wanted.decode()}")
+        self.headers = (b"Allow: " + wanted,)
+
+
+class NoSuchEngine(CallFault):
+    """No engine of this id is listed or suspended here."""
+
+    answer = 404
+    remedy = "Look at the log's `destinations`, or at discovery, for the id as it is listed."
+
+
+class NotReady(CallFault):
+    """This process can't serve yet, or no more."""
+
+    answer = 503
+    remedy = "Wait for its list (`watch_broken` in the log says why there is none), or ask its successor."
+
+
+class AgreeOff(CallFault):
+    """Versions are asked for, and the operator's file does not switch them on."""
+
+    answer = 404
+    remedy = "Give the operator's file a table `[agree]` with a revision, and send SIGHUP."
+
+
 class Verb(Enum):
     """What is asked."""
 
@@ -51,7 +109,7 @@
 
 
 def read(message: Message) -> Call:
-    """The call that a request makes; Fault 404 for an unknown path, 405 for the wrong method."""
+    """The call that a request makes; NoSuchPath, WrongMethod or NoSuchEngine where it makes none."""
     path = message.path()
     verb, engine = PLAIN.get(path), b""
     if verb is None and path.startswith(ENGINES):
@@ -60,11 +118,11 @@
     elif path.startswith(ADOPT):
         verb, engine = Verb.ADOPT, path[len(ADOPT) :]
     if verb is None:
-        raise Fault(404, "no such path")
+        raise NoSuchPath("", "no such path")
     wanted = METHODS[verb]
     if message.method != wanted:
-        raise Fault(405, f"{path.decode('latin-1')} takes {wanted.decode()}", b"Allow: " + wanted)
+        raise WrongMethod(path.decode("latin-1"), wanted)
     try:
         return Call(verb, unquote_to_bytes(engine).decode())
     except UnicodeDecodeError:
-        raise Fault(404, "no such engine") from None
+        raise NoSuchEngine("", "no such engine") from None
--- a/spoolbarrow/admin/control.py
+++ b/spoolbarrow/admin/control.py
@@ -8,16 +8,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any, Protocol
 
 import gevent
 import orjson
 from gevent import socket
 
 from spoolbarrow.admin import calls
-from spoolbarrow.admin.calls import Call, Verb
+from spoolbarrow.admin.calls import AgreeOff, BadCall, Call, CallFault, NoSuchEngine, NotReady, Verb
 from spoolbarrow.admin.figures import Figures
 from spoolbarrow.admin.orders import Orders
-from spoolbarrow.config import Address, ConfigError
+from spoolbarrow.config import Address, CannotListen
+from spoolbarrow.errors import Defect, Problem
 from spoolbarrow.net import http1
 from spoolbarrow.net.destinations import NoRoom
 from spoolbarrow.net.host import Host
@@ -34,6 +36,7 @@
 RECV = 4096
 BACKLOG = 64
 OF_AGREEMENT = frozenset({Verb.VERSIONS, Verb.CHECK, Verb.ADOPT})
+ANSWERS: tuple[tuple[type[Problem], int], ...] = ((Defect, 500), (NoRoom, 503), (Problem, 409))
 TEXT = b"text/plain; charset=utf-8"
 
 
@@ -57,18 +60,36 @@
 
 
 def listen(address: Address) -> socket.socket:
-    """A listener; OSError, naming the key, where the address can't be had."""
+    """A listener; CannotListen where the address can't be had."""
     try:
         return http1.listen(address, BACKLOG)
     except OSError as error:
-        raise OSError(f"control: {error}") from error
+        raise CannotListen("control", str(error)) from error
+
+
+class Versions(Protocol):
+    """Who tells which versions this process acts on, where that is on."""
+
+    def tell(self) -> dict[str, Any]:
+        """Every version as it is now."""
+        ...
+
+    def check(self) -> dict[str, Any]:
+        """What would be acted on with the files as they are; ConfigError where they can't be used."""
+        ...
+
+    def adopt(self, wanted: str) -> None:
+        """Act on the files of this digest; a Problem where that fails."""
+        ...
 
 
 class Control:
     """The listener and what its callers may do."""
 
-    def __init__(self, host: Host, inbound: Inbound, orders: Orders) -> None:
-        self._host, self._inbound, self._orders = host, inbound, orders
+    def __init__(
+        self, host: Host, inbound: Inbound, orders: Orders, agreement: Callable[[], Versions | None]
+    ) -> None:
+        self._host, self._inbound, self._orders, self._agreement = host, inbound, orders, agreement
         self.figures = Figures(host.config.classes)
         self._counting = Counting(self.figures, self._class)
         host.taps.add(self._counting)
@@ -127,7 +148,7 @@
                             parser.feed(memoryview(data))
                     pieces = self._answer(parser)
                 except gevent.Timeout:
-                    pieces = http1.answer_pieces(408, _told("no whole call in time"), True)
+                    pieces = _refusal(BadCall(Fault(408, "no whole call in time")))
                 sock.settimeout(LINGER_S)
                 http1.send_pieces(sock, pieces)
                 sock.shutdown(socket.SHUT_WR)
@@ -144,7 +165,7 @@
     def _answer(self, parser: http1.RequestParser) -> list[bytes]:
         try:
             if parser.fault is not None and not parser.whole:
-                raise parser.fault
+                raise BadCall(parser.fault)
             call = calls.read(parser.whole.popleft())
             if call.verb is Verb.ZONES:
                 verdicts = self._host.destinations.verdicts
@@ -152,40 +173,39 @@
                 return http1.answer_pieces(200, orjson.dumps(told), True)
             if call.verb in OF_AGREEMENT:
                 return self._agree(call)
-            status, text = self._carry_out(call)
+            text = self._carry_out(call)
             if call.verb is Verb.METRICS:
-                return http1.answer_pieces(status, text.encode(), True, kind=TEXT)
-            return http1.answer_pieces(status, _told(text, status), True)
-        except Fault as error:
-            return http1.answer_pieces(error.status, _told(str(error), error.status), True, *error.headers)
+                return http1.answer_pieces(200, text.encode(), True, kind=TEXT)
+            return http1.answer_pieces(200, _told(text), True)
+        except Problem as error:
+            return _refusal(error)
         except Exception as error:
             unexpected("call", error)
-            return http1.answer_pieces(500, _told("internal error", 500), True)
+            return _refusal(Defect("", "internal error"))
 
     def _agree(self, call: Call) -> list[bytes]:
-        """Versions told, files checked, or adopted; Fault where the files can't be used."""
-        agreement = self._host.agreement
+        """Versions told, files checked, or adopted; ConfigError where the files can't be used."""
+        agreement = self._agreement()
         if agreement is None:
-            raise Fault(404, "the operator's file has no [agree]")
+            raise AgreeOff("", "the operator's file has no [agree]")
         if call.verb is Verb.VERSIONS:
             return http1.answer_pieces(200, orjson.dumps(agreement.tell()), True)
-        try:
-            if call.verb is Verb.CHECK:
-                return http1.answer_pieces(200, orjson.dumps(agreement.check()), True)
-            log("call", verb=call.verb.value, engine=call.engine)
-            agreement.adopt(call.engine)
-        except ConfigError as error:
-            raise Fault(409, str(error)) from None
+        if call.verb is Verb.CHECK:
+            return http1.answer_pieces(200, orjson.dumps(agreement.check()), True)
+        log("call", verb=call.verb.value, engine=call.engine)
+        agreement.adopt(call.engine)
         return http1.answer_pieces(200, _told("adopted"), True)
 
-    def _carry_out(self, call: Call) -> tuple[int, str]:
-        """Status and text of the answer; Fault where it is no."""
+    def _carry_out(self, call: Call) -> str:
+        """The answer's text; a Problem where it is no."""
         verb = call.verb
         if verb is Verb.READY:
-            return (200, "ready") if self._inbound.able() else (503, "not ready")
+            if not self._inbound.able():
+                raise NotReady("", "not ready")
+            return "ready"
         if verb is Verb.METRICS:
             known, skipped = self._host.engines()
-            return 200, self.figures.write(self._host.in_progress(), known, skipped)
+            return self.figures.write(self._host.in_progress(), known, skipped)
         log("call", verb=verb.value, engine=call.engine)
         if verb is Verb.DRAIN:
             self._orders.drain()
@@ -193,18 +213,26 @@
             self._orders.activate()
         else:
             self._engine(call)
-        return 200, verb.value
+        return str(verb.value)
 
     def _engine(self, call: Call) -> None:
         if not self._host.destinations.has(call.engine):
-            raise Fault(404, "no such engine")
+            raise NoSuchEngine("", "no such engine")
         if call.verb is Verb.RESUME:
             return self._orders.resume(call.engine)
-        try:
-            self._orders.suspend(call.engine)
-        except NoRoom as error:
-            raise Fault(503, str(error)) from None
+        self._orders.suspend(call.engine)
+
+
+def _told(text: str) -> bytes:
+    return orjson.dumps({"status": text})
 
 
-def _told(text: str, status: int = 200) -> bytes:
-    return orjson.dumps({"status": text} if status == 200 else {"error": {"message": text, "code": status}})
+def _refusal(error: Problem) -> list[bytes]:
+    """The answer to a call that is not carried out: what is wrong, and what can be done."""
+    headers: tuple[bytes, ...] = ()
+    if isinstance(error, CallFault):
+        status, headers = error.answer, error.headers
+    else:
+        status = next(status for kind, status in ANSWERS if isinstance(error, kind))
+    told = {"message": str(error), "code": status, "remedy": error.remedy}
+    return http1.answer_pieces(status, orjson.dumps({"error": told}), True, *headers)
--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -16,10 +16,10 @@
 
 from spoolbarrow import handover
 from spoolbarrow.admin import state, words
-from spoolbarrow.admin.control import Control, listen
+from spoolbarrow.admin.control import Control, Versions, listen
 from spoolbarrow.admin.orders import Orders
 from spoolbarrow.config import Config
-from spoolbarrow.handover import Handover
+from spoolbarrow.handover import Handover, Torn
 from spoolbarrow.net import passing
 from spoolbarrow.net.endpoint import Underway
 from spoolbarrow.net.host import Host
@@ -39,6 +39,7 @@
         self._handover: Handover | None = None
         self._control: Control | None = None
         self._shared = False  # another process lives
+        self.agreement: Versions | None = None  # where versions are told
         directory = os.environ.get("TMPDIR")
         if directory:
             try:
@@ -59,7 +60,7 @@
         return self.inherited is not None and self._handover is not None and bool(self._handover.newer)
 
     def start(self, host: Host, inbound: Inbound) -> None:
-        """Take over what an older process passes on, and begin to decide; OSError where calls can't come."""
+        """Take over what an older process passes on, and begin to decide; CannotListen for calls."""
         self._host, self._inbound = host, inbound
         self._orders = orders = Orders(host, inbound)
         passed = None
@@ -76,7 +77,7 @@
             given = passed
             host.start(passed.known, passed.resumed, lambda router: state.install(given, router))
         if self._config.control is not None:
-            self._control = Control(host, inbound, orders)
+            self._control = Control(host, inbound, orders, lambda: self.agreement)
             self._control.move(listen(self._config.control))
         if self._handover is not None and self.inherited is not None:
             self._handover.start(self._looked, self._adopt, self._write_state)
@@ -115,7 +116,7 @@
         return taken
 
     def prepare(self, config: Config) -> socket.socket | None:
-        """What a new configuration needs that can fail: OSError, and nothing is changed."""
+        """What a new configuration needs that can fail: CannotListen, and nothing is changed."""
         moved = config.control != self._config.control
         return listen(config.control) if moved and config.control is not None else None
 
@@ -124,7 +125,7 @@
         moved, self._config = config.control != self._config.control, config
         if listener is not None:
             if self._control is None:
-                self._control = Control(self._host, self._inbound, self._orders)
+                self._control = Control(self._host, self._inbound, self._orders, lambda: self.agreement)
             self._control.move(listener)
         elif moved and self._control is not None:
             self._control.close()
@@ -157,8 +158,8 @@
         for text in texts:
             try:
                 changed |= self._orders.adopt(words.read(text, self._config.name))
-            except ValueError as error:
-                log("handover_failed", what="words", why=str(error))
+            except Torn as error:
+                log("handover_failed", what="words", why=str(error), remedy=error.remedy)
         if changed:
             self._tell()
 
@@ -173,6 +174,6 @@
             return None
         try:
             return state.read(text, self._config.name)
-        except ValueError as error:
-            log("handover_failed", what="state", why=str(error))
+        except Torn as error:
+            log("handover_failed", what="state", why=str(error), remedy=error.remedy)
             return None
--- a/spoolbarrow/admin/state.py
+++ b/spoolbarrow/admin/state.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from spoolbarrow.config import HostList
+from spoolbarrow.handover import Torn
 from spoolbarrow.router import Entitlement, Router
 
 VERSION = 1
@@ -59,10 +60,13 @@
 
 
 def read(text: bytes, name: str) -> State:
-    """The state in a text; ValueError where it is torn, of another version or another router."""
-    state = msgspec.json.decode(text, type=State)
+    """The state in a text; Torn where it is torn, of another version or another router."""
+    try:
+        state = msgspec.json.decode(text, type=State)
+    except msgspec.DecodeError as error:
+        raise Torn("", str(error)) from error
     if state.v != VERSION or state.name != name:
-        raise ValueError(f"version {state.v} of {state.name!r}")
+        raise Torn("", f"version {state.v} of {state.name!r}")
     return state
 
 
--- a/spoolbarrow/admin/words.py
+++ b/spoolbarrow/admin/words.py
@@ -8,6 +8,8 @@
 import msgspec
 from msgspec import Struct
 
+from spoolbarrow.handover import Torn
+
 VERSION = 1
 MOST_BYTES = 1 << 20  # of a file of words: longer than any that MOST_SUSPENDED short names make
 KEPT_MS = 60_000.0  # a word that takes one back is kept so long: by then every process has heard it
@@ -64,12 +66,15 @@
 
 
 def read(text: bytes, name: str) -> Words:
-    """The words in a file's text; ValueError where they are torn, foreign or of another version."""
+    """The words in a file's text; Torn where they are torn, foreign or of another version."""
     if len(text) > MOST_BYTES:
-        raise ValueError("too large")
-    file = msgspec.json.decode(text, type=_File)  # its errors are ValueErrors
+        raise Torn("", "too large")
+    try:
+        file = msgspec.json.decode(text, type=_File)
+    except msgspec.DecodeError as error:
+        raise Torn("", str(error)) from error
     if file.v != VERSION or file.name != name:
-        raise ValueError(f"version {file.v} of {file.name!r}")
+        raise Torn("", f"version {file.v} of {file.name!r}")
     words = Words()
     words._words = file.words
     return words
--- a/spoolbarrow/cli/__init__.py
+++ b/spoolbarrow/cli/__init__.py
@@ -10,6 +10,9 @@
 
 import click
 
+from spoolbarrow.cli.faults import CannotUse, Faulty
+from spoolbarrow.errors import Problem
+
 COMMANDS = {
     "agree": "What versions routers act on; a change that all take or none.",
     "check": "Check both configuration files and print each fault.",
@@ -54,6 +57,12 @@
     """Request router for language-model servers. Without a command it serves."""
 
 
+def tell(error: Problem, mark: str = "", err: bool = True) -> None:
+    """Print what is wrong, and on a second line what can be done."""
+    click.echo(f"{mark}{error}", err=err)
+    click.echo(f"  {error.remedy}", err=err)
+
+
 def run(arguments: list[str], **extra: Any) -> int:
     """Carry out a command; the exit status."""
     try:
@@ -61,7 +70,15 @@
         status = main.main(arguments, prog_name="spoolbarrow", standalone_mode=False, **extra)
     except click.ClickException as error:
         error.show()
+        if not isinstance(error, click.UsageError):  # which tells of --help itself
+            click.echo(f"  {Faulty.remedy}", err=True)
         return error.exit_code
+    except OSError as error:
+        tell(CannotUse(str(error.filename or ""), error.strerror or str(error)), "Error: ")
+        return CannotUse.status
+    except Problem as error:
+        tell(error, "Error: ")
+        return error.status
     except click.Abort:
         click.echo("aborted", err=True)
         return 1
--- a/spoolbarrow/cli/agree.py
+++ b/spoolbarrow/cli/agree.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import http.client
-import json
 from typing import Any
 
 import click
 
 from spoolbarrow.agree import COMPARED, Item, Version, differences, digest
+from spoolbarrow.cli import tell
+from spoolbarrow.cli.calls import call
+from spoolbarrow.cli.faults import NoAnswer, Refused
 
-CALL_S = 5.0
 DRAINED = digest(True)
 routers = click.argument("routers", nargs=-1, required=True, metavar="HOST:PORT...")
 
@@ -20,29 +20,23 @@
     """What routers act on, asked at their control listeners."""
 
 
-def _ask(router: str, method: str, path: str) -> tuple[Any, str]:
-    """A router's answer, or why there is none."""
-    try:
-        connection = http.client.HTTPConnection(router, timeout=CALL_S)
-        connection.request(method, f"/v1/{path}")
-        answer = connection.getresponse()
-        told = json.loads(answer.read())
-    except (OSError, ValueError, http.client.HTTPException) as error:
-        return None, f"no answer: {error}"
-    if answer.status != 200:
-        return None, str(told.get("error", {}).get("message", answer.status))
-    return told, ""
+def _ask(router: str, method: str, path: str) -> dict[str, Any]:
+    """A router's answer; NoAnswer or Refused where it is none or no."""
+    status, told = call(router, method, f"/v1/{path}")
+    if status != 200:
+        fault = told.get("error", {})
+        raise Refused(router, str(fault.get("message", status)), fault.get("remedy", ""))
+    return told
 
 
 def _ask_all(routers: tuple[str, ...], method: str, path: str) -> tuple[dict[str, Any], bool]:
     """The answers by router; why others gave none is printed."""
     found = {}
     for router in routers:
-        told, why = _ask(router, method, path)
-        if why:
-            click.echo(f"{router}: {why}")
-        else:
-            found[router] = told
+        try:
+            found[router] = _ask(router, method, path)
+        except (NoAnswer, Refused) as error:
+            tell(error, err=False)
     return found, len(found) == len(routers)
 
 
--- a/spoolbarrow/cli/check.py
+++ b/spoolbarrow/cli/check.py
@@ -9,6 +9,7 @@
 
 from spoolbarrow import config as platform_config
 from spoolbarrow import operator
+from spoolbarrow.cli import tell
 
 
 @click.command()
@@ -17,7 +18,7 @@
 def command(config: Path | None, file: Path | None) -> int:
     """Check both configuration files as `serve` would read them.
 
-    Prints each fault with its key; exit status 2 where there is one.
+    Prints each fault with its key, and below it what would put it right; exit status 2 where there is one.
     """
     environment = dict(os.environ)
     if config is not None:
@@ -32,7 +33,7 @@
     found = [("config", faults_of_config), ("operator", faults_of_operator)]
     for name, faults in found:
         for fault in faults:
-            click.echo(f"{name}: {fault}")
+            tell(fault, f"{name}: ", err=False)
     if not operator.named(environment):
         click.echo("operator: no file is named: what it sets is off")
     if any(faults for _, faults in found):
@@ -41,9 +42,9 @@
     return 0
 
 
-def _faults_of_config(environment: dict[str, str]) -> list[str]:
+def _faults_of_config(environment: dict[str, str]) -> list[platform_config.ConfigError]:
     try:
         text = platform_config.read(environment)
     except platform_config.ConfigError as error:
-        return [str(error)]
+        return [error]
     return platform_config.faults(text)
--- a/spoolbarrow/cli/flows.py
+++ b/spoolbarrow/cli/flows.py
@@ -17,7 +17,11 @@
 import orjson
 from gevent.event import Event
 
-from spoolbarrow import config, operator
+from spoolbarrow import operator
+from spoolbarrow.cli import tell
+from spoolbarrow.cli.faults import Faulty
+from spoolbarrow.config import CannotListen
+from spoolbarrow.errors import MissingPackage
 from spoolbarrow.flows import tables
 from spoolbarrow.flows.collector import Listener, read_file, server_context
 from spoolbarrow.flows.decode import FlowError, Message
@@ -77,17 +81,20 @@
     gevent.signal_handler(signal.SIGTERM, end.set)
     gevent.signal_handler(signal.SIGINT, end.set)
     listeners: list[Listener] = []
-    try:
-        for text in addresses:
-            where = operator.collector("ADDRESSES", text)
-            tls = None
-            if where.kind == "tls":
-                if not (ca and certificate and key):
-                    raise click.UsageError("tls:// needs --ca, --certificate and --key")
+    for text in addresses:
+        where = operator.collector("ADDRESSES", text)
+        tls = None
+        if where.kind == "tls":
+            if not (ca and certificate and key):
+                raise Faulty(text, "tls:// needs --ca, --certificate and --key")
+            try:
                 tls = server_context(ca, certificate, key)
+            except OSError as error:
+                raise Faulty("--ca, --certificate, --key", str(error)) from error
+        try:
             listeners.append(Listener(where, enterprise, hear, tls))
-    except (config.ConfigError, OSError) as error:
-        raise click.UsageError(str(error)) from error
+        except OSError as error:
+            raise CannotListen(text, str(error)) from error
     click.echo(f"collecting at {' '.join(addresses)}", err=True)
     end.wait()
     for listener in listeners:
@@ -189,7 +196,7 @@
             yield from read_file(path, self._enterprise)
         except FlowError as error:
             self._faulty += 1
-            click.echo(f"{path}: {error}", err=True)
+            tell(error, f"{path}: ")
 
 
 class Printer:
@@ -227,7 +234,7 @@
             from rich.console import Console
             from rich.table import Table
         except ImportError as error:
-            raise click.ClickException("tables need the package rich (extra `tools`)") from error
+            raise MissingPackage("tools", error) from error
         console = Console(width=None if sys.stdout.isatty() else WIDE)
         by_columns: dict[tuple[str, ...], Table] = {}
         for row in self._rows:
--- a/spoolbarrow/cli/lab.py
+++ b/spoolbarrow/cli/lab.py
@@ -9,7 +9,9 @@
 import click
 import orjson
 
-from spoolbarrow.lab.scenario import Scenario, ScenarioError, change, convert, load_raw
+from spoolbarrow.cli.faults import CannotPlay, Faulty, NoResults
+from spoolbarrow.errors import MissingPackage
+from spoolbarrow.lab.scenario import Scenario, change, convert, load_raw
 
 SCENARIO = click.argument("scenario", type=click.Path(path_type=Path, exists=True, dir_okay=False))
 SETS = click.option("--set", "sets", multiple=True, metavar="KEY=VALUE", help="As `engines=100`.")
@@ -22,16 +24,13 @@
 
 def read(path: Path, sets: tuple[str, ...]) -> Scenario:
     """The scenario of a file with changes; a faulty one ends the command with status 2."""
-    try:
-        raw = load_raw(path)
-        for one in sets:
-            key, equals, text = one.partition("=")
-            if not equals:
-                raise ScenarioError(f"--set {one}: wants KEY=VALUE")
-            change(raw, key, value_of(text))
-        return convert(raw)
-    except ScenarioError as error:
-        raise click.UsageError(str(error)) from error
+    raw = load_raw(path)
+    for one in sets:
+        key, equals, text = one.partition("=")
+        if not equals:
+            raise Faulty(f"--set {one}", "wants KEY=VALUE")
+        change(raw, key, value_of(text))
+    return convert(raw)
 
 
 def value_of(text: str) -> Any:
@@ -57,7 +56,7 @@
     from spoolbarrow.lab.simulate import simulate as play
 
     if policy not in POLICIES:
-        raise click.UsageError(f"--policy: one of {', '.join(POLICIES)}")
+        raise Faulty("--policy", f"one of {', '.join(POLICIES)}")
     report = play(read(scenario, sets), policy, seed)
     tell(report, as_json)
     return 1 if report["rules_broken"] else 0
@@ -94,13 +93,13 @@
         try:
             from spoolbarrow.lab import sockets
         except ImportError as error:
-            raise needs(error) from error
+            raise MissingPackage("lab", error) from error
         if keep is not None:
             keep.mkdir(parents=True, exist_ok=True)
         try:
             report = sockets.play(day, seed, processes, progress, keep)
         except OSError as error:
-            raise click.ClickException(str(error)) from error
+            raise CannotPlay("", str(error)) from error
     tell(report, as_json)
     return 1 if report["rules_broken"] else 0
 
@@ -130,7 +129,7 @@
     try:
         running = Emulator(read(scenario, sets), seed, processes, port, engine_port)
     except OSError as error:
-        raise click.ClickException(str(error)) from error
+        raise CannotPlay("", str(error)) from error
     with running as fleet:
         for n, address in enumerate(fleet.listing.addresses):
             click.echo(f"router {n}: discovery at {address}")
@@ -163,23 +162,23 @@
     """
     import time
 
-    from spoolbarrow.config import ConfigError, address
+    from spoolbarrow.config import address
     from spoolbarrow.lab.account import account, to_csv
 
     try:
         from spoolbarrow.lab.load import Load
     except ImportError as error:
-        raise needs(error) from error
+        raise MissingPackage("lab", error) from error
 
     day = read(scenario, sets)
+    where = [address("IP:PORT", one) for one in targets]
     try:
-        where = [address("IP:PORT", one) for one in targets]
-    except ConfigError as error:
-        raise click.UsageError(str(error)) from error
-    with Load(day, seed, where, processes, token_bytes) as running:
-        running.begin(time.monotonic() + 0.1)
-        progress(running)
-        records, figures = running.wait()
+        with Load(day, seed, where, processes, token_bytes) as running:
+            running.begin(time.monotonic() + 0.1)
+            progress(running)
+            records, figures = running.wait()
+    except OSError as error:
+        raise CannotPlay("", str(error)) from error
     report = account(day, records, []) | {"load": figures, "seed": seed}
     if table is not None:
         table.write_text(to_csv(day, records))
@@ -208,11 +207,6 @@
                 live.update(table(), refresh=True)
 
 
-def needs(error: ImportError) -> click.ClickException:
-    """What a command without its packages says."""
-    return click.ClickException(f"needs the packages of the extra `lab`: {error}")
-
-
 @command.command()
 @click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
 @click.option(
@@ -228,18 +222,15 @@
 
         from spoolbarrow.lab import experiment as lab
     except ImportError as error:
-        raise needs(error) from error
-    try:
-        found = lab.read(file)
-        with Progress(transient=True) as bar:
-            task = bar.add_task(found.name)
-            place = into or file.parent / found.name
-            played = lab.play(
-                found, file.parent, place, workers or os.cpu_count() or 1,
-                lambda done, of: bar.update(task, completed=done, total=of),
-            )  # fmt: skip
-    except ScenarioError as error:
-        raise click.UsageError(str(error)) from error
+        raise MissingPackage("lab", error) from error
+    found = lab.read(file)
+    with Progress(transient=True) as bar:
+        task = bar.add_task(found.name)
+        place = into or file.parent / found.name
+        played = lab.play(
+            found, file.parent, place, workers or os.cpu_count() or 1,
+            lambda done, of: bar.update(task, completed=done, total=of),
+        )  # fmt: skip
     click.echo(f"{played} runs played; the table is {place / lab.TABLE}")
     return 0
 
@@ -258,13 +249,10 @@
     try:
         from spoolbarrow.lab.compare import compare as hold
     except ImportError as error:
-        raise needs(error) from error
+        raise MissingPackage("lab", error) from error
     worse = False
     for figure in figures:
-        try:
-            found = hold(a, b, figure)
-        except ScenarioError as error:
-            raise click.UsageError(str(error)) from error
+        found = hold(a, b, figure)
         interval = f"{found.difference:+.4f} (95%: {found.low:+.4f} to {found.high:+.4f})"
         click.echo(
             f"{figure}: {found.of_a:.4f}, {found.of_b:.4f}: {interval}, {found.pairs} pairs: {found.verdict}"
@@ -282,10 +270,10 @@
         from spoolbarrow.lab import charts
         from spoolbarrow.lab.experiment import Table
     except ImportError as error:
-        raise needs(error) from error
+        raise MissingPackage("lab", error) from error
     rows = Table(directory).rows()
     if not rows:
-        raise click.ClickException(f"{directory}: no results")
+        raise NoResults(str(directory), "no results")
     for path in charts.write(rows, into or directory, directory.name):
         click.echo(path)
     return 0
--- a/spoolbarrow/cli/shadow.py
+++ b/spoolbarrow/cli/shadow.py
@@ -9,6 +9,8 @@
 import click
 import orjson
 
+from spoolbarrow.errors import MissingPackage
+
 PATHS = click.argument("spools", nargs=-1, required=True, type=click.Path(path_type=Path, exists=True))
 STATUS = {"promote": 0, "hold": 1, "not enough pairs": 3}
 
@@ -41,7 +43,7 @@
         from spoolbarrow.shadow import compare
         from spoolbarrow.shadow.page import to_csv, to_html
     except ImportError as error:
-        raise click.ClickException(f"needs the packages of the extra `lab`: {error}") from error
+        raise MissingPackage("lab", error) from error
     pairs = read(spools)
     missed: Counter[str] = Counter()
     for log in logs:
--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -18,16 +18,43 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow import wire
+from spoolbarrow.errors import Problem
 
 Address = tuple[str, int]
 MISSING = "Object missing required field "  # msgspec's words
 CONTROL = "NODE_CONTROL"  # the same as the key `control`, which goes before it
 INHERITED = "NODE_INHERITED_FD"  # the number of a listening socket that was passed on at the start
+NAME_A_FILE = "Have NODE_CONFIG (or `--config`) name a file that this user can read."
 MIN_SOCKETS = 64  # below this the fixed needs leave nothing for clients
 
 
-class ConfigError(ValueError):
-    """A configuration that can't be used; its text begins with the faulty key."""
+class ConfigError(Problem, ValueError):
+    """A configuration can't be used."""
+
+    status = 2
+    where = "the faulty key, or the variable or flag that names the file"
+    remedy = "Put the key that is named right: README.md and docs/operators/ have what it takes."
+
+
+class CannotListen(ConfigError):
+    """An address can't be listened on."""
+
+    where = "the key or flag that names the address"
+    remedy = "End what holds the address (`ss -ltnp` tells who), or name a free one of this machine."
+
+
+class CannotWrite(ConfigError):
+    """A directory that is to be written to can't be."""
+
+    where = "the key that names the directory"
+    remedy = "Make the directory and let this user write there."
+
+
+class NeedsPackage(ConfigError):
+    """Something is switched on whose package is not installed."""
+
+    where = "the key that switches it on"
+    remedy = "Install the package that is named, or remove the key."
 
 
 class ListEntry(Struct):
@@ -177,8 +204,10 @@
         names = msgspec.convert({"settings": file.settings}, _Outer).settings
     except (msgspec.DecodeError, wire.WireError) as error:
         raise ConfigError(_place(str(error))) from error
+    except i.SettingsError as error:
+        raise ConfigError("settings", str(error), error.remedy) from error
     except ValueError as error:
-        raise ConfigError(f"settings: {error}") from error
+        raise ConfigError("settings", str(error)) from error
     _positive("limits", file.limits)
     _positive("options", file.options)
     _positive("settings.Limits", names.Limits)
@@ -231,11 +260,11 @@
     """The text of the file that the environment names; ConfigError where there is none."""
     path = environment.get("NODE_CONFIG")
     if not path:
-        raise ConfigError("NODE_CONFIG: not set")
+        raise ConfigError("NODE_CONFIG: not set", remedy=NAME_A_FILE)
     try:
         return Path(path).read_bytes()
     except OSError as error:
-        raise ConfigError(f"NODE_CONFIG: {path}: {error.strerror}") from error
+        raise ConfigError(f"NODE_CONFIG: {path}: {error.strerror}", remedy=NAME_A_FILE) from error
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
@@ -246,25 +275,25 @@
     return config
 
 
-def find_faults(raw: Any, wanted: Any, place: str = "") -> list[str]:
-    """Every fault of decoded values against a Struct, each beginning with its key."""
+def find_faults(raw: Any, wanted: Any, place: str = "") -> list[ConfigError]:
+    """Every fault of decoded values against a Struct, each with its key."""
     table = _table_of(wanted)
     if table is None or not isinstance(raw, dict):
         try:
             msgspec.convert(raw, wanted)
         except msgspec.ValidationError as error:
             text, _, inner = str(error).partition(" - at `$")
-            return [f"{place}{inner.rstrip('`')}: {text}"]
+            return [ConfigError(f"{place}{inner.rstrip('`')}", text)]
         return []
     strict = table.__struct_config__.forbid_unknown_fields
     fields = {field.name: field for field in msgspec.structs.fields(table)}
     way = f"{place}." if place else ""
-    faults = [f"{way}{name}: unknown key" for name in raw if strict and name not in fields]
+    faults = [ConfigError(way + name, "unknown key") for name in raw if strict and name not in fields]
     for name, field in fields.items():
         if name in raw:
             faults += find_faults(raw[name], field.type, way + name)
         elif field.required:
-            faults.append(f"{way}{name}: missing")
+            faults.append(ConfigError(way + name, "missing"))
     return faults
 
 
@@ -276,16 +305,16 @@
     return None
 
 
-def faults(text: bytes) -> list[str]:
+def faults(text: bytes) -> list[ConfigError]:
     """Every fault of a file's text that can be told apart; where its form holds, the first in its meaning."""
     try:
         raw = msgspec.json.decode(text)
     except msgspec.DecodeError as error:
-        return [f"NODE_CONFIG: {error}"]
+        return [ConfigError("NODE_CONFIG", str(error))]
     found = find_faults(raw, _File)
     if not found:
         try:
             parse(text)
         except ConfigError as error:
-            return [str(error)]
+            return [error]
     return found
--- a/spoolbarrow/door/calendar.py
+++ b/spoolbarrow/door/calendar.py
@@ -11,6 +11,8 @@
 from collections import OrderedDict
 from typing import Any, NamedTuple
 
+from spoolbarrow.door.faults import DoorError
+
 Key = Any
 LEARN = 0.02  # weight of one caller in the share that comes back
 LEAST_SHARE = 0.3  # assumed to come back at least: overbooking is bounded
@@ -28,7 +30,7 @@
 
     def __init__(self, slot_ms: float, horizon_ms: float, most: int, grace_ms: float) -> None:
         if slot_ms <= 0.0 or horizon_ms < slot_ms or most < 1 or grace_ms < 0.0:
-            raise ValueError("slots and horizon must be above 0, and hold one caller at least")
+            raise DoorError("", "slots and horizon must be above 0, and hold one caller at least")
         self.slot_ms, self.horizon_ms, self.most, self.grace_ms = slot_ms, horizon_ms, most, grace_ms
         self.rate = 0.0  # tokens a millisecond that can be promised
         self.booked: dict[int, float] = {}
--- a/spoolbarrow/door/clients.py
+++ b/spoolbarrow/door/clients.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 
+from spoolbarrow.door.faults import DoorError
+
 HALVE_AFTER = 64  # times the slots' number of work units counted: then all counts are halved
 
 
@@ -20,7 +22,7 @@
 
     def __init__(self, slots: int) -> None:
         if slots < 1:
-            raise ValueError("there must be a slot at least")
+            raise DoorError("", "there must be a slot at least")
         self.slots = slots
         self.counts: dict[int, float] = {}
         self.errors: dict[int, float] = {}  # how much of a count may be another's
@@ -71,7 +73,7 @@
 
     def __init__(self, slots: int = 256, rows: int = 4, width: int = 128) -> None:
         if not 1 <= rows <= 4 or not 1 <= width <= 65_536:
-            raise ValueError("rows must lie in 1 to 4, the width of each in 1 to 65536")
+            raise DoorError("", "rows must lie in 1 to 4, the width of each in 1 to 65536")
         self.heavy = Heavy(slots)
         self.rows, self.width = rows, width
 
--- a/spoolbarrow/door/retries.py
+++ b/spoolbarrow/door/retries.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from spoolbarrow.door.faults import DoorError
+
 LEAST_DEPTH = 3.0  # retries a quiet tenant may have at once
 
 
@@ -34,7 +36,7 @@
 
     def __init__(self, window_ms: float, most: int) -> None:
         if window_ms <= 0.0 or most < 2:
-            raise ValueError("the window must be above 0, and hold two requests at least")
+            raise DoorError("", "the window must be above 0, and hold two requests at least")
         self.window_ms, self.most = window_ms, most
         self.young: dict[int, float] = {}
         self.old: dict[int, float] = {}
--- a/spoolbarrow/door/shares.py
+++ b/spoolbarrow/door/shares.py
@@ -19,6 +19,8 @@
 from heapq import heappop, heappush
 from typing import Any
 
+from spoolbarrow.door.faults import DoorError
+
 Key = Any  # hashable
 
 
@@ -40,7 +42,7 @@
 
     def __init__(self, owed: float) -> None:
         if owed <= 0.0:
-            raise ValueError("what may be owed must be above 0")
+            raise DoorError("", "what may be owed must be above 0")
         self.owed = owed
         self.virtual = 0.0
         self.flows: dict[Key, Flow] = {}  # active ones: ahead of virtual time
@@ -120,7 +122,7 @@
     def configure(self, weights: dict[Key, float]) -> None:
         """Go by these weights; what was had stays had."""
         if not weights or any(weight <= 0.0 for weight in weights.values()):
-            raise ValueError("every tenant needs a weight above 0")
+            raise DoorError("", "every tenant needs a weight above 0")
         self.weights = dict(weights)
         self.least = min(weights.values())
 
--- a/spoolbarrow/flows/decode.py
+++ b/spoolbarrow/flows/decode.py
@@ -12,6 +12,7 @@
 from socket import inet_ntoa
 from typing import Any, NamedTuple
 
+from spoolbarrow.errors import Problem
 from spoolbarrow.flows.elements import BY_NUMBER, OWN, REVERSE, VARIABLE, Kind
 from spoolbarrow.flows.encode import (
     IPFIX,
@@ -31,11 +32,14 @@
 _PAIR = struct.Struct("!HH")
 
 
-class FlowError(ValueError):
-    """A message that is refused: where, and by which rule."""
+class FlowError(Problem, ValueError):
+    """A message of flow records is refused, by the rule that is named."""
+
+    where = "the octet, counted from the message's first"
+    remedy = "See that the file is whole and holds IPFIX or NetFlow v9 messages of this enterprise number."
 
     def __init__(self, offset: int, rule: str) -> None:
-        super().__init__(f"octet {offset}: {rule}")
+        super().__init__(f"octet {offset}", rule)
         self.offset, self.rule = offset, rule
 
 
--- a/spoolbarrow/flows/exporter.py
+++ b/spoolbarrow/flows/exporter.py
@@ -16,7 +16,7 @@
 import gevent
 
 from spoolbarrow import interface as i
-from spoolbarrow.config import Config, ConfigError
+from spoolbarrow.config import CannotWrite, Config, ConfigError, NeedsPackage
 from spoolbarrow.flows import encode, meter
 from spoolbarrow.flows.elements import (
     CONNECTION,
@@ -45,6 +45,12 @@
 _REASONS = {Why.ENDED: meter.FORCED}
 
 
+class BadCertificate(ConfigError):
+    """A certificate or key for flow collectors can't be used."""
+
+    remedy = "Have the key name a PEM file that this user can read, the certificate and the key of one pair."
+
+
 class Prepared:
     """Settings that were checked as far as that goes without using them: what `apply` can't fail on."""
 
@@ -54,9 +60,9 @@
         self.tls = _tls(table) if any(c.kind == "tls" for c in self.collectors) else None
         for collector in self.collectors:
             if collector.kind == "file" and not os.access(collector.directory, os.W_OK | os.X_OK):
-                raise ConfigError(f"flows.collectors: {collector}: no directory that can be written")
+                raise CannotWrite(f"flows.collectors: {collector}: no directory that can be written")
             if collector.kind == "file" and find_spec("zstandard") is None:
-                raise ConfigError(f"flows.collectors: {collector}: needs the package zstandard")
+                raise NeedsPackage(f"flows.collectors: {collector}: needs the package zstandard")
 
 
 def _tls(table: FlowsTable) -> ssl.SSLContext:
@@ -70,11 +76,11 @@
     try:
         context.load_verify_locations(told.ca)
     except (OSError, ssl.SSLError) as error:
-        raise ConfigError(f"flows.tls.ca: {told.ca}: {error}") from error
+        raise BadCertificate(f"flows.tls.ca: {told.ca}: {error}") from error
     try:
         context.load_cert_chain(told.certificate, told.key)
     except (OSError, ssl.SSLError) as error:
-        raise ConfigError(f"flows.tls.certificate: {told.certificate}, {told.key}: {error}") from error
+        raise BadCertificate(f"flows.tls.certificate: {told.certificate}, {told.key}: {error}") from error
     return context
 
 
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -21,6 +21,7 @@
 from msgspec.structs import replace
 
 from spoolbarrow.config import INHERITED, Config, ConfigError
+from spoolbarrow.errors import Problem
 from spoolbarrow.net.log import log, unexpected
 
 FOLDER = "spoolbarrow"
@@ -34,21 +35,35 @@
 MOST_FILES = 64  # looked at in the folder: there are never more than a few processes
 
 
+class Torn(Problem, ValueError):
+    """What an older process left, or a stream that it gives, can't be taken over."""
+
+    where = "`what` of the line `handover_failed`"
+    remedy = "Run both processes with the same name and version; what did not pass begins anew here."
+
+
+class NotInherited(ConfigError):
+    """What the process was started with is no listening TCP socket."""
+
+    where = INHERITED
+    remedy = f"Start it with the older process's listening socket, and have {INHERITED} name its descriptor."
+
+
 def inherited(environment: Mapping[str, str] = os.environ) -> socket.socket | None:
     """The listening socket that the environment names, if it does; ConfigError where it is none."""
     text = environment.get(INHERITED)
     if text is None:
         return None
     if not (text.isascii() and text.isdigit()):
-        raise ConfigError(f"{INHERITED}: {text!r} is not the number of a descriptor")
+        raise NotInherited(f"{INHERITED}: {text!r} is not the number of a descriptor")
     try:
         listener = socket.socket(fileno=int(text))
     except (OSError, OverflowError) as error:
-        raise ConfigError(f"{INHERITED}: {text} is no socket: {error}") from None
+        raise NotInherited(f"{INHERITED}: {text} is no socket: {error}") from None
     listens = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
     if not listens or (listener.family, listener.type) != (socket.AF_INET, socket.SOCK_STREAM):
         listener.detach()
-        raise ConfigError(f"{INHERITED}: {text} is no listening TCP socket")
+        raise NotInherited(f"{INHERITED}: {text} is no listening TCP socket")
     return listener
 
 
@@ -205,7 +220,7 @@
                     text, descriptors = _receive(giver)
                     try:
                         go = take(text, descriptors)
-                    except (ValueError, OSError) as error:
+                    except (Torn, OSError) as error:
                         log("handover_failed", what="stream", why=str(error))
                         giver.sendall(b"n")
                         continue
--- a/spoolbarrow/interface.py
+++ b/spoolbarrow/interface.py
@@ -9,6 +9,16 @@
 
 from msgspec import Struct
 
+from spoolbarrow.errors import Problem
+
+
+class SettingsError(Problem, ValueError):
+    """The platform's settings are impossible together."""
+
+    status = 2
+    where = "the settings at fault"
+    remedy = "Ask whoever writes the platform's configuration for settings within the bounds that are named."
+
 
 class Effect(Enum):
     """What repeating a request of a class would do."""
@@ -116,18 +126,20 @@
     def __post_init__(self) -> None:
         """Impossible settings are refused at start."""
         if not self.classes or any(c.aim_ms <= 0 or c.deadline_ms <= 0 or c.worth < 0 for c in self.classes):
-            raise ValueError("classes: at least one, each with positive aim and deadline, worth not negative")
+            raise SettingsError(
+                "classes: at least one, each with positive aim and deadline, worth not negative"
+            )
         if self.nodes < 1 or not 0 <= self.zone < self.zones or self.node < 0:
-            raise ValueError("nodes and zones must be at least 1, and zone one of them")
+            raise SettingsError("nodes and zones must be at least 1, and zone one of them")
         if self.max_attempts < 1 or self.max_open < 1:
-            raise ValueError("max_attempts and max_open must be at least 1")
+            raise SettingsError("max_attempts and max_open must be at least 1")
         cold = min(self.cold_ms, self.tip_after_ms, self.overload_factor)
         if not 0 < self.cold_from <= 1 or cold < 0:
-            raise ValueError("cold_from must lie in (0, 1], the other cold-start figures not be negative")
+            raise SettingsError("cold_from must lie in (0, 1], the other cold-start figures not be negative")
         if min(self.tick_ms, self.drain_grace_ms, self.max_retry_after_ms) < 0:
-            raise ValueError("tick, drain grace and longest retry-after must not be negative")
+            raise SettingsError("tick, drain grace and longest retry-after must not be negative")
         if any(t.quota_per_s < 0 or t.portion < 0 for t in self.tenants):
-            raise ValueError("quotas and portions of tenants must not be negative")
+            raise SettingsError("quotas and portions of tenants must not be negative")
 
 
 class Report(Struct, frozen=True):
--- a/spoolbarrow/lab/cluster.py
+++ b/spoolbarrow/lab/cluster.py
@@ -25,6 +25,7 @@
 from pathlib import Path
 from typing import IO, Any, NamedTuple
 
+from spoolbarrow.errors import Problem
 from spoolbarrow.net.http1 import Fault, RequestParser, ResponseParser
 
 HOST = "127.0.0.1"
@@ -171,6 +172,13 @@
 # The harness's side: in the process of a test or a benchmark
 
 
+class NotObeyed(Problem):
+    """A process of the lab answers a line with an error."""
+
+    where = "the line"
+    remedy = "See what the process takes, and whether it still runs."
+
+
 class Process:
     """A process of ours; its standard output and error are read as they come."""
 
@@ -206,14 +214,14 @@
         return self.said[0]
 
     def tell(self, line: str) -> str:
-        """A line to standard input; the next line of output. ValueError where it is not obeyed."""
+        """A line to standard input; the next line of output. NotObeyed where it is not obeyed."""
         assert self.popen.stdin is not None
         count = len(self.said)
         self.popen.stdin.write(line + "\n")
         self.popen.stdin.flush()
         self.wait_for(lambda: len(self.said) > count)
         if self.said[count].startswith("error"):
-            raise ValueError(f"{line}: {self.said[count]}")
+            raise NotObeyed(line, self.said[count])
         return self.said[count]
 
     def events(self, name: str) -> list[dict[str, Any]]:
--- a/spoolbarrow/lab/memory.py
+++ b/spoolbarrow/lab/memory.py
@@ -12,6 +12,8 @@
 from collections import OrderedDict
 from typing import Any
 
+from spoolbarrow.lab.scenario import ScenarioError
+
 Key = Any  # hashable: names a text
 
 
@@ -37,7 +39,7 @@
 
     def __init__(self, total: int) -> None:
         if total < 1:
-            raise ValueError("memory must hold at least one block")
+            raise ScenarioError("memory", "must hold at least one block")
         self.total = total
         self.held = 0  # blocks that running requests use
         self.size = 0  # blocks in all runs
--- a/spoolbarrow/lab/scenario.py
+++ b/spoolbarrow/lab/scenario.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import Struct
 
+from spoolbarrow.errors import Problem
 from spoolbarrow.interface import Effect, RequestClass, Settings, Tenant
 from spoolbarrow.lab import kinds
 from spoolbarrow.lab.kinds import Kind, Range
@@ -22,8 +23,12 @@
 TROUBLES: tuple[Name, ...] = get_args(Name)
 
 
-class ScenarioError(ValueError):
-    """A scenario that cannot be played; its text names the key."""
+class ScenarioError(Problem, ValueError):
+    """A scenario, experiment or comparison of the lab can't be played."""
+
+    status = 2
+    where = "the file or the key"
+    remedy = "Put right what is named; docs/operators/lab.md tells what a scenario holds."
 
 
 class ClassShape(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/spoolbarrow/net/agreement.py
+++ b/spoolbarrow/net/agreement.py
@@ -13,11 +13,10 @@
 
 from spoolbarrow.agree import Item, Ledger, digest, files
 from spoolbarrow.config import Config, ConfigError
+from spoolbarrow.errors import Problem
 from spoolbarrow.net.log import log, unexpected
 
 if TYPE_CHECKING:
-    from spoolbarrow.net.host import Host
-    from spoolbarrow.net.inbound import Inbound
     from spoolbarrow.operator import Operator
 
 OWN = ("node", "zone")  # of the settings: each router's own
@@ -45,27 +44,70 @@
         """The digests of what they say and their revision; ConfigError where they can't be acted on."""
         ...
 
-    def reload(self, wanted: str = "") -> str:
+    def reload(self, wanted: str = "") -> Problem | None:
         """Act on them, where they have this digest or any will do; else why not."""
         ...
 
 
+class Destinations(Protocol):
+    """What is known of the list and of operators' words on it."""
+
+    def listing(self) -> object:
+        """Another object than before once anything of it has changed."""
+        ...
+
+    def seen(self) -> tuple[int, object]:
+        """The list's index, and its lines."""
+        ...
+
+    def all_suspended(self) -> object:
+        """The names that operators suspended."""
+        ...
+
+
+class Surroundings(Protocol):
+    """What is acted on besides the files."""
+
+    config: Config
+
+    @property
+    def destinations(self) -> Destinations:
+        """The list."""
+        ...
+
+    def now(self) -> float:
+        """The clock, Unix ms."""
+        ...
+
+
+class Gate(Protocol):
+    """Where clients come in."""
+
+    sent_away: bool  # by hand
+
+
+class Outdated(ConfigError):
+    """Files would give a revision two meanings, or go back to an older one."""
+
+    where = "agree.revision"
+    remedy = "Raise `agree.revision` with each change, also where old contents come back."
+
+
 class Agreement:
     """The ledger of one process, looked at each period."""
 
-    def __init__(self, host: Host, inbound: Inbound, operator: Operator, files: Files) -> None:
-        self._host, self._inbound, self._files = host, inbound, files
+    def __init__(self, host: Surroundings, gate: Gate, operator: Operator, files: Files) -> None:
+        self._host, self._gate, self._files = host, gate, files
         self.ledger = Ledger()
         self._listing: object = None
         self.apply(host.config, operator)
         self._loop = gevent.spawn(self._run)
-        host.agreement = self
 
     def refuse(self, config: Config, operator: Operator) -> None:
-        """ConfigError, naming the key, where these files must not be acted on after those that are."""
+        """Outdated where these files must not be acted on after those that are."""
         assert operator.agree is not None
         if why := self.ledger.refused(operator.agree.revision, of_files(config, operator)):
-            raise ConfigError(why)
+            raise Outdated(why)
 
     def apply(self, config: Config, operator: Operator) -> None:
         """These files are acted on from now on."""
@@ -77,7 +119,6 @@
     def stop(self) -> None:
         """Look no more."""
         self._loop.kill(block=False)
-        self._host.agreement = None
 
     def check(self) -> dict[str, Any]:
         """What would be acted on with the files as they are now; ConfigError, and nothing is changed."""
@@ -87,9 +128,9 @@
                 "files": files(contents)}
 
     def adopt(self, wanted: str) -> None:
-        """Act on the files as they are now, where their digest is this one; ConfigError where that fails."""
-        if why := self._files.reload(wanted):
-            raise ConfigError(why)
+        """Act on the files as they are now, where their digest is this one; a Problem where that fails."""
+        if problem := self._files.reload(wanted):
+            raise problem
 
     def look(self) -> None:
         """Note what has changed of the list and of operators' words."""
@@ -99,7 +140,7 @@
             index, lines = destinations.seen()
             self._note(Item.LIST, index, digest(lines))
             self._note(Item.SUSPENSIONS, 0, digest(destinations.all_suspended()))
-        self._note(Item.DRAIN, 0, digest(self._inbound.sent_away))
+        self._note(Item.DRAIN, 0, digest(self._gate.sent_away))
 
     def tell(self) -> dict[str, Any]:
         """Every version as it is now, for an operator."""
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -14,6 +14,7 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
+from spoolbarrow.errors import Problem
 from spoolbarrow.net import http1
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import STATES
@@ -24,9 +25,12 @@
 _decoder = msgspec.json.Decoder(HostList)
 
 
-class NoRoom(Exception):
+class NoRoom(Problem):
     """As many endpoints are suspended as can be."""
 
+    where = "none"
+    remedy = "Resume suspended engines that are gone, by `POST /v1/engines/ID/resume`."
+
 
 class DestinationSet:
     """Addresses and states by name; `tell` hears each piece of news as the decisions' event."""
@@ -178,7 +182,7 @@
         if name in self._suspended:
             return
         if len(self._suspended) >= MOST_SUSPENDED:
-            raise NoRoom(f"{MOST_SUSPENDED} endpoints are suspended: resume one that is gone")
+            raise NoRoom("", f"{MOST_SUSPENDED} endpoints are suspended: resume one that is gone")
         self._suspended.add(name)
         self._listing = None
         self._serving.discard(name)
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 import gevent
 from gevent.event import Event
@@ -27,9 +27,6 @@
 from spoolbarrow.net.taps import Taps
 from spoolbarrow.router import Router
 
-if TYPE_CHECKING:
-    from spoolbarrow.net.agreement import Agreement
-
 OVERDUE_TICKS = 2.0  # past its deadline: a request that the decisions then leave open is answered by the host
 
 
@@ -76,7 +73,6 @@
         self.config = config
         self.now = Clock()
         self.taps = Taps()
-        self.agreement: Agreement | None = None  # where versions are told; operators ask for it
         self.destinations = DestinationSet(config, self._post, self._endpoint_left, self.now)
         self._endpoints = Endpoints(config, self.destinations, self)
         self._router = Router(config.settings, config.seed)
--- a/spoolbarrow/net/log.py
+++ b/spoolbarrow/net/log.py
@@ -20,6 +20,9 @@
 import orjson
 from gevent.event import Event
 
+from spoolbarrow.errors import Problem
+from spoolbarrow.net.troubles import TROUBLES
+
 STDERR = 2
 AT_ONCE = 4096  # bytes in one write: what poll says is writable takes PIPE_BUF without blocking (POSIX)
 RETRY_S = 0.05  # between looks at a reader that takes nothing
@@ -27,27 +30,6 @@
 FLUSH_S = 0.2  # at the end, a reader that takes nothing is waited for so long
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
-# What is not plain news; every other event is `info`.
-EVENT_LEVELS = {
-    "bad_config": "error",
-    "reload_failed": "error",
-    "unexpected": "error",
-    "overdue": "error",
-    "bad_entry": "warning",
-    "watch_broken": "warning",
-    "not_sent": "warning",
-    "reset": "warning",
-    "endpoint_error": "warning",
-    "unreadable": "warning",
-    "unasked": "warning",
-    "no_room": "warning",
-    "accept_paused": "warning",
-    "client_stalled": "warning",
-    "log_dropped": "warning",
-    "handover_failed": "warning",
-    "word_lost": "warning",
-    "control_paused": "warning",
-}
 
 
 class Log:
@@ -71,9 +53,12 @@
 
     def write(self, event: str, fields: Mapping[str, object]) -> None:
         """Take one event, if it is of the level that is wanted; never waits once started."""
-        level = EVENT_LEVELS.get(event, "info")
+        trouble = TROUBLES.get(event)
+        level = "info" if trouble is None else trouble.level
         if LEVELS[level] < self.threshold:
             return
+        if trouble is not None and trouble.tells and "remedy" not in fields:
+            fields = {**fields, "remedy": trouble.remedy}
         line = self._line(event, level, fields)
         if self._writer is None:
             with suppress(OSError):  # a log nobody can read must not end the requests under way
@@ -166,6 +151,11 @@
     standard.write(event, fields)
 
 
+def refused(event: str, error: Problem, **fields: object) -> None:
+    """Write an event with the error behind it and what can be done about that."""
+    standard.write(event, {"error": str(error), **fields, "remedy": error.remedy})
+
+
 def unexpected(where: str, error: BaseException) -> None:
     """Write an exception that nothing foresaw, with the place it came from."""
     trace = traceback.format_exception(error)
--- a/spoolbarrow/net/passing.py
+++ b/spoolbarrow/net/passing.py
@@ -13,6 +13,7 @@
 from gevent import socket
 from msgspec import Struct
 
+from spoolbarrow.handover import Torn
 from spoolbarrow.net.endpoint import Underway
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Client, Exchange, Inbound
@@ -44,10 +45,13 @@
 
 
 def read(text: bytes) -> Stream:
-    """The stream in a message; ValueError where it is torn or of another version."""
-    stream = msgspec.json.decode(text, type=Stream)
+    """The stream in a message; Torn where it is torn or of another version."""
+    try:
+        stream = msgspec.json.decode(text, type=Stream)
+    except msgspec.DecodeError as error:
+        raise Torn("", str(error)) from error
     if stream.v != VERSION:
-        raise ValueError(f"version {stream.v}")
+        raise Torn("", f"version {stream.v}")
     return stream
 
 
@@ -94,7 +98,7 @@
 
 
 def take(host: Host, inbound: Inbound, text: bytes, descriptors: Sequence[int]) -> Callable[[], None]:
-    """Take a stream up; what is returned sets it going. ValueError or OSError: it is not taken.
+    """Take a stream up; what is returned sets it going. Torn or OSError: it is not taken.
 
     The descriptors are this process's either way.
     """
@@ -102,10 +106,12 @@
     if text == IDLE and len(socks) == 1:
         return inbound.take_idle(socks[0]).go_on
     try:
-        client, engine = socks  # ValueError where there are not two
+        if len(socks) != 2:
+            raise Torn("", f"{len(socks)} descriptors")
+        client, engine = socks
         stream = read(text)
         if host.is_open(stream.id):
-            raise ValueError("a request of this name is open")
+            raise Torn("", "a request of this name is open")
         client.getpeername()
         engine.getpeername()
     except BaseException:
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -26,6 +26,8 @@
     "SPOOLBARROW_LOG_FORMAT": ("log", "format"),
     "SPOOLBARROW_FLOWS_COLLECTORS": ("flows", "collectors"),  # separated by blanks
 }
+NAME_A_FILE = f"Have {VARIABLE} (or `--operator`) name a file that this user can read."
+WRITE_TOML = "Put the line that is named right: the file is TOML, as deploy/operator.toml."
 LISTS = frozenset({("flows", "collectors")})
 
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -235,15 +237,15 @@
     return found
 
 
-def zone_faults(table: FailoverTable, zones: Collection[str]) -> list[str]:
+def zone_faults(table: FailoverTable, zones: Collection[str]) -> list[ConfigError]:
     """What `[failover]` names that the platform's settings do not have: one fault a zone, with its key."""
     return [
-        f"failover.regions.{region}: {zone} is no zone of the settings"
+        ConfigError(f"failover.regions.{region}", f"{zone} is no zone of the settings")
         for region, members in table.regions.items() for zone in members if zone not in zones
     ]
 
 
-def read(environment: Mapping[str, str] = os.environ) -> tuple[Operator, list[str]]:
+def read(environment: Mapping[str, str] = os.environ) -> tuple[Operator, list[ConfigError]]:
     """The operator's settings and all faults in them; with a fault, the settings are the defaults."""
     raw: dict[str, Any] = {}
     path = environment.get(VARIABLE)
@@ -251,9 +253,9 @@
         try:
             raw = tomllib.loads(Path(path).read_text("utf-8"))
         except OSError as error:
-            return Operator(), [f"{VARIABLE}: {path}: {error.strerror}"]
+            return Operator(), [ConfigError(VARIABLE, f"{path}: {error.strerror}", NAME_A_FILE)]
         except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-            return Operator(), [f"{VARIABLE}: {path}: {error}"]
+            return Operator(), [ConfigError(VARIABLE, f"{path}: {error}", WRITE_TOML)]
     for variable, (table, key) in ENVIRONMENT.items():
         if (told := environment.get(variable)) is not None:
             inner = raw.setdefault(table, {})
@@ -269,15 +271,17 @@
         if operator.failover is not None and operator.failover.hold_most_ms < operator.failover.hold_ms:
             raise ConfigError("failover.hold_most_ms: less than failover.hold_ms")
     except ConfigError as error:
-        return Operator(), [str(error)]
+        return Operator(), [error]
     return operator, []
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Operator:
     """The operator's settings; ConfigError where they can't be used."""
     operator, faults = read(environment)
+    if len(faults) > 1:
+        raise ConfigError("; ".join(map(str, faults)))
     if faults:
-        raise ConfigError("; ".join(faults))
+        raise faults[0]
     return operator
 
 
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -15,9 +15,10 @@
 from gevent.event import Event
 
 from spoolbarrow import config
+from spoolbarrow.errors import Problem
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
-from spoolbarrow.net.log import log, standard
+from spoolbarrow.net.log import log, refused, standard
 
 if TYPE_CHECKING:
     from spoolbarrow.admin.operations import Operations
@@ -40,6 +41,18 @@
 OPERATOR = "SPOOLBARROW_"  # what begins so in the environment is the operator's
 
 
+class Draining(Problem):
+    """Files are to be adopted by a router that is ending."""
+
+    remedy = "Say it to the process that takes its place, which reads the files as they are when it starts."
+
+
+class FilesChanged(config.ConfigError):
+    """Files are to be adopted that have changed since they were checked."""
+
+    remedy = "Say `spoolbarrow agree apply` again once the files are as they are meant to be."
+
+
 def operators() -> Operator | None:
     """The operator's settings, where there are any; ConfigError where they can't be used."""
     if not any(name.startswith(OPERATOR) for name in os.environ):
@@ -70,13 +83,13 @@
         if operator is not None and operator.shadow is not None:
             for package in ("xxhash", "zstandard"):
                 if find_spec(package) is None:
-                    raise config.ConfigError(f"shadow: needs the package {package} (extra `shadow`)")
+                    raise config.NeedsPackage("shadow", f"needs the package {package} (extra `shadow`)")
             from spoolbarrow.shadow import copier
 
             shadow = copier.Prepared(operator.shadow, settings)
         if operator is not None and operator.door is not None:
             if find_spec("xxhash") is None:
-                raise config.ConfigError("door: needs the package xxhash (extra `door`)")
+                raise config.NeedsPackage("door", "needs the package xxhash (extra `door`)")
             from spoolbarrow.door import keeper
 
             door = keeper.Prepared(operator.door, settings)
@@ -85,7 +98,7 @@
             from spoolbarrow.operator import zone_faults
 
             if faults := zone_faults(failover, settings.zones):
-                raise config.ConfigError(faults[0])
+                raise faults[0]
         if operator is not None and operator.agree is not None and self._agreement is not None:
             self._agreement.refuse(settings, operator)
         return flows, shadow, door, failover
@@ -137,6 +150,8 @@
             from spoolbarrow.net.agreement import Agreement
 
             self._agreement = Agreement(self._host, self._inbound, operator, self)
+        if self._operations is not None:
+            self._operations.agreement = self._agreement
 
     @property
     def failover(self) -> ZoneWatch | None:
@@ -159,17 +174,18 @@
         from spoolbarrow.net.agreement import of_files
 
         if operator is None or operator.agree is None:
-            raise config.ConfigError("agree: missing")
+            remedy = "Keep the table `[agree]` in the operator's file."
+            raise config.ConfigError("agree", "missing", remedy)
         return of_files(settings, operator), operator.agree.revision
 
-    def reload(self, wanted: str = "") -> str:
+    def reload(self, wanted: str = "") -> Problem | None:
         """Go by the configuration files as they are now, where they have the digest `wanted` or any will do.
 
         A faulty or late one changes nothing: why is logged and returned.
         """
         if self._inbound.draining:
             log("reload_ignored", why="draining")
-            return "draining"
+            return Draining("", "draining")
         operations = self._operations
         try:
             read, settings, operator, prepared = self._read()
@@ -177,22 +193,23 @@
                 from spoolbarrow.agree import files
 
                 if files(self._contents(settings, operator)[0]) != wanted:
-                    raise config.ConfigError("agree: the files are not what was checked")
+                    raise FilesChanged("agree: the files are not what was checked")
             calls = None if operations is None else operations.prepare(read)
             try:
                 self._inbound.apply(settings)  # the last that can fail
-            except OSError:
+            except OSError as error:
                 if calls is not None:
                     calls.close()
-                raise
-        except (config.ConfigError, OSError) as error:
-            log("reload_failed", error=str(error))
-            return str(error)
+                raise config.CannotListen("listen", str(error)) from error
+        except config.ConfigError as error:
+            refused("reload_failed", error)
+            return error
         if operations is not None:
             operations.apply(read, calls)
         self._host.apply(settings)
         self.apply(operator, prepared)
         log("reloaded", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
+        return None
         return ""
 
     def drain(self) -> None:
@@ -245,8 +262,8 @@
             operations = Operations(settings)
             settings = operations.fit(settings)
     except config.ConfigError as error:
-        log("bad_config", error=str(error))
-        return 2
+        refused("bad_config", error)
+        return error.status
     told_to_end = Event()
     gevent.signal_handler(signal.SIGTERM, told_to_end.set)
     gevent.signal_handler(signal.SIGINT, told_to_end.set)
@@ -256,21 +273,23 @@
     try:
         subsystems.apply(operator, subsystems.prepare(operator, settings))
     except config.ConfigError as error:
-        log("bad_config", error=str(error))
-        return 2
+        refused("bad_config", error)
+        return error.status
     # Before it listens: what sends SIGHUP may know of no other sign that the program is up.
     gevent.signal_handler(signal.SIGHUP, subsystems.reload)
     try:
-        if operations is None:
-            inbound.start()
-            host.start()
-        else:
-            inbound.start(operations.inherited, operations.alone())
-            operations.start(host, inbound)
-    except OSError as error:
-        text = str(error)
-        log("bad_config", error=text if text.startswith("control: ") else f"listen: {text}")
-        return 2
+        try:
+            if operations is None:
+                inbound.start()
+                host.start()
+            else:
+                inbound.start(operations.inherited, operations.alone())
+                operations.start(host, inbound)
+        except OSError as error:
+            raise config.CannotListen("listen", str(error)) from error
+    except config.CannotListen as error:
+        refused("bad_config", error)
+        return error.status
     standard.start()
     gc.freeze()  # what is loaded by now lives as long as the process
     log("started", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -20,7 +20,7 @@
 from gevent.socket import socket
 
 from spoolbarrow import interface as i
-from spoolbarrow.config import Address, Config, ConfigError, address
+from spoolbarrow.config import Address, CannotWrite, Config, ConfigError, address
 from spoolbarrow.net import http1
 from spoolbarrow.net.endpoint import LOAD, NOT_RUN, STREAM, parse_load
 from spoolbarrow.net.host import Host
@@ -60,7 +60,7 @@
         if table.in_flight > config.max_outbound // DESCRIPTORS_SHARE:
             raise ConfigError(f"shadow.in_flight: more than {config.max_outbound // DESCRIPTORS_SHARE} here")
         if table.directory and not os.access(table.directory, os.W_OK | os.X_OK):
-            raise ConfigError(f"shadow.directory: {table.directory}: no directory that can be written")
+            raise CannotWrite(f"shadow.directory: {table.directory}: no directory that can be written")
         if not (table.candidates or table.candidate_type or table.candidate_group >= 0):
             raise ConfigError("shadow.candidates: none, and no shadow.candidate_type or candidate_group")
 
--- a/spoolbarrow/store/disk.py
+++ b/spoolbarrow/store/disk.py
@@ -10,6 +10,7 @@
 import sqlite3
 from pathlib import Path
 
+from spoolbarrow.errors import Problem
 from spoolbarrow.store.raft import Entry, Hard, Ready, Saved, Snapshot
 
 APPLICATION = 0x5B_A9_20_77  # marks files of this program
@@ -21,8 +22,27 @@
 """
 
 
-class DiskError(Exception):
-    """The file can't be used, or not any more: what was saved before stays as it is."""
+class DiskError(Problem):
+    """A store member's file can't be used, or not any more: what was saved before stays as it is."""
+
+    status = 2
+    where = "the file"
+    remedy = "Make room for the file and let this user write it, then start the member again."
+
+
+class DiskDamaged(DiskError):
+    """A store member's file is damaged, or can't be opened."""
+
+    remedy = (
+        "Restore it from a backup, or move it away and start the member anew, as docs/operators/store.md says"
+        " for a member that is lost."
+    )
+
+
+class DiskForeign(DiskError):
+    """A store member's file is of another program or version."""
+
+    remedy = "Name the directory of this member's file, or run the version of the program that wrote it."
 
 
 class Disk:
@@ -40,7 +60,7 @@
             else:
                 self._check()
         except sqlite3.Error as error:
-            raise DiskError(f"{path}: {error}; restore it from a backup, or begin {name} anew") from error
+            raise DiskDamaged(f"{path}: {error}; restore it from a backup, or begin {name} anew") from error
 
     def _begin(self) -> None:
         self._file.executescript(
@@ -51,12 +71,12 @@
         mark = self._file.execute("pragma application_id").fetchone()[0]
         version = self._file.execute("pragma user_version").fetchone()[0]
         if mark != APPLICATION:
-            raise DiskError(f"{self.path}: not a file of this program")
+            raise DiskForeign(f"{self.path}: not a file of this program")
         if version != VERSION:
-            raise DiskError(f"{self.path}: version {version}, this program reads {VERSION}")
+            raise DiskForeign(f"{self.path}: version {version}, this program reads {VERSION}")
         found = self._file.execute("pragma integrity_check(1)").fetchone()[0]
         if found != "ok":
-            raise DiskError(f"{self.path}: damaged: {found}; restore it from a backup")
+            raise DiskDamaged(f"{self.path}: damaged: {found}; restore it from a backup")
 
     def load(self) -> Saved:
         """What a member begins from."""
--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -29,9 +29,10 @@
 from gevent import socket
 from gevent.event import AsyncResult, Event
 
-from spoolbarrow.config import Address
+from spoolbarrow.config import Address, CannotListen
 from spoolbarrow.net import http1
 from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.store import faults as f
 from spoolbarrow.store import state as s
 from spoolbarrow.store.disk import Disk, DiskError
 from spoolbarrow.store.raft import Append, Appended, Ask, Install, Raft, Ready, Settings, Vote
@@ -50,7 +51,7 @@
 
 
 class Member:
-    """A running member; DiskError where its file can't be used, OSError where it can't listen."""
+    """A running member; DiskError or LogError where its file can't be used, CannotListen."""
 
     def __init__(
         self, name: str, members: Mapping[str, Address], listen: Address, control: Address, path: Path,
@@ -70,7 +71,7 @@
         self._wake: dict[str, Event] = {}
         self.dropped = 0  # messages to members that took none
         self.fault = ""  # of the disk
-        self._listeners = [http1.listen(listen, 64), http1.listen(control, 64)]
+        self._listeners = [_listen("--listen", listen), _listen("--control", control)]
         self._peers: set[Any] = set()
         self._callers: set[Any] = set()
         for other, address in members.items():
@@ -100,7 +101,7 @@
             self._disk.save(ready)
         except DiskError as error:
             self.fault = str(error)
-            log("store_disk", member=self.name, why=self.fault)
+            log("store_disk", member=self.name, why=self.fault, remedy=error.remedy)
             for waiting in self._waiting.values():
                 waiting.set(s.Outcome(0, "unknown: the disk failed"))
             return
@@ -187,53 +188,55 @@
                 if not data:
                     return
                 parser.feed(memoryview(data))
-        if parser.whole:
-            status, told = self._answer(parser.whole.popleft())
-        else:
-            assert parser.fault is not None
-            status, told = parser.fault.status, {"error": str(parser.fault)}
+        try:
+            if not parser.whole:
+                assert parser.fault is not None
+                raise f.BadCall("", str(parser.fault))
+            status, told = 200, self._answer(parser.whole.popleft())
+        except f.StoreFault as error:
+            status, told = error.answer, {"error": str(error), "remedy": error.remedy, **error.told}
         http1.send_pieces(sock, http1.answer_pieces(status, orjson.dumps(told), True))
         sock.shutdown(socket.SHUT_WR)
 
-    def _answer(self, message: http1.Message) -> tuple[int, dict[str, Any]]:
+    def _answer(self, message: http1.Message) -> dict[str, Any]:
+        """What a call comes to; StoreFault where it is not carried out."""
         path, _, query = message.target.decode("latin-1").partition("?")
         if path == "/v1/status" and message.method == b"GET":
-            return 200, self.status()
+            return self.status()
         key = unquote(path.removeprefix("/v1/store/"))
         if not path.startswith("/v1/store/") or not key:
-            return 404, {"error": "no such path"}
+            raise f.NoSuchPath("", "no such path")
         if message.method == b"GET":
             found = self._state.documents.get(key)
             if found is None:
-                return 404, {"error": "no such key"}
-            return 200, {"revision": found.revision, "value": found.value.decode("utf-8", "replace")}
+                raise f.NoSuchKey("", "no such key")
+            return {"revision": found.revision, "value": found.value.decode("utf-8", "replace")}
         if message.method != b"PUT":
-            return 405, {"error": "takes GET and PUT"}
+            raise f.WrongMethod("", "takes GET and PUT")
         expect = query.removeprefix("expect=") if query else "-1"
         if not expect.removeprefix("-").isdigit():
-            return 400, {"error": "expect: wants a revision"}
+            raise f.BadCall("expect", "wants a revision")
         return self._put(s.Put(secrets.token_hex(8), key, bytes(message.body), int(expect)))
 
-    def _put(self, put: s.Put) -> tuple[int, dict[str, Any]]:
-        if why := s.fault(put):
-            return 400, {"error": why}
+    def _put(self, put: s.Put) -> dict[str, Any]:
+        s.check(put)
         if self.fault:
-            return 409, {"error": self.fault, "leader": ""}  # nothing was done here: another may be asked
+            raise f.Stopped("", self.fault, leader="")
         done = self._raft.propose(self._now(), _encode(put))
         if done is None:
-            return 409, {"error": "another member leads", "leader": self._raft.leader}
+            raise f.NotLeading("", "another member leads", leader=self._raft.leader)
         waiting = self._waiting[put.id] = AsyncResult()
         self._do(done[1])
         try:
             outcome: s.Outcome = waiting.get(timeout=ANSWER_S)  # type: ignore[assignment]
         except gevent.Timeout:
-            return 503, {"error": "unknown: not committed in time"}
+            raise f.Unknown("", "unknown: not committed in time") from None
         finally:
             del self._waiting[put.id]
         if outcome.why:
-            status = 503 if outcome.why.startswith("unknown") else 409
-            return status, {"error": outcome.why, "revision": outcome.revision}
-        return 200, {"revision": outcome.revision}
+            kind = f.Unknown if outcome.why.startswith("unknown") else f.Conflict
+            raise kind("", outcome.why, revision=outcome.revision)
+        return {"revision": outcome.revision}
 
     def status(self) -> dict[str, Any]:
         """What an operator wants to know."""
@@ -252,6 +255,13 @@
         self._disk.close()
 
 
+def _listen(key: str, where: Address) -> Any:
+    try:
+        return http1.listen(where, 64)
+    except OSError as error:
+        raise CannotListen(key, f"{where[0]}:{where[1]}: {error}") from error
+
+
 def _exactly(sock: Any, size: int) -> bytes:
     """So many bytes; OSError where the other side ends before."""
     pieces, left = [], size
--- a/spoolbarrow/store/raft.py
+++ b/spoolbarrow/store/raft.py
@@ -18,6 +18,8 @@
 
 from msgspec import Struct, field
 
+from spoolbarrow.errors import Problem
+
 
 class Role(Enum):
     """What a member takes itself for."""
@@ -135,18 +137,26 @@
         self.waiting = False  # for the answer to what was sent: one batch at a time
 
 
+class LogError(Problem, ValueError):
+    """What a store member saved is no log of these members."""
+
+    status = 2
+    where = "none"
+    remedy = "Give each member the same `--member` names as before, or restore its file from a backup."
+
+
 class Raft:
     """One member."""
 
     def __init__(
         self, me: str, members: Sequence[str], now: float, rng: Random, saved: Saved, settings: Settings
     ) -> None:
-        """ValueError where `me` is no member, or what was saved is no log."""
+        """LogError where `me` is no member, or what was saved is no log."""
         if me not in members or len(set(members)) != len(members):
-            raise ValueError(f"{me} must be one of the members, each named once")
+            raise LogError("", f"{me} must be one of the members, each named once")
         indexes = [entry.index for entry in saved.entries]
         if indexes != list(range(saved.snapshot.index + 1, saved.snapshot.index + 1 + len(indexes))):
-            raise ValueError("the entries do not follow the snapshot")
+            raise LogError("", "the entries do not follow the snapshot")
         self.me, self.others = me, [name for name in members if name != me]
         self.quorum = len(members) // 2 + 1
         self.settings, self._rng = settings, rng
@@ -187,10 +197,10 @@
         return entry.index, self._ready()
 
     def compact(self, index: int, data: bytes) -> Ready:
-        """The state after `index`, which was applied, stands for all before it; ValueError where it can't."""
+        """The state after `index`, which was applied, stands for all before it; LogError where it can't."""
         term = self.term_at(index)
         if index > self._applied or term is None:
-            raise ValueError(f"{index} is not applied, or no longer kept")
+            raise LogError("", f"{index} is not applied, or no longer kept")
         del self.log[: index - self.snapshot.index]
         self.snapshot = self._installed = Snapshot(index, term, data)
         self._stable = max(self._stable, index)
--- a/spoolbarrow/store/state.py
+++ b/spoolbarrow/store/state.py
@@ -9,6 +9,9 @@
 import msgspec
 from msgspec import Struct
 
+from spoolbarrow.store.faults import BadDocument
+from spoolbarrow.store.raft import LogError
+
 MOST_KEYS = 10_000
 MOST_KEY, MOST_VALUE = 256, 262_144  # bytes
 
@@ -36,21 +39,23 @@
     why: str = ""
 
 
-def fault(put: Put) -> str:
-    """Why a command must not be put into the log; empty where it may."""
+def check(put: Put) -> None:
+    """BadDocument where a command must not be put into the log."""
     if not put.key or len(put.key.encode()) > MOST_KEY:
-        return f"key: wants 1 to {MOST_KEY} bytes"
+        raise BadDocument("key", f"wants 1 to {MOST_KEY} bytes")
     if len(put.value) > MOST_VALUE:
-        return f"value: more than {MOST_VALUE} bytes"
-    return ""
+        raise BadDocument("value", f"more than {MOST_VALUE} bytes")
 
 
 class State:
     """The documents after some place of the log."""
 
     def __init__(self, data: bytes = b"") -> None:
-        """As `write` wrote it; nothing: empty. ValueError where it is neither."""
-        self.documents = msgspec.msgpack.decode(data, type=dict[str, Document]) if data else {}
+        """As `write` wrote it; nothing: empty. LogError where it is neither."""
+        try:
+            self.documents = msgspec.msgpack.decode(data, type=dict[str, Document]) if data else {}
+        except msgspec.DecodeError as error:
+            raise LogError("", f"the snapshot is none: {error}") from error
 
     def apply(self, index: int, data: bytes) -> tuple[str, Outcome] | None:
         """Carry out an entry: its command's id and what came of it; None for one that carries none."""
--- a/spoolbarrow/wire.py
+++ b/spoolbarrow/wire.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from spoolbarrow import interface as i
+from spoolbarrow.errors import Problem
 
 OUTCOMES = {
     "S": i.Outcome.SERVED,
@@ -41,8 +42,11 @@
 TOKENS_PER_THOUSAND = 1000.0
 
 
-class WireError(ValueError):
-    """A line that is not of this wire; its text says what is wrong and where."""
+class WireError(Problem, ValueError):
+    """A line is not of the simulator's wire."""
+
+    where = "the line's part"
+    remedy = "Send lines as the simulator's page has them, each a whole JSON value."
 
 
 class Enlist(Struct, tag_field="type"):
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -28,7 +28,7 @@
 from spoolbarrow.admin.orders import Orders
 from spoolbarrow.config import HostList
 from spoolbarrow.net import destinations, inbound
-from spoolbarrow.net.http1 import Fault, Message, ResponseParser
+from spoolbarrow.net.http1 import Message, ResponseParser
 from tests.stage import (
     EVENTS,
     HEAD,
@@ -56,7 +56,7 @@
     """A router with an operators' listener: (stage, control, call, engines...)."""
     with stage(*scripts, **changes) as (scene, *engines):
         address = (LISTEN, free_port())
-        listener = Control(scene.host, scene.inbound, Orders(scene.host, scene.inbound))
+        listener = Control(scene.host, scene.inbound, Orders(scene.host, scene.inbound), lambda: None)
         listener.move(control.listen(address))
 
         def call(path: str, method: str = "POST") -> ResponseParser:
@@ -95,9 +95,9 @@
     if isinstance(told, Call):
         assert calls.read(message) == told
     else:
-        with pytest.raises(Fault) as raised:
+        with pytest.raises(calls.CallFault) as raised:
             calls.read(message)
-        assert raised.value.status == told
+        assert raised.value.answer == told
 
 
 @pytest.mark.parametrize(
@@ -115,7 +115,10 @@
 def test_each_call_is_answered_and_ends_its_connection(said: bytes, status: int) -> None:
     with operated(serve_all) as (_, listener, _call, _):
         caller = Client(listener._listener.getsockname()[1]).send(said)
-        assert caller.answer().status == status and caller.ended()
+        answer = caller.answer()
+        assert answer.status == status and caller.ended()
+        told = msgspec.json.decode(b"".join(answer.take_body()))
+        assert status == 200 or (told["error"]["code"], bool(told["error"]["remedy"])) == (status, True)
 
 
 def test_a_call_that_has_come_is_answered_though_silent_callers_come_in_a_burst_behind_it() -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,7 +13,8 @@
 from gevent import socket
 
 from spoolbarrow import __version__, config, operator
-from spoolbarrow.cli import COMMANDS, main
+from spoolbarrow.cli import COMMANDS, main, run
+from spoolbarrow.cli.faults import Faulty, NoAnswer
 from tests.stage import LISTEN, Client, make_config, until
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -49,8 +50,9 @@
     status, output = call(
         "check", "--config", str(tmp_path / "config.json"), "--operator", str(tmp_path / "operator.toml")
     )
-    said = [line.partition(": ")[2].partition(":")[0] for line in output.splitlines()]
-    assert status == 2
+    lines = output.splitlines()
+    said = [line.partition(": ")[2].partition(":")[0] for line in lines[::2]]
+    assert status == 2 and all(line == f"  {config.ConfigError.remedy}" for line in lines[1::2])
     assert said == ["limits.memory_mb", "limits.sockets", "options.odd_ms", "odd", "log.size", "log.level"]
 
 
@@ -69,6 +71,32 @@
     assert str(fault.value).startswith(("SPOOLBARROW_OPERATOR: ", "log")) and "\n" not in str(fault.value)
 
 
+@pytest.mark.parametrize(
+    ("arguments", "status", "said", "remedy"),
+    [
+        (("store", "status", "--at", "127.0.0.1:1"), 1, "127.0.0.1:1: no answer: ", NoAnswer.remedy),
+        (("agree", "check", "127.0.0.1:1"), 1, "127.0.0.1:1: no answer: ", NoAnswer.remedy),
+        (("flows", "collect", "nowhere"), 2, "Error: ADDRESSES: 'nowhere' is not udp://", ""),
+        (("flows", "read", "pyproject.toml"), 1, "pyproject.toml: octet 0: version ", ""),
+        (("lab", "simulate", "examples/lab/toy.toml", "--policy", "odd"), 2, "Error: --policy: one of ", ""),
+        (("lab", "simulate", "pyproject.toml"), 2, "Error: ", ""),
+        (("shadow", "report", "--csv", "/nowhere/t", "tests"), 1, "Error: /nowhere/t: No such file", ""),
+        (("store", "serve", "--name", "a", "--member", "b=h:1", "--listen", "h:1", "--control", "h:2",
+          "--directory", "."), 2, "Error: --name: a is no --member", Faulty.remedy),
+    ],
+)  # fmt: skip
+def test_what_is_wrong_has_its_remedy_on_a_second_line(
+    arguments: tuple[str, ...], status: int, said: str, remedy: str, capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:  # fmt: skip
+    monkeypatch.chdir(ROOT)
+    assert run(list(arguments)) == status
+    told = capsys.readouterr()
+    first, second = (told.err or told.out).splitlines()[:2]
+    assert first.startswith(said) and second.startswith("  ") and second.strip().endswith(".")
+    assert not remedy or second.strip() == remedy
+
+
 def test_the_environment_overrides_the_file(tmp_path: Path) -> None:
     environment = written(tmp_path / "o.toml", '[log]\nlevel = "error"\nformat = "text"\n')
     assert operator.load(environment).log == operator.LogTable("error", "text")
--- a/tests/test_door_serving.py
+++ b/tests/test_door_serving.py
@@ -112,7 +112,7 @@
     with pytest.raises(ConfigError, match=r"door\.weights\.nobody"):
         Prepared(DoorTable(weights={"nobody": 1.0}), made)
     _, faults = operator.read(written(tmp_path / "o.toml", "[door]\nslot_ms = 0\nodd = 1\n"))
-    assert len(faults) == 2 and any("door.slot_ms" in fault for fault in faults)
+    assert len(faults) == 2 and "door.slot_ms" in {fault.place for fault in faults}
 
 
 def test_explain_says_why(tmp_path: Path) -> None:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -250,7 +250,7 @@
 
     def faults(text: str) -> list[str]:
         (tmp_path / "operator.toml").write_text(text)
-        return read({"SPOOLBARROW_OPERATOR": str(tmp_path / "operator.toml")})[1]
+        return [str(fault) for fault in read({"SPOOLBARROW_OPERATOR": str(tmp_path / "operator.toml")})[1]]
 
     assert faults("[failover]\nregions = {west = []}\n")[0].startswith("failover.regions")
     assert faults("[failover]\nconfirm_ms = 'soon'\n")[0].startswith("failover.confirm_ms")
@@ -272,7 +272,8 @@
     status, output = call(
         "check", "--config", str(tmp_path / "config.json"), "--operator", str(tmp_path / "operator.toml")
     )
-    assert (status, output) == (2, "operator: failover.regions.east: x is no zone of the settings\n")
+    assert status == 2
+    assert output.splitlines()[0] == "operator: failover.regions.east: x is no zone of the settings"
 
 
 def test_outcomes_beyond_the_bound_are_dropped_and_told(
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from spoolbarrow.cli.store import ask
+from spoolbarrow.cli.calls import call
+from spoolbarrow.cli.faults import NoAnswer
 from spoolbarrow.lab.cluster import LISTEN, Process, free_ports
 
 LIFE_S = 120.0
@@ -25,6 +26,13 @@
     return found
 
 
+def ask(member: str, method: str, path: str, body: bytes = b"") -> tuple[int, dict[str, Any]]:
+    try:
+        return call(member, method, path, body)
+    except NoAnswer as error:
+        return 0, {"error": str(error)}
+
+
 class Members:
     """Three members, a gate of the proxy from each to each other."""
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,7 +23,7 @@
 from spoolbarrow.admin.orders import Orders
 from spoolbarrow.admin.words import AWAY, Words
 from spoolbarrow.config import INHERITED, ConfigError, HostList, ListEntry
-from spoolbarrow.handover import Handover
+from spoolbarrow.handover import Handover, Torn
 from spoolbarrow.net import passing
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.router import Router
@@ -493,7 +493,7 @@
     def take(text: bytes, descriptors: list[int]) -> Any:
         got.append((text, descriptors))
         if text == b"bad":
-            raise ValueError("no")
+            raise Torn("", "no")
         if text == b"slow":
             gevent.sleep(1.0)
         return lambda: None
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -16,6 +16,7 @@
 from spoolbarrow.store import raft as r
 from spoolbarrow.store import state
 from spoolbarrow.store.disk import Disk, DiskError
+from spoolbarrow.store.faults import BadDocument
 from spoolbarrow.store.raft import (
     Append,
     Appended,
@@ -288,5 +289,8 @@
     assert told is not None and told[1].revision == 2 and "not 0" in told[1].why
     assert made.apply(4, encode(Put("c", "key", b"three"))) == ("c", Outcome(4))
     assert State(made.write()).documents == made.documents == {"key": Document(b"three", 4)}
-    assert state.fault(Put("d", "", b"")).startswith("key") and not state.fault(Put("d", "k", b"v"))
-    assert state.fault(Put("d", "k", b"v" * (state.MOST_VALUE + 1))).startswith("value")
+    state.check(Put("d", "k", b"v"))
+    for put, place in ((Put("d", "", b""), "key"), (Put("d", "k", b"v" * (state.MOST_VALUE + 1)), "value")):
+        with pytest.raises(BadDocument) as fault:
+            state.check(put)
+        assert fault.value.place == place
