--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,43 @@
+"""Who imports whom: no circles, in annotations neither, and nobody in net/ knows what only watches."""
+
+from __future__ import annotations
+
+import ast
+from graphlib import TopologicalSorter
+from pathlib import Path
+
+import spoolbarrow
+
+ROOT = Path(spoolbarrow.__file__).parent
+OBSERVERS = {"agreement", "failover", "passing"}  # of net/: they come in from above
+
+
+def imports() -> dict[str, set[str]]:
+    """Every module of the program with those of them that it names, at run time or for its types alone."""
+    paths = {
+        ".".join(path.relative_to(ROOT.parent).with_suffix("").parts).removesuffix(".__init__"): path
+        for path in ROOT.rglob("*.py")
+    }
+    found: dict[str, set[str]] = {name: set() for name in paths}
+    for name, path in paths.items():
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and node.module:
+                whole = [f"{node.module}.{one.name}" for one in node.names]
+                found[name] |= {one if one in paths else node.module for one in whole} & paths.keys()
+            elif isinstance(node, ast.Import):
+                found[name] |= {one.name for one in node.names} & paths.keys()
+    return found
+
+
+def test_no_module_imports_itself_by_way_of_others() -> None:
+    order = list(TopologicalSorter(imports()).static_order())  # CycleError names a circle
+    errors, host, serve = (order.index(f"spoolbarrow.{name}") for name in ("errors", "net.host", "serve"))
+    assert errors < host < serve
+
+
+def test_what_watches_is_known_to_nobody_it_watches() -> None:
+    found = imports()
+    observers = {f"spoolbarrow.net.{name}" for name in OBSERVERS}
+    inside = {name: its for name, its in found.items() if name.startswith("spoolbarrow.net.")}
+    assert {name for name, its in inside.items() if its & observers} == set()
+    assert not found["spoolbarrow.net.agreement"] & {"spoolbarrow.net.host", "spoolbarrow.net.inbound"}
