Have gevent's own HTTP server take the calls to a store member

Reading, framing and bounding a caller's connection were written by hand beside the members' own connections. store/callers.py gives them to gevent.pywsgi: 64 callers at once, others wait; 8 s from a connection's start to its end; bodies bounded in every form. What a call means stays the member's.

--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -1,8 +1,8 @@
 """One member's process: consensus between its disk, the other members and whoever asks.
 
-Owns the sockets: a listener for members, whose messages come as msgpack behind four bytes of length, and one
-for callers over HTTP/1.1, one call to a connection. To each other member goes one connection with a bounded
-queue that drops what is oldest: consensus says again what was lost. Where the disk fails, the member says so
+Owns the listener for members, whose messages come as msgpack behind four bytes of length; `callers` has the
+one for callers. To each other member goes one connection with a bounded queue that drops what is oldest:
+consensus says again what was lost. Where the disk fails, the member says so
 and takes no more part, until it is started again; its last state is told as before.
 
     GET /v1/status            who leads, term, commit, drops, and the disk's fault
@@ -17,15 +17,13 @@
 import struct
 import time
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from random import SystemRandom
-from typing import Any
-from urllib.parse import unquote
+from typing import Any, TypeVar
 
 import gevent
 import msgspec
-import orjson
 from gevent import socket
 from gevent.event import AsyncResult, Event
 
@@ -34,18 +32,18 @@
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.store import faults as f
 from spoolbarrow.store import state as s
+from spoolbarrow.store.callers import Call, Callers
 from spoolbarrow.store.disk import Disk, DiskError
 from spoolbarrow.store.raft import Append, Appended, Ask, Install, Raft, Ready, Settings, Vote
 
+T = TypeVar("T")
 Wire = Ask | Vote | Append | Appended | Install
 MOST_FRAME = 64 << 20  # a snapshot of all that may be kept is refused before it is longer
 MOST_QUEUED = 256  # messages to one member
-MOST_PEERS, MOST_CALLERS = 32, 64  # connections at once
+MOST_PEERS = 32  # connections at once
 TICK_S = 0.02
 ANSWER_S = 3.0  # a change that is not committed by then is told as unknown
-CALL_S = 3.0
 KEPT = 1000  # entries between snapshots
-MAX_HEAD = 8192
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.Decoder(Wire).decode
 
@@ -71,15 +69,14 @@
         self._wake: dict[str, Event] = {}
         self.dropped = 0  # messages to members that took none
         self.fault = ""  # of the disk
-        self._listeners = [_listen("--listen", listen), _listen("--control", control)]
+        self._listener = _named("--listen", listen, lambda: http1.listen(listen, 64))
+        self._callers = _named("--control", control, lambda: Callers(control, self._answer))
         self._peers: set[Any] = set()
-        self._callers: set[Any] = set()
         for other, address in members.items():
             if other != name:
                 self._queues[other], self._wake[other] = deque(), Event()
                 gevent.spawn(self._send_to, other, address)
-        gevent.spawn(self._accept, self._listeners[0], self._peers, MOST_PEERS, self._hear)
-        gevent.spawn(self._accept, self._listeners[1], self._callers, MOST_CALLERS, self._converse)
+        gevent.spawn(self._accept)
         gevent.spawn(self._tick)
 
     @staticmethod
@@ -147,25 +144,25 @@
             except OSError:
                 gevent.sleep(0.05)
 
-    def _accept(self, listener: Any, open_: set[Any], most: int, serve: Any) -> None:
+    def _accept(self) -> None:
         while True:
-            sock, _ = listener.accept()
-            if len(open_) >= most:
+            sock, _ = self._listener.accept()
+            if len(self._peers) >= MOST_PEERS:
                 sock.close()
                 continue
-            open_.add(sock)
-            gevent.spawn(self._serve, sock, open_, serve)
+            self._peers.add(sock)
+            gevent.spawn(self._serve, sock)
 
-    def _serve(self, sock: Any, open_: set[Any], serve: Any) -> None:
+    def _serve(self, sock: Any) -> None:
         try:
             with sock:
-                serve(sock)
-        except (OSError, http1.Fault, gevent.Timeout):
-            pass  # it has gone, or says nothing that can be read
+                self._hear(sock)
+        except OSError:
+            pass  # it has gone
         except Exception as error:
             unexpected("store", error)
         finally:
-            open_.discard(sock)
+            self._peers.discard(sock)
 
     def _hear(self, sock: Any) -> None:
         while True:
@@ -180,43 +177,24 @@
 
     # Callers
 
-    def _converse(self, sock: Any) -> None:
-        parser = http1.RequestParser(MAX_HEAD, s.MOST_VALUE)
-        with gevent.Timeout(CALL_S):
-            while not parser.whole and parser.fault is None:
-                data = sock.recv(65_536)
-                if not data:
-                    return
-                parser.feed(memoryview(data))
-        try:
-            if not parser.whole:
-                assert parser.fault is not None
-                raise f.BadCall("", str(parser.fault))
-            status, told = 200, self._answer(parser.whole.popleft())
-        except f.StoreFault as error:
-            status, told = error.answer, {"error": str(error), "remedy": error.remedy, **error.told}
-        http1.send_pieces(sock, http1.answer_pieces(status, orjson.dumps(told), True))
-        sock.shutdown(socket.SHUT_WR)
-
-    def _answer(self, message: http1.Message) -> dict[str, Any]:
+    def _answer(self, call: Call) -> dict[str, Any]:
         """What a call comes to; StoreFault where it is not carried out."""
-        path, _, query = message.target.decode("latin-1").partition("?")
-        if path == "/v1/status" and message.method == b"GET":
+        if call.path == "/v1/status" and call.method == "GET":
             return self.status()
-        key = unquote(path.removeprefix("/v1/store/"))
-        if not path.startswith("/v1/store/") or not key:
+        key = call.path.removeprefix("/v1/store/")
+        if not call.path.startswith("/v1/store/") or not key:
             raise f.NoSuchPath("", "no such path")
-        if message.method == b"GET":
+        if call.method == "GET":
             found = self._state.documents.get(key)
             if found is None:
                 raise f.NoSuchKey("", "no such key")
             return {"revision": found.revision, "value": found.value.decode("utf-8", "replace")}
-        if message.method != b"PUT":
+        if call.method != "PUT":
             raise f.WrongMethod("", "takes GET and PUT")
-        expect = query.removeprefix("expect=") if query else "-1"
+        expect = call.query.removeprefix("expect=") if call.query else "-1"
         if not expect.removeprefix("-").isdigit():
             raise f.BadCall("expect", "wants a revision")
-        return self._put(s.Put(secrets.token_hex(8), key, bytes(message.body), int(expect)))
+        return self._put(s.Put(secrets.token_hex(8), key, call.body, int(expect)))
 
     def _put(self, put: s.Put) -> dict[str, Any]:
         s.check(put)
@@ -250,14 +228,14 @@
 
     def close(self) -> None:
         """End; what was answered for is on disk."""
-        for listener in self._listeners:
-            listener.close()
+        self._listener.close()
+        self._callers.close()
         self._disk.close()
 
 
-def _listen(key: str, where: Address) -> Any:
+def _named(key: str, where: Address, listen: Callable[[], T]) -> T:
     try:
-        return http1.listen(where, 64)
+        return listen()
     except OSError as error:
         raise CannotListen(key, f"{where[0]}:{where[1]}: {error}") from error
 
