--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -17,6 +17,7 @@
 
 import gevent
 import orjson
+import psutil
 import standin
 from gevent import socket
 
@@ -29,16 +30,14 @@
 
 def cpu_s(pid: int) -> float:
     """Seconds of processor time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    used = psutil.Process(pid).cpu_times()
+    return float(used.user + used.system)
 
 
-def anonymous_kb() -> int:
-    """This process's anonymous memory."""
-    for line in Path("/proc/self/status").read_text().splitlines():
-        if line.startswith("RssAnon"):
-            return int(line.split()[1])
-    raise OSError("no RssAnon in /proc/self/status")
+def anonymous_kb(pid: int | None = None) -> int:
+    """Memory of a process that lies in no file; None: of this one."""
+    memory = psutil.Process(pid).memory_info()
+    return int(memory.rss - memory.shared) // 1024
 
 
 class Rig:
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -23,6 +23,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT)]
 
+from rig import anonymous_kb  # noqa: E402
+
 from spoolbarrow.cli.calls import call  # noqa: E402
 from spoolbarrow.cli.faults import NoAnswer  # noqa: E402
 from spoolbarrow.lab.cluster import LISTEN, Process, free_ports  # noqa: E402
@@ -36,14 +38,6 @@
 SLOWER_AT_MOST = 10.0  # three members against one
 
 
-def resident_mb(pid: int) -> float:
-    """Memory of a process that lies in no file."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("RssAnon"):
-            return int(line.split()[1]) / 1024
-    raise OSError("no RssAnon in /proc/PID/status")
-
-
 def ask(member: str, method: str, path: str, body: bytes = b"") -> tuple[int, dict[str, Any]]:
     """A member's answer; status 0 with the reason where none came."""
     try:
@@ -79,14 +73,14 @@
                     if code != 200:
                         failed.append(code)
 
-            before, begun = resident_mb(made[0].popen.pid), time.perf_counter()
+            before, begun = anonymous_kb(made[0].popen.pid), time.perf_counter()
             writers = [threading.Thread(target=write, args=(n,)) for n in range(WRITERS)]
             for writer in writers:
                 writer.start()
             for writer in writers:
                 writer.join()
             took = time.perf_counter() - begun
-            grown = max(resident_mb(one.popen.pid) for one in made) - before
+            grown = (max(anonymous_kb(one.popen.pid) for one in made) - before) / 1024
             kept = [ask(one, "GET", "/v1/status")[1]["keys"] for one in controls]
         finally:
             for one in made:
