Read answers to commands as what they must be

An answer of another program at the address of a router or member ended `agree` and `store` with a trace of a missing key. Answers are read into structs; what is none is told as no answer, with the remedy.

--- a/spoolbarrow/cli/agree.py
+++ b/spoolbarrow/cli/agree.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TypeVar
 
 import click
+from msgspec import Struct
 
 from spoolbarrow.agree import COMPARED, Item, Version, differences, digest
 from spoolbarrow.cli import tell
-from spoolbarrow.cli.calls import call
+from spoolbarrow.cli.calls import call, understood
 from spoolbarrow.cli.faults import NoAnswer, Refused
 
+T = TypeVar("T")
 DRAINED = digest(True)
 routers = click.argument("routers", nargs=-1, required=True, metavar="HOST:PORT...")
 
@@ -20,21 +22,53 @@
     """What routers act on, asked at their control listeners."""
 
 
-def _ask(router: str, method: str, path: str) -> dict[str, Any]:
+class Told(Struct):
+    """What a router acts on."""
+
+    router: str
+    now_ms: float
+    within_s: float
+    versions: dict[Item, Version]
+
+
+class Checked(Struct):
+    """What a router would act on."""
+
+    router: str
+    revision: int
+    files: str
+
+
+class Adopted(Struct):
+    """That a router acts on what was checked."""
+
+    status: str
+
+
+class _No(Struct):
+    message: str = "no"
+    remedy: str = ""
+
+
+class _Refusal(Struct):
+    error: _No
+
+
+def _ask(router: str, method: str, path: str, kind: type[T]) -> T:
     """A router's answer; NoAnswer or Refused where it is none or no."""
     status, told = call(router, method, f"/v1/{path}")
     if status != 200:
-        fault = told.get("error", {})
-        raise Refused(router, str(fault.get("message", status)), fault.get("remedy", ""))
-    return told
+        fault = understood(router, told, _Refusal).error
+        raise Refused(router, fault.message, fault.remedy)
+    return understood(router, told, kind)
 
 
-def _ask_all(routers: tuple[str, ...], method: str, path: str) -> tuple[dict[str, Any], bool]:
+def _ask_all(routers: tuple[str, ...], method: str, path: str, kind: type[T]) -> tuple[dict[str, T], bool]:
     """The answers by router; why others gave none is printed."""
     found = {}
     for router in routers:
         try:
-            found[router] = _ask(router, method, path)
+            found[router] = _ask(router, method, path, kind)
         except (NoAnswer, Refused) as error:
             tell(error, err=False)
     return found, len(found) == len(routers)
@@ -45,20 +79,19 @@
 
 
 def _status(routers: tuple[str, ...], within_s: float | None) -> int:
-    answers, whole = _ask_all(routers, "GET", "versions")
+    answers, whole = _ask_all(routers, "GET", "versions", Told)
     if not answers:
         return 1
-    told = {
-        f"{its['router']} ({router})": {Item(item): Version(**v) for item, v in its["versions"].items()}
-        for router, its in answers.items()
-    }
-    now = max(its["now_ms"] for its in answers.values())
-    within = min(its["within_s"] for its in answers.values()) if within_s is None else within_s
+    told = {f"{its.router} ({router})": its.versions for router, its in answers.items()}
+    now = max(its.now_ms for its in answers.values())
+    within = min(its.within_s for its in answers.values()) if within_s is None else within_s
     found = {one.item: one for one in differences(told)}
     status = 0 if whole else 1
     for item in COMPARED:
         if item not in found:
-            version = next(versions[item] for versions in told.values() if item in versions)
+            version = next((versions[item] for versions in told.values() if item in versions), None)
+            if version is None:
+                continue  # no router tells it
             click.echo(f"{item.value}: all {len(told)} act on {_short(version)}")
             continue
         for_s = max(0.0, now - found[item].since_ms) / 1000.0
@@ -84,16 +117,16 @@
 
 def _check(routers: tuple[str, ...]) -> str:
     """The digest of the files that all routers would act on; empty, reasons printed, where not all would."""
-    answers, whole = _ask_all(routers, "GET", "settings/check")
+    answers, whole = _ask_all(routers, "GET", "settings/check", Checked)
     wanted: dict[str, list[str]] = {}
     for router, told in answers.items():
-        wanted.setdefault(told["files"], []).append(f"{told['router']} ({router})")
+        wanted.setdefault(told.files, []).append(f"{told.router} ({router})")
     if len(wanted) > 1:
         click.echo("the files differ:")
         for contents, names in wanted.items():
             click.echo(f"  {contents}: {', '.join(names)}")
     elif whole:
-        revision = next(iter(answers.values()))["revision"]
+        revision = next(iter(answers.values())).revision
         click.echo(f"all {len(answers)} would act on revision {revision}, {next(iter(wanted))}")
         return next(iter(wanted))
     return ""
@@ -114,7 +147,7 @@
     if not contents:
         click.echo("nothing is changed")
         return 1
-    _, whole = _ask_all(routers, "POST", f"settings/adopt/{contents}")
+    _, whole = _ask_all(routers, "POST", f"settings/adopt/{contents}", Adopted)
     if not whole:
         click.echo("not all have adopted it: say it again, or put the old files back under a higher revision")
     return max(_status(routers, None), 0 if whole else 1)
--- a/spoolbarrow/cli/calls.py
+++ b/spoolbarrow/cli/calls.py
@@ -4,11 +4,14 @@
 
 import http.client
 import json
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
 
 from spoolbarrow.cli.faults import NoAnswer
 
 CALL_S = 5.0
+T = TypeVar("T")
 
 
 class Answer(NamedTuple):
@@ -30,3 +33,11 @@
     if not isinstance(told, dict):
         raise NoAnswer(address, "no answer: not an object of JSON")
     return Answer(answer.status, told)
+
+
+def understood(address: str, told: dict[str, Any], kind: type[T]) -> T:
+    """What an answer tells; NoAnswer where it is another program's, or lacks something."""
+    try:
+        return msgspec.convert(told, kind)
+    except msgspec.ValidationError as error:
+        raise NoAnswer(address, f"no answer that can be used: {error}") from error
--- a/spoolbarrow/cli/store.py
+++ b/spoolbarrow/cli/store.py
@@ -4,16 +4,18 @@
 
 import signal
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import click
+from msgspec import Struct
 
 from spoolbarrow import config
 from spoolbarrow.cli import tell
-from spoolbarrow.cli.calls import call
+from spoolbarrow.cli.calls import call, understood
 from spoolbarrow.cli.faults import Faulty, NoAnswer, Refused
 
+T = TypeVar("T")
 members = click.option("--at", "asked", multiple=True, required=True, metavar="HOST:PORT", help="A member's "
                        "control address; the first that answers, or leads, is asked.")
 
@@ -74,12 +76,34 @@
     return 0
 
 
-def ask(member: str, method: str, path: str, body: bytes = b"") -> dict[str, Any]:
+class Status(Struct):
+    """What a member says of itself."""
+
+    member: str
+    role: str
+    term: int
+    applied: int
+    fault: str
+
+
+class Read(Struct):
+    """A document."""
+
+    value: str
+
+
+class Written(Struct):
+    """A document that was written."""
+
+    revision: int
+
+
+def ask(member: str, method: str, path: str, kind: type[T], body: bytes = b"") -> T:
     """A member's answer; NoAnswer where none came, MemberRefused where it is no."""
     status, told = call(member, method, path, body)
     if status != 200:
         raise MemberRefused(member, told)
-    return told
+    return understood(member, told, kind)
 
 
 @command.command()
@@ -89,15 +113,15 @@
     found = []
     for member in asked:
         try:
-            told = ask(member, "GET", "/v1/status")
+            told = ask(member, "GET", "/v1/status", Status)
         except (NoAnswer, Refused) as error:
             tell(error, err=False)
             continue
         found.append(told)
-        line = f"{told['member']} ({member}): {told['role']}, term {told['term']}, applied {told['applied']}"
-        click.echo(line + (f", {told['fault']}" if told["fault"] else ""))
-    whole = len(found) == len(asked) and not any(told["fault"] for told in found)
-    return 0 if whole and any(told["role"] == "leader" for told in found) else 1
+        line = f"{told.member} ({member}): {told.role}, term {told.term}, applied {told.applied}"
+        click.echo(line + (f", {told.fault}" if told.fault else ""))
+    whole = len(found) == len(asked) and not any(told.fault for told in found)
+    return 0 if whole and any(told.role == "leader" for told in found) else 1
 
 
 @command.command()
@@ -107,11 +131,11 @@
     """Print a document as the first member that answers has it, which may be an older one."""
     for member in asked:
         try:
-            told = ask(member, "GET", f"/v1/store/{quote(key, safe='')}")
+            told = ask(member, "GET", f"/v1/store/{quote(key, safe='')}", Read)
         except (NoAnswer, Refused) as error:
             tell(error)
             continue
-        click.echo(told["value"], nl=False)
+        click.echo(told.value, nl=False)
         return 0
     return 1
 
@@ -127,7 +151,7 @@
     query = "" if expect is None else f"?expect={expect}"
     for member in asked:
         try:
-            told = ask(member, "PUT", f"/v1/store/{quote(key, safe='')}{query}", body)
+            told = ask(member, "PUT", f"/v1/store/{quote(key, safe='')}{query}", Written, body)
         except NoAnswer as error:
             tell(error)
         except MemberRefused as error:
@@ -135,6 +159,6 @@
             if not error.done_nothing:
                 return 1  # refused, or unknown: saying it elsewhere could do it twice
         else:
-            click.echo(told["revision"])
+            click.echo(told.revision)
             return 0
     return 1
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import msgspec
@@ -15,7 +16,8 @@
 from spoolbarrow import __version__, config, operator
 from spoolbarrow.cli import COMMANDS, main, run
 from spoolbarrow.cli.faults import Faulty, NoAnswer
-from tests.stage import LISTEN, Client, make_config, until
+from spoolbarrow.net.http1 import Message
+from tests.stage import LISTEN, Client, Party, make_config, until
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -71,6 +73,24 @@
     assert str(fault.value).startswith(("SPOOLBARROW_OPERATOR: ", "log")) and "\n" not in str(fault.value)
 
 
+@pytest.mark.parametrize("command", [("store", "status", "--at"), ("agree", "status"), ("agree", "apply")])
+@pytest.mark.parametrize("text", [b"[]", b"{}", b'{"member":1}', b"<html>", b'{"error":"x"}'])
+def test_another_programs_answer_is_told_as_none(
+    command: tuple[str, ...], text: bytes, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def other(sock: socket.socket, message: Message) -> object:
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text))
+        return True
+
+    party = Party(other)
+    with ThreadPoolExecutor(1) as pool:
+        done = pool.submit(run, [*command, f"{LISTEN}:{party.port}"])
+        until(done.done)
+    assert done.result() == 1
+    assert capsys.readouterr().out.startswith(f"{LISTEN}:{party.port}: no answer")
+    party.close()
+
+
 @pytest.mark.parametrize(
     ("arguments", "status", "said", "remedy"),
     [
