Give the cluster a queueing list service, cold engines, a store, hundreds of routers

Needed: what hundreds of routers do together cannot be seen with a list that is told by files and engines that bear anything. The proxy no longer cuts off connections that are merely silent for 2 s: only those that lost bytes are given up.

--- a/benchmarks/standin.py
+++ b/benchmarks/standin.py
@@ -13,7 +13,7 @@
 import orjson
 from gevent import socket
 
-from spoolbarrow.lab.cluster import converse
+from spoolbarrow.lab.standin import converse
 from spoolbarrow.net import tcpinfo
 from spoolbarrow.net.http1 import ResponseParser
 
--- a/spoolbarrow/lab/cluster.py
+++ b/spoolbarrow/lab/cluster.py
@@ -1,251 +1,44 @@
-"""Several processes of the program on loopback: stand-in engines, discovery, fault proxy, routers, clients.
-
-    python -m spoolbarrow.lab.cluster engines SECONDS COUNT       prints the engines' ports, then obeys
-    python -m spoolbarrow.lab.cluster discovery SECONDS FILE...   a listener a file; its changes are told
-
-Between each router and each engine, and before each router's discovery, stands a gate of the fault proxy of
-its own, so that any router can be cut off from any of them. Engines obey lines on standard input: `INDEX
-MODE [VALUE]`, the mode `well`, `error` (500), `full` (503, unprocessed, with VALUE as `Retry-After`) or
-`slow MS` (to the first event); and `counts`, answered with what each has been sent. Every process ends by
-itself after SECONDS; `Cluster` ends those it started, by id, before that. The harness's side runs on threads.
+"""Several processes of the program on loopback: stand-in engines, list service, fault proxy, routers, store.
+
+Between each router and each engine, and before each router's list service, stands a gate of the fault proxy
+of its own, so that any router can be cut off from any of them. With `gates=False` there are none, and the
+service itself cuts routers off: so hundreds of routers fit on one machine. Who calls a stand-in is known by
+the loopback address that it was called at. With `at_once` all routers begin in the same instant: their
+processes wait, with everything imported, for their configuration. Every process ends by itself after LIFE_S;
+`Cluster` ends those it started, by id, before that.
 """
 
 from __future__ import annotations
 
 import json
 import os
+import signal
 import socket
-import subprocess
-import sys
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Sequence
-from contextlib import ExitStack, contextmanager
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from pathlib import Path
-from typing import IO, Any, NamedTuple
+from typing import Any, NamedTuple
+
+import msgspec
 
-from spoolbarrow.net.http1 import Fault, RequestParser, ResponseParser
+from spoolbarrow.lab.cold import Figures
+from spoolbarrow.lab.loopback import address
+from spoolbarrow.lab.members import Members
+from spoolbarrow.lab.process import LISTEN as LISTEN
+from spoolbarrow.lab.process import Process as Process
+from spoolbarrow.lab.process import free_ports as free_ports
+from spoolbarrow.net.http1 import Fault, ResponseParser
 
 HOST = "127.0.0.1"
 LIFE_S = 150.0  # of every process a cluster starts
-EVENTS, GAP_S = 4, 0.02  # of an answer, and between them
-LOOK_S = 0.05  # between looks at a file that may change
-MODES = {"well": 0, "error": 0, "full": 1, "slow": 1}  # values that each may have
 BROKEN = 1  # in place of a status: the answer began, and ended without its last chunk
 MOST_ASKED = 200_000  # requests of one load
-WATCHED = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-
-# The stand-ins' side: run in processes of their own
-
-
-class Standin:
-    """An engine that answers as it is told, and counts what it is sent."""
-
-    def __init__(self) -> None:
-        self.mode, self.value = "well", 0.0
-        self.asked: Counter[str] = Counter()  # requests by the beginning of their ids, up to the first `-`
-        self.probes = 0
-
-    def set(self, words: list[str]) -> str:
-        """Go by `MODE [VALUE]`; the answer to whoever said so."""
-        if not words or words[0] not in MODES or len(words) > 1 + MODES[words[0]]:
-            return f"error: want one of {', '.join(MODES)}"
-        try:
-            value = float(words[1]) if len(words) == 2 else 0.0
-        except ValueError:
-            return f"error: {words[0]} wants a number"
-        self.mode, self.value = words[0], value
-        return "ok"
-
-    def answer(self, sock: Any, message: Any) -> None:
-        """One request, or a probe."""
-        import gevent
-
-        from spoolbarrow.lab.wire import EVENT, HEAD, PLAIN, chunk
-
-        if message.method == b"GET":
-            self.probes += 1
-            report = b"x1=0,load_share=0.1,x0=0.1"
-            sock.sendall(PLAIN % (b"200 OK", b"", len(report), report))
-            return
-        self.asked[message.fields.get(b"x-correlation-id", b"").partition(b"-")[0].decode("latin-1")] += 1
-        if self.mode == "error":
-            sock.sendall(PLAIN % (b"500 Internal Server Error", b"", 0, b""))
-            return
-        if self.mode == "full":
-            later = b"Retry-After: %g\r\n" % self.value if self.value else b""
-            sock.sendall(PLAIN % (b"503 Service Unavailable", b"X-Unprocessed: 1\r\n" + later, 0, b""))
-            return
-        if self.mode == "slow":
-            gevent.sleep(self.value / 1000)
-        event = EVENT % (b"word", b"null")
-        sock.sendall(HEAD + chunk(event))
-        for _ in range(EVENTS - 1):
-            gevent.sleep(GAP_S)
-            sock.sendall(chunk(event))
-        sock.sendall(chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
-
-
-def converse(sock: Any, answer: Callable[[Any, Any], None]) -> None:
-    """Answer each request on a connection."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    parser = RequestParser(16_384, 262_144)
-    try:
-        while data := sock.recv(65_536):
-            parser.feed(memoryview(data))
-            while parser.whole:
-                answer(sock, parser.whole.popleft())
-    except OSError:
-        pass
-    finally:
-        sock.close()
-
-
-def _serve(answer: Callable[[Any, Any], None]) -> int:
-    """A listener that answers each request by `answer`; its port."""
-    import gevent
-
-    from spoolbarrow.lab.wire import listen
-
-    listener = listen()
-
-    def accept() -> None:
-        while True:
-            gevent.spawn(converse, listener.accept()[0], answer)
-
-    gevent.spawn(accept)
-    port: int = listener.getsockname()[1]
-    return port
-
-
-def engines(seconds: float, count: int) -> None:
-    """Serve `count` engines, and obey."""
-    made = [Standin() for _ in range(count)]
-
-    def obey(line: str) -> str:
-        if line == "counts":
-            return json.dumps([{"asked": one.asked, "probes": one.probes} for one in made])
-        index, *words = line.split()
-        if not index.isdigit() or int(index) >= count:
-            return f"error: no engine {index}"
-        return made[int(index)].set(words)
-
-    from spoolbarrow.lab.orders import obey_lines
-
-    print(*[_serve(one.answer) for one in made], flush=True)
-    obey_lines(seconds, obey)
-
-
-def discovery(seconds: float, files: Sequence[str]) -> None:
-    """The whole list as each router's file holds it, told again to its watches when the file changes."""
-    import gevent
-
-    from spoolbarrow.lab.wire import PLAIN, chunk
-
-    def teller(file: str) -> Callable[[Any, Any], None]:
-        def answer(sock: Any, message: Any) -> None:
-            whole = Path(file).read_bytes()
-            if b"stream=1" not in message.target:
-                sock.sendall(PLAIN % (b"200 OK", b"", len(whole), whole))
-                return
-            sock.sendall(WATCHED + chunk(whole + b"\n"))
-            looks = 0
-            while True:
-                gevent.sleep(LOOK_S)
-                looks += 1
-                now = Path(file).read_bytes()
-                if now != whole:
-                    whole = now
-                    sock.sendall(chunk(whole + b"\n"))
-                elif looks % 20 == 0:
-                    sock.sendall(chunk(b"\n"))
-
-        return answer
-
-    print(*[_serve(teller(file)) for file in files], flush=True)
-    gevent.sleep(seconds)
-
-
-# The harness's side: in the process of a test or a benchmark
-
-
-class Process:
-    """A process of ours; its standard output and error are read as they come."""
-
-    def __init__(self, *argv: str, env: dict[str, str] | None = None, stdin: bool = False) -> None:
-        self.popen = subprocess.Popen(
-            [sys.executable, *argv], env={**os.environ, **(env or {})}, text=True,
-            stdin=subprocess.PIPE if stdin else subprocess.DEVNULL,
-            stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-        )
-        self.lines: list[str] = []  # of standard error: the log
-        self.said: list[str] = []  # of standard output
-        self._heard = threading.Condition()
-        for stream, into in ((self.popen.stdout, self.said), (self.popen.stderr, self.lines)):
-            threading.Thread(target=self._read, args=(stream, into), daemon=True).start()
-
-    def _read(self, stream: IO[str] | None, into: list[str]) -> None:
-        assert stream is not None
-        for line in stream:
-            with self._heard:
-                into.append(line.rstrip("\n"))
-                self._heard.notify_all()
-
-    def wait_for(self, true: Callable[[], bool], seconds: float = 30.0) -> None:
-        """Until something holds of what was read; AssertionError where the process ends or time runs out."""
-        with self._heard:
-            self._heard.wait_for(lambda: true() or self.popen.poll() is not None, seconds)
-            if not true():
-                raise AssertionError(f"never came true; last lines: {self.lines[-5:]}")
-
-    def first_said(self) -> str:
-        """The first line of standard output."""
-        self.wait_for(lambda: bool(self.said))
-        return self.said[0]
-
-    def tell(self, line: str) -> str:
-        """A line to standard input; the next line of output. ValueError where it is not obeyed."""
-        assert self.popen.stdin is not None
-        count = len(self.said)
-        self.popen.stdin.write(line + "\n")
-        self.popen.stdin.flush()
-        self.wait_for(lambda: len(self.said) > count)
-        if self.said[count].startswith("error"):
-            raise ValueError(f"{line}: {self.said[count]}")
-        return self.said[count]
-
-    def events(self, name: str) -> list[dict[str, Any]]:
-        """Log lines of one event, as JSON."""
-        with self._heard:
-            lines = list(self.lines)
-        marked = [line for line in lines if f'"{name}"' in line]
-        return [one for line in marked if (one := json.loads(line)).get("event") == name]
-
-    def end(self, grace_s: float = 10.0) -> None:
-        """By its id: SIGTERM, then SIGKILL where it does not end."""
-        if self.popen.poll() is None:
-            self.popen.terminate()
-            try:
-                self.popen.wait(grace_s)
-            except subprocess.TimeoutExpired:
-                self.popen.kill()
-                self.popen.wait()
-
-
-# Guards against another program that takes a port between its choice and the router's bind: connections
-# leave from 127.0.0.1, and each process that starts routers has them listen at an address of its own.
-LISTEN = f"127.{64 + (os.getpid() >> 16 & 63)}.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
-
-
-def free_ports(count: int) -> list[int]:
-    """Ports of LISTEN that nothing listens on just now, each another one."""
-    with ExitStack() as held:
-        socks = [held.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind((LISTEN, 0))
-        return [int(sock.getsockname()[1]) for sock in socks]
+LOOK_S = 0.02
+WAIT_S = 60.0  # for processes to come up: hundreds at once on a busy machine
+KNOWN = ("none", "empty", "old")  # lists that routers may begin with
 
 
 def call(port: int, text: bytes, seconds: float = 10.0) -> tuple[int, bytes]:
@@ -272,42 +65,97 @@
 
 
 class Cluster:
-    """What is running: routers `0..`, each in a zone, and engines `0..`, by zone in `of_zone`."""
+    """What is running: routers `0..`, each in a zone, and engines `0..`, by zone in `of_zone`.
+
+    `operator`: the text of each router's operator file (none where it is empty), or what makes it.
+    `known`: the list that routers begin with: none, an empty one, or that of all engines, both of a version
+    before the one that the service tells. `figures`: engines have a capacity, and fall when they are cold.
+    `rate` (calls a second; 0: any number), `line_ms`, `timeout_s`: the list service's.
+    """
 
-    def __init__(self, folder: Path, zones: dict[str, int], routers: Sequence[str], operator: str) -> None:
+    def __init__(
+        self, folder: Path, zones: Mapping[str, int], routers: Sequence[str],
+        operator: str | Callable[[Cluster, int], str], *, gates: bool = True, control: bool = True,
+        at_once: bool = False, members: bool = False, known: str = "none", figures: Figures | None = None,
+        rate: float = 0.0, line_ms: float = 0.0, timeout_s: float = 3.0,
+        settings: Mapping[str, Any] | None = None,
+    ) -> None:
+        if known not in KNOWN:
+            raise ValueError(f"known: one of {', '.join(KNOWN)}")
         self.folder, self.zones, self.zone_of, self._operator = folder, list(zones), list(routers), operator
+        self._gated, self._control, self._at_once, self._with_members = gates, control, at_once, members
+        self._known, self._figures, self._settings = known, figures, dict(settings or {})
+        self.rate, self._service = rate, (rate, line_ms, timeout_s)
         self.names = [f"e{n}" for n in range(sum(zones.values()))]
         self.of_zone: dict[str, list[int]] = {}
         for zone, count in zones.items():
             first = sum(len(found) for found in self.of_zone.values())
             self.of_zone[zone] = list(range(first, first + count))
-        self.out: set[int] = set()  # engines that discovery does not list
+        self.out: set[int] = set()  # engines that the service does not list
+        self.since = [0.0] * len(self.names)  # when engines were started, Unix ms; 0: long ago
         self.ended: set[int] = set()  # routers that were killed at some time
         self.started: list[Process] = []
         self.routers: list[Process] = []
-        free = free_ports(2 * len(routers))
+        self.members: Members | None = None
+        self.listing = 0  # version of the service's list
+        self.begun = self.begun_at = 0.0  # when the routers were begun: Unix s, monotonic s
+
+    def start(self, wait: bool = True) -> None:
+        """Start everything; returns when every router has a list, or without `wait` when they have begun."""
+        self.prepare()
+        self.begin()
+        if wait:
+            self.wait_listed(range(len(self.ports)))
+
+    def prepare(self) -> None:
+        """Start all but the routers."""
+        count = len(self.zone_of)
+        figures = [] if self._figures is None else [msgspec.json.encode(self._figures).decode()]
+        life = str(LIFE_S)
+        self.engines = self._start(
+            "-m", "spoolbarrow.lab.standin", life, str(len(self.names)), *figures, stdin=True
+        )
+        self.service = self._start(
+            "-m", "spoolbarrow.lab.listing", life, *map(str, self._service), stdin=True
+        )
+        self._engine_ports = self.engines.first_said().split()
+        told = self.service.first_said()
+        # After those of the stand-ins: these can then be nobody else's.
+        free = free_ports(2 * count)
         self.ports, self.controls = free[::2], free[1::2]
-        self.listing = 0  # version of discovery's list
-
-    def start(self) -> None:
-        """Start everything; returns when every router has a list."""
-        count, module = len(self.ports), "spoolbarrow.lab.cluster"
-        self.engines = self._start("-m", module, "engines", str(LIFE_S), str(len(self.names)), stdin=True)
-        ports = self.engines.first_said().split()
-        files = [str(self.folder / f"list{n}.json") for n in range(count)]
-        for file in files:
-            Path(file).write_text("{}")
-        told = self._start("-m", module, "discovery", str(LIFE_S), *files).first_said().split()
-        gates = ports * count + told
-        self.proxy = self._start("-m", "spoolbarrow.lab.proxy", str(LIFE_S), *gates, stdin=True)
-        self.fronts = self.proxy.first_said().split()
+        if self._gated:
+            gates = [f"{address(n)}:{port}" for n in range(count) for port in self._engine_ports]
+            gates += [f"{address(n)}:{told}" for n in range(count)]
+            self.proxy = self._start("-m", "spoolbarrow.lab.proxy", str(LIFE_S), *gates, stdin=True)
+            self.fronts = self.proxy.first_said().split()
+            self._discovery = [f"{HOST}:{port}" for port in self.fronts[count * len(self.names):]]
+        else:
+            self._discovery = [f"{address(n)}:{told}" for n in range(count)]
+        if self._with_members:
+            self.members = Members(self.folder, count, LIFE_S, self._start)
+        if self._known != "none":
+            self._tell([] if self._known == "empty" else range(len(self.names)))
         self.list_again()
-        for number in range(count):
-            (self.folder / f"operator{number}.toml").write_text(self._operator)
-            (self.folder / f"r{number}.json").write_text(json.dumps(self.config(number)))
-            self.routers.append(self.start_router(number))
-        for router in self.routers:
-            router.wait_for(lambda r=router: any(e["serving"] for e in r.events("destinations")))  # type: ignore[misc]
+
+    def begin(self) -> None:
+        """Start the routers, at once where that is wanted."""
+        numbers = range(len(self.ports))
+        for number in numbers:
+            text = self._operator if isinstance(self._operator, str) else self._operator(self, number)
+            if text:
+                (self.folder / f"operator{number}.toml").write_text(text)
+        self._mark_begin()
+        self.routers = [self.start_router(number, self._at_once) for number in numbers]
+        if self._at_once:
+            self.release(numbers, mark=True)
+
+    def wait_listed(self, numbers: Iterable[int], seconds: float = WAIT_S) -> None:
+        """Until each of these routers has an engine in service."""
+        for number in numbers:
+            router = self.routers[number]
+            router.wait_for(
+                lambda r=router: any(e["serving"] for e in r.events("destinations")), seconds  # type: ignore[misc]
+            )
 
     def _start(self, *argv: str, stdin: bool = False, env: dict[str, str] | None = None) -> Process:
         made = Process(*argv, stdin=stdin, env=env)
@@ -325,41 +173,117 @@
             "Limits": {"MaxAttempts": 3, "RetryAfter": True, "Cancelling": True, "MaxRetryAfterMs": 2000.0,
                        "Probing": True, "ConnectTimeoutMs": 300.0},
         }
-        discovery = self.fronts[len(self.names) * len(self.ports) + number]
-        return {"name": f"r{number}", "listen": f"{LISTEN}:{self.ports[number]}", "seed": f"8c1f{number}",
-                "control": f"{LISTEN}:{self.controls[number]}", "discovery": f"{HOST}:{discovery}",
-                "settings": settings}
-
-    def start_router(self, number: int) -> Process:
-        """One process of router `number`, by its files."""
-        files = {"NODE_CONFIG": f"r{number}.json", "SPOOLBARROW_OPERATOR": f"operator{number}.toml"}
-        env = {key: str(self.folder / file) for key, file in files.items()}
+        if (cold := self._figures) is not None:
+            settings["Invariants"] = {
+                "ColdFrom": cold.cold_from, "ColdMs": cold.cold_ms, "OverloadFactor": cold.overload_factor,
+                "TipAfterMs": cold.tip_after_ms,
+            }
+        made = {"name": f"r{number}", "listen": f"{LISTEN}:{self.ports[number]}", "seed": f"8c1f{number}",
+                "discovery": self._discovery[number], "settings": settings | self._settings}
+        if self._control:
+            made["control"] = f"{LISTEN}:{self.controls[number]}"
+        if self._known != "none":
+            engines = range(len(self.names)) if self._known == "old" else []
+            made["known"] = {"index": 1, "snapshot": True, "endpoints": [
+                {**line, "address": self._address(number, n), "since_ms": 0.0}
+                for n, line in zip(engines, self._lines(engines), strict=True)
+            ]}
+        return made
+
+    def _address(self, router: int, engine: int) -> str:
+        if self._gated:
+            return f"{HOST}:{self.fronts[router * len(self.names) + engine]}"
+        return f"{address(router)}:{self._engine_ports[engine]}"
+
+    def start_router(self, number: int, held: bool = False) -> Process:
+        """One process of a router; `held`: it waits for `release` before it reads its configuration."""
+        file = self.folder / f"r{number}.json"
+        if held:
+            file.unlink(missing_ok=True)
+            os.mkfifo(file)
+        else:
+            file.write_text(json.dumps(self.config(number)))
+        env = {"NODE_CONFIG": str(file)}
+        operator = self.folder / f"operator{number}.toml"
+        if operator.exists():
+            env["SPOOLBARROW_OPERATOR"] = str(operator)
         scratch = self.folder / f"tmp{number}"
         scratch.mkdir(exist_ok=True)
         return self._start("-m", "spoolbarrow", env={**env, "TMPDIR": str(scratch)})
 
+    def release(self, numbers: Iterable[int], seconds: float = WAIT_S, mark: bool = False) -> None:
+        """Let routers that were held begin, all in one instant; AssertionError where one never comes up.
+
+        `mark`: stand-ins count seconds from that instant.
+        """
+        end, opened = time.monotonic() + seconds, []
+        for number in numbers:
+            file = self.folder / f"r{number}.json"
+            while True:
+                try:
+                    opened.append((file, number, os.open(file, os.O_WRONLY | os.O_NONBLOCK)))
+                    break
+                except OSError:  # it is not there yet to read
+                    assert time.monotonic() < end, f"router {number} never came up"
+                    time.sleep(LOOK_S)
+        texts = [json.dumps(self.config(number)).encode() for _, number, _ in opened]
+        if mark:
+            self._mark_begin()
+        for (file, _, pipe), text in zip(opened, texts, strict=True):
+            os.set_blocking(pipe, True)
+            os.write(pipe, text)
+            os.close(pipe)
+            fresh = file.with_suffix(".new")  # it is read again at SIGHUP
+            fresh.write_bytes(text)
+            fresh.replace(file)
+
     def kill_router(self, number: int) -> None:
         """End a router's process without warning: what its clients get meanwhile is no test of it."""
         self.ended.add(number)
-        self.routers[number].popen.kill()
-        self.routers[number].popen.wait()
+        self.routers[number].kill()
+
+    def restart_routers(self, numbers: Iterable[int]) -> None:
+        """Kill routers without warning and begin them anew, all in one instant."""
+        chosen = list(numbers)
+        for number in chosen:
+            self.kill_router(number)
+        for number in chosen:
+            self.routers[number] = self.start_router(number, held=True)
+        self.release(chosen)
+
+    def hang_up(self, numbers: Iterable[int]) -> None:
+        """SIGHUP to routers: they read their files again."""
+        for number in numbers:
+            self.routers[number].popen.send_signal(signal.SIGHUP)
 
     def list_again(self) -> None:
-        """Discovery lists all engines but those in `out`, in a new version."""
-        self.listing += 1
-        count = len(self.names)
+        """The service lists all engines but those in `out`, in a new version."""
+        self._tell([n for n in range(len(self.names)) if n not in self.out])
+
+    def _lines(self, engines: Iterable[int]) -> list[dict[str, Any]]:
         zone = {n: name for name, found in self.of_zone.items() for n in found}
-        for number in range(len(self.ports)):
-            lines = [
-                {"name": self.names[n], "address": f"{HOST}:{self.fronts[number * count + n]}",
-                 "zone": zone[n], "type": "m"}
-                for n in range(count) if n not in self.out
-            ]
-            told = json.dumps({"index": self.listing, "snapshot": True, "endpoints": lines})
-            file = self.folder / f"list{number}.json"
-            fresh = file.with_suffix(".new")
-            fresh.write_text(told)
-            fresh.replace(file)
+        return [{"name": self.names[n], "zone": zone[n], "type": "m", "since_ms": self.since[n]}
+                for n in engines]
+
+    def _tell(self, engines: Iterable[int]) -> None:
+        self.listing += 1
+        chosen = list(engines)
+        lines = [
+            {**line, "addresses": [self._address(router, n) for router in range(len(self.ports))]}
+            if self._gated else {**line, "address": f"@:{self._engine_ports[n]}"}
+            for n, line in zip(chosen, self._lines(chosen), strict=True)
+        ]
+        file = self.folder / "list.json"
+        file.write_text(json.dumps({"index": self.listing, "endpoints": lines}))
+        self.service.tell(f"list {file}")
+
+    def restart_engines(self, engines: Iterable[int]) -> None:
+        """These engines are new processes, with nothing kept and cold where they can be; and listed so."""
+        chosen = list(engines)
+        since = float(self.engines.tell(f"{','.join(map(str, chosen))} restart"))
+        for n in chosen:
+            self.since[n] = since
+        self.list_again()
 
     def gates(self, engines: Iterable[int], routers: Iterable[int] | None = None) -> list[int]:
         """The gates between these routers (all, where none are named) and these engines."""
@@ -372,10 +296,29 @@
         self.proxy.tell(f"{','.join(map(str, gates))} {mode}")
 
     def counts(self) -> list[dict[str, Any]]:
-        """What each engine has been sent: `asked`, by router (`r0` ...), and `probes`."""
-        told: list[dict[str, Any]] = json.loads(self.engines.tell("counts"))
+        """What each engine has been sent: `asked` by router (`r0` ...), `probes`, more (`Standin.told`)."""
+        told: list[dict[str, Any]] = self.engines.ask("counts")
+        return told
+
+    def served_lists(self) -> dict[str, Any]:
+        """What the list service counted."""
+        told: dict[str, Any] = self.service.ask("counts")
         return told
 
+    def _mark_begin(self) -> None:
+        self.begun, self.begun_at = time.time(), time.monotonic()
+        self.mark()
+
+    def mark(self) -> None:
+        """Stand-ins count seconds from now on."""
+        self.engines.tell("mark")
+        self.service.tell("mark")
+
+    def knowing(self) -> list[int]:
+        """Routers whose watch is open and has told them the newest list."""
+        told = self.served_lists()["known"]
+        return [n for n in range(len(self.ports)) if told.get(f"r{n}") == self.listing]
+
     def control(self, number: int, path: str, method: str = "GET") -> Any:
         """A call to a router's control listener: the answer's JSON."""
         status, raw = call(self.controls[number], f"{method} /v1/{path} HTTP/1.1\r\n\r\n".encode())
@@ -392,21 +335,24 @@
         for n in numbers:
             self.routers[n].wait_for(lambda n=n: state in self.states(n, place)[since:])  # type: ignore[misc]
 
-    def end(self) -> None:
-        """End all processes."""
+    def end(self, kill: bool = False) -> None:
+        """End all processes; `kill`: without the grace that routers take."""
+        if self.members is not None:
+            self.members.end()
         for process in self.started:
             if process.popen.poll() is None:
-                process.popen.terminate()  # all at once: routers take their grace
+                process.popen.kill() if kill else process.popen.terminate()  # all at once
         for process in self.started:
             process.end()
 
 
 @contextmanager
 def cluster(
-    folder: Path, zones: dict[str, int], routers: Sequence[str], operator: str
+    folder: Path, zones: Mapping[str, int], routers: Sequence[str],
+    operator: str | Callable[[Cluster, int], str] = "", **options: Any,
 ) -> Iterator[Cluster]:
-    """Engines by zone, and a router for each zone named, all of which serve."""
-    made = Cluster(folder, zones, routers, operator)
+    """Engines by zone, and a router for each zone named, all of which serve; `options` as of `Cluster`."""
+    made = Cluster(folder, zones, routers, operator, **options)
     try:
         made.start()
         yield made
@@ -469,10 +415,3 @@
         self._stop.set()
         for thread in self._threads:
             thread.join(30)
-
-
-if __name__ == "__main__":
-    if sys.argv[1] == "engines":
-        engines(float(sys.argv[2]), int(sys.argv[3]))
-    else:
-        discovery(float(sys.argv[2]), sys.argv[3:])
--- a/spoolbarrow/lab/proxy.py
+++ b/spoolbarrow/lab/proxy.py
@@ -6,9 +6,9 @@
 index (`0,3,4`, or `*` for all): `pass`, `drop` (connections are taken and nothing passes either way),
 `reset` (new and open connections are reset), `delay MS` (each piece waits so long), `slow BYTES_PER_S`,
 `oneway` (what the router sends passes, nothing comes back). Connections that lost bytes so are reset when
-the fault ends, as those of a machine that is back. Each line is answered `ok` or `error: ...` on standard
-output. It ends after SECONDS, or when standard input closes. Connections are bounded (`MOST_OPEN` a listener;
-beyond that, new ones are reset and counted).
+the fault ends, as those of a machine that is back, or GIVE_UP_S after the first, as by a kernel's timers.
+Each line is answered `ok` or `error: ...` on standard output. It ends after SECONDS, or when standard input
+closes. Connections are bounded (`MOST_OPEN` a listener; beyond that, new ones are reset and counted).
 """
 
 from __future__ import annotations
@@ -23,10 +23,13 @@
 import gevent
 from gevent import socket
 
+from spoolbarrow.lab import loopback
 from spoolbarrow.lab.orders import obey_lines
 
 HOST = "127.0.0.1"
 MOST_OPEN = 512
+CONNECT_S = 2.0
+GIVE_UP_S = 2.0
 PIECE = 65536
 MODES = ("pass", "drop", "reset", "delay", "slow", "oneway")
 
@@ -73,9 +76,10 @@
 
     def _join(self, client: Any) -> None:
         try:
-            engine = socket.create_connection(self.target, 2)
+            engine = socket.create_connection(self.target, CONNECT_S)
         except OSError:
             return _reset(client)
+        engine.settimeout(None)  # guards against cutting off what is merely silent, as a watch is for 2 s
         self.open |= {client, engine}
         ends = [gevent.spawn(self._pump, client, engine, True)]
         ends.append(gevent.spawn(self._pump, engine, client, False))
@@ -86,10 +90,17 @@
             self.torn.discard(sock)
             sock.close()
 
+    def _give_up(self, *ends: Any) -> None:
+        for sock in ends:
+            if sock in self.torn:  # else the fault has ended, and the connection with it
+                _reset(sock)
+
     def _pump(self, source: Any, sink: Any, outward: bool) -> None:
         try:
             while data := source.recv(PIECE):
                 if self.mode == "drop" or (self.mode == "oneway" and not outward):
+                    if source not in self.torn:
+                        gevent.spawn_later(GIVE_UP_S, self._give_up, source, sink)
                     self.torn |= {source, sink}
                 else:
                     self._pass(sink, data)
@@ -133,6 +144,7 @@
 
 def main(argv: list[str]) -> None:
     """Serve the listeners, obey standard input, end in time."""
+    loopback.most_files()
     seconds, targets = float(argv[0]), [target.rpartition(":") for target in argv[1:]]
     gates = [Gate((host or HOST, int(port))) for host, _, port in targets]
     for gate in gates:
--- /dev/null
+++ b/spoolbarrow/lab/script.py
@@ -0,0 +1,319 @@
+"""Fault scripts: named faults of a fleet's start, played on processes, and what each process saw.
+
+    python -m spoolbarrow.lab.script NAME [--routers N] [--engines N] [--rate R] [--known LIST] [--pace X]
+
+A script is a table of steps: at what event or second, what fault. `play` is the one function that plays it,
+for tests, benchmarks and this command. By default the service's rate is such that it can answer all routers
+once in WORK_S. Exit status 1 where some router did not know the newest list in time, an engine fell, or a
+router met what nothing foresaw; 2 where the command line is faulty.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from math import ceil
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from spoolbarrow.lab.cluster import KNOWN, Cluster, Load
+from spoolbarrow.lab.cold import Figures
+
+BEFORE = -1.0  # a step's time: before the routers begin
+WORK_S = 4.0  # in which the service can answer each router once, where no rate is given
+EVENT_S = 20.0  # an event that has not come by then is not waited for any longer
+LOOK_S = 0.1
+FULL = 3  # calls in the queue that count as a queue
+PAUSE_S = 0.5  # of each router's client between requests
+EACH = 2  # routers for each engine, at least one engine
+
+
+class Step(NamedTuple):
+    """One fault, begun or ended."""
+
+    do: str  # of VERBS
+    at: float = 0.0  # s after the step before it, or after `event`; BEFORE: before the routers begin
+    value: float = 0.0
+    event: str = ""  # of EVENTS, waited for first
+
+
+class Script(NamedTuple):
+    """A fault of the fleet's start."""
+
+    about: str
+    steps: tuple[Step, ...]
+    known: str = "old"  # what routers begin with, of cluster.KNOWN
+    cold: bool = False  # engines as well
+    members: bool = False  # with a store
+    within_s: float = 20.0  # after the last step, and the time the service needs, all know the newest list
+
+
+def _all(mode: str) -> Callable[[Cluster, float], object]:
+    return lambda made, _: made.service.tell(f"* {mode}")
+
+
+def _service(word: str) -> Callable[[Cluster, float], object]:
+    return lambda made, _: made.service.tell(word)
+
+
+def _cut(made: Cluster, share: float) -> None:
+    chosen = range(ceil(share * len(made.ports)))
+    made.service.tell(f"{','.join(map(str, chosen))} cut")
+
+
+def _crash(made: Cluster, router: float) -> None:
+    made.kill_router(int(router))
+    made.routers[int(router)] = made.start_router(int(router))
+
+
+def _lose_engines(made: Cluster, share: float) -> None:
+    made.out = set(range(ceil(share * len(made.names))))
+    made.engines.tell(f"{','.join(map(str, sorted(made.out)))} down")
+    made.list_again()
+
+
+def _leave(made: Cluster, engine: float) -> None:
+    made.out.add(int(engine))
+    made.list_again()
+
+
+def _members(act: str) -> Callable[[Cluster, float], object]:
+    def play(made: Cluster, count: float) -> None:
+        assert made.members is not None, "a cluster with a store is needed"
+        for member in range(int(count)):
+            getattr(made.members, act)(member)
+
+    return play
+
+
+VERBS: dict[str, Callable[[Cluster, float], object]] = {
+    "down": _service("down"),
+    "up": _service("up"),
+    "restart": _service("restart"),
+    "fail": lambda made, share: made.service.tell(f"fail {share}"),
+    "mute": _all("mute"),
+    "half": _all("half"),
+    "pass": _all("pass"),
+    "cut": _cut,
+    "crash": _crash,
+    "crash-all": lambda made, _: made.restart_routers(range(len(made.ports))),
+    "hang-up": lambda made, _: made.hang_up(range(len(made.ports))),
+    "lose-engines": _lose_engines,
+    "leave": _leave,
+    "chill": lambda made, _: made.restart_engines(range(len(made.names))),
+    "stop-members": _members("stop"),
+    "wake-members": _members("wake"),
+}
+EVENTS: dict[str, Callable[[Cluster], bool]] = {
+    "known": lambda made: len(made.knowing()) == len(made.ports),
+    "queue": lambda made: made.served_lists()["queued"] >= FULL,
+}
+SCRIPTS: dict[str, Script] = {
+    "calm": Script("nothing fails", ()),
+    "down-at-start": Script(
+        "the service is down for the first 25 s", (Step("down", BEFORE), Step("up", 25.0)), "none"
+    ),
+    "half-fail": Script(
+        "half of the calls get 503 for 20 s", (Step("fail", BEFORE, 0.5), Step("fail", 20.0, 0.0)), "none"
+    ),
+    "silent-watches": Script("all watches fall silent, and an engine leaves", (
+        Step("mute", event="known"), Step("leave", 0.2), Step("pass", 8.0),
+    )),
+    "half-answer": Script(
+        "answers stop half-way for 10 s", (Step("half", BEFORE), Step("pass", 10.0)), "none"
+    ),
+    "crash-loop": Script("one router is killed every 2 s", tuple(Step("crash", 2.0) for _ in range(5))),
+    "tenth-cut": Script(
+        "a tenth of the routers is cut off from the service for 10 s",
+        (Step("cut", BEFORE, 0.1), Step("pass", 10.0)), "none",
+    ),
+    "hang-up": Script("SIGHUP to all routers at once", (Step("hang-up", event="known"),)),
+    "restart-full": Script(
+        "the service is restarted while calls wait", (Step("restart", event="queue"),), "none"
+    ),
+    "third-gone": Script("a third of the known list is gone", (Step("lose-engines", BEFORE, 1 / 3),)),
+    "all-cold": Script("all routers and engines begin at once", (Step("chill", BEFORE),), "none", cold=True),
+    "outage": Script("the service is down for 5 s, with all watches open", (
+        Step("down", event="known"), Step("up", 5.0),
+    )),
+    "all-killed": Script("all routers are killed and begun anew", (Step("crash-all", event="known"),)),
+    "no-leader": Script(
+        "two of three members of the store stand still for the first 5 s",
+        (Step("stop-members", BEFORE, 2), Step("wake-members", 5.0, 2)), members=True,
+    ),
+}
+
+
+def shape(script: Script, engines: int, rate: float, routers: int, known: str = "") -> dict[str, Any]:
+    """What a cluster needs for a script, as options of `Cluster`; a rate of 0: by WORK_S."""
+    return {
+        "gates": False, "control": False, "at_once": True, "known": known or script.known,
+        "members": script.members, "rate": rate or routers / WORK_S,
+        "figures": Figures(per_s=max(4.0, 4.0 * routers / engines)) if script.cold else None,
+    }
+
+
+def play(made: Cluster, script: Script, pace: float = 1.0, pause_s: float = PAUSE_S) -> dict[str, Any]:
+    """Start the routers of a prepared cluster under load, play the script's faults, tell what each saw.
+
+    `pace`: times of steps are multiplied with it. It ends when all routers know the newest list, or
+    `within_s` after the last step and the time that the service needs to answer them.
+    """
+    for step in script.steps:
+        if step.at == BEFORE:
+            VERBS[step.do](made, step.value)
+    made.begin()
+    load = Load(made, pause_s=pause_s)
+    try:
+        missed = []
+        for step in script.steps:
+            if step.at != BEFORE:
+                if step.event and not _until(lambda s=step: EVENTS[s.event](made), EVENT_S):  # type: ignore[misc]
+                    missed.append(step.event)
+                time.sleep(step.at * pace)
+                VERBS[step.do](made, step.value)
+        last = time.time()
+        need = len(made.ports) / made.rate if made.rate else 0.0
+        _until(lambda: EVENTS["known"](made), script.within_s + need)
+        known = made.knowing()
+        ended = time.time()
+    finally:
+        load.stop()
+    return told(made, load) | {
+        "about": script.about, "routers": len(made.ports), "rate": made.rate, "events_missed": missed,
+        "unknowing": sorted(set(range(len(made.ports))) - set(known)),
+        "known_s": round(ended - made.begun, 2), "known_after_last_step_s": round(ended - last, 2),
+    }
+
+
+def _until(true: Callable[[], bool], seconds: float) -> bool:
+    """Wait for it; whether it came."""
+    end = time.monotonic() + seconds
+    while not true():
+        if time.monotonic() > end:
+            return False
+        time.sleep(LOOK_S)
+    return True
+
+
+def told(made: Cluster, load: Load) -> dict[str, Any]:
+    """What each process saw since the routers began."""
+    service = made.served_lists()
+    begun = made.begun_at
+    routers = {}
+    for n, process in enumerate(made.routers):
+        answers = [one for one in list(load.answers) if one.router == n]
+        served = [one.at - begun for one in answers if one.status == 200]
+        routers[f"r{n}"] = {
+            "calls": service["calls"].get(f"r{n}", 0), "failed": service["failed"].get(f"r{n}", 0),
+            "first_list_s": _rounded(service["first_s"].get(f"r{n}")),
+            "watches_broken": len(process.events("watch_broken")),
+            "reloaded": len(process.events("reloaded")),
+            "unexpected": len(process.events("unexpected")),
+            "serving": max([0, *[one["serving"] for one in process.events("destinations")[-1:]]]),
+            "first_served_s": _rounded(min(served, default=None)),
+            "answers": dict(Counter(str(one.status) for one in answers)),
+        }
+    return {"service": of_service(service), "of_routers": routers, "of_engines": of_engines(made)}
+
+
+def _rounded(value: float | None) -> float | None:
+    return None if value is None else round(value, 2)
+
+
+def of_service(service: dict[str, Any]) -> dict[str, Any]:
+    """The list service's account."""
+    calls, failed = sum(service["calls"].values()), sum(service["failed"].values())
+    seconds = service["seconds"].get("calls", {})
+    return {
+        "calls": calls, "failed": failed, "failed_share": round(failed / max(1, calls), 4),
+        "longest": service["longest"], "longest_s": round(service["longest_s"], 2),
+        "busiest_second": max(seconds.values(), default=0), "lines": service["lines"],
+        "reset": service["reset"],
+        "last_list_s": _rounded(max(service["first_s"].values(), default=None)),
+    }
+
+
+def of_engines(made: Cluster) -> dict[str, Any]:
+    """What each engine was sent; `busiest` and `mean`: of its seconds."""
+    found = {}
+    for name, one in zip(made.names, made.counts(), strict=True):
+        found[name] = {key: one[key] for key in ("falls", "fallen", "refused", "full")}
+        for kind in ("handshakes", "probes", "work"):
+            its = one["seconds"].get(kind, {})
+            found[name][kind] = {
+                "sum": round(sum(its.values()), 1), "busiest": round(max(its.values(), default=0.0), 1),
+                "routers": len(one["by_router"].get(kind, {})),
+            }
+    return found
+
+
+def well(found: dict[str, Any]) -> bool:
+    """Whether all know, nothing fell, and nothing happened that nothing foresaw."""
+    return (
+        not found["unknowing"] and not any(one["falls"] for one in found["of_engines"].values())
+        and not any(one["unexpected"] for one in found["of_routers"].values())
+    )
+
+
+def page(name: str, found: dict[str, Any]) -> str:
+    """For people: the service, each router, each engine."""
+    service = found["service"]
+    lines = [
+        f"{name}: {found['about']}; {found['routers']} routers, {found['rate']:g} calls a second",
+        f"NEVER KNEW: {found['unknowing']}" if found["unknowing"] else
+        f"all know the newest list {found['known_s']} s after the start, {found['known_after_last_step_s']} s"
+        " after the last step",
+        "service: " + ", ".join(f"{key} {value}" for key, value in service.items()),
+        f"{'router':8}{'calls':>6}{'failed':>7}{'broken':>7}{'list s':>8}{'served s':>9}  answers",
+    ]
+    for router, one in found["of_routers"].items():
+        answers = " ".join(f"{status}:{count}" for status, count in sorted(one["answers"].items()))
+        lines.append(
+            f"{router:8}{one['calls']:6}{one['failed']:7}{one['watches_broken']:7}"
+            f"{one['first_list_s'] or '-':>8}{one['first_served_s'] or '-':>9}  {answers}"
+        )
+    lines.append(f"{'engine':8}{'falls':>6}{'refused':>8}   handshakes, probes, work: sum (busiest second)")
+    for engine, one in found["of_engines"].items():
+        sums = ", ".join(f"{one[kind]['sum']:g} ({one[kind]['busiest']:g})"
+                         for kind in ("handshakes", "probes", "work"))
+        lines.append(f"{engine:8}{one['falls']:6}{one['refused']:8}   {sums}")
+    return "\n".join(lines)
+
+
+def main(argv: list[str]) -> int:
+    """Play one script; the exit status."""
+    names = ", ".join(SCRIPTS)
+    about = f"NAME: one of {names}."
+    arguments = argparse.ArgumentParser(prog="python -m spoolbarrow.lab.script", description=about)
+    arguments.add_argument("name", choices=SCRIPTS, metavar="NAME")
+    arguments.add_argument("--routers", type=int, default=16)
+    arguments.add_argument("--engines", type=int, default=0, help="0: one for each two routers")
+    arguments.add_argument("--rate", type=float, default=0.0, help="calls a second; 0: routers in 4 s")
+    arguments.add_argument("--known", choices=KNOWN, default="", help="else as the script says")
+    arguments.add_argument("--pace", type=float, default=1.0, help="times of steps are multiplied with it")
+    arguments.add_argument("--json", action="store_true")
+    asked = arguments.parse_args(argv)
+    script = SCRIPTS[asked.name]
+    if asked.routers < 1 or asked.engines < 0 or asked.rate < 0 or asked.pace <= 0:
+        arguments.error("--routers and --pace must be positive, --engines and --rate not negative")
+    engines = asked.engines or max(1, asked.routers // EACH)
+    with tempfile.TemporaryDirectory() as folder:
+        made = Cluster(Path(folder), {"a": engines}, ["a"] * asked.routers, "",
+                       **shape(script, engines, asked.rate, asked.routers, asked.known))
+        try:
+            made.prepare()
+            found = play(made, script, asked.pace)
+        finally:
+            made.end(kill=True)
+    print(json.dumps(found) if asked.json else page(asked.name, found))
+    return 0 if well(found) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/spoolbarrow/lab/standin.py
@@ -0,0 +1,251 @@
+"""Stand-in engines: they answer as they are told, count what they are sent, and can be cold.
+
+    python -m spoolbarrow.lab.standin SECONDS COUNT [FIGURES]     prints the engines' ports, then obeys
+
+FIGURES (JSON, `cold.Figures`) gives them a capacity, a bound on connections, and a fall. Lines on standard
+input: `ENGINES MODE [VALUE]`, the engines by index (`0,3,4`, or `*`), the mode `well`, `error` (500), `full`
+(503, unprocessed, with VALUE as `Retry-After`), `slow MS` (to the first event), `down` (refuses connections;
+those that are open are reset) or `restart` (a new process: cold where there are FIGURES, answered with its
+start in Unix ms); `counts`, answered with what each was sent; `mark`: seconds are counted from now on. It
+ends after SECONDS.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+import gevent
+import msgspec
+
+from spoolbarrow.lab import loopback
+from spoolbarrow.lab.cold import Cold, Figures
+from spoolbarrow.lab.orders import obey_lines
+from spoolbarrow.lab.wire import EVENT, HEAD, PLAIN, RESET, chunk, facts
+from spoolbarrow.net.http1 import RequestParser
+
+EVENTS, GAP_S = 4, 0.02  # of an answer, and between them
+MODES = {"well": 0, "error": 0, "full": 1, "slow": 1, "down": 0, "restart": 0}  # values that each may have
+MOST_SECONDS = 900  # that are counted one by one; what comes later counts in the last
+KINDS = ("handshakes", "probes", "work")
+CALM = b"x1=0,load_share=0.1,x0=0.1"
+
+
+def converse(sock: Any, answer: Callable[[Any, Any], None]) -> None:
+    """Answer each request on a connection."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    parser = RequestParser(16_384, 262_144)
+    try:
+        while data := sock.recv(65_536):
+            parser.feed(memoryview(data))
+            while parser.whole:
+                answer(sock, parser.whole.popleft())
+    except OSError:
+        pass
+    finally:
+        sock.close()
+
+
+def reset(sock: Any) -> None:
+    """End a connection so that its other side hears of it."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    sock.close()
+
+
+class Door:
+    """A listener at all loopback addresses that can be shut and opened again, and its connections."""
+
+    def __init__(self, serve: Callable[[Any, str], None], admit: Callable[[str], bool]) -> None:
+        self._serve, self._admit = serve, admit
+        self.open: dict[Any, str] = {}  # connections, and whose they are
+        self._listener: Any = loopback.listen()
+        self.port: int = self._listener.getsockname()[1]
+        self._accepting = gevent.spawn(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self._listener.accept()
+            router = loopback.router_at(sock.getsockname()[0])
+            if self._admit(router):
+                self.open[sock] = router
+                gevent.spawn(self._run, sock, router)
+            else:
+                reset(sock)
+
+    def _run(self, sock: Any, router: str) -> None:
+        try:
+            self._serve(sock, router)
+        finally:
+            self.open.pop(sock, None)
+            sock.close()
+
+    def reset(self, of: str = "") -> None:
+        """End connections: all, or a router's."""
+        for sock, router in list(self.open.items()):
+            if not of or router == of:
+                self.open.pop(sock, None)
+                reset(sock)
+
+    def shut(self) -> None:
+        """Refuse connections from now on, and end those that are open."""
+        if self._listener is not None:
+            self._accepting.kill()
+            self._listener.close()
+            self._listener = None
+        self.reset()
+
+    def unlock(self) -> None:
+        """Take connections again; OSError where the port was taken meanwhile."""
+        if self._listener is None:
+            self._listener = loopback.listen(self.port)
+            self._accepting = gevent.spawn(self._accept)
+
+
+class Standin:
+    """One engine."""
+
+    def __init__(self, figures: Figures | None = None) -> None:
+        self.figures = figures
+        self.mode, self.value = "well", 0.0
+        self.cold = None if figures is None else Cold(figures, self._now(), cold=False)
+        self.incarnation = 0
+        self.fallen = False
+        self.falls = self.refused = self.full = 0
+        self.asked: Counter[str] = Counter()  # requests by the beginning of their ids, up to the first `-`
+        self.by: dict[str, dict[str, float]] = {kind: defaultdict(float) for kind in KINDS}  # by router
+        self.seconds: dict[str, dict[int, float]] = {kind: defaultdict(float) for kind in KINDS}
+        self.begun = time.monotonic()
+        self.door = Door(self._converse, self._admits)
+
+    def _now(self) -> float:
+        return time.monotonic() * 1000.0
+
+    def mark(self) -> None:
+        """Count seconds from now on."""
+        self.begun = time.monotonic()
+        for counted in self.seconds.values():
+            counted.clear()
+
+    def _count(self, kind: str, router: str, much: float = 1.0) -> None:
+        self.by[kind][router] += much
+        self.seconds[kind][min(int(time.monotonic() - self.begun), MOST_SECONDS)] += much
+
+    def told(self) -> dict[str, Any]:
+        """What it was sent."""
+        return {
+            "asked": self.asked, "probes": int(sum(self.by["probes"].values())), "by_router": self.by,
+            "seconds": self.seconds, "fallen": self.fallen, "falls": self.falls, "refused": self.refused,
+            "full": self.full, "incarnation": self.incarnation, "connections": len(self.door.open),
+        }
+
+    def set(self, words: list[str]) -> str:
+        """Go by `MODE [VALUE]`; the answer to whoever said so."""
+        if not words or words[0] not in MODES or len(words) > 1 + MODES[words[0]]:
+            return f"error: want one of {', '.join(MODES)}"
+        try:
+            value = float(words[1]) if len(words) == 2 else 0.0
+        except ValueError:
+            return f"error: {words[0]} wants a number"
+        if words[0] == "restart":
+            return self._restart()
+        self.mode, self.value = words[0], value
+        if self.mode == "down":
+            self.door.shut()
+        elif not self.fallen:
+            self.door.unlock()
+        return "ok"
+
+    def _restart(self) -> str:
+        self.door.shut()
+        self.incarnation += 1
+        self.mode, self.fallen = "well", False
+        if self.figures is not None:
+            self.cold = Cold(self.figures, self._now())
+        self.door.unlock()
+        return f"{time.time() * 1000.0:.0f}"
+
+    def _admits(self, router: str) -> bool:
+        self._count("handshakes", router)
+        room = self.figures is None or len(self.door.open) < self.figures.connections
+        self.refused += not room
+        return room
+
+    def _converse(self, sock: Any, router: str) -> None:
+        converse(sock, lambda sock, message: self.answer(sock, message, router))
+
+    def answer(self, sock: Any, message: Any, router: str) -> None:
+        """One request, or a probe."""
+        if message.method == b"GET":
+            self._count("probes", router)
+            report = CALM if self.cold is None else self._report(self.cold)
+            sock.sendall(PLAIN % (b"200 OK", b"", len(report), report))
+            return
+        self.asked[message.fields.get(b"x-correlation-id", b"").partition(b"-")[0].decode("latin-1")] += 1
+        work, done = 1.0, self._now()
+        if self.cold is not None:
+            work = float(facts(message).get("prompt_len", 0)) / self.cold.figures.mean_prompt or 1.0
+        self._count("work", router, work)
+        if self.mode == "error":
+            sock.sendall(PLAIN % (b"500 Internal Server Error", b"", 0, b""))
+            return
+        if self.cold is not None and self.cold.falls(done, work):
+            self.fallen, self.falls = True, self.falls + 1
+            return self.door.shut()
+        taken = done if self.cold is None else self.cold.take(done, work)
+        if self.mode == "full" or taken is None:
+            self.full += 1
+            later = b"Retry-After: %g\r\n" % self.value if self.value else b""
+            sock.sendall(PLAIN % (b"503 Service Unavailable", b"X-Unprocessed: 1\r\n" + later, 0, b""))
+            return
+        late = self.value if self.mode == "slow" else 0.0
+        if taken + late > done:
+            gevent.sleep((taken + late - done) / 1000.0)
+        event = EVENT % (b"word", b"null")
+        sock.sendall(HEAD + chunk(event))
+        for _ in range(EVENTS - 1):
+            gevent.sleep(GAP_S)
+            sock.sendall(chunk(event))
+        sock.sendall(chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
+
+    def _report(self, cold: Cold) -> bytes:
+        waiting = cold.waiting(self._now())
+        share = waiting / cold.figures.waiting
+        return b"x1=%g,load_share=%g,x0=%g" % (waiting * cold.figures.mean_prompt / 1000.0, share, share)
+
+
+def obey(made: list[Standin], line: str) -> str:
+    """Carry out one line of standard input; its answer."""
+    if line == "counts":
+        return json.dumps([one.told() for one in made])
+    if line == "mark":
+        for one in made:
+            one.mark()
+        return "ok"
+    named, *words = line.split()
+    chosen = [str(n) for n in range(len(made))] if named == "*" else named.split(",")
+    if not all(one.isdigit() and int(one) < len(made) for one in chosen):
+        return f"error: no engine {named}"
+    try:
+        return [made[int(one)].set(words) for one in chosen][-1]
+    except OSError as error:
+        return f"error: {error}"
+
+
+def main(argv: list[str]) -> None:
+    """Serve the engines, and obey."""
+    loopback.most_files()
+    figures = msgspec.json.decode(argv[2], type=Figures) if len(argv) > 2 else None
+    made = [Standin(figures) for _ in range(int(argv[1]))]
+    print(*[one.door.port for one in made], flush=True)
+    obey_lines(float(argv[0]), lambda line: obey(made, line))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -143,6 +143,7 @@
 
 def test_a_zone_that_discovery_lists_empty_fails_everywhere_and_returns_everywhere(tmp_path: Path) -> None:
     with loaded(tmp_path) as made:
+        more_requests(made, 1)  # all have seen it in service: a zone that was never listed is no fault
         made.out |= set(made.of_zone["a"])
         made.list_again()
         made.wait_state(ALL, "a", "failed")
