--- a/spoolbarrow/lab/script.py
+++ b/spoolbarrow/lab/script.py
@@ -246,7 +246,7 @@
     return {
         "calls": calls, "failed": failed, "failed_share": round(failed / max(1, calls), 4),
         "longest": service["longest"], "longest_s": round(service["longest_s"], 2),
-        "busiest_second": max(seconds.values(), default=0), "lines": service["lines"],
+        "busiest_second": max(seconds.values(), default=0), "lines": sum(service["lines"].values()),
         "reset": service["reset"],
         "last_list_s": _rounded(max(service["first_s"].values(), default=None)),
     }
