Begin cold engines in the routers' instant, and end a script when all have served

Engines were chilled before the routers' processes came up, and half warm when those began. Requests of the load are sessions of their own now: the same keys at all routers had all of them meet the same engine.

--- a/spoolbarrow/lab/cluster.py
+++ b/spoolbarrow/lab/cluster.py
@@ -139,17 +139,23 @@
             self._tell([] if self._known == "empty" else range(len(self.names)))
         self.list_again()
 
-    def begin(self) -> None:
-        """Start the routers, at once where that is wanted."""
+    def begin(self, before: Callable[[], object] = lambda: None) -> None:
+        """Start the routers, at once where that is wanted; `before` is called just before they begin."""
         numbers = range(len(self.ports))
         for number in numbers:
             text = self._operator if isinstance(self._operator, str) else self._operator(self, number)
             if text:
                 (self.folder / f"operator{number}.toml").write_text(text)
-        self._mark_begin()
+
+        def ready() -> None:
+            before()
+            self._mark_begin()
+
+        if not self._at_once:
+            ready()
         self.routers = [self.start_router(number, self._at_once) for number in numbers]
         if self._at_once:
-            self.release(numbers, mark=True)
+            self.release(numbers, before=ready)
 
     def wait_listed(self, numbers: Iterable[int], seconds: float = WAIT_S) -> None:
         """Until each of these routers has an engine in service."""
@@ -215,10 +221,12 @@
         scratch.mkdir(exist_ok=True)
         return self._start("-m", "spoolbarrow", env={**env, "TMPDIR": str(scratch)}, cwd=self._tree)
 
-    def release(self, numbers: Iterable[int], seconds: float = WAIT_S, mark: bool = False) -> None:
+    def release(
+        self, numbers: Iterable[int], seconds: float = WAIT_S, before: Callable[[], object] = lambda: None
+    ) -> None:
         """Let routers that were held begin, all in one instant; AssertionError where one never comes up.
 
-        `mark`: stand-ins count seconds from that instant.
+        `before` is called when they are all up.
         """
         end, opened = time.monotonic() + seconds, []
         for number in numbers:
@@ -231,8 +239,7 @@
                     assert time.monotonic() < end, f"router {number} never came up"
                     time.sleep(LOOK_S)
         texts = [json.dumps(self.config(number)).encode() for _, number, _ in opened]
-        if mark:
-            self._mark_begin()
+        before()
         for (file, _, pipe), text in zip(opened, texts, strict=True):
             os.set_blocking(pipe, True)
             os.write(pipe, text)
@@ -374,13 +381,17 @@
 
 
 class Load:
-    """Clients of each router, one request at a time each, until stopped; what they were answered is kept."""
+    """Clients of each router, one request at a time each, until stopped; what they were answered is kept.
+
+    Each request is a session of its own, and the first ones are spread over a pause: what comes together at
+    an engine is the routers' doing.
+    """
 
     def __init__(self, made: Cluster, clients: int = 1, pause_s: float = 0.0) -> None:
         self.answers: list[Answer] = []
         self.retry_after_missing = 0
         self._stop = threading.Event()
-        self._pause_s = pause_s
+        self._pause_s, self._clients, self._routers = pause_s, clients, len(made.ports)
         self._threads = [
             threading.Thread(target=self._ask, args=(made.ports[n], n, client))
             for n in range(len(made.ports)) for client in range(clients)
@@ -390,13 +401,15 @@
 
     def _ask(self, port: int, router: int, client: int) -> None:
         body = b'{"model":"chat","stream":true}'
+        place = (router + client / self._clients) / self._routers
         for sent in range(MOST_ASKED):
-            if self._stop.wait(self._pause_s):
+            if self._stop.wait(self._pause_s if sent else self._pause_s * place):
                 return
             head = (
                 f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\n"
                 f"X-Correlation-Id: r{router}-{client}-{sent}\r\n"
-                f"X-Service-Class: chat\r\nX-Account: acme\r\nX-Session-Key: {client:x}{sent:x}\r\n"
+                f"X-Service-Class: chat\r\nX-Account: acme\r\n"
+                f"X-Session-Key: {router:04x}{client:04x}{sent:x}\r\n"
                 f"X-Time-Left-Ms: 5000\r\nX-Facts: prompt_len=40,max_out=8\r\n"
                 f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
             ).encode()
--- a/spoolbarrow/lab/script.py
+++ b/spoolbarrow/lab/script.py
@@ -17,6 +17,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from math import ceil
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -25,7 +26,7 @@
 from spoolbarrow.lab.cold import Figures
 from spoolbarrow.lab.process import end_all_at_sigterm
 
-BEFORE = -1.0  # a step's time: before the routers begin
+BEFORE = -1.0  # a step's time: just before the routers begin
 WORK_S = 4.0  # in which the service can answer each router once, where no rate is given
 EVENT_S = 20.0  # an event that has not come by then is not waited for any longer
 LOOK_S = 0.1
@@ -51,8 +52,8 @@
     known: str = "old"  # what routers begin with, of cluster.KNOWN
     cold: bool = False  # engines as well
     members: bool = False  # with a store
-    until: tuple[str, ...] = ("known",)  # of EVENTS, all waited for at the end
-    within_s: float = 20.0  # after the last step, and the time the service needs, all know the newest list
+    until: tuple[str, ...] = ("known", "served")  # of EVENTS, all waited for at the end
+    within_s: float = 20.0  # after the last step, and the time the service needs, all of that has come
 
 
 def _all(mode: str) -> Callable[[Cluster, float], object]:
@@ -111,10 +112,12 @@
     "stop-members": _members("stop"),
     "wake-members": _members("wake"),
 }
-EVENTS: dict[str, Callable[[Cluster], bool]] = {
-    "known": lambda made: len(made.knowing()) == len(made.ports),
-    "reloaded": lambda made: all(router.events("reloaded") for router in made.routers),
-    "queue": lambda made: made.served_lists()["queued"] >= FULL,
+EVENTS: dict[str, Callable[[Cluster, Load], bool]] = {
+    "known": lambda made, _: len(made.knowing()) == len(made.ports),
+    "served": lambda made, load: len({one.router for one in list(load.answers) if one.status == 200})
+    == len(made.ports),
+    "reloaded": lambda made, _: all(router.events("reloaded") for router in made.routers),
+    "queue": lambda made, _: made.served_lists()["queued"] >= FULL,
 }
 SCRIPTS: dict[str, Script] = {
     "calm": Script("nothing fails", ()),
@@ -136,13 +139,14 @@
         (Step("cut", BEFORE, 0.1), Step("pass", 10.0)), "none",
     ),
     "hang-up": Script(
-        "SIGHUP to all routers at once", (Step("hang-up", event="known"),), until=("reloaded", "known")
+        "SIGHUP to all routers at once", (Step("hang-up", event="known"),),
+        until=("reloaded", "known", "served"),
     ),
     "restart-full": Script(
         "the service is restarted while calls wait", (Step("restart", event="queue"),), "none"
     ),
     "third-gone": Script("a third of the known list is gone", (Step("lose-engines", BEFORE, 1 / 3),)),
-    "all-cold": Script("all routers and engines begin at once", (Step("chill", BEFORE),), "none", cold=True),
+    "all-cold": Script("routers and engines all begin at once", (Step("chill", BEFORE),), "none", cold=True),
     "outage": Script("the service is down for 5 s, with all watches open", (
         Step("down", event="known"), Step("up", 5.0),
     )),
@@ -168,25 +172,23 @@
 ) -> dict[str, Any]:
     """Start the routers of a prepared cluster under load, play the script's faults, tell what each saw.
 
-    `pace`: times of steps are multiplied with it. It ends when all routers know the newest list, or
-    `within_s` after the last step and the time the service needs to answer them; and `steady_s` on.
+    `pace`: times of steps are multiplied with it. It ends when all routers know the newest list and have
+    served, or `within_s` after the last step and the time the service needs to answer them; `steady_s` on.
     """
-    for step in script.steps:
-        if step.at == BEFORE:
-            VERBS[step.do](made, step.value)
-    made.begin()
+    first = [step for step in script.steps if step.at == BEFORE]
+    made.begin(lambda: [VERBS[step.do](made, step.value) for step in first])
     load = Load(made, pause_s=pause_s)
     try:
         missed = []
         for step in script.steps:
             if step.at != BEFORE:
-                if step.event and not _until(lambda s=step: EVENTS[s.event](made), EVENT_S):  # type: ignore[misc]
+                if step.event and not _until(partial(EVENTS[step.event], made, load), EVENT_S):
                     missed.append(step.event)
                 time.sleep(step.at * pace)
                 VERBS[step.do](made, step.value)
         last = time.time()
         need = len(made.ports) / made.rate if made.rate else 0.0
-        _until(lambda: all(EVENTS[name](made) for name in script.until), script.within_s + need)
+        _until(lambda: all(EVENTS[name](made, load) for name in script.until), script.within_s + need)
         known = made.knowing()
         ended = time.time()
         time.sleep(steady_s)
