--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -36,7 +36,7 @@
 PAUSE_S = 1.0  # of a router's client between requests
 COLD_S = int(Figures().cold_ms / 1000)  # until a cold engine is warm
 KINDS = ("handshakes", "probes", "work")
-GOALS = {  # at most, as the issue of the cold start states them
+GOALS = {  # at most
     "calls_a_router": 1.1,
     "failed_share": 0.01,
     "longest_wait_of_half_timeout": 1.0,
@@ -45,6 +45,7 @@
     "probes_busiest_of_steady": 2.0,
     "work_busiest_of_steady": 2.0,
     "falls": 0.0,
+    "unserved_in_the_cold": 0.5,  # of what was asked while engines were cold: a share chosen here
 }
 
 
@@ -56,14 +57,15 @@
         made = Cluster(Path(folder), {"a": engines}, ["a"] * routers, "", **options)
         try:
             made.prepare()
-            cold_s = COLD_S if script.cold else 0
-            found = play(made, script, pause_s=PAUSE_S, steady_s=steady_s + cold_s)
+            least_s = COLD_S + 1 if script.cold else 0
+            found = play(made, script, pause_s=PAUSE_S, steady_s=steady_s, least_s=least_s)
         finally:
             made.end(kill=True)
-    return {"case": name, "routers": routers, "rate": rate, "known": known} | figures(found, routers, rate)
+    told = figures(found, name, routers, rate)
+    return {"case": name, "routers": routers, "rate": rate, "known": known} | told
 
 
-def figures(found: dict[str, Any], routers: int, rate: float) -> dict[str, Any]:
+def figures(found: dict[str, Any], case: str, routers: int, rate: float) -> dict[str, Any]:
     """What a start comes to."""
     service, of_routers, of_engines = found["service"], found["of_routers"], found["of_engines"].values()
     served = sorted(one["first_served_s"] for one in of_routers.values() if one["first_served_s"] is not None)
@@ -83,6 +85,9 @@
         "falls": sum(engine["falls"] for engine in of_engines), "goodput": found["goodput"],
         "served_in_the_cold": sum(found["goodput"][:COLD_S]),
     }
+    if case == "all-cold":
+        wanted = routers * COLD_S / PAUSE_S  # engines can bear more of it from the first second on
+        told["unserved_in_the_cold"] = round(max(0.0, 1.0 - told["served_in_the_cold"] / wanted), 3)
     for kind in KINDS:
         steady = max(1.0, statistics.mean(engine[kind]["steady"] for engine in of_engines))  # a second
         busiest = max(engine[kind]["busiest"] for engine in of_engines)
@@ -93,7 +98,7 @@
         service["calls"] == sum(router["calls"] for router in of_routers.values())
         and sent >= answers["200"] and not any(router["unexpected"] for router in of_routers.values())
     )
-    told["missed"] = [goal for goal, most in GOALS.items() if told[goal] > most]
+    told["missed"] = [goal for goal, most in GOALS.items() if told.get(goal, 0.0) > most]
     return told
 
 
--- a/spoolbarrow/lab/script.py
+++ b/spoolbarrow/lab/script.py
@@ -168,12 +168,14 @@
 
 
 def play(
-    made: Cluster, script: Script, pace: float = 1.0, pause_s: float = PAUSE_S, steady_s: int = 0
+    made: Cluster, script: Script, pace: float = 1.0, pause_s: float = PAUSE_S, steady_s: int = 0,
+    least_s: float = 0.0,
 ) -> dict[str, Any]:
     """Start the routers of a prepared cluster under load, play the script's faults, tell what each saw.
 
     `pace`: times of steps are multiplied with it. It ends when all routers know the newest list and have
-    served, or `within_s` after the last step and the time the service needs to answer them; `steady_s` on.
+    served, or `within_s` after the last step and the time the service needs to answer them; then `steady_s`
+    on, and `least_s` after the routers' begin at least.
     """
     first = [step for step in script.steps if step.at == BEFORE]
     made.begin(lambda: [VERBS[step.do](made, step.value) for step in first])
@@ -191,7 +193,7 @@
         _until(lambda: all(EVENTS[name](made, load) for name in script.until), script.within_s + need)
         known = made.knowing()
         ended = time.time()
-        time.sleep(steady_s)
+        time.sleep(max(steady_s, least_s - (time.time() - made.begun)))
     finally:
         load.stop()
     return told(made, load, steady_s) | {
