--- a/spoolbarrow/lab/loopback.py
+++ b/spoolbarrow/lab/loopback.py
@@ -18,6 +18,7 @@
 
 FIRST = 200  # second byte of router 0's address
 LOWEST_PORT, USUAL_PORT = 10_240, 32_768  # the first of these ports, and the kernel's own where it tells none
+ENOUGH = 4096  # of these ports
 TRIES = 200
 BACKLOG = 1024
 _RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
@@ -37,13 +38,14 @@
 def listen(port: int = 0) -> Any:
     """A listener at all addresses of loopback, and of nothing else; OSError where none is free."""
     below = int(_RANGE.read_text().split()[0]) if _RANGE.exists() else USUAL_PORT
+    below = below if below >= LOWEST_PORT + ENOUGH else USUAL_PORT  # a kernel that hands out nearly all ports
     draw = SystemRandom()
     for turn in range(TRIES):
         sock = socket.socket()
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, b"lo")
-            sock.bind(("0.0.0.0", port or draw.randrange(LOWEST_PORT, max(below, LOWEST_PORT + 1))))
+            sock.bind(("0.0.0.0", port or draw.randrange(LOWEST_PORT, below)))
             sock.listen(BACKLOG)
             return sock
         except OSError:
