--- a/spoolbarrow/lab/orders.py
+++ b/spoolbarrow/lab/orders.py
@@ -8,6 +8,15 @@
 import gevent
 from gevent.fileobject import FileObject
 
+from spoolbarrow.errors import Problem
+
+
+class NotObeyed(Problem):
+    """A process of the lab answers a line with an error, or is asked for what it is not."""
+
+    where = "the line, or the key"
+    remedy = "See what the process takes, and whether it still runs."
+
 
 def obey_lines(seconds: float, obey: Callable[[str], str]) -> None:
     """Answer each line of standard input with one on standard output, until it ends or `seconds` are over."""
