--- a/spoolbarrow/net/asking.py
+++ b/spoolbarrow/net/asking.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import select
 from collections.abc import Callable, Iterator
 
 import gevent
@@ -84,21 +83,16 @@
 def _read(parser: http1.ResponseParser, sock: socket.socket, buffer: bytearray, left_ms: float) -> bool:
     """Read what comes next; False where nothing has come in time.
 
-    Guards against taking a stop of this process for silence: what has come meanwhile is read first.
+    A stop of this process is no silence: of what is due at once, gevent hands out what came before timeouts.
     """
     late = gevent.Timeout(max(left_ms, 1.0) / 1000)
     try:
         with late:
             parser.read(sock, buffer)
-        return True
     except gevent.Timeout as fired:
         if fired is not late:
             raise
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    if not poll.poll(0):
         return False
-    parser.read(sock, buffer)
     return True
 
 
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -403,7 +403,7 @@
         agent.out, back = False, time.monotonic()
         until(lambda: not scene.host.destinations.serving("e0"))
         assert time.monotonic() - back < 1.0
-        assert agent.asked - asked < 60
+        assert 12 < agent.asked - asked < 60  # none given up for the next, and no storm
         assert i.ListKind.FAILED not in [event.kind for event in scene.heard(i.ReplicaList)]
 
 
