--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -70,7 +70,7 @@
 
 def change_list(made: Cluster, turn: int) -> float:
     """One engine leaves or comes back: the contradiction, s."""
-    made.out = {turn % 4} if turn % 2 else set()
+    made.out = set() if turn % 2 else {turn % 4}
     made.list_again()
     return acted(made, "list", made.listing)
 
--- a/spoolbarrow/lab/listing.py
+++ b/spoolbarrow/lab/listing.py
@@ -303,8 +303,8 @@
     def _text(self, router: str, index: int, watch: bool) -> tuple[bytes, int]:
         """What a router with this version is told, a line for a watch; and the version that it has then."""
         whole, lines = self.versions.since(index)
-        if watch and not whole and not lines:
-            return b"", self.versions.index
+        if watch and index == self.versions.index > 0:
+            return b"", index
         self.counts.count("lines", router, time.monotonic(), len(lines))
         told = {"index": self.versions.index, "snapshot": whole,
                 "endpoints": [told_to(router, line) for line in lines]}
--- a/tests/test_fleet_harness.py
+++ b/tests/test_fleet_harness.py
@@ -155,6 +155,8 @@
         made.tell("0 pass")
         watches[0].settimeout(WAIT_S)
         assert b"e1" in heard(watches[0], b"\n\r\n")
+        tell_list(made, tmp_path, 3, 2)  # a version that changes nothing is told as such
+        heard(watches[1], b'"index": 3, "snapshot": false, "endpoints": []')
         for sock in watches:
             sock.close()
         until(lambda: made.ask("counts")["known"] == {})
