Take one answer as twice the zone's mean at most: a few deep queues had the fleet refuse

The zone's mean stood at 1,477 ms. At fault: `ReplicaPool.answered` takes a mean of loads that a few deep queues make.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -356,7 +356,9 @@
             self.fresh.append((now, replica))
         replica.load = load
         self.zone_at[replica.zone] = now
-        self.zone_load[replica.zone] += ZONE_LEARN * (load - self.zone_load[replica.zone])
+        # A few deep queues say nothing of those that are chosen: one counts as twice the mean at most.
+        mean = self.zone_load[replica.zone]
+        self.zone_load[replica.zone] += ZONE_LEARN * (min(load, 2.0 * max(mean, QUEUED_MS)) - mean)
 
     def heard(self, replica: Replica, now: float) -> None:
         """It lives."""
