--- /dev/null
+++ b/spoolbarrow/sessions/part.py
@@ -0,0 +1,369 @@
+"""One router's sessions as a part of the fleet: told what arrives and ends, it predicts and reserves.
+
+Owns the table, the counts, the model acted on and the ledger; says what is worth keeping where and leaves the
+choice of an engine to the decisions. Keys are numbers that mean nothing outside of this process. Times are
+Unix milliseconds; what it is told may be hostile.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import exp
+
+import msgspec
+from msgspec import Struct
+
+from spoolbarrow.errors import Problem
+from spoolbarrow.fleet.documents import MOST_BODY
+from spoolbarrow.sessions import cells, evidence, model, shares, table
+from spoolbarrow.sessions.evidence import SCALE, Evidence
+from spoolbarrow.sessions.ledger import Ledger
+from spoolbarrow.sessions.model import Prediction, Predictor
+from spoolbarrow.sessions.rooms import Rooms
+
+SWEEP_MS = 60_000.0  # every session is looked at so often: who is still away is told, who has gone forgotten
+KNOWN_LATE = 0.9  # of those who return have done so when a reservation ends
+LEAST_CHANCE = 0.05  # below it nothing is reserved
+LEARN_LEAST = 0.2  # weight of the newest turn in a session's means, at least
+MOST_SWEPT = 512  # sets in one look: a pause must not end in one long look
+WANTED_MS = 60_000.0
+PROMISE = 0.9  # of the room that is learnt: what it is for sure
+
+
+class SessionsError(Problem):
+    """A setting of sessions that cannot be."""
+
+    status = 2
+    remedy = "Set the key that is named as its message says; nothing was changed."
+
+
+class Settings(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What is set of sessions."""
+
+    routers: int = 1  # that share the engines, where no store grants shares
+    slots: int = table.SLOTS  # sessions that a router knows; 66 bytes each
+    portions: tuple[float, ...] = ()  # of tenants, as the platform told
+    granted: bool = False  # shares come with the decision (a store): without one, nothing is reserved
+    read_price: float = 1.0  # value of a token that need not be read
+
+    def __post_init__(self) -> None:
+        """Impossible settings are refused, each by its key."""
+        if self.routers < 1:
+            raise SessionsError("sessions.routers", "must be at least 1")
+        if not table.WAYS <= self.slots <= 1 << 22:
+            raise SessionsError("sessions.slots", f"must lie between {table.WAYS} and {1 << 22}")
+        if not all(p >= 0.0 for p in self.portions):
+            raise SessionsError("sessions.portions", "must not be negative")
+        if not 0.0 < self.read_price < 1e9:
+            raise SessionsError("sessions.read_price", "must be above 0")
+
+
+class Facts(Struct, frozen=True):
+    """What the decisions may be told of a request before it is placed."""
+
+    chance: float  # that its session returns after this turn; negative: nothing is known
+    gap_ms: float  # within which half of those who return have done so
+    home: str  # where its prompt is kept; empty: nowhere
+    kept: int = 0  # tokens beyond the opening that should be found there
+    new: bool = True  # nothing of its session is known, and nothing kept anywhere
+    prediction: Prediction | None = None
+
+
+class Keeps(Struct, frozen=True):
+    """What the decisions may be told of an engine."""
+
+    density: float  # tokens wanted again, of each that is pushed out
+    turnover_ms: float  # until what lies there is pushed out, as it is used now; 0: not known
+    held: int  # tokens reserved, by this router
+
+
+class Document(Struct, forbid_unknown_fields=True):
+    """The decision: a model, and which share of every engine's room each router may reserve."""
+
+    number: int
+    model: model.Model
+    grants: dict[int, shares.Grant]
+
+
+UNKNOWN = Facts(-1.0, 0.0, "")
+_documents = msgspec.msgpack.Decoder(Document)
+
+
+def read(body: bytes) -> Document | None:
+    """A decision; None where it can't be acted on."""
+    if len(body) > MOST_BODY:
+        return None
+    try:
+        found = _documents.decode(body)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return None
+    fine = 0 < found.number < 1 << 53 and model.sound(found.model) and shares.sound(found.grants)
+    return found if fine else None
+
+
+class Sessions:
+    """`documents.Part` for one router; `who` is a number that its process drew."""
+
+    kind = "sessions"
+
+    def __init__(self, settings: Settings, who: int) -> None:
+        self.settings, self.who = settings, who
+        self.table = table.Table(settings.slots)
+        self.evidence = Evidence()
+        self.rooms = Rooms()
+        self.ledger = Ledger(settings.portions, settings.read_price)
+        self.document: Document | None = None
+        self.predictor: Predictor | None = None
+        self.share = 0.0 if settings.granted else 1.0 / settings.routers
+        self.engines: list[str] = []  # by number
+        self.numbers: dict[str, int] = {}
+        self.started: dict[int, float] = {}  # since_ms of each
+        self.pour_rate: dict[int, tuple[float, float]] = {}  # tokens a ms, and when that was told
+        self._swept, self._swept_at = 0, -1.0
+        self.wanted = 0.0, 0.0
+
+    # --- engines
+
+    def _number(self, engine: str) -> int:
+        found = self.numbers.get(engine)
+        if found is None:
+            if len(self.engines) >= table.NO_HOME:
+                return table.NO_HOME  # more engines than a fleet has: nothing is kept in mind of these
+            found = self.numbers[engine] = len(self.engines)
+            self.engines.append(engine)
+        return found
+
+    def engine(self, now: float, name: str, serving: bool, since_ms: float = 0.0) -> None:
+        """What the list says of an engine: one that drains, is gone or has restarted keeps nothing for us."""
+        number = self._number(name)
+        restarted = since_ms > self.started.get(number, since_ms)
+        self.started[number] = max(since_ms, self.started.get(number, since_ms))
+        if restarted or not serving:
+            self._lost(now, number)
+
+    def _lost(self, now: float, number: int) -> None:
+        self.ledger.engine_gone(now, number)
+        self.rooms.forget(number)
+        home, at = self.table.home, -1
+        while True:
+            try:
+                at = home.index(number, at + 1)
+            except ValueError:
+                return
+            home[at] = table.NO_HOME
+
+    # --- sessions
+
+    def arrived(self, now: float, key: int, cls: int, tenant: int, prompt: int, shared: int) -> Facts:
+        """A request of a session came; what is thought of it before it is placed."""
+        t = self.table
+        if not key:
+            return UNKNOWN
+        slot = t.find(key)
+        if slot < 0:
+            slot, full = t.place(now, key)
+            if full:
+                self._leave(now, slot)
+            t.begin(slot, key)
+            t.cls[slot], t.tenant[slot] = min(max(cls, 0), 255), min(max(tenant, 0), 65_535)
+            t.gap[slot] = t.growth[slot] = t.answer[slot] = cells.NOT_KNOWN
+            before = min(max(shared, 0), prompt)
+        else:
+            before = t.context[slot]
+            if t.passed[slot] != table.OUT:
+                away = t.away[slot] = max(0.0, now - t.at[slot])
+                self._told(slot, away)
+                self._returned(slot, away)
+                self.ledger.release(now, key, "return")
+                gap = cells.octave(away / cells.GAP_BASE_MS)
+                t.gap[slot] = self._mean(t.gap[slot], gap, t.turns[slot])
+        t.turns[slot] = min(t.turns[slot] + 1, 65_535)
+        grown = cells.octave(float(max(1, prompt - before)))
+        t.growth[slot] = self._mean(t.growth[slot], grown, t.turns[slot])
+        t.at[slot], t.passed[slot] = now, table.OUT
+        t.prompt[slot], t.shared[slot] = min(max(prompt, 0), 0xFFFFFFFF), min(max(shared, 0), 0xFFFFFFFF)
+        home, kept, name = t.home[slot], 0, ""
+        if home != table.NO_HOME:
+            room, name = self.rooms.room(home), self.engines[home]
+            if room <= 0.0 or self.rooms.since(home, t.mark[slot]) * self.settings.routers < room:
+                kept = max(0, min(t.context[slot], prompt) - t.shared[slot])
+        new = t.turns[slot] == 1
+        if self.predictor is None:
+            return Facts(-1.0, 0.0, name, kept, new)
+        cell = cells.cell(t.cls[slot], t.turns[slot], t.gap[slot], t.growth[slot], t.answer[slot])
+        found = self.predictor.of(cell)
+        return Facts(found.chance, found.when(0.5), name, kept, new, found)
+
+    @staticmethod
+    def _mean(old: float, new: float, count: int) -> float:
+        return new if old < 0.0 else old + max(LEARN_LEAST, 1.0 / max(1, count)) * (new - old)
+
+    def ended(self, now: float, key: int, engine: str, answer: int, kept: int) -> Prediction | None:
+        """Its answer was served by an engine that found so many tokens kept; what is thought of it now.
+
+        An attempt that served nothing is no turn's end: it is not told here.
+        """
+        t = self.table
+        slot = t.find(key) if key else -1
+        if slot < 0 or t.passed[slot] != table.OUT:
+            return None
+        number, prompt, shared = self._number(engine), t.prompt[slot], t.shared[slot]
+        kept = min(max(kept, 0), prompt)
+        answer = max(answer, 0)
+        self._observe(now, slot, number, kept)
+        self._pour(now, number, prompt - kept + answer)
+        t.answer[slot] = self._mean(t.answer[slot], cells.octave(float(answer + 1)), t.turns[slot])
+        t.context[slot] = min(prompt + answer, 0xFFFFFFFF)
+        t.home[slot], t.mark[slot] = number, self.rooms.mark(number)
+        t.at[slot], t.passed[slot] = now, 0
+        gap, growth, mean = t.gap[slot], t.growth[slot], t.answer[slot]
+        cell = t.cell[slot] = cells.cell(t.cls[slot], t.turns[slot], gap, growth, mean)
+        counts = self.evidence.at(cell)
+        if counts is not None:
+            counts.count += 1
+            counts.gap += int(max(gap, 0.0) * SCALE)
+            counts.growth += int(max(growth, 0.0) * SCALE)
+            counts.answer += int(max(mean, 0.0) * SCALE)
+        if self.predictor is None:
+            t.worth[slot] = LEAST_CHANCE * t.context[slot]
+            return None
+        found = self.predictor.of(cell)
+        t.worth[slot] = found.chance * (t.context[slot] - shared) * self.ledger.word(t.tenant[slot])
+        self._reserve(now, slot, found)
+        return found
+
+    def _observe(self, now: float, slot: int, number: int, kept: int) -> None:
+        """What was found at a session's home tells of its room; one found empty keeps nothing any more."""
+        t = self.table
+        if t.home[slot] != number or t.turns[slot] < 2:
+            return
+        shared = t.shared[slot]
+        left = max(0, min(t.context[slot], t.prompt[slot]) - shared)
+        poured = self.rooms.since(number, t.mark[slot]) * self.settings.routers
+        if self.rooms.observe(number, poured, t.away[slot], left, max(0, kept - shared)):
+            self.ledger.engine_gone(now, number)
+
+    def _pour(self, now: float, number: int, tokens: int) -> None:
+        self.rooms.pour(number, tokens)
+        rate, at = self.pour_rate.get(number, (0.0, now))
+        stays = 0.5 ** ((now - at) / 10_000.0) if now > at else 1.0
+        self.pour_rate[number] = (rate * stays + tokens * (0.693 / 10_000.0), max(now, at))
+
+    def _reserve(self, now: float, slot: int, found: Prediction) -> None:
+        t = self.table
+        number, tokens = t.home[slot], t.context[slot] - t.shared[slot]
+        room = self.rooms.room(number)
+        if number == table.NO_HOME or found.chance < LEAST_CHANCE or room <= 0.0:
+            return
+        hold = min(found.when(KNOWN_LATE), max(self.rooms.longest_ms(), cells.EDGES_MS[0]))
+        chance = 1.0 - found.still(hold)
+        self._wanted(now, chance * tokens * self.ledger.word(t.tenant[slot]))
+        most = PROMISE * room * self.share
+        self.ledger.reserve(now, t.keys[slot], number, t.tenant[slot], tokens, chance, now + hold, most)
+
+    # --- waits
+
+    def _told(self, slot: int, away_ms: float) -> None:
+        """Who is still away has outlasted the spans before this one; each is told once."""
+        t = self.table
+        first, last = t.passed[slot], cells.span(away_ms)
+        if last > first:
+            counts = self.evidence.at(t.cell[slot])
+            if counts is not None:
+                for n in range(first, last):
+                    counts.outlasted[n] += 1
+            t.passed[slot] = last
+
+    def _returned(self, slot: int, away_ms: float) -> None:
+        counts, n = self.evidence.at(self.table.cell[slot]), cells.span(away_ms)
+        if counts is not None and n < cells.SPANS:
+            counts.returned[n] += 1
+
+    def _leave(self, now: float, slot: int) -> None:
+        """It gives way or has gone: what is known of its wait is told, and nothing stays."""
+        t = self.table
+        if t.passed[slot] != table.OUT:
+            self._told(slot, max(0.0, now - t.at[slot]))
+        self.ledger.release(now, t.keys[slot], "time")
+        t.forget(slot)
+
+    def sweep(self, now: float) -> None:
+        """Look at the next sets: call it about every second. Ends what was reserved long enough."""
+        t = self.table
+        self.ledger.expire(now)
+        passed = 1000.0 if self._swept_at < 0.0 else max(0.0, now - self._swept_at)
+        self._swept_at = now
+        number = min(MOST_SWEPT, max(1, int(t.sets * passed / SWEEP_MS)))
+        for turn in range(number):
+            base = (self._swept + turn) % t.sets * table.WAYS
+            for slot in range(base, base + table.WAYS):
+                if t.keys[slot]:
+                    away = now - t.at[slot]
+                    if away >= cells.HORIZON_MS:
+                        self._leave(now, slot)
+                    elif t.passed[slot] != table.OUT:
+                        self._told(slot, away)
+        self._swept = (self._swept + number) % t.sets
+
+    # --- facts
+
+    def keeps(self, now: float, engine: str) -> Keeps:
+        """What pushing a token out of this engine would cost, and how fast it is turned over."""
+        number = self.numbers.get(engine)
+        if number is None:
+            return Keeps(0.0, 0.0, 0)
+        room = self.rooms.room(number)
+        rate, at = self.pour_rate.get(number, (0.0, now))
+        rate *= 0.5 ** (max(0.0, now - at) / 10_000.0) * self.settings.routers
+        account = self.ledger.slices.get(number)
+        density = self.ledger.density(number, room * self.share)
+        return Keeps(density, room / rate if rate > 0.0 else 0.0, account.held if account is not None else 0)
+
+    # --- the fleet
+
+    def summary(self, now: float) -> bytes:
+        """Counts of behaviour by cell, and how much would be reserved."""
+        acts_on = self.document.number if self.document is not None else 0
+        return self.evidence.body(now, self.who, acts_on, int(self._wanted(now, 0.0)))
+
+    def _wanted(self, now: float, more: float) -> float:
+        """Tokens that would come back, reserved or not, of the last WANTED_MS or so."""
+        total, at = self.wanted
+        self.wanted = total * exp(min(0.0, at - now) / WANTED_MS) + more, max(at, now)
+        return self.wanted[0]
+
+    def decide(self, now: float, bodies: Sequence[bytes], last: bytes | None) -> bytes | None:
+        """A model of all counts, and grants; the same whatever the order of bodies."""
+        told = sorted(
+            (one for one in map(evidence.read, bodies) if one is not None),
+            key=msgspec.msgpack.encode,
+        )  # fmt: skip
+        stands = read(last) if last is not None else None
+        made = model.fit(evidence.merge(told), stands.model if stands is not None else None)
+        if made is None and stands is None:
+            return None
+        chosen = made if made is not None else stands.model if stands is not None else None
+        assert chosen is not None
+        number = stands.number + 1 if stands is not None else 1
+        grants = shares.grant(now, told, stands.number if stands else 0, stands.grants if stands else {})
+        body = msgspec.msgpack.encode(Document(number, chosen, grants))
+        return body if len(body) <= MOST_BODY else None
+
+    def adopt(self, now: float, body: bytes | None) -> bool:
+        """Act on a decision; None: predict and reserve nothing."""
+        if body is None:
+            self.document = self.predictor = None
+            self.ledger.clear(now)
+            return True
+        found = read(body)
+        if found is None:
+            return False
+        if self.document is None or found.model != self.document.model:
+            self.predictor = Predictor(found.model)
+        self.document = found
+        if self.settings.granted:
+            mine = found.grants.get(self.who)
+            self.share = mine.share / shares.WHOLE if mine is not None else 0.0
+            for number in list(self.ledger.slices):
+                self.ledger.fit(now, number, PROMISE * self.rooms.room(number) * self.share)
+        return True
