--- /dev/null
+++ b/benchmarks/sessions.py
@@ -0,0 +1,455 @@
+"""Sessions measured: are predictions true, what do reservations save, and what do they cost.
+
+    python benchmarks/sessions.py [--short]
+
+Sessions of four hidden kinds, mixed; the model learns from one day and is judged on others. Reservations are
+measured in the lab's virtual time: the real decisions, told what docs/sessions.md proposes they be told.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+import tracemalloc
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from math import inf
+from pathlib import Path
+from random import Random
+from statistics import mean, median
+from time import perf_counter, process_time_ns
+from typing import Any
+
+import orjson
+from msgspec.structs import fields
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT)]
+
+from spoolbarrow import interface as i  # noqa: E402
+from spoolbarrow import router as r  # noqa: E402
+from spoolbarrow.lab.account import percentile  # noqa: E402
+from spoolbarrow.lab.policies import POLICIES, Decider, Truth  # noqa: E402
+from spoolbarrow.lab.scenario import Scenario, convert  # noqa: E402
+from spoolbarrow.lab.simulate import Simulation  # noqa: E402
+from spoolbarrow.sessions import cells  # noqa: E402
+from spoolbarrow.sessions.model import Prediction  # noqa: E402
+from spoolbarrow.sessions.part import Facts, Sessions, Settings  # noqa: E402
+
+TENTHS_WITHIN, LEFT_LESS, ANEW_LESS, WORTH_WITHIN, COST_SHARE = 0.05, 1 / 3, 0.25, 0.005, 0.1
+TENTH_LEAST = 300  # turns in a tenth before it is judged
+MEMORY_MOST = 16 << 20
+
+
+@dataclass(frozen=True)
+class Kind:
+    """How one hidden kind behaves; ranges are of logarithms, evenly."""
+
+    turns: tuple[int, int]  # evenly from one to the other, or with `going` one more with that chance
+    going: float
+    gap_s: tuple[float, float]
+    fresh: tuple[int, int]  # tokens of the first turn beside the opening
+    adds: tuple[int, int]
+    answer: tuple[int, int]
+
+
+ONCE = Kind((1, 1), 0.0, (1, 1), (600, 4000), (1, 1), (40, 200))
+LOOP = Kind((4, 4), 0.93, (0.6, 3.0), (800, 2500), (150, 500), (30, 90))
+TALK = Kind((1, 1), 0.72, (6.0, 45.0), (100, 600), (60, 400), (80, 300))
+CASE = Kind((2, 2), 0.75, (500.0, 1500.0), (1500, 5000), (600, 2500), (120, 400))
+QUICK_CASE = Kind((2, 2), 0.75, (40.0, 90.0), (1500, 5000), (600, 2500), (120, 400))
+MIXES = {  # shares of sessions: once, loop, talk, case
+    "even": (0.25, 0.25, 0.25, 0.25),
+    "questions": (0.7, 0.08, 0.12, 0.1),
+    "loops": (0.2, 0.6, 0.1, 0.1),
+    "cases": (0.35, 0.05, 0.2, 0.4),
+}
+SITES = {  # which of two classes a kind's sessions are of: shares of the first
+    "docs": (0.6, 0.3, 0.5, 0.8),
+    "agents": (0.5, 0.9, 0.1, 0.4),
+}
+
+
+@dataclass
+class Turn:
+    """One turn as its client means it."""
+
+    at: float  # ms
+    session: int
+    cls: int
+    tenant: int
+    prompt: int
+    answer: int
+    number: int  # from 1
+    left: int  # turns after it
+    away: float  # until the next, ms after its answer; inf: none
+    kind: int
+
+
+def _even(span: tuple[float, float], rng: Random) -> float:
+    return float(span[0] * (span[1] / span[0]) ** rng.random())
+
+
+def turns(
+    mix: tuple[float, ...],
+    site: tuple[float, ...],
+    rate: float,
+    length_s: float,
+    seed: int,
+    case: Kind = CASE,
+) -> Iterator[Turn]:
+    """A day's turns in order: `rate` new sessions a second. An answer takes 30 ms a token."""
+    rng, count, at = Random(f"sessions {seed}"), 0, 0.0
+    heap: list[tuple[float, int, Turn]] = []
+    kinds = (ONCE, LOOP, TALK, case)
+    while True:
+        at += rng.expovariate(rate) * 1000.0
+        if at >= length_s * 1000.0:
+            break
+        n = rng.choices(range(4), mix)[0]
+        kind, session = kinds[n], rng.getrandbits(62) | 1
+        total = rng.randint(*kind.turns)
+        while rng.random() < kind.going:
+            total += 1
+        cls, tenant = int(rng.random() >= site[n]), int(rng.random() < 0.4)
+        context, when = 0, at
+        for number in range(1, total + 1):
+            context += round(_even(kind.fresh if number == 1 else kind.adds, rng))
+            answer, gap = round(_even(kind.answer, rng)), _even(kind.gap_s, rng) * 1000.0
+            left = total - number
+            one = Turn(when, session, cls, tenant, context, answer, number, left, gap if left else inf, n)
+            heappush(heap, (when, count, one))
+            count += 1
+            context += answer
+            when += 30.0 * answer + gap
+    while heap:
+        yield heappop(heap)[2]
+
+
+def known_kind(kind: Kind, number: int) -> float:
+    """Turns left on average, were the kind no secret."""
+    more = kind.going / (1.0 - kind.going)
+    low, high = kind.turns
+    totals = [n for n in range(low, high + 1) if n >= number]
+    return mean(n - number for n in totals) + more if totals else more
+
+
+def learn(days: list[Iterator[Turn]], length_s: float) -> tuple[bytes, list[bytes], float]:
+    """A model of days that as many routers saw, the bodies it was made of, and the time that took, s."""
+    bodies = []
+    for who, day in enumerate(days):
+        one = Sessions(Settings(slots=32_768), who + 1)
+        for _ in played(one, day):
+            pass
+        one.sweep(length_s * 1000.0)
+        bodies.append(one.summary(length_s * 1000.0))
+    begin = perf_counter()
+    body = Sessions(Settings(), 99).decide(length_s * 1000.0, bodies, None)
+    assert body is not None
+    return body, bodies, perf_counter() - begin
+
+
+def played(part: Sessions, day: Iterator[Turn]) -> Iterator[tuple[float, tuple[Turn, Prediction | None]]]:
+    """Tell a router of a day, every answer found whole at one of eight engines; each turn's prediction."""
+    ends: list[tuple[float, int, Turn]] = []
+    swept = 0.0
+
+    def end(one: Turn, at: float) -> Prediction | None:
+        return part.ended(at, one.session, f"e{one.session % 8}", one.answer, max(0, one.prompt - 500))
+
+    for count, one in enumerate(day):
+        while ends and ends[0][0] <= one.at:
+            at, _, before = heappop(ends)
+            yield at, (before, end(before, at))
+        if one.at - swept >= 1000.0:
+            part.sweep(one.at)
+            swept = one.at
+        part.arrived(one.at, one.session, one.cls, one.tenant, one.prompt, 0)
+        heappush(ends, (one.at + 30.0 * one.answer, count, one))
+    while ends:
+        at, _, before = heappop(ends)
+        yield at, (before, end(before, at))
+
+
+def calibration(mix: str, site: str, short: bool, seeds: tuple[int, ...]) -> dict[str, Any]:
+    """Stated against seen, on days that the model has not seen."""
+    length, rate = (5_400.0, 1.0) if short else (14_400.0, 2.0)
+    shape, classes = MIXES[mix], SITES[site]
+    body, bodies, took = learn([turns(shape, classes, rate, length, 100 + n) for n in range(2)], length)
+    tenths: list[list[float]] = [[0, 0.0, 0.0] for _ in range(10)]
+    brier: list[float] = []
+    blank: list[float] = []
+    rests: dict[int, list[int]] = {}
+    for one in turns(shape, classes, rate, length, 100):
+        rests.setdefault(one.cls, []).append(one.left)
+    usual = {cls: mean(lefts) for cls, lefts in rests.items()}
+    back = mean(float(left > 0) for lefts in rests.values() for left in lefts)
+    off: dict[str, list[float]] = {"own": [], "class": [], "own2": [], "class2": [], "known": [], "half": []}
+    names: dict[str, int] = {}
+    for seed in seeds:
+        part = Sessions(Settings(slots=32_768), 7)
+        assert part.adopt(0.0, body) and part.predictor is not None
+        for _, (one, found) in played(part, turns(shape, classes, rate, length, seed)):
+            assert found is not None
+            returns = float(one.away <= cells.HORIZON_MS)
+            row = tenths[min(9, int(found.chance * 10.0))]
+            row[0] += 1
+            row[1] += found.chance
+            row[2] += returns
+            brier.append((found.chance - returns) ** 2)
+            blank.append((back - returns) ** 2)
+            guess = part.predictor.left(found, one.number)
+            known = known_kind((ONCE, LOOP, TALK, CASE)[one.kind], one.number)
+            off["known"].append(abs(known - one.left))
+            off["own"].append(abs(guess - one.left))
+            off["class"].append(abs(usual[one.cls] - one.left))
+            off["own2"].append((guess - one.left) ** 2)
+            off["class2"].append((usual[one.cls] - one.left) ** 2)
+            if returns:
+                off["half"].append(float(one.away <= found.half_ms))
+            names[found.cluster] = names.get(found.cluster, 0) + 1
+    told = [
+        {"turns": int(n), "stated": round(s / n, 4), "seen": round(k / n, 4)} for n, s, k in tenths if n
+    ]
+    worst = max(abs(t["stated"] - t["seen"]) for t in told if t["turns"] >= TENTH_LEAST)
+    return {
+        "mix": mix, "site": site, "turns": len(brier), "clusters": len(names),
+        "brier": round(mean(brier), 4), "brier_of_the_mean": round(mean(blank), 4),
+        "tenths": told, "worst_tenth": round(worst, 4),
+        "left_error_of_class_mean": round(mean(off["own"]) / mean(off["class"]), 3),
+        "left_squared_error_of_class_mean": round((mean(off["own2"]) / mean(off["class2"])) ** 0.5, 3),
+        "left_error_with_the_kind_known": round(mean(off["known"]) / mean(off["class"]), 3),
+        "returned_within_median": round(mean(off["half"]), 3),
+        "model_bytes": len(body), "evidence_bytes": max(map(len, bodies)), "fit_s": round(took, 3),
+    }  # fmt: skip
+
+
+# --- reservations in the lab
+
+SLOTS, MEMORY = 64, 100_000  # an engine's batch, and its tokens of memory
+CLASSES: dict[str, list[dict[str, Any]]] = {
+    "docs": [
+        {"aim_ms": 3000.0, "deadline_ms": 15000.0, "late_share": 0.25},
+        {"aim_ms": 1200.0, "deadline_ms": 6000.0, "worth": 3.0, "token_aim_ms": 80.0},
+    ],
+    "agents": [
+        {"aim_ms": 1500.0, "deadline_ms": 6000.0, "token_aim_ms": 80.0},
+        {"aim_ms": 900.0, "deadline_ms": 5000.0, "worth": 2.0, "token_aim_ms": 80.0},
+    ],
+}
+TELL_MS = 1000.0
+PUSH = 1.0  # of the price of reading, for what will be read anew later
+DRAWN = 4  # engines looked at for a new session, beside its usual homes
+
+
+class Engines(r.ReplicaPool):
+    """The pool of the decisions, told of homes and of what engines keep."""
+
+    def __init__(self, settings: i.Settings, rng: Random, part: Sessions, facts: dict[str, Facts]) -> None:
+        super().__init__(settings, rng)
+        self.part, self.facts = part, facts
+        self.asked: r.Request | None = None
+        self.read = 0.0
+
+    def homes(self, request: r.Request, now: float) -> list[r.Replica]:
+        """Where its prompt was left, before where its key would have it; for a new one, some more."""
+        usual = super().homes(request, now)
+        told = self.facts.get(request.id)
+        home = self.replicas.get(told.home) if told is not None and told.home else None
+        if home is not None and home.serving:
+            usual = [home, *(one for one in usual if one is not home)]
+        free = told is not None and told.chance >= 0.0 and told.new
+        if free and len(self.serving) > DRAWN:
+            usual += [one for one in self.rng.sample(self.serving, DRAWN) if one not in usual]
+        return usual
+
+    def reading(self, request: r.Request, rank: int) -> float:
+        """Tokens to read: at the home, what is not kept there."""
+        self.asked = request
+        told = self.facts.get(request.id)
+        if told is None or not (told.home or (told.new and told.chance >= 0.0)):
+            self.read = super().reading(request, rank)
+        else:
+            self.read = float(request.prompt - (told.kept if rank == 0 and told.home else 0))
+        return self.read
+
+    def wait(self, replica: r.Replica, now: float, failing: bool = False) -> float:
+        """Weighing a choice, also what it would push out."""
+        found = super().wait(replica, now, failing)
+        told = self.facts.get(self.asked.id) if failing and self.asked is not None else None
+        if told is None or told.chance < 0.0 or self.asked is None:
+            return found
+        density = self.part.keeps(now, replica.id).density
+        return found + PUSH * r.READ_PRICE / r.READ_RATE * density * self.read
+
+
+class Told:
+    """The real decisions with sessions beside them; `truth` knows who returns, and when."""
+
+    def __init__(self, settings: i.Settings, seed: int, body: bytes, truth: dict[int, list[float]] | None) -> None:
+        self.part = Sessions(Settings(routers=settings.nodes, slots=32_768), seed)
+        assert self.part.adopt(0.0, body)
+        self.facts: dict[str, Facts] = {}
+        self.router = r.Router(settings, seed)
+        self.router.pool = Engines(settings, self.router.rng, self.part, self.facts)
+        self.router.pool.full_ms = self.router.full_ms
+        self.truth, self.told_at = truth, 0.0
+        self.asked: dict[str, i.RequestArrived] = {}
+        self.own_ns = self.taken = 0
+
+    def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
+        """Tell the sessions first, then the decisions."""
+        begin = process_time_ns()
+        for event in events:
+            if isinstance(event, i.RequestArrived):
+                self.taken += 1
+                self.asked[event.request] = event
+                part, e = self.part, event
+                told = part.arrived(now, e.session, e.cls, e.tenant, e.prompt_tokens, e.shared_tokens)
+                if self.truth is not None and told.chance >= 0.0:
+                    gap = next((at - now for at in self.truth.get(e.session, []) if at > now + 1.0), inf)
+                    told = Facts(float(gap < inf), min(gap, 1e9), told.home, told.kept, told.new)
+                self.facts[event.request] = told
+            elif isinstance(event, i.AttemptEnded) and event.outcome is i.Outcome.SERVED:
+                one = self.asked.get(event.request)
+                if one is not None:
+                    self.part.ended(now, one.session, event.replica, one.max_answer_tokens, event.kept_tokens)
+            elif isinstance(event, i.ReplicaList):
+                for line in event.entries:
+                    serving = line.state is i.ReplicaState.SERVING
+                    self.part.engine(now, line.replica, serving, line.started_at_ms)
+        if now - self.told_at >= TELL_MS:
+            self.part.sweep(now)
+            self.told_at = now
+            for name in [n for n in self.asked if n not in self.router.requests]:
+                del self.asked[name], self.facts[name]
+        self.own_ns += process_time_ns() - begin
+        return self.router.handle(now, events)
+
+
+class Heard:
+    """Any decisions, and what their answers tell was found kept."""
+
+    def __init__(self, its: Decider, seen: dict[str, tuple[i.RequestArrived, int]]) -> None:
+        self.its, self.seen = its, seen
+        self.open: dict[str, i.RequestArrived] = {}
+
+    def handle(self, now: float, events: list[i.Event]) -> list[i.Action]:
+        """Note, and decide."""
+        for event in events:
+            if isinstance(event, i.RequestArrived):
+                self.open[event.request] = event
+            elif isinstance(event, i.AttemptEnded) and event.outcome is i.Outcome.SERVED:
+                if event.request in self.open:
+                    self.seen[event.request] = (self.open.pop(event.request), event.kept_tokens)
+        return self.its.handle(now, events)
+
+
+def trace(path: Path, mix: str, site: str, rate: float, length_s: float, seed: int) -> dict[int, list[float]]:
+    """Write a day in the lab's own form; when each session asks, ms."""
+    asks: dict[int, list[float]] = {}
+    with path.open("wb") as out:
+        for one in turns(MIXES[mix], SITES[site], rate, length_s, seed, QUICK_CASE):
+            asks.setdefault(one.session, []).append(one.at)
+            line = {"at_ms": one.at, "class": f"c{one.cls}", "prompt": one.prompt, "answer": one.answer,
+                    "tenant": f"t{one.tenant}", "session": f"{one.session:x}"}
+            out.write(orjson.dumps(line) + b"\n")
+    return asks
+
+
+class Sticky(Scenario):
+    """A front that sends a session to the same router each time."""
+
+    def near(self, routers: list[int], session: int) -> list[int]:
+        """One of them, by the session."""
+        return [routers[session // 7 % len(routers)]]
+
+
+def day(
+    path: Path, site: str, engines: int, routers: int, length_s: float, lead_s: float, sticky: bool
+) -> Scenario:
+    """The lab's scenario of a trace."""
+    found = convert({
+        "name": "sessions", "length_s": length_s - lead_s, "lead_s": lead_s, "engines": engines,
+        "routers": routers, "load": {"per_engine": 1.0, "trace": str(path)},
+        "kinds": {"engine": {"memory_tokens": MEMORY, "slots": SLOTS, "speed": [0.9, 1.2], "chunk_tokens": 2048}},
+        "classes": {f"c{n}": one for n, one in enumerate(CLASSES[site])},
+        "tenants": {"t0": {"share": 0.6}, "t1": {"share": 0.4}},
+    })  # fmt: skip
+    names = [field.name for field in fields(Scenario)]
+    return Sticky(**{name: getattr(found, name) for name in names}) if sticky else found
+
+
+def play(
+    scenario: Scenario, make: Callable[[i.Settings, int], Decider], seed: int, asks: dict[int, list[float]]
+) -> dict[str, Any]:
+    """One day; what was found kept, of all prompts and of those of sessions that returned."""
+    seen: dict[str, tuple[i.RequestArrived, int]] = {}
+    made: list[Decider] = []
+
+    def heard(settings: i.Settings, number: int, truth: Truth) -> Decider:
+        made.append(make(settings, number))
+        return Heard(made[-1], seen)
+
+    POLICIES["measured"] = heard
+    simulation = Simulation(scenario, "measured", seed)
+    report = simulation.play()
+    lead = scenario.lead_ms()
+    prompts = kept = back = anew = 0
+    first = [x.first_ms for x in simulation.callers.records if x.asked.at_ms >= lead and x.first_ms >= 0.0]
+    left: dict[int, int] = {}  # tokens of each session's last turn
+    begun = {session: at[0] for session, at in asks.items()}
+    for one, found in seen.values():
+        before = left.get(one.session, 0)
+        left[one.session] = one.prompt_tokens + one.max_answer_tokens
+        if begun[one.session] < lead:
+            continue  # of the lead, and of who came in it
+        prompts += one.prompt_tokens
+        kept += found
+        if before:
+            back += min(before, one.prompt_tokens)
+            anew += max(0, min(before, one.prompt_tokens) - found)
+    told = [one for one in made if isinstance(one, Told)]
+    return {
+        "worth": report["worth"], "kept_share": round(kept / max(1, prompts), 4),
+        "anew": anew, "anew_share": round(anew / max(1, back), 4),
+        "first_p95_ms": round(percentile(first, 95), 1),
+        "decision_us": report["run"]["decision_us_a_request"],
+        "own_us": round(sum(t.own_ns for t in told) / 1000.0 / max(1, sum(t.taken for t in told)), 2),
+        "rooms": [round(t.part.rooms.room(n)) for t in told[:1] for n in range(4)],
+        "reserved": sum(t.part.ledger.total for t in told),
+    }  # fmt: skip
+
+
+def saved(
+    mix: str, site: str, engines: int, routers: int, rate: float, length_s: float, seed: int, sticky: bool
+) -> dict[str, Any]:
+    """The same day without reservations, with them, and with an oracle's returns."""
+    learnt, _, _ = learn(
+        [turns(MIXES[mix], SITES[site], 1.0, 3600.0, 300 + n, QUICK_CASE) for n in range(2)], 3600.0
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "day.jsonl"
+        asks = trace(path, mix, site, rate, length_s, seed)
+        scenario = day(path, site, engines, routers, length_s, 0.25 * length_s, sticky)
+        makes: dict[str, Callable[[i.Settings, int], Decider]] = {
+            "plain": lambda settings, number: r.Router(settings, number),
+            "reserved": lambda settings, number: Told(settings, number, learnt, None),
+            "oracle": lambda settings, number: Told(settings, number, learnt, asks),
+        }
+        found = {name: play(scenario, make, seed, asks) for name, make in makes.items()}
+    return {"mix": mix, "site": site, "routers": routers, "requests": sum(map(len, asks.values())), **found}
+
+
+if __name__ == "__main__":
+    for push in map(float, sys.argv[1].split(",")):
+        PUSH = push
+        for mix, rate in (("even", 3.0), ("questions", 7.0), ("cases", 4.0)):
+            for routers, sticky in ((1, True), (4, True), (4, False))[: int(sys.argv[2])]:
+                t = perf_counter()
+                x = saved(mix, "docs", 8, routers, rate, 200.0, 1, sticky)
+                print(push, mix, routers, sticky, x["requests"], round(perf_counter() - t, 1))
+                for k in ("plain", "reserved", "oracle"):
+                    print("   ", k, x[k])
--- a/spoolbarrow/sessions/evidence.py
+++ b/spoolbarrow/sessions/evidence.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import msgspec
 from msgspec import Struct
@@ -32,8 +32,8 @@
     gap: int  # sums of the turns' means so far
     growth: int
     answer: int
-    outlasted: list[int]
-    returned: list[int]
+    outlasted: tuple[int, ...]
+    returned: tuple[int, ...]
 
 
 class Body(Struct, array_like=True, forbid_unknown_fields=True):
@@ -67,11 +67,12 @@
                 mine[n] += value * numerator // denominator
 
 
-def _trimmed(values: list[int]) -> list[int]:
+def trimmed(values: Sequence[int]) -> tuple[int, ...]:
+    """Without the last zeros."""
     end = len(values)
     while end and not values[end - 1]:
         end -= 1
-    return values[:end]
+    return tuple(values[:end])
 
 
 class Evidence:
@@ -125,8 +126,8 @@
 
 def _told(cell: int, counts: Counts) -> Told:
     return Told(
-        cell, counts.count, counts.gap, counts.growth, counts.answer, _trimmed(counts.outlasted),
-        _trimmed(counts.returned),
+        cell, counts.count, counts.gap, counts.growth, counts.answer, trimmed(counts.outlasted),
+        trimmed(counts.returned),
     )  # fmt: skip
 
 
--- a/spoolbarrow/sessions/ledger.py
+++ b/spoolbarrow/sessions/ledger.py
@@ -134,6 +134,7 @@
             if not account.keys:
                 del self.slices[engine]
             return False
+        self.slices[engine] = account  # who gave way may have been the last that held it
         one = self.book[key] = Reservation(key, engine, tenant, tokens, chance, earns, now, until_ms)
         account.held += tokens
         account.worth += chance * tokens
--- a/spoolbarrow/sessions/model.py
+++ b/spoolbarrow/sessions/model.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from math import exp, isfinite, log, pi, sqrt
 
 import msgspec
@@ -15,7 +15,7 @@
 
 from spoolbarrow.fleet.documents import MOST_BODY
 from spoolbarrow.sessions import cells
-from spoolbarrow.sessions.evidence import SCALE, Counts
+from spoolbarrow.sessions.evidence import MOST_COUNT, SCALE, Counts, trimmed
 
 MOST_CLUSTERS = 8
 FIT_CELLS = 400  # the heaviest; more cost time and tell little
@@ -29,12 +29,16 @@
 SAME = 4.0  # squared distance in spreads within which a cluster is the one of before
 DRIFT_NATS = 0.05  # a turn: the newer model tells the evidence so much better than the one before
 Z = 1.645  # 5 % on either side
+OWN_CELLS = 400  # the heaviest have waits of their own in the model
+OWN_STRENGTH = 10.0  # waits that the clusters' word counts for, against a cell's own
+LATE = 0.9
 CHAIN = 64  # turns ahead that are worked out
 MOST_RETURN = 0.98
 REMEMBERED = 4096  # predictions kept by cell
 KINDS = 3  # gap, growth, answer
 
 Vector = tuple[float, ...]
+Whole = tuple[int, ...]
 
 
 class Cluster(Struct, frozen=True):
@@ -49,10 +53,21 @@
     seen: Vector  # by stage: turns behind it
 
 
+class Own(Struct, frozen=True, array_like=True):
+    """What was seen of one cell itself: where lengths are no normals, the clusters' word is mended by it."""
+
+    returned: Whole  # by span, without the last zeros
+    outlasted: Whole
+
+
+NOTHING = Own((), ())
+
+
 class Model(Struct, frozen=True):
     """What all routers act on: the clusters, and how they came about."""
 
     clusters: tuple[Cluster, ...]
+    cells: dict[int, Own]
     turns: int
     next_name: int
     drift: float = 0.0  # nats a turn gained against the model before
@@ -68,7 +83,9 @@
     away: Vector  # share still away at the end of each span
     growth: float  # tokens that its next turn adds
     cluster: str  # the likeliest
-    weights: Vector  # of the clusters, in the model's order
+    weights: Vector  # of the clusters, in the model's order, should it return
+    half_ms: float = 0.0  # within which half of those who return have done so
+    late_ms: float = 0.0  # and nearly all, LATE
 
     def later(self, away_ms: float) -> float:
         """The chance that it returns within the horizon, having been away for so long."""
@@ -85,17 +102,18 @@
         part = max(0.0, away_ms - low) / (cells.EDGES_MS[n] - low)
         return before + part * (self.away[n] - before)
 
-    def when(self, share: float) -> float:
-        """The time away within which this share of those who return have returned, ms."""
-        wanted = 1.0 - share * (1.0 - self.away[-1])
-        low = 0.0
-        before = 1.0
-        for edge, after in zip(cells.EDGES_MS, self.away, strict=True):
-            if after <= wanted:
-                part = (before - wanted) / (before - after) if before > after else 1.0
-                return low + part * (edge - low)
-            low, before = edge, after
-        return cells.HORIZON_MS
+
+def within(away: Sequence[float], share: float) -> float:
+    """The time away within which this share of those who return have returned, ms."""
+    wanted = 1.0 - share * (1.0 - away[-1])
+    low = 0.0
+    before = 1.0
+    for edge, after in zip(cells.EDGES_MS, away, strict=True):
+        if after <= wanted:
+            part = (before - wanted) / (before - after) if before > after else 1.0
+            return low + part * (edge - low)
+        low, before = edge, after
+    return cells.HORIZON_MS
 
 
 class _Point:
@@ -350,7 +368,9 @@
         return None
     parts = _choose(_points(counts))
     clusters, number = _named(_clusters(parts, counts), last)
-    made = Model(clusters, turns, number)
+    heaviest = sorted(counts, key=lambda cell: (-counts[cell].count, cell))[:OWN_CELLS]
+    own = {cell: Own(trimmed(counts[cell].returned), trimmed(counts[cell].outlasted)) for cell in heaviest}
+    made = Model(clusters, own, turns, number)
     if last is None:
         return made
     drift = round(likelihood(made, counts) - likelihood(last, counts), 6)
@@ -361,8 +381,14 @@
     """Whether a model that was told can be acted on."""
     if not 0 < len(model.clusters) <= MOST_CLUSTERS or model.turns < 0 or model.next_name < 1:
         return False
-    if len({c.name for c in model.clusters}) < len(model.clusters):
+    if len({c.name for c in model.clusters}) < len(model.clusters) or len(model.cells) > OWN_CELLS:
         return False
+    for cell, own in model.cells.items():
+        lists = (own.returned, own.outlasted)
+        if not cells.valid(cell) or any(len(its) > cells.SPANS for its in lists):
+            return False
+        if not all(0 <= n <= MOST_COUNT * MOST_CLUSTERS for its in lists for n in its):
+            return False
     for c in model.clusters:
         if not c.name[1:].isdigit() or len(c.name) > 16 or len(c.classes) > cells.MOST_CLASS + 1:
             return False
@@ -424,28 +450,45 @@
 
     def left(self, prediction: Prediction, turns: int) -> float:
         """Turns that a session with this prediction still has before it, after so many."""
-        n = min(turns, CHAIN) - 1
-        return sum(w * left[n] for w, left in zip(prediction.weights, self._left, strict=True))
+        n = min(turns + 1, CHAIN) - 1
+        more = sum(w * left[n] for w, left in zip(prediction.weights, self._left, strict=True))
+        return prediction.chance * (1.0 + more)
 
     def _work_out(self, cell: int) -> Prediction:
         cls, stage, x, known = _centre(cell)
         clusters = self.model.clusters
         whose, _ = _weigh(self._parts, cls, x, known, [c.shares[stage] for c in clusters])
-        away = [0.0] * cells.SPANS
+        mixed = [0.0] * cells.SPANS
         ends, growth, seen = [], 0.0, 0.0
         for w, c in zip(whose, clusters, strict=True):
             stays = 1.0
             for n, hazard in enumerate(c.hazards[stage]):
                 stays *= 1.0 - hazard
-                away[n] += w * stays
+                mixed[n] += w * stays
             ends.append(1.0 - stays)
             seen += w * c.seen[stage]
             # The mean of what is normal in octaves lies above its median.
             growth += w * 2.0 ** (c.mean[1] + 0.5 * c.variance[1] * log(2.0))
-        chance = 1.0 - away[-1]
-        between = sum(w * (p - chance) ** 2 for w, p in zip(whose, ends, strict=True))
-        doubt = Z * sqrt(chance * (1.0 - chance) / (seen + SHRINK) + between / max(1.0, len(clusters)) / 4.0)
+        own = self.model.cells.get(cell, NOTHING)
+        away, before, stays = [], 1.0, 1.0
+        for n, after in enumerate(mixed):
+            hazard = 1.0 - after / before if before > 0.0 else 0.0
+            back = own.returned[n] if n < len(own.returned) else 0
+            risk = back + (own.outlasted[n] if n < len(own.outlasted) else 0)
+            stays *= 1.0 - (back + OWN_STRENGTH * hazard) / (risk + OWN_STRENGTH)
+            away.append(stays)
+            before = after
+        chance = 1.0 - stays
+        come = sum(w * p for w, p in zip(whose, ends, strict=True))
+        after_return = tuple(w * p / come for w, p in zip(whose, ends, strict=True)) if come > 0.0 else whose
+        # Two doubts: how much was seen, and, where the cell itself says little, whose session this is.
+        mine = sum(own.returned) + (own.outlasted[-1] if len(own.outlasted) == cells.SPANS else 0)
+        between = sum(w * (p - 1.0 + mixed[-1]) ** 2 for w, p in zip(whose, ends, strict=True))
+        between *= OWN_STRENGTH / (mine + OWN_STRENGTH) / len(clusters)
+        drawn = chance * (1.0 - chance) / (min(seen, mine + OWN_STRENGTH) + SHRINK)
+        doubt = Z * sqrt(drawn + between)
         return Prediction(
             chance, max(0.0, chance - doubt), min(1.0, chance + doubt), tuple(away), growth,
-            clusters[max(range(len(clusters)), key=whose.__getitem__)].name, whose,
+            clusters[max(range(len(clusters)), key=whose.__getitem__)].name, after_return,
+            within(away, 0.5), within(away, LATE),
         )  # fmt: skip
--- a/spoolbarrow/sessions/part.py
+++ b/spoolbarrow/sessions/part.py
@@ -19,13 +19,18 @@
 from spoolbarrow.sessions.evidence import SCALE, Evidence
 from spoolbarrow.sessions.ledger import Ledger
 from spoolbarrow.sessions.model import Prediction, Predictor
-from spoolbarrow.sessions.rooms import Rooms
+from spoolbarrow.sessions.rooms import TELLS, Rooms
 
 SWEEP_MS = 60_000.0  # every session is looked at so often: who is still away is told, who has gone forgotten
-KNOWN_LATE = 0.9  # of those who return have done so when a reservation ends
 LEAST_CHANCE = 0.05  # below it nothing is reserved
 LEARN_LEAST = 0.2  # weight of the newest turn in a session's means, at least
+MOVING, MOVED_LEARN, MOVED_PRIOR = (
+    0.05,
+    0.01,
+    4,
+)  # beyond it homes are by key alone, on which all routers agree
 MOST_SWEPT = 512  # sets in one look: a pause must not end in one long look
+KEEPS_MS = 250.0  # what engines keep is worked out so often at most, each
 WANTED_MS = 60_000.0
 PROMISE = 0.9  # of the room that is learnt: what it is for sure
 
@@ -73,8 +78,8 @@
     """What the decisions may be told of an engine."""
 
     density: float  # tokens wanted again, of each that is pushed out
-    turnover_ms: float  # until what lies there is pushed out, as it is used now; 0: not known
     held: int  # tokens reserved, by this router
+    at: float  # when this was worked out
 
 
 class Document(Struct, forbid_unknown_fields=True):
@@ -118,9 +123,11 @@
         self.engines: list[str] = []  # by number
         self.numbers: dict[str, int] = {}
         self.started: dict[int, float] = {}  # since_ms of each
-        self.pour_rate: dict[int, tuple[float, float]] = {}  # tokens a ms, and when that was told
         self._swept, self._swept_at = 0, -1.0
+        self._keeps: dict[int, Keeps] = {}
         self.wanted = 0.0, 0.0
+        # Share of the sessions new here that others served before; routers begin by doubting.
+        self.moving, self.met = float(settings.routers > 1), 0
 
     # --- engines
 
@@ -184,15 +191,17 @@
         t.prompt[slot], t.shared[slot] = min(max(prompt, 0), 0xFFFFFFFF), min(max(shared, 0), 0xFFFFFFFF)
         home, kept, name = t.home[slot], 0, ""
         if home != table.NO_HOME:
-            room, name = self.rooms.room(home), self.engines[home]
-            if room <= 0.0 or self.rooms.since(home, t.mark[slot]) * self.settings.routers < room:
-                kept = max(0, min(t.context[slot], prompt) - t.shared[slot])
+            name = self.engines[home]
+            share = self.rooms.share(home, self.rooms.since(home, t.mark[slot]) * self.settings.routers)
+            kept = int(share * max(0, min(t.context[slot], prompt) - t.shared[slot]))
         new = t.turns[slot] == 1
+        if self.moving > MOVING:
+            return UNKNOWN  # its last turn may have been another router's: only its key tells all the same
         if self.predictor is None:
             return Facts(-1.0, 0.0, name, kept, new)
         cell = cells.cell(t.cls[slot], t.turns[slot], t.gap[slot], t.growth[slot], t.answer[slot])
         found = self.predictor.of(cell)
-        return Facts(found.chance, found.when(0.5), name, kept, new, found)
+        return Facts(found.chance, found.half_ms, name, kept, new, found)
 
     @staticmethod
     def _mean(old: float, new: float, count: int) -> float:
@@ -211,7 +220,12 @@
         kept = min(max(kept, 0), prompt)
         answer = max(answer, 0)
         self._observe(now, slot, number, kept)
-        self._pour(now, number, prompt - kept + answer)
+        if t.turns[slot] == 1:
+            # Who is new here and finds a prompt of its own kept was at another router before.
+            self.met += 1
+            learn = max(MOVED_LEARN, 1.0 / (self.met + MOVED_PRIOR))
+            self.moving += learn * ((kept - shared >= TELLS) - self.moving)
+        self.rooms.pour(number, prompt - kept + answer)
         t.answer[slot] = self._mean(t.answer[slot], cells.octave(float(answer + 1)), t.turns[slot])
         t.context[slot] = min(prompt + answer, 0xFFFFFFFF)
         t.home[slot], t.mark[slot] = number, self.rooms.mark(number)
@@ -243,19 +257,13 @@
         if self.rooms.observe(number, poured, t.away[slot], left, max(0, kept - shared)):
             self.ledger.engine_gone(now, number)
 
-    def _pour(self, now: float, number: int, tokens: int) -> None:
-        self.rooms.pour(number, tokens)
-        rate, at = self.pour_rate.get(number, (0.0, now))
-        stays = 0.5 ** ((now - at) / 10_000.0) if now > at else 1.0
-        self.pour_rate[number] = (rate * stays + tokens * (0.693 / 10_000.0), max(now, at))
-
     def _reserve(self, now: float, slot: int, found: Prediction) -> None:
         t = self.table
         number, tokens = t.home[slot], t.context[slot] - t.shared[slot]
         room = self.rooms.room(number)
         if number == table.NO_HOME or found.chance < LEAST_CHANCE or room <= 0.0:
             return
-        hold = min(found.when(KNOWN_LATE), max(self.rooms.longest_ms(), cells.EDGES_MS[0]))
+        hold = min(found.late_ms, max(self.rooms.longest_ms(), cells.EDGES_MS[0]))
         chance = 1.0 - found.still(hold)
         self._wanted(now, chance * tokens * self.ledger.word(t.tenant[slot]))
         most = PROMISE * room * self.share
@@ -308,16 +316,19 @@
     # --- facts
 
     def keeps(self, now: float, engine: str) -> Keeps:
-        """What pushing a token out of this engine would cost, and how fast it is turned over."""
+        """What pushing tokens out of this engine would cost."""
         number = self.numbers.get(engine)
         if number is None:
-            return Keeps(0.0, 0.0, 0)
+            return Keeps(0.0, 0, now)
+        old = self._keeps.get(number)
+        if old is not None and now - old.at < KEEPS_MS:
+            return old
         room = self.rooms.room(number)
-        rate, at = self.pour_rate.get(number, (0.0, now))
-        rate *= 0.5 ** (max(0.0, now - at) / 10_000.0) * self.settings.routers
         account = self.ledger.slices.get(number)
         density = self.ledger.density(number, room * self.share)
-        return Keeps(density, room / rate if rate > 0.0 else 0.0, account.held if account is not None else 0)
+        found = Keeps(density, account.held if account is not None else 0, now)
+        self._keeps[number] = found
+        return found
 
     # --- the fleet
 
--- a/spoolbarrow/sessions/rooms.py
+++ b/spoolbarrow/sessions/rooms.py
@@ -11,8 +11,11 @@
 STEPS_AN_OCTAVE = 2
 STEPS = 80  # forty octaves
 FADE = 0.98  # of a step's counts at each observation in it: about fifty of them are believed
-ENOUGH = 8.0  # observations of an engine's own; fewer: the edge of all engines
+ENOUGH = 8  # observations of an engine's own; fewer: the edge of all engines
 HALF = 0.5
+PRIOR = 0.2  # observations that each step is taken to have had, half of them found
+AGAIN = 32
+REFRESH = 32  # observations until the curve of all engines is drawn anew
 TELLS = 64  # tokens expected; less says little
 EMPTY_OF = 0.125  # of the room: with less poured in since, nothing found is an engine that lost all it kept
 LOST_RUN = 2  # such sessions in a row make an engine empty: one may have been preempted
@@ -23,32 +26,48 @@
 class Edge:
     """Where what is found falls below half, on a scale of half octaves."""
 
-    __slots__ = ("expected", "found", "seen")
+    __slots__ = ("edge", "edge_at", "expected", "found", "seen")
 
     def __init__(self) -> None:
         self.expected = [0.0] * STEPS
         self.found = [0.0] * STEPS
-        self.seen = 0.0
+        self.seen = 0
+        self.edge, self.edge_at = 0.0, 0
 
     def observe(self, at: float, share: float) -> None:
         """So much was found of what was left `at` this quantity ago."""
         n = min(STEPS - 1, int(STEPS_AN_OCTAVE * log2(at))) if at > 1.0 else 0
         self.expected[n] = FADE * self.expected[n] + 1.0
         self.found[n] = FADE * self.found[n] + min(1.0, max(0.0, share))
-        self.seen += 1.0
+        self.seen += 1
 
     def at(self) -> float:
         """The edge; 0: nothing was ever found. Beyond the largest quantity seen to keep, nothing is promised.
 
-        The step chosen splits what was found before it from what was lost after it with the least error.
+        Worked out anew when an eighth more was seen, or AGAIN. The step chosen splits what was found before it from what was lost after it with the least error.
         """
+        if self.seen - self.edge_at <= min(AGAIN, self.seen // 8):
+            return self.edge
+        self.edge_at = self.seen
         kept_after = sum(self.found)
         best, least, error = 0, kept_after, kept_after  # all beyond the edge: what was found is the error
         for n in range(STEPS):
             error += (self.expected[n] - self.found[n]) - self.found[n]
             if error < least and self.expected[n] > 0.0:
                 best, least = n + 1, error
-        return 2.0 ** (best / STEPS_AN_OCTAVE) if best else 0.0
+        self.edge = 2.0 ** (best / STEPS_AN_OCTAVE) if best else 0.0
+        return self.edge
+
+    def curve(self) -> tuple[float, ...]:
+        """Share found by step, never more after a longer while (pooled where it seemed so)."""
+        blocks: list[tuple[float, float, int]] = []  # found, expected, steps
+        for found, expected in zip(self.found, self.expected, strict=True):
+            block = (found + PRIOR * HALF * (expected > 0.0), expected + PRIOR * (expected > 0.0), 1)
+            while blocks and block[0] * blocks[-1][1] >= blocks[-1][0] * block[1]:
+                last = blocks.pop()
+                block = (last[0] + block[0], last[1] + block[1], last[2] + block[2])
+            blocks.append(block)
+        return tuple(f / e if e > 0.0 else 1.0 for f, e, n in blocks for _ in range(n))
 
 
 class Rooms:
@@ -59,7 +78,8 @@
         self.own: dict[int, Edge] = {}
         self.lost: dict[int, int] = {}
         self.poured: dict[int, int] = {}  # tokens read and made at an engine, as far as this router knows
-        self._edge, self._edge_at = (0.0, 0.0), -1.0
+        self._curve: tuple[float, ...] = (1.0,) * STEPS
+        self._curve_at = 0
 
     def pour(self, engine: int, tokens: int) -> None:
         """So many tokens were read or made there that were not kept before."""
@@ -101,16 +121,23 @@
         own = self.own.get(engine)
         if own is not None and own.seen >= ENOUGH:
             return own.at()
-        return self._common()[0]
+        return self.tokens.at()
+
+    def share(self, engine: int, poured: float) -> float:
+        """What should be found of what was left there before so many tokens were poured in, of 1.
+
+        The curve is that of all engines, moved to where this one's own edge lies.
+        """
+        if self.tokens.seen - self._curve_at >= REFRESH:
+            self._curve, self._curve_at = self.tokens.curve(), self.tokens.seen
+        own, common = self.room(engine), self.tokens.at()
+        if own > 0.0 and common > 0.0:
+            poured *= common / own
+        return self._curve[min(STEPS - 1, int(STEPS_AN_OCTAVE * log2(poured)))] if poured > 1.0 else 1.0
 
     def longest_ms(self) -> float:
         """The age at which what is kept goes, whatever is poured in."""
-        return self._common()[1]
-
-    def _common(self) -> tuple[float, float]:
-        if self.tokens.seen != self._edge_at:
-            self._edge, self._edge_at = (self.tokens.at(), self.ages.at()), self.tokens.seen
-        return self._edge
+        return self.ages.at()
 
     def forget(self, engine: int) -> None:
         """The engine is gone, or begun anew: its own edge and marks mean nothing."""
