--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -23,7 +23,7 @@
 from typing import Any
 
 import orjson
-from msgspec.structs import fields
+from msgspec.structs import fields, replace
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT)]
@@ -41,6 +41,7 @@
 TENTHS_WITHIN, LEFT_LESS, ANEW_LESS, WORTH_WITHIN, COST_SHARE = 0.05, 1 / 3, 0.25, 0.005, 0.1
 TENTH_LEAST = 300  # turns in a tenth before it is judged
 MEMORY_MOST = 16 << 20
+Asks = dict[int, list[float]]  # when each session asks, ms
 
 
 @dataclass(frozen=True)
@@ -241,7 +242,6 @@
 }
 TELL_MS = 1000.0
 PUSH = 1.0  # of the price of reading, for what will be read anew later
-DRAWN = 4  # engines looked at for a new session, beside its usual homes
 
 
 class Engines(r.ReplicaPool):
@@ -254,25 +254,21 @@
         self.read = 0.0
 
     def homes(self, request: r.Request, now: float) -> list[r.Replica]:
-        """Where its prompt was left, before where its key would have it; for a new one, some more."""
+        """Where its prompt was left, before where its key would have it."""
         usual = super().homes(request, now)
         told = self.facts.get(request.id)
         home = self.replicas.get(told.home) if told is not None and told.home else None
         if home is not None and home.serving:
             usual = [home, *(one for one in usual if one is not home)]
-        free = told is not None and told.chance >= 0.0 and told.new
-        if free and len(self.serving) > DRAWN:
-            usual += [one for one in self.rng.sample(self.serving, DRAWN) if one not in usual]
         return usual
 
     def reading(self, request: r.Request, rank: int) -> float:
         """Tokens to read: at the home, what is not kept there."""
         self.asked = request
         told = self.facts.get(request.id)
-        if told is None or not (told.home or (told.new and told.chance >= 0.0)):
-            self.read = super().reading(request, rank)
-        else:
-            self.read = float(request.prompt - (told.kept if rank == 0 and told.home else 0))
+        self.read = super().reading(request, rank)
+        if told is not None and told.home:
+            self.read = float(request.prompt - (told.kept if rank == 0 else 0))
         return self.read
 
     def wait(self, replica: r.Replica, now: float, failing: bool = False) -> float:
@@ -285,17 +281,32 @@
         return found + PUSH * r.READ_PRICE / r.READ_RATE * density * self.read
 
 
+class Knowing(Sessions):
+    """Predicts what will be: who returns, and when."""
+
+    def __init__(self, settings: Settings, who: int, asks: Asks) -> None:
+        super().__init__(settings, who)
+        self.asks = asks
+
+    def _reserve(self, now: float, slot: int, found: Prediction) -> None:
+        at = next((at for at in self.asks[self.table.keys[slot]] if at > now), None)
+        if at is not None:
+            sure = {"chance": 1.0, "late_ms": max(at - now, cells.EDGES_MS[0]) + TELL_MS}
+            super()._reserve(now, slot, replace(found, away=(0.0,) * cells.SPANS, **sure))
+
+
 class Told:
-    """The real decisions with sessions beside them; `truth` knows who returns, and when."""
+    """The real decisions with sessions beside them; `asks`: the oracle's."""
 
-    def __init__(self, settings: i.Settings, seed: int, body: bytes, truth: dict[int, list[float]] | None) -> None:
-        self.part = Sessions(Settings(routers=settings.nodes, slots=32_768), seed)
+    def __init__(self, settings: i.Settings, seed: int, body: bytes, asks: Asks | None) -> None:
+        told = Settings(routers=settings.nodes, slots=32_768)
+        self.part = Sessions(told, seed) if asks is None else Knowing(told, seed, asks)
         assert self.part.adopt(0.0, body)
         self.facts: dict[str, Facts] = {}
         self.router = r.Router(settings, seed)
         self.router.pool = Engines(settings, self.router.rng, self.part, self.facts)
         self.router.pool.full_ms = self.router.full_ms
-        self.truth, self.told_at = truth, 0.0
+        self.told_at = 0.0
         self.asked: dict[str, i.RequestArrived] = {}
         self.own_ns = self.taken = 0
 
@@ -308,9 +319,6 @@
                 self.asked[event.request] = event
                 part, e = self.part, event
                 told = part.arrived(now, e.session, e.cls, e.tenant, e.prompt_tokens, e.shared_tokens)
-                if self.truth is not None and told.chance >= 0.0:
-                    gap = next((at - now for at in self.truth.get(e.session, []) if at > now + 1.0), inf)
-                    told = Facts(float(gap < inf), min(gap, 1e9), told.home, told.kept, told.new)
                 self.facts[event.request] = told
             elif isinstance(event, i.AttemptEnded) and event.outcome is i.Outcome.SERVED:
                 one = self.asked.get(event.request)
@@ -347,9 +355,9 @@
         return self.its.handle(now, events)
 
 
-def trace(path: Path, mix: str, site: str, rate: float, length_s: float, seed: int) -> dict[int, list[float]]:
+def trace(path: Path, mix: str, site: str, rate: float, length_s: float, seed: int) -> Asks:
     """Write a day in the lab's own form; when each session asks, ms."""
-    asks: dict[int, list[float]] = {}
+    asks: Asks = {}
     with path.open("wb") as out:
         for one in turns(MIXES[mix], SITES[site], rate, length_s, seed, QUICK_CASE):
             asks.setdefault(one.session, []).append(one.at)
@@ -359,7 +367,7 @@
     return asks
 
 
-class Sticky(Scenario):
+class Sticky(Scenario, frozen=True):
     """A front that sends a session to the same router each time."""
 
     def near(self, routers: list[int], session: int) -> list[int]:
@@ -383,7 +391,7 @@
 
 
 def play(
-    scenario: Scenario, make: Callable[[i.Settings, int], Decider], seed: int, asks: dict[int, list[float]]
+    scenario: Scenario, make: Callable[[i.Settings, int], Decider], seed: int, asks: Asks
 ) -> dict[str, Any]:
     """One day; what was found kept, of all prompts and of those of sessions that returned."""
     seen: dict[str, tuple[i.RequestArrived, int]] = {}
