--- a/spoolbarrow/sessions/cells.py
+++ b/spoolbarrow/sessions/cells.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from math import log2
 
 TURNS = (1, 2, 3, 5, 9, 17)  # first turn of each stage: behaviour changes most in the first few
@@ -28,9 +29,7 @@
 
 def span(away_ms: float) -> int:
     """Which span of time away this lies in; SPANS: beyond the horizon."""
-    if away_ms < EDGES_MS[0]:
-        return 0
-    return min(SPANS, int(log2(away_ms / EDGES_MS[0])) + 1)
+    return bisect_right(EDGES_MS, away_ms)
 
 
 def octave(value: float) -> float:
@@ -41,8 +40,8 @@
 def cell(cls: int, turns: int, gap: float, growth: float, answer: float) -> int:
     """One number of it all; gap, growth and answer in octaves, NOT_KNOWN where they are."""
     return (
-        min(max(cls, 0), MOST_CLASS) << 18
-        | stage(turns) << 15
+        cls << 18
+        | (_STAGE[turns] if turns < TURNS[-1] else STAGES - 1) << 15
         | (int(gap) + 1 if gap >= 0.0 else 0) << 10
         | (int(growth) + 1 if growth >= 0.0 else 0) << 5
         | (int(answer) + 1 if answer >= 0.0 else 0)
--- a/spoolbarrow/sessions/ledger.py
+++ b/spoolbarrow/sessions/ledger.py
@@ -11,7 +11,7 @@
 
 from msgspec import Struct
 
-MOST_RESERVED = 50_000  # reservations of a router
+MOST_RESERVED = 20_000  # reservations of a router
 HEAP_SLACK = 4  # lines of a heap for each that stands, before it is made anew
 ALPHA_BURST = 1.0  # as the paper's: memory held beyond a tenant's part of it makes it cheap to give up
 HONOUR_PRIOR = 8.0  # reservations that a tenant is taken to have honoured
@@ -32,14 +32,6 @@
     until_ms: float
 
 
-class Ended(Struct, frozen=True):
-    """A reservation that ended, and why: return, time, value, engine, room, again."""
-
-    key: int
-    engine: int
-    why: str
-
-
 class Slice:
     """An engine's account at this router."""
 
@@ -53,7 +45,7 @@
 
 
 class Ledger:
-    """Every method takes `now` where time counts; what ends is kept in `ended` until it is taken."""
+    """Every method takes `now` where time counts, ms; keys, engines and tenants are numbers."""
 
     def __init__(
         self, portions: tuple[float, ...] = (), price: float = 1.0, most: int = MOST_RESERVED
@@ -68,7 +60,7 @@
         self.credited: dict[int, float] = {}  # by engine; minus the sum of all ever charged
         self.taken = 0.0  # token-seconds that `charges` has told
         self.words: dict[int, tuple[float, float]] = {}  # promised and kept returns, by tenant
-        self.ended: list[Ended] = []
+        self.ends: dict[str, int] = {}  # how many ended, by why: return, time, value, engine, room, again
 
     # --- tenants
 
@@ -132,7 +124,7 @@
         account = self.slices.setdefault(engine, Slice())
         if not self._make_room(now, account, tokens, earns, most) or len(self.book) >= self.most:
             if not account.keys:
-                del self.slices[engine]
+                self.slices.pop(engine, None)
             return False
         self.slices[engine] = account  # who gave way may have been the last that held it
         one = self.book[key] = Reservation(key, engine, tenant, tokens, chance, earns, now, until_ms)
@@ -209,9 +201,7 @@
             del self.held[one.tenant]
         if why in ("return", "time"):
             self._judge(one, why == "return")
-        if why != "again":
-            self.ended.append(Ended(key, one.engine, why))
-            del self.ended[: -self.most]
+        self.ends[why] = self.ends.get(why, 0) + 1
         return one
 
     def engine_gone(self, now: float, engine: int) -> int:
--- a/spoolbarrow/sessions/model.py
+++ b/spoolbarrow/sessions/model.py
@@ -13,7 +13,6 @@
 import msgspec
 from msgspec import Struct
 
-from spoolbarrow.fleet.documents import MOST_BODY
 from spoolbarrow.sessions import cells
 from spoolbarrow.sessions.evidence import MOST_COUNT, SCALE, Counts, trimmed
 
@@ -73,6 +72,14 @@
     drift: float = 0.0  # nats a turn gained against the model before
     drifted: bool = False
 
+    def lighter(self) -> Model:
+        """With half of the cells, the heavier ones: a document has its bound."""
+        kept = dict(list(self.cells.items())[: len(self.cells) // 2])
+        return msgspec.structs.replace(self, cells=kept)
+
+
+NONE = Model((), {}, 0, 1)
+
 
 class Prediction(Struct, frozen=True):
     """What is thought of a session with such a cell, and how surely."""
@@ -168,13 +175,12 @@
         pairs = [(x, y) for x, y in zip(a.x, b.x, strict=True) if x >= 0.0 and y >= 0.0]
         return sum((x - y) ** 2 for x, y in pairs) + 4.0 * (a.cls != b.cls)
 
-    whole = [p for p in points if p.known] or points
-    seeds = [whole[0]]
-    nearest = [far(p, seeds[0]) for p in whole]
+    seeds = [points[0]]
+    nearest = [far(p, seeds[0]) for p in points]
     while len(seeds) < count and max(nearest) > 0.0:
-        n = max(range(len(whole)), key=lambda n: (whole[n].weight * nearest[n], -n))
-        seeds.append(whole[n])
-        nearest = [min(old, far(p, whole[n])) for old, p in zip(nearest, whole, strict=True)]
+        n = max(range(len(points)), key=lambda n: (points[n].weight * nearest[n], -n))
+        seeds.append(points[n])
+        nearest = [min(old, far(p, points[n])) for old, p in zip(nearest, points, strict=True)]
     classes = {p.cls for p in points}
     even = 1.0 / len(seeds)
     found = []
@@ -285,6 +291,15 @@
             self.outlasted[n] += weight * counts.outlasted[n]
 
 
+def _by_stage(curves: list[_Curves], common: list[Vector]) -> tuple[Vector, ...]:
+    """A cluster's hazards; where a stage was little seen, as in the one before it."""
+    found: list[Vector] = []
+    for u, c in enumerate(curves):
+        before = found[-1] if found and c.seen < curves[u - 1].seen else common[u]
+        found.append(_hazards(c.returned, c.outlasted, before, SHRINK))
+    return tuple(found)
+
+
 def _clusters(parts: list[_Part], counts: Mapping[int, Counts]) -> list[Cluster]:
     """Shares and curves by stage, of all the counts."""
     every = _Curves()
@@ -308,7 +323,7 @@
             part.mean,
             part.variance,
             part.classes,
-            tuple(_hazards(c.returned, c.outlasted, common[u], SHRINK) for u, c in enumerate(curves[k])),
+            _by_stage(curves[k], common),
             tuple(c.seen for c in curves[k]),
         )
         for k, part in enumerate(parts)
@@ -406,17 +421,6 @@
     return True
 
 
-def read(body: bytes) -> Model | None:
-    """A model by itself, as tools keep it; None where it can't be acted on."""
-    if len(body) > MOST_BODY:
-        return None
-    try:
-        found = msgspec.msgpack.decode(body, type=Model)
-    except (msgspec.DecodeError, ValueError, RecursionError):
-        return None
-    return found if sound(found) else None
-
-
 class Predictor:
     """A model made ready: a prediction for a cell costs a look-up once it has been asked for."""
 
--- a/spoolbarrow/sessions/part.py
+++ b/spoolbarrow/sessions/part.py
@@ -304,6 +304,8 @@
         number = min(MOST_SWEPT, max(1, int(t.sets * passed / SWEEP_MS)))
         for turn in range(number):
             base = (self._swept + turn) % t.sets * table.WAYS
+            if not any(t.keys[base : base + table.WAYS]):
+                continue
             for slot in range(base, base + table.WAYS):
                 if t.keys[slot]:
                     away = now - t.at[slot]
@@ -353,17 +355,22 @@
         made = model.fit(evidence.merge(told), stands.model if stands is not None else None)
         if made is None and stands is None:
             return None
-        chosen = made if made is not None else stands.model if stands is not None else None
-        assert chosen is not None
-        number = stands.number + 1 if stands is not None else 1
-        grants = shares.grant(now, told, stands.number if stands else 0, stands.grants if stands else {})
-        body = msgspec.msgpack.encode(Document(number, chosen, grants))
-        return body if len(body) <= MOST_BODY else None
+        before = stands if stands is not None else Document(0, model.NONE, {})
+        chosen, number = made if made is not None else before.model, before.number + 1
+        grants = shares.grant(now, told, before.number, before.grants)
+        while True:
+            body = msgspec.msgpack.encode(Document(number, chosen, grants))
+            if len(body) <= MOST_BODY:
+                return body
+            if not chosen.cells:
+                return None
+            chosen = chosen.lighter()
 
     def adopt(self, now: float, body: bytes | None) -> bool:
         """Act on a decision; None: predict and reserve nothing."""
         if body is None:
             self.document = self.predictor = None
+            self.share = 0.0 if self.settings.granted else self.share
             self.ledger.clear(now)
             return True
         found = read(body)
@@ -375,6 +382,6 @@
         if self.settings.granted:
             mine = found.grants.get(self.who)
             self.share = mine.share / shares.WHOLE if mine is not None else 0.0
-            for number in list(self.ledger.slices):
-                self.ledger.fit(now, number, PROMISE * self.rooms.room(number) * self.share)
+            for engine in list(self.ledger.slices):
+                self.ledger.fit(now, engine, PROMISE * self.rooms.room(engine) * self.share)
         return True
--- a/spoolbarrow/sessions/rooms.py
+++ b/spoolbarrow/sessions/rooms.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from math import log2
+from math import inf, log2
 
 STEPS_AN_OCTAVE = 2
 STEPS = 80  # forty octaves
@@ -19,32 +19,43 @@
 TELLS = 64  # tokens expected; less says little
 EMPTY_OF = 0.125  # of the room: with less poured in since, nothing found is an engine that lost all it kept
 LOST_RUN = 2  # such sessions in a row make an engine empty: one may have been preempted
+QUIET = 0.25  # of the room: with less poured in, what has gone went by age
 SHRUNK_RUN = 8  # so many, and the room itself has become smaller: they count for its edge
 MOST_ENGINES = 16_384
 
 
+def step(quantity: float) -> int:
+    """Which half octave it lies in."""
+    return min(STEPS - 1, int(STEPS_AN_OCTAVE * log2(quantity))) if quantity > 1.0 else 0
+
+
 class Edge:
     """Where what is found falls below half, on a scale of half octaves."""
 
-    __slots__ = ("edge", "edge_at", "expected", "found", "seen")
+    __slots__ = ("beyond", "edge", "edge_at", "expected", "found", "seen")
 
     def __init__(self) -> None:
         self.expected = [0.0] * STEPS
         self.found = [0.0] * STEPS
         self.seen = 0
         self.edge, self.edge_at = 0.0, 0
+        self.beyond = 0.0  # observations beyond the edge: where there are none, it is only the largest seen
 
     def observe(self, at: float, share: float) -> None:
         """So much was found of what was left `at` this quantity ago."""
-        n = min(STEPS - 1, int(STEPS_AN_OCTAVE * log2(at))) if at > 1.0 else 0
+        self.note(step(at), share)
+
+    def note(self, n: int, share: float) -> None:
+        """The same, of a step."""
         self.expected[n] = FADE * self.expected[n] + 1.0
-        self.found[n] = FADE * self.found[n] + min(1.0, max(0.0, share))
+        self.found[n] = FADE * self.found[n] + share
         self.seen += 1
 
     def at(self) -> float:
         """The edge; 0: nothing was ever found. Beyond the largest quantity seen to keep, nothing is promised.
 
-        Worked out anew when an eighth more was seen, or AGAIN. The step chosen splits what was found before it from what was lost after it with the least error.
+        Worked out anew when an eighth more was seen, or AGAIN. The step chosen splits what was found before
+        it from what was lost after it with the least error.
         """
         if self.seen - self.edge_at <= min(AGAIN, self.seen // 8):
             return self.edge
@@ -56,6 +67,7 @@
             if error < least and self.expected[n] > 0.0:
                 best, least = n + 1, error
         self.edge = 2.0 ** (best / STEPS_AN_OCTAVE) if best else 0.0
+        self.beyond = sum(self.expected[best:])
         return self.edge
 
     def curve(self) -> tuple[float, ...]:
@@ -101,7 +113,7 @@
         """
         if expected < TELLS:
             return False
-        share = found / expected
+        share = min(1.0, max(0, found) / expected)
         room = self.room(engine)
         if room > 0.0 and share < 0.1 and poured < EMPTY_OF * room:
             # Not an edge: what vanished at once says nothing of how much usually fits.
@@ -110,10 +122,15 @@
                 return run == LOST_RUN
         else:
             self.lost.pop(engine, None)
-        self.tokens.observe(poured, share)
-        self.ages.observe(age_ms, share)
-        if engine in self.own or len(self.own) < MOST_ENGINES:
-            self.own.setdefault(engine, Edge()).observe(poured, share)
+        n = step(poured)
+        self.tokens.note(n, share)
+        if room <= 0.0 or poured < QUIET * room:
+            self.ages.observe(age_ms, share)  # else it was pushed out, and its age says nothing
+        own = self.own.get(engine)
+        if own is None and len(self.own) < MOST_ENGINES:
+            own = self.own[engine] = Edge()
+        if own is not None:
+            own.note(n, share)
         return False
 
     def room(self, engine: int) -> float:
@@ -133,11 +150,12 @@
         own, common = self.room(engine), self.tokens.at()
         if own > 0.0 and common > 0.0:
             poured *= common / own
-        return self._curve[min(STEPS - 1, int(STEPS_AN_OCTAVE * log2(poured)))] if poured > 1.0 else 1.0
+        return self._curve[step(poured)] if poured > 1.0 else 1.0
 
     def longest_ms(self) -> float:
-        """The age at which what is kept goes, whatever is poured in."""
-        return self.ages.at()
+        """The age at which what is kept goes, whatever is poured in; infinity: no such age was seen."""
+        edge = self.ages.at()
+        return edge if self.ages.beyond >= 1.0 else inf
 
     def forget(self, engine: int) -> None:
         """The engine is gone, or begun anew: its own edge and marks mean nothing."""
--- a/spoolbarrow/sessions/shares.py
+++ b/spoolbarrow/sessions/shares.py
@@ -53,7 +53,8 @@
             until[who] = now + LEASE_MS
         elif g.until_ms > now:
             claims[who], until[who] = g.claim, g.until_ms
-    names = sorted(who for who in heard if who in last or len(claims) < MOST_ROUTERS)[:MOST_ROUTERS]
+    new = sorted(who for who in heard if who not in claims)[: MOST_ROUTERS - len(claims)]
+    names = sorted(who for who in heard if who in claims) + new
     wants = sum(heard[who].wants for who in names)
     even = WHOLE // EVEN_PART if wants else WHOLE
     found: dict[int, Grant] = {}
--- a/spoolbarrow/sessions/table.py
+++ b/spoolbarrow/sessions/table.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from array import array
+from typing import Any
 
 WAYS = 32
 SLOTS = 131_072  # 100,000 sessions lie in them with a set in twenty full
@@ -22,7 +23,7 @@
 
     __slots__ = (
         "sets", "keys", "at", "away", "turns", "passed", "cls", "tenant", "home", "gap", "growth", "answer",
-        "prompt", "context", "shared", "mark", "cell", "worth", "count",
+        "prompt", "context", "shared", "mark", "cell", "worth", "count", "_columns",
     )  # fmt: skip
 
     def __init__(self, slots: int = SLOTS) -> None:
@@ -48,11 +49,12 @@
         self.cell = column("I")
         self.worth = reals("f")
         self.count = 0
+        columns = (getattr(self, name, None) for name in self.__slots__)
+        self._columns: tuple[array[Any], ...] = tuple(c for c in columns if isinstance(c, array))
 
     def bytes(self) -> int:
         """What the columns hold."""
-        columns = (getattr(self, name) for name in self.__slots__)
-        return sum(len(c) * c.itemsize for c in columns if isinstance(c, array))
+        return sum(len(c) * c.itemsize for c in self._columns)
 
     def _set(self, key: int) -> int:
         return ((key * SPREAD & _M64) >> 32) * self.sets >> 32
@@ -85,6 +87,6 @@
     def forget(self, slot: int) -> None:
         """Nothing stays."""
         self.count -= self.keys[slot] != 0
-        for name in self.__slots__[1:-1]:
-            getattr(self, name)[slot] = 0
+        for column in self._columns:
+            column[slot] = 0
         self.home[slot] = NO_HOME
