--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -40,7 +40,7 @@
 from spoolbarrow.lab.simulate import Simulation  # noqa: E402
 from spoolbarrow.sessions import cells, table  # noqa: E402
 from spoolbarrow.sessions.model import Prediction  # noqa: E402
-from spoolbarrow.sessions.part import UNKNOWN, Facts, Sessions, Settings  # noqa: E402
+from spoolbarrow.sessions.part import MOVING, UNKNOWN, Facts, Sessions, Settings  # noqa: E402
 
 TENTHS_WITHIN, LEFT_LESS, ANEW_LESS, WORTH_WITHIN, COST_SHARE = 0.05, 1 / 3, 0.25, 0.005, 0.1
 TENTH_LEAST = 300  # turns in a tenth before it is judged
@@ -254,7 +254,6 @@
     def __init__(self, settings: i.Settings, rng: Random, part: Sessions, facts: dict[str, Facts]) -> None:
         super().__init__(settings, rng)
         self.part, self.facts = part, facts
-        self.asked: r.Request | None = None
         self.read = 0.0
 
     def homes(self, request: r.Request, now: float) -> list[r.Replica]:
@@ -268,7 +267,6 @@
 
     def reading(self, request: r.Request, rank: int) -> float:
         """Tokens to read: at the home, what is not kept there."""
-        self.asked = request
         told = self.facts.get(request.id)
         self.read = super().reading(request, rank)
         if told is not None and told.home:
@@ -278,8 +276,7 @@
     def wait(self, replica: r.Replica, now: float, failing: bool = False) -> float:
         """Weighing a choice, also what it would push out."""
         found = super().wait(replica, now, failing)
-        told = self.facts.get(self.asked.id) if failing and self.asked is not None else None
-        if told is None or told.chance < 0.0 or self.asked is None:
+        if not failing or self.part.moving > MOVING:
             return found
         density = self.part.keeps(now, replica.id).density
         return found + PUSH * r.READ_PRICE / r.READ_RATE * density * self.read
@@ -292,11 +289,14 @@
         super().__init__(settings, who)
         self.asks = asks
 
-    def _reserve(self, now: float, slot: int, found: Prediction) -> None:
-        at = next((at for at in self.asks[self.table.keys[slot]] if at > now), None)
-        if at is not None:
-            sure = {"chance": 1.0, "late_ms": max(at - now, cells.EDGES_MS[0]) + TELL_MS}
-            super()._reserve(now, slot, replace(found, away=(0.0,) * cells.SPANS, **sure))
+    def predicted(self, now: float, key: int, cell: int) -> Prediction:
+        """What will be."""
+        found = super().predicted(now, key, cell)
+        at = next((at for at in self.asks[key] if at > now), None)
+        if at is None:
+            return replace(found, chance=0.0)
+        return replace(found, chance=1.0, late_chance=1.0, late_ms=at - now + TELL_MS)
+
 
 
 class Told:
@@ -455,26 +455,31 @@
 # --- what it costs
 
 
-def cost(decision_us: float, short: bool) -> dict[str, Any]:
-    """Processor time that a request costs here, sweeps included, against that of the decisions alone."""
-    body, _, took = learn([turns(MIXES["even"], SITES["docs"], 1.0, 3600.0, 300, QUICK_CASE)], 3600.0)
-    found = []
-    for seed in (1,) if short else (1, 2, 3):
-        asked = list(turns(MIXES["even"], SITES["docs"], 3.0, 600.0, seed, QUICK_CASE))
-        part = Sessions(Settings(slots=32_768), 7)
-        assert part.adopt(0.0, body)
-        begin = process_time_ns()
-        for _ in played(part, iter(asked)):
-            pass
-        whole = process_time_ns() - begin
-        idle = Idle(Settings(slots=table.WAYS), 7)
-        begin = process_time_ns()
-        for _ in played(idle, iter(asked)):
-            pass
-        found.append((whole - (process_time_ns() - begin)) / 1000.0 / len(asked))
+def cost(short: bool) -> dict[str, Any]:
+    """Processor time that a request costs here, sweeps included, against the decisions alone, turn about."""
+    shape, classes = MIXES["even"], SITES["docs"]
+    body, _, took = learn([turns(shape, classes, 1.0, 3600.0, 300, QUICK_CASE)], 3600.0)
+    own, decisions = [], []
+    for seed in range(3 if short else 9):
+        asked = list(turns(shape, classes, 3.0, 300.0, seed, QUICK_CASE))
+        spent = []
+        for make in (Sessions, Idle):
+            part = make(Settings(slots=32_768), 7)
+            assert part.adopt(0.0, body)
+            begin = process_time_ns()
+            for _ in played(part, iter(asked)):
+                pass
+            spent.append(process_time_ns() - begin)
+        own.append((spent[0] - spent[1]) / 1000.0 / len(asked))
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "day.jsonl"
+            asks = trace(path, "even", "docs", 3.0, 60.0, seed)
+            scenario = day(path, "docs", 8, 1, 60.0, 1.0, True)
+            decisions.append(play(scenario, lambda told, n: r.Router(told, n), seed, asks)["decision_us"])
     return {
-        "us_a_request": round(median(found), 1), "decision_us": decision_us,
-        "of_a_decision": round(median(found) / decision_us, 3), "fit_s": round(took, 3),
+        "us_a_request": round(median(own), 1), "decision_us": round(median(decisions), 1),
+        "of_a_decision": round(median(a / b for a, b in zip(own, decisions, strict=True)), 3),
+        "fit_s": round(took, 3),
     }  # fmt: skip
 
 
@@ -676,8 +681,7 @@
             "oracle_of_plain": round(read["oracle"] / max(1, read["plain"]), 3),
             "worth": round(mean(one["reserved"]["worth"] - one["plain"]["worth"] for one in each), 5),
         })  # fmt: skip
-    decision = median(one["plain"]["decision_us"] for its in played_days for one in its["days"])
-    spent, held = cost(decision, short), memory()
+    spent, held = cost(short), memory()
     # The bounds that are kept by construction; goals that are not reached are told below, and in the docs.
     holds = (
         all(one["worst_tenth"] <= (1.5 if short else 1.0) * TENTHS_WITHIN for one in stated)
--- a/spoolbarrow/sessions/ledger.py
+++ b/spoolbarrow/sessions/ledger.py
@@ -79,7 +79,10 @@
 
     def word(self, tenant: int) -> float:
         """What a tenant's returns are worth: those that came, of those that were predicted; 1 at most."""
-        promised, kept = self.words.get(tenant, (0.0, 0.0))
+        found = self.words.get(tenant)
+        if found is None:
+            return 1.0
+        promised, kept = found
         return min(1.0, (kept + HONOUR_PRIOR) / (promised + HONOUR_PRIOR))
 
     def _judge(self, one: Reservation, returned: bool) -> None:
@@ -114,15 +117,20 @@
         most: float,
     ) -> bool:  # fmt: skip
         """Hold room for a session at its home until then; `most`: tokens this router may hold there."""
-        self.release(now, key, "again")
-        self.fit(now, engine, most)
+        if key in self.book:
+            self.release(now, key, "again")
+        account = self.slices.get(engine)
+        if account is not None and account.held > most:
+            self.fit(now, engine, most)
         seconds = (until_ms - now) / 1000.0
         chance *= self.word(tenant)
         if tokens < 1 or tokens > most or seconds <= 0.0 or not chance > 0.0:
             return False
         earns = self.price * chance / seconds / (1.0 + ALPHA_BURST * self._burst_with(tenant, tokens))
         account = self.slices.setdefault(engine, Slice())
-        if not self._make_room(now, account, tokens, earns, most) or len(self.book) >= self.most:
+        if account.held + tokens > most and not self._make_room(now, account, tokens, earns, most):
+            return False
+        if len(self.book) >= self.most:
             if not account.keys:
                 self.slices.pop(engine, None)
             return False
@@ -145,10 +153,9 @@
 
     def _burst_with(self, tenant: int, tokens: int) -> float:
         """The burst that a tenant would have with these tokens; within its part of much, none."""
-        total = self.total + tokens
-        share = (self.held.get(tenant, 0) + tokens) / total
         if len(self.held) < 2 and not self.portions:
             return 0.0
+        share = (self.held.get(tenant, 0) + tokens) / (self.total + tokens)
         return max(0.0, share / max(self.portion(tenant), 1e-6) - 1.0)
 
     def _make_room(self, now: float, account: Slice, tokens: int, earns: float, most: float) -> bool:
--- a/spoolbarrow/sessions/model.py
+++ b/spoolbarrow/sessions/model.py
@@ -93,6 +93,7 @@
     weights: Vector  # of the clusters, in the model's order, should it return
     half_ms: float = 0.0  # within which half of those who return have done so
     late_ms: float = 0.0  # and nearly all, LATE
+    late_chance: float = 0.0  # that it returns within that
 
     def later(self, away_ms: float) -> float:
         """The chance that it returns within the horizon, having been away for so long."""
@@ -494,5 +495,5 @@
         return Prediction(
             chance, max(0.0, chance - doubt), min(1.0, chance + doubt), tuple(away), growth,
             clusters[max(range(len(clusters)), key=whose.__getitem__)].name, after_return,
-            within(away, 0.5), within(away, LATE),
+            within(away, 0.5), within(away, LATE), LATE * chance,
         )  # fmt: skip
--- a/spoolbarrow/sessions/part.py
+++ b/spoolbarrow/sessions/part.py
@@ -29,6 +29,7 @@
     0.01,
     4,
 )  # beyond it homes are by key alone, on which all routers agree
+MOST_TOKENS = 0xFFFFFFFF
 MOST_SWEPT = 512  # sets in one look: a pause must not end in one long look
 KEEPS_MS = 250.0  # what engines keep is worked out so often at most, each
 WANTED_MS = 60_000.0
@@ -66,12 +67,8 @@
 class Facts(Struct, frozen=True):
     """What the decisions may be told of a request before it is placed."""
 
-    chance: float  # that its session returns after this turn; negative: nothing is known
-    gap_ms: float  # within which half of those who return have done so
     home: str  # where its prompt is kept; empty: nowhere
     kept: int = 0  # tokens beyond the opening that should be found there
-    new: bool = True  # nothing of its session is known, and nothing kept anywhere
-    prediction: Prediction | None = None
 
 
 class Keeps(Struct, frozen=True):
@@ -90,7 +87,7 @@
     grants: dict[int, shares.Grant]
 
 
-UNKNOWN = Facts(-1.0, 0.0, "")
+UNKNOWN = Facts("")
 _documents = msgspec.msgpack.Decoder(Document)
 
 
@@ -122,6 +119,7 @@
         self.share = 0.0 if settings.granted else 1.0 / settings.routers
         self.engines: list[str] = []  # by number
         self.numbers: dict[str, int] = {}
+        self._free: list[int] = []  # numbers of engines that have gone
         self.started: dict[int, float] = {}  # since_ms of each
         self._swept, self._swept_at = 0, -1.0
         self._keeps: dict[int, Keeps] = {}
@@ -134,10 +132,15 @@
     def _number(self, engine: str) -> int:
         found = self.numbers.get(engine)
         if found is None:
-            if len(self.engines) >= table.NO_HOME:
+            if self._free:
+                found = self._free.pop()
+                self.engines[found] = engine
+            elif len(self.engines) < table.NO_HOME:
+                found = len(self.engines)
+                self.engines.append(engine)
+            else:
                 return table.NO_HOME  # more engines than a fleet has: nothing is kept in mind of these
-            found = self.numbers[engine] = len(self.engines)
-            self.engines.append(engine)
+            self.numbers[engine] = found
         return found
 
     def engine(self, now: float, name: str, serving: bool, since_ms: float = 0.0) -> None:
@@ -147,6 +150,10 @@
         self.started[number] = max(since_ms, self.started.get(number, since_ms))
         if restarted or not serving:
             self._lost(now, number)
+        if not serving:
+            self.started.pop(number)
+            self._keeps.pop(number, None)
+            self._free.append(self.numbers.pop(name, number))  # engines come and go for months
 
     def _lost(self, now: float, number: int) -> None:
         self.ledger.engine_gone(now, number)
@@ -162,50 +169,40 @@
     # --- sessions
 
     def arrived(self, now: float, key: int, cls: int, tenant: int, prompt: int, shared: int) -> Facts:
-        """A request of a session came; what is thought of it before it is placed."""
+        """A request of a session came, `key` of 64 bits, 0: of none; where its prompt lies."""
         t = self.table
         if not key:
             return UNKNOWN
+        prompt, shared = min(max(prompt, 0), MOST_TOKENS), min(max(shared, 0), MOST_TOKENS)
         slot = t.find(key)
         if slot < 0:
             slot, full = t.place(now, key)
             if full:
                 self._leave(now, slot)
             t.begin(slot, key)
-            t.cls[slot], t.tenant[slot] = min(max(cls, 0), 255), min(max(tenant, 0), 65_535)
-            t.gap[slot] = t.growth[slot] = t.answer[slot] = cells.NOT_KNOWN
-            before = min(max(shared, 0), prompt)
+            t.cls[slot], t.tenant[slot] = min(max(cls, 0), cells.MOST_CLASS), min(max(tenant, 0), 65_535)
+            t.gap[slot] = t.answer[slot] = cells.NOT_KNOWN
+            t.growth[slot] = cells.octave(float(prompt - shared))
+            turns = 1
         else:
-            before = t.context[slot]
+            turns = min(t.turns[slot] + 1, 65_535)
+            weight = max(LEARN_LEAST, 1.0 / turns)
             if t.passed[slot] != table.OUT:
                 away = t.away[slot] = max(0.0, now - t.at[slot])
-                self._told(slot, away)
-                self._returned(slot, away)
-                self.ledger.release(now, key, "return")
-                gap = cells.octave(away / cells.GAP_BASE_MS)
-                t.gap[slot] = self._mean(t.gap[slot], gap, t.turns[slot])
-        t.turns[slot] = min(t.turns[slot] + 1, 65_535)
-        grown = cells.octave(float(max(1, prompt - before)))
-        t.growth[slot] = self._mean(t.growth[slot], grown, t.turns[slot])
-        t.at[slot], t.passed[slot] = now, table.OUT
-        t.prompt[slot], t.shared[slot] = min(max(prompt, 0), 0xFFFFFFFF), min(max(shared, 0), 0xFFFFFFFF)
-        home, kept, name = t.home[slot], 0, ""
-        if home != table.NO_HOME:
-            name = self.engines[home]
-            share = self.rooms.share(home, self.rooms.since(home, t.mark[slot]) * self.settings.routers)
-            kept = int(share * max(0, min(t.context[slot], prompt) - t.shared[slot]))
-        new = t.turns[slot] == 1
-        if self.moving > MOVING:
-            return UNKNOWN  # its last turn may have been another router's: only its key tells all the same
-        if self.predictor is None:
-            return Facts(-1.0, 0.0, name, kept, new)
-        cell = cells.cell(t.cls[slot], t.turns[slot], t.gap[slot], t.growth[slot], t.answer[slot])
-        found = self.predictor.of(cell)
-        return Facts(found.chance, found.half_ms, name, kept, new, found)
-
-    @staticmethod
-    def _mean(old: float, new: float, count: int) -> float:
-        return new if old < 0.0 else old + max(LEARN_LEAST, 1.0 / max(1, count)) * (new - old)
+                self._told(slot, away, True)
+                if key in self.ledger.book:
+                    self.ledger.release(now, key, "return")
+                gap, mean = cells.octave(away / cells.GAP_BASE_MS), t.gap[slot]
+                t.gap[slot] = gap if mean < 0.0 else mean + max(LEARN_LEAST, 1.0 / (turns - 1)) * (gap - mean)
+            mean = t.growth[slot]
+            t.growth[slot] = mean + weight * (cells.octave(float(prompt - t.context[slot])) - mean)
+        t.turns[slot], t.at[slot], t.passed[slot] = turns, now, table.OUT
+        t.prompt[slot], t.shared[slot] = prompt, shared
+        home = t.home[slot]
+        if home == table.NO_HOME or self.moving > MOVING:
+            return UNKNOWN  # of one that moves only its key tells all routers the same
+        share = self.rooms.share(home, self.rooms.since(home, t.mark[slot]) * self.settings.routers)
+        return Facts(self.engines[home], int(share * max(0, min(t.context[slot], prompt) - shared)))
 
     def ended(self, now: float, key: int, engine: str, answer: int, kept: int) -> Prediction | None:
         """Its answer was served by an engine that found so many tokens kept; what is thought of it now.
@@ -216,77 +213,76 @@
         slot = t.find(key) if key else -1
         if slot < 0 or t.passed[slot] != table.OUT:
             return None
-        number, prompt, shared = self._number(engine), t.prompt[slot], t.shared[slot]
-        kept = min(max(kept, 0), prompt)
-        answer = max(answer, 0)
-        self._observe(now, slot, number, kept)
-        if t.turns[slot] == 1:
+        number, prompt, shared, turns = self._number(engine), t.prompt[slot], t.shared[slot], t.turns[slot]
+        kept, answer = min(max(kept, 0), prompt), min(max(answer, 0), MOST_TOKENS)
+        if turns == 1:
             # Who is new here and finds a prompt of its own kept was at another router before.
             self.met += 1
             learn = max(MOVED_LEARN, 1.0 / (self.met + MOVED_PRIOR))
             self.moving += learn * ((kept - shared >= TELLS) - self.moving)
-        self.rooms.pour(number, prompt - kept + answer)
-        t.answer[slot] = self._mean(t.answer[slot], cells.octave(float(answer + 1)), t.turns[slot])
-        t.context[slot] = min(prompt + answer, 0xFFFFFFFF)
-        t.home[slot], t.mark[slot] = number, self.rooms.mark(number)
-        t.at[slot], t.passed[slot] = now, 0
+        elif t.home[slot] == number:
+            self._observe(now, slot, number, kept)
         gap, growth, mean = t.gap[slot], t.growth[slot], t.answer[slot]
-        cell = t.cell[slot] = cells.cell(t.cls[slot], t.turns[slot], gap, growth, mean)
+        told = cells.octave(answer + 1.0)
+        mean = told if mean < 0.0 else mean + max(LEARN_LEAST, 1.0 / turns) * (told - mean)
+        context = t.context[slot] = min(prompt + answer, MOST_TOKENS)
+        t.answer[slot], t.home[slot], t.at[slot], t.passed[slot] = mean, number, now, 0
+        t.mark[slot] = self.rooms.pour(number, prompt - kept + answer)
+        cell = t.cell[slot] = cells.cell(t.cls[slot], turns, gap, growth, mean)
         counts = self.evidence.at(cell)
         if counts is not None:
             counts.count += 1
-            counts.gap += int(max(gap, 0.0) * SCALE)
-            counts.growth += int(max(growth, 0.0) * SCALE)
-            counts.answer += int(max(mean, 0.0) * SCALE)
+            counts.gap += int(gap * SCALE) if gap > 0.0 else 0
+            counts.growth += int(growth * SCALE)
+            counts.answer += int(mean * SCALE)
         if self.predictor is None:
-            t.worth[slot] = LEAST_CHANCE * t.context[slot]
+            t.worth[slot] = LEAST_CHANCE * context
             return None
-        found = self.predictor.of(cell)
-        t.worth[slot] = found.chance * (t.context[slot] - shared) * self.ledger.word(t.tenant[slot])
-        self._reserve(now, slot, found)
+        found = self.predicted(now, key, cell)
+        tokens, tenant = max(0, context - shared), t.tenant[slot]
+        word = self.ledger.word(tenant)
+        t.worth[slot] = found.chance * tokens * word
+        room = self.rooms.room(number)
+        if found.chance >= LEAST_CHANCE and room > 0.0 and number != table.NO_HOME:
+            hold, chance = found.late_ms, found.late_chance
+            longest = self.rooms.longest_ms()
+            if hold > longest:
+                hold = max(longest, cells.EDGES_MS[0])
+                chance = 1.0 - found.still(hold)
+            self._wanted(now, chance * tokens * word)
+            most = PROMISE * room * self.share
+            self.ledger.reserve(now, key, number, tenant, tokens, chance, now + hold, most)
         return found
 
+    def predicted(self, now: float, key: int, cell: int) -> Prediction:
+        """What is thought of a session in this cell; only while a model stands."""
+        assert self.predictor is not None
+        return self.predictor.of(cell)
+
     def _observe(self, now: float, slot: int, number: int, kept: int) -> None:
         """What was found at a session's home tells of its room; one found empty keeps nothing any more."""
         t = self.table
-        if t.home[slot] != number or t.turns[slot] < 2:
-            return
         shared = t.shared[slot]
-        left = max(0, min(t.context[slot], t.prompt[slot]) - shared)
+        left = min(t.context[slot], t.prompt[slot]) - shared
         poured = self.rooms.since(number, t.mark[slot]) * self.settings.routers
-        if self.rooms.observe(number, poured, t.away[slot], left, max(0, kept - shared)):
+        if self.rooms.observe(number, poured, t.away[slot], left, kept - shared):
             self.ledger.engine_gone(now, number)
 
-    def _reserve(self, now: float, slot: int, found: Prediction) -> None:
-        t = self.table
-        number, tokens = t.home[slot], t.context[slot] - t.shared[slot]
-        room = self.rooms.room(number)
-        if number == table.NO_HOME or found.chance < LEAST_CHANCE or room <= 0.0:
-            return
-        hold = min(found.late_ms, max(self.rooms.longest_ms(), cells.EDGES_MS[0]))
-        chance = 1.0 - found.still(hold)
-        self._wanted(now, chance * tokens * self.ledger.word(t.tenant[slot]))
-        most = PROMISE * room * self.share
-        self.ledger.reserve(now, t.keys[slot], number, t.tenant[slot], tokens, chance, now + hold, most)
-
     # --- waits
 
-    def _told(self, slot: int, away_ms: float) -> None:
-        """Who is still away has outlasted the spans before this one; each is told once."""
+    def _told(self, slot: int, away_ms: float, returned: bool = False) -> None:
+        """Who is away has outlasted the spans before this one, each told once; and then may have returned."""
         t = self.table
         first, last = t.passed[slot], cells.span(away_ms)
-        if last > first:
+        if last > first or returned:
             counts = self.evidence.at(t.cell[slot])
             if counts is not None:
                 for n in range(first, last):
                     counts.outlasted[n] += 1
+                if returned and last < cells.SPANS:
+                    counts.returned[last] += 1
             t.passed[slot] = last
 
-    def _returned(self, slot: int, away_ms: float) -> None:
-        counts, n = self.evidence.at(self.table.cell[slot]), cells.span(away_ms)
-        if counts is not None and n < cells.SPANS:
-            counts.returned[n] += 1
-
     def _leave(self, now: float, slot: int) -> None:
         """It gives way or has gone: what is known of its wait is told, and nothing stays."""
         t = self.table
@@ -308,10 +304,10 @@
                 continue
             for slot in range(base, base + table.WAYS):
                 if t.keys[slot]:
-                    away = now - t.at[slot]
+                    away, at = now - t.at[slot], t.passed[slot]
                     if away >= cells.HORIZON_MS:
                         self._leave(now, slot)
-                    elif t.passed[slot] != table.OUT:
+                    elif at != table.OUT and away >= cells.EDGES_MS[at]:
                         self._told(slot, away)
         self._swept = (self._swept + number) % t.sets
 
--- a/spoolbarrow/sessions/rooms.py
+++ b/spoolbarrow/sessions/rooms.py
@@ -93,14 +93,12 @@
         self._curve: tuple[float, ...] = (1.0,) * STEPS
         self._curve_at = 0
 
-    def pour(self, engine: int, tokens: int) -> None:
-        """So many tokens were read or made there that were not kept before."""
-        if engine in self.poured or len(self.poured) < MOST_ENGINES:
-            self.poured[engine] = self.poured.get(engine, 0) + max(0, tokens)
-
-    def mark(self, engine: int) -> int:
-        """What has been poured in, to be compared later; within 32 bits."""
-        return self.poured.get(engine, 0) & 0xFFFFFFFF
+    def pour(self, engine: int, tokens: int) -> int:
+        """So many tokens were read or made there that were not kept before; a mark, of 32 bits."""
+        poured = self.poured.get(engine, 0) + tokens
+        if poured > tokens or len(self.poured) < MOST_ENGINES:
+            self.poured[engine] = poured
+        return poured & 0xFFFFFFFF
 
     def since(self, engine: int, mark: int) -> int:
         """Tokens poured in since a mark."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -268,7 +268,7 @@
         assert not one.adopt(0.0, bad) and one.predictor is not None and one.ledger.book
     assert one.adopt(0.0, None) and not one.ledger.book and one.predictor is None
     turn(one, 9000.0, 6)
-    assert not one.ledger.book and one.arrived(20_000.0, 6, 0, 0, 2000, 0).chance < 0.0
+    assert not one.ledger.book and one.document is None
 
 
 # --- the ledger
