--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -38,7 +38,7 @@
 from spoolbarrow.lab.policies import POLICIES, Decider, Truth  # noqa: E402
 from spoolbarrow.lab.scenario import Scenario, convert  # noqa: E402
 from spoolbarrow.lab.simulate import Simulation  # noqa: E402
-from spoolbarrow.sessions import cells, table  # noqa: E402
+from spoolbarrow.sessions import cells  # noqa: E402
 from spoolbarrow.sessions.model import Prediction  # noqa: E402
 from spoolbarrow.sessions.part import MOVING, UNKNOWN, Facts, Sessions, Settings  # noqa: E402
 
--- a/spoolbarrow/sessions/part.py
+++ b/spoolbarrow/sessions/part.py
@@ -31,6 +31,7 @@
 )  # beyond it homes are by key alone, on which all routers agree
 MOST_TOKENS = 0xFFFFFFFF
 MOST_SWEPT = 512  # sets in one look: a pause must not end in one long look
+HELD_AS_READ_S = 100.0  # holding a prompt for so long is charged like reading it once more
 KEEPS_MS = 250.0  # what engines keep is worked out so often at most, each
 WANTED_MS = 60_000.0
 PROMISE = 0.9  # of the room that is learnt: what it is for sure
@@ -328,6 +329,10 @@
         self._keeps[number] = found
         return found
 
+    def charges(self, now: float) -> dict[int, float]:
+        """What tenants owe for memory reserved since this was last asked, in tokens as entitlements count."""
+        return {tenant: held / HELD_AS_READ_S for tenant, held in self.ledger.charges(now).items()}
+
     # --- the fleet
 
     def summary(self, now: float) -> bytes:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -267,6 +267,7 @@
     for bad in (b"", b"\xc1", found[:-3], msgspec.msgpack.encode(document), bytes(MOST_BODY + 1)):
         assert not one.adopt(0.0, bad) and one.predictor is not None and one.ledger.book
     assert one.adopt(0.0, None) and not one.ledger.book and one.predictor is None
+    assert one.charges(0.0) == {} and one.ledger.balance() == 0.0
     turn(one, 9000.0, 6)
     assert not one.ledger.book and one.document is None
 
@@ -314,6 +315,15 @@
         assert book.balance() == pytest.approx(0.0, abs=1e-6)
 
 
+def test_memory_held_over_time_is_charged_like_reading() -> None:
+    one = learnt()
+    turn(one, 0.0, 5, prompt=500, tenant=3)
+    until = one.ledger.book[5].until_ms
+    one.sweep(until)
+    assert not one.ledger.book and one.ledger.ends == {"time": 1}
+    assert one.charges(until) == {3: pytest.approx(550 * (until - 1000.0) / 1000.0 / part.HELD_AS_READ_S)}
+
+
 def test_the_cheapest_give_way_and_never_for_less() -> None:
     book = Ledger()
     assert book.reserve(0.0, 1, 0, 0, 500, 0.9, 1e4, 1000) and book.reserve(0.0, 2, 0, 0, 500, 0.2, 1e4, 1000)
