--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -43,6 +43,7 @@
 from spoolbarrow.sessions.part import MOVING, UNKNOWN, Facts, Sessions, Settings  # noqa: E402
 
 TENTHS_WITHIN, LEFT_LESS, ANEW_LESS, WORTH_WITHIN, COST_SHARE = 0.05, 1 / 3, 0.25, 0.005, 0.1
+ALIKE_LEAST = 100  # turns of which the very same was stated, before its doubt is judged
 TENTH_LEAST = 300  # turns in a tenth before it is judged
 MEMORY_MOST = 16 << 20
 Asks = dict[int, list[float]]  # when each session asks, ms
@@ -191,8 +192,11 @@
         rests.setdefault(one.cls, []).append(one.left)
     usual = {cls: mean(lefts) for cls, lefts in rests.items()}
     back = mean(float(left > 0) for lefts in rests.values() for left in lefts)
-    off: dict[str, list[float]] = {"own": [], "class": [], "own2": [], "class2": [], "known": [], "half": []}
+    kinds = ("own", "class", "own2", "class2", "known", "half", "next")
+    off: dict[str, list[float]] = {kind: [] for kind in kinds}
     names: dict[str, int] = {}
+    due: dict[int, float] = {}  # the next prompt as predicted, by session
+    alike: dict[tuple[float, float, float], list[float]] = {}  # by what was stated: turns, returns
     for seed in seeds:
         part = Sessions(Settings(slots=32_768), 7)
         assert part.adopt(0.0, body) and part.predictor is not None
@@ -214,10 +218,23 @@
             off["class2"].append((usual[one.cls] - one.left) ** 2)
             if returns:
                 off["half"].append(float(one.away <= found.half_ms))
+            if one.session in due:
+                off["next"].append(abs(due.pop(one.session) - one.prompt) / one.prompt)
+            if one.left:
+                due[one.session] = one.prompt + one.answer + found.growth
             names[found.cluster] = names.get(found.cluster, 0) + 1
+            of = alike.setdefault((found.low, found.high, found.chance), [0, 0])
+            of[0] += 1
+            of[1] += returns
     told = [
         {"turns": int(n), "stated": round(s / n, 4), "seen": round(k / n, 4)} for n, s, k in tenths if n
     ]
+    sure = []
+    for (low, high, chance), (n, back) in alike.items():
+        drawn = 1.645 * (chance * (1.0 - chance) / n) ** 0.5  # what is seen is itself a draw
+        off_by, doubt = abs(back / n - chance), max(high - chance, chance - low)
+        if n >= ALIKE_LEAST:
+            sure.append(off_by <= (doubt**2 + drawn**2) ** 0.5)
     worst = max(abs(t["stated"] - t["seen"]) for t in told if t["turns"] >= TENTH_LEAST)
     return {
         "mix": mix, "site": site, "turns": len(brier), "clusters": len(names),
@@ -226,6 +243,8 @@
         "left_error_of_class_mean": round(mean(off["own"]) / mean(off["class"]), 3),
         "left_squared_error_of_class_mean": round((mean(off["own2"]) / mean(off["class2"])) ** 0.5, 3),
         "left_error_with_the_kind_known": round(mean(off["known"]) / mean(off["class"]), 3),
+        "next_prompt_error": round(mean(off["next"]), 3),
+        "within_stated_doubt": round(mean(sure), 3) if sure else None,
         "returned_within_median": round(mean(off["half"]), 3),
         "model_bytes": len(body), "evidence_bytes": max(map(len, bodies)), "fit_s": round(took, 3),
     }  # fmt: skip
--- a/spoolbarrow/sessions/evidence.py
+++ b/spoolbarrow/sessions/evidence.py
@@ -32,6 +32,7 @@
     gap: int  # sums of the turns' means so far
     growth: int
     answer: int
+    added: int  # sum of what those who returned within the horizon came back with, octaves of tokens
     outlasted: tuple[int, ...]
     returned: tuple[int, ...]
 
@@ -49,10 +50,10 @@
 class Counts:
     """One cell."""
 
-    __slots__ = ("count", "gap", "growth", "answer", "outlasted", "returned")
+    __slots__ = ("count", "gap", "growth", "answer", "added", "outlasted", "returned")
 
     def __init__(self) -> None:
-        self.count = self.gap = self.growth = self.answer = 0
+        self.count = self.gap = self.growth = self.answer = self.added = 0
         self.outlasted = [0] * cells.SPANS
         self.returned = [0] * cells.SPANS
 
@@ -62,6 +63,7 @@
         self.gap += told.gap * numerator // denominator
         self.growth += told.growth * numerator // denominator
         self.answer += told.answer * numerator // denominator
+        self.added += told.added * numerator // denominator
         for mine, its in ((self.outlasted, told.outlasted), (self.returned, told.returned)):
             for n, value in enumerate(its):
                 mine[n] += value * numerator // denominator
@@ -126,7 +128,7 @@
 
 def _told(cell: int, counts: Counts) -> Told:
     return Told(
-        cell, counts.count, counts.gap, counts.growth, counts.answer, trimmed(counts.outlasted),
+        cell, counts.count, counts.gap, counts.growth, counts.answer, counts.added, trimmed(counts.outlasted),
         trimmed(counts.returned),
     )  # fmt: skip
 
@@ -138,6 +140,8 @@
     most = one.count * SCALE * (cells.MOST_OCTAVE + 1)
     if any(not 0 <= total <= most for total in (one.gap, one.growth, one.answer)):
         return False
+    if not 0 <= one.added <= sum(one.returned) * SCALE * (cells.MOST_OCTAVE + 1):
+        return False
     lists = (one.outlasted, one.returned)
     if any(len(its) > cells.SPANS or any(v < 0 for v in its) for its in lists):
         return False
--- a/spoolbarrow/sessions/model.py
+++ b/spoolbarrow/sessions/model.py
@@ -50,6 +50,7 @@
     classes: dict[int, float]  # its turns' shares; of others `CLASS_PRIOR`'s
     hazards: tuple[Vector, ...]  # by stage: of returning within each span, having been away till then
     seen: Vector  # by stage: turns behind it
+    adds: Vector  # by stage: what the next turn adds, octaves of tokens
 
 
 class Own(Struct, frozen=True, array_like=True):
@@ -88,7 +89,7 @@
     low: float  # nine in ten such sessions' true chance lies between
     high: float
     away: Vector  # share still away at the end of each span
-    growth: float  # tokens that its next turn adds
+    growth: float  # tokens that its next turn adds: half of them add less
     cluster: str  # the likeliest
     weights: Vector  # of the clusters, in the model's order, should it return
     half_ms: float = 0.0  # within which half of those who return have done so
@@ -283,10 +284,12 @@
     """Waits added up over a stage, or a stage of one cluster."""
 
     def __init__(self) -> None:
-        self.returned, self.outlasted, self.seen = [0.0] * cells.SPANS, [0.0] * cells.SPANS, 0.0
+        self.returned, self.outlasted = [0.0] * cells.SPANS, [0.0] * cells.SPANS
+        self.seen = self.added = 0.0
 
     def add(self, counts: Counts, weight: float) -> None:
         self.seen += weight * counts.count
+        self.added += weight * counts.added / SCALE
         for n in range(cells.SPANS):
             self.returned[n] += weight * counts.returned[n]
             self.outlasted[n] += weight * counts.outlasted[n]
@@ -326,6 +329,7 @@
             part.classes,
             _by_stage(curves[k], common),
             tuple(c.seen for c in curves[k]),
+            tuple((c.added + SHRINK * part.mean[1]) / (sum(c.returned) + SHRINK) for c in curves[k]),
         )
         for k, part in enumerate(parts)
     ]
@@ -410,6 +414,8 @@
             return False
         if len(c.shares) != cells.STAGES or len(c.hazards) != cells.STAGES or len(c.seen) != cells.STAGES:
             return False
+        if len(c.adds) != cells.STAGES or not all(0.0 <= x <= cells.MOST_OCTAVE + 1 for x in c.adds):
+            return False
         if len(c.mean) != KINDS or len(c.variance) != KINDS or any(len(h) != cells.SPANS for h in c.hazards):
             return False
         chances = [*c.shares, *c.classes.values(), *(h for its in c.hazards for h in its)]
@@ -464,7 +470,7 @@
         clusters = self.model.clusters
         whose, _ = _weigh(self._parts, cls, x, known, [c.shares[stage] for c in clusters])
         mixed = [0.0] * cells.SPANS
-        ends, growth, seen = [], 0.0, 0.0
+        ends, seen = [], 0.0
         for w, c in zip(whose, clusters, strict=True):
             stays = 1.0
             for n, hazard in enumerate(c.hazards[stage]):
@@ -472,8 +478,6 @@
                 mixed[n] += w * stays
             ends.append(1.0 - stays)
             seen += w * c.seen[stage]
-            # The mean of what is normal in octaves lies above its median.
-            growth += w * 2.0 ** (c.mean[1] + 0.5 * c.variance[1] * log(2.0))
         own = self.model.cells.get(cell, NOTHING)
         away, before, stays = [], 1.0, 1.0
         for n, after in enumerate(mixed):
@@ -489,11 +493,12 @@
         # Two doubts: how much was seen, and, where the cell itself says little, whose session this is.
         mine = sum(own.returned) + (own.outlasted[-1] if len(own.outlasted) == cells.SPANS else 0)
         between = sum(w * (p - 1.0 + mixed[-1]) ** 2 for w, p in zip(whose, ends, strict=True))
-        between *= OWN_STRENGTH / (mine + OWN_STRENGTH) / len(clusters)
+        between *= OWN_STRENGTH / (mine + OWN_STRENGTH)
         drawn = chance * (1.0 - chance) / (min(seen, mine + OWN_STRENGTH) + SHRINK)
         doubt = Z * sqrt(drawn + between)
+        growth = sum(w * c.adds[stage] for w, c in zip(after_return, clusters, strict=True))
         return Prediction(
-            chance, max(0.0, chance - doubt), min(1.0, chance + doubt), tuple(away), growth,
+            chance, max(0.0, chance - doubt), min(1.0, chance + doubt), tuple(away), 2.0**growth,
             clusters[max(range(len(clusters)), key=whose.__getitem__)].name, after_return,
             within(away, 0.5), within(away, LATE), LATE * chance,
         )  # fmt: skip
--- a/spoolbarrow/sessions/part.py
+++ b/spoolbarrow/sessions/part.py
@@ -48,7 +48,7 @@
     """What is set of sessions."""
 
     routers: int = 1  # that share the engines, where no store grants shares
-    slots: int = table.SLOTS  # sessions that a router knows; 66 bytes each
+    slots: int = table.SLOTS  # sessions that a router knows; 64 bytes each
     portions: tuple[float, ...] = ()  # of tenants, as the platform told
     granted: bool = False  # shares come with the decision (a store): without one, nothing is reserved
     read_price: float = 1.0  # value of a token that need not be read
@@ -190,7 +190,8 @@
             weight = max(LEARN_LEAST, 1.0 / turns)
             if t.passed[slot] != table.OUT:
                 away = t.away[slot] = max(0.0, now - t.at[slot])
-                self._told(slot, away, True)
+                grown = cells.octave(float(prompt - t.context[slot]))
+                self._told(slot, away, int(grown * SCALE))
                 if key in self.ledger.book:
                     self.ledger.release(now, key, "return")
                 gap, mean = cells.octave(away / cells.GAP_BASE_MS), t.gap[slot]
@@ -271,17 +272,18 @@
 
     # --- waits
 
-    def _told(self, slot: int, away_ms: float, returned: bool = False) -> None:
-        """Who is away has outlasted the spans before this one, each told once; and then may have returned."""
+    def _told(self, slot: int, away_ms: float, added: int = -1) -> None:
+        """Who is away has outlasted the spans before this one, each told once; 0 or more: it returned."""
         t = self.table
         first, last = t.passed[slot], cells.span(away_ms)
-        if last > first or returned:
+        if last > first or added >= 0:
             counts = self.evidence.at(t.cell[slot])
             if counts is not None:
                 for n in range(first, last):
                     counts.outlasted[n] += 1
-                if returned and last < cells.SPANS:
+                if added >= 0 and last < cells.SPANS:
                     counts.returned[last] += 1
+                    counts.added += added
             t.passed[slot] = last
 
     def _leave(self, now: float, slot: int) -> None:
@@ -296,6 +298,7 @@
         """Look at the next sets: call it about every second. Ends what was reserved long enough."""
         t = self.table
         self.ledger.expire(now)
+        self._fit(now)
         passed = 1000.0 if self._swept_at < 0.0 else max(0.0, now - self._swept_at)
         self._swept_at = now
         number = min(MOST_SWEPT, max(1, int(t.sets * passed / SWEEP_MS)))
@@ -383,6 +386,10 @@
         if self.settings.granted:
             mine = found.grants.get(self.who)
             self.share = mine.share / shares.WHOLE if mine is not None else 0.0
-            for engine in list(self.ledger.slices):
-                self.ledger.fit(now, engine, PROMISE * self.rooms.room(engine) * self.share)
+            self._fit(now)
         return True
+
+    def _fit(self, now: float) -> None:
+        """Hold no more than may be held: a share was taken, or a room is smaller than it seemed."""
+        for engine in list(self.ledger.slices):
+            self.ledger.fit(now, engine, PROMISE * self.rooms.room(engine) * self.share)
--- a/spoolbarrow/sessions/table.py
+++ b/spoolbarrow/sessions/table.py
@@ -1,7 +1,7 @@
 """The live sessions of one router, a few packed numbers each: bounded, and nothing stays of who has gone.
 
 A session has its place in one set of WAYS slots, by its key. In a full set the least valuable gives way: no
-index, no heap, and a flood of new sessions pushes out itself first. 66 bytes a slot, taken at the start.
+index, no heap, and a flood of new sessions pushes out itself first. 64 bytes a slot, taken at the start.
 """
 
 from __future__ import annotations
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -33,7 +33,8 @@
         outlasted.append(left)
     sums = [int(max(0.0, x) * SCALE * count) for x in (gap, growth, answer)]
     cell = cells.cell(cls, turns, gap, growth, answer)
-    return Told(cell, count, sums[0], sums[1], sums[2], tuple(outlasted), returned)
+    added = int(growth * SCALE) * sum(returned)
+    return Told(cell, count, sums[0], sums[1], sums[2], added, tuple(outlasted), returned)
 
 
 ONCE = [told(0, 1, -1.0, 11.5, 6.5, 900, 0, 0, 9)]
@@ -176,15 +177,16 @@
 
 
 HOSTILE: dict[str, Any] = {
-    "negative": [[0, -1, 0, 0, 0, [], []]],
-    "huge": [[0, 10**18, 0, 0, 0, [], []]],
-    "no number": [[0, float("nan"), 0, 0, 0, [], []]],
-    "more returned than came": [[0, 5, 0, 0, 0, [], [3, 3]]],
-    "more at risk than came": [[0, 5, 0, 0, 0, [4], [2]]],
-    "sums beyond the scale": [[0, 5, 10**6, 0, 0, [], []]],
-    "no such stage": [[7 << 15, 5, 0, 0, 0, [], []]],
-    "no such span": [[0, 5, 0, 0, 0, [0] * 14, []]],
-    "a cell twice": [[0, 5, 0, 0, 0, [], []], [0, 5, 0, 0, 0, [], []]],
+    "negative": [[0, -1, 0, 0, 0, 0, [], []]],
+    "huge": [[0, 10**18, 0, 0, 0, 0, [], []]],
+    "no number": [[0, float("nan"), 0, 0, 0, 0, [], []]],
+    "more returned than came": [[0, 5, 0, 0, 0, 0, [], [3, 3]]],
+    "more at risk than came": [[0, 5, 0, 0, 0, 0, [4], [2]]],
+    "sums beyond the scale": [[0, 5, 10**6, 0, 0, 0, [], []]],
+    "no such stage": [[7 << 15, 5, 0, 0, 0, 0, [], []]],
+    "no such span": [[0, 5, 0, 0, 0, 0, [0] * 14, []]],
+    "a cell twice": [[0, 5, 0, 0, 0, 0, [], []], [0, 5, 0, 0, 0, 0, [], []]],
+    "added by nobody": [[0, 5, 0, 0, 0, 1, [], []]],
     "no cells": 5,
 }
 
@@ -197,7 +199,7 @@
 
 
 def test_one_router_that_tells_too_much_does_not_move_the_fleet() -> None:
-    loud = msgspec.structs.replace(ONCE[0], count=10**9, gap=0, growth=0, answer=0, returned=())
+    loud = msgspec.structs.replace(ONCE[0], count=10**9, gap=0, growth=0, answer=0, added=0, returned=())
     loud = msgspec.structs.replace(loud, outlasted=(10**9,) * cells.SPANS)
     merged = evidence.merge([Body(1, n, 0, 0, LOOPS) for n in range(3)] + [Body(1, 9, 0, 0, [loud])])
     assert merged[loud.cell].count <= evidence.MOST_OVER * sum(one.count for one in LOOPS)
@@ -227,6 +229,7 @@
     slower = [told(0, 1, -1.0, 8.7, 5.5, 310, 0, 190, 90), told(0, 4, 3.7, 8.7, 5.6, 800, 0, 600, 170)]
     second = model.fit(evidence.merge([Body(1, 1, 0, 0, slower + CASES + ONCE)]), first)
     assert second is not None
+
     def nearest(its: model.Model, gap: float) -> str:
         return min(its.clusters, key=lambda c: abs(c.mean[0] - gap)).name
 
