--- a/spoolbarrow/sessions/part.py
+++ b/spoolbarrow/sessions/part.py
@@ -125,7 +125,7 @@
         self._swept, self._swept_at = 0, -1.0
         self._keeps: dict[int, Keeps] = {}
         self.wanted = 0.0, 0.0
-        # Share of the sessions new here that others served before; routers begin by doubting.
+        # Share of turns whose session others served since it was here; routers begin by doubting.
         self.moving, self.met = float(settings.routers > 1), 0
 
     # --- engines
@@ -217,12 +217,12 @@
             return None
         number, prompt, shared, turns = self._number(engine), t.prompt[slot], t.shared[slot], t.turns[slot]
         kept, answer = min(max(kept, 0), prompt), min(max(answer, 0), MOST_TOKENS)
-        if turns == 1:
-            # Who is new here and finds a prompt of its own kept was at another router before.
-            self.met += 1
-            learn = max(MOVED_LEARN, 1.0 / (self.met + MOVED_PRIOR))
-            self.moving += learn * ((kept - shared >= TELLS) - self.moving)
-        elif t.home[slot] == number:
+        # Who finds more of its own kept than it left here was at another router in between, or before.
+        self.met += 1
+        learn = max(MOVED_LEARN, 1.0 / (self.met + MOVED_PRIOR))
+        left = max(t.context[slot], shared)
+        self.moving += learn * ((kept - left >= TELLS) - self.moving)
+        if t.home[slot] == number:
             self._observe(now, slot, number, kept)
         gap, growth, mean = t.gap[slot], t.growth[slot], t.answer[slot]
         told = cells.octave(answer + 1.0)
