Follow the store: evidence, a lease that fences by its document, the safer of two versions

Need: routers share nothing, so nothing can be decided for all of them, and a change reaches them one by one. Pure parts in fleet/, the router's side in net/follow.py, loaded only with [fleet]; members tell what has changed since a revision.

--- a/spoolbarrow/agree/versions.py
+++ b/spoolbarrow/agree/versions.py
@@ -24,6 +24,11 @@
     OPERATOR = "operator"  # the operator's file
     LIST = "list"  # discovery's, less addresses
     SUSPENSIONS = "suspensions"  # engines that operators want nothing sent to
+    SHARED_SUSPENSIONS = "shared/suspensions"  # the store's documents as acted on: number is the revision
+    SHARED_SHARES = "shared/shares"
+    ROLL = "fleet/roll"  # decisions of the fleet's parts: number is the decision's; absent: none
+    POOLS = "fleet/pools"
+    SESSIONS = "fleet/sessions"
     DRAIN = "drain"  # whether operators sent this router's clients away: each router's own
 
 
--- a/spoolbarrow/cli/agree.py
+++ b/spoolbarrow/cli/agree.py
@@ -64,7 +64,9 @@
     status = 0 if whole else 1
     for item in COMPARED:
         if item not in found:
-            version = next(versions[item] for versions in told.values() if item in versions)
+            version = next((versions[item] for versions in told.values() if item in versions), None)
+            if version is None:
+                continue  # what is off at all of them is not told
             click.echo(f"{item.value}: all {len(told)} act on {_short(version)}")
             continue
         for_s = max(0.0, now - found[item].since_ms) / 1000.0
--- a/spoolbarrow/fleet/documents.py
+++ b/spoolbarrow/fleet/documents.py
@@ -2,18 +2,31 @@
 
 A part (the pool's split, sessions) is told nothing of leases, members or sequences: each router gives a
 bounded summary of what it saw, the lease's holder makes one decision of all summaries, and every router
-adopts it until it ends. Times are Unix milliseconds.
+adopts it until it ends. Times are Unix milliseconds. In the store each document is JSON, bodies as base64.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Protocol, TypeVar
 
+import msgspec
 from msgspec import Struct
 
+from spoolbarrow.errors import Problem
+
 MOST_BODY = 65_536  # bytes of a summary's or a decision's body
-EVIDENCE, LEASE, DECISION = "fleet/evidence/", "fleet/lease/", "fleet/decision/"  # KIND[/ROUTER] follows
+MOST_NAME = 128  # characters of a router's name or an incarnation
+MOST_NUMBER = 1 << 62  # of a sequence, an epoch: a hostile one must not end what counts upwards
+EVIDENCE, STANDING = "fleet/evidence/", "fleet/standing/"  # KIND/ROUTER, or KIND, follows
+SHARED = "shared/"  # what operators say to all routers: SUSPENSIONS, SHARES
+SUSPENSIONS, SHARES = SHARED + "suspensions", SHARED + "shares"
+
+
+class Garbage(Problem):
+    """A document of the store that can't be read or says what can't be."""
+
+    remedy = "Write the document anew with `spoolbarrow store put`; routers keep what they had meanwhile."
 
 
 class Summary(Struct, frozen=True):
@@ -22,12 +35,12 @@
     router: str
     incarnation: str  # of its process: a restart begins anew, and what the old one said counts no more
     sequence: int  # within an incarnation; a lower one than known is late and says nothing
-    at_ms: float  # by the router's clock
+    at_ms: float  # by the router's clock; for people: nothing is decided by it
     body: bytes  # the part's own form, mergeable in any order
 
 
 class Lease(Struct, frozen=True):
-    """Who decides, under `fleet/lease/KIND`: the store's revision of it is the fencing epoch."""
+    """Who decides."""
 
     holder: str
     incarnation: str
@@ -36,7 +49,7 @@
 
 
 class Decision(Struct, frozen=True):
-    """What all act on, under `fleet/decision/KIND`."""
+    """What all act on."""
 
     epoch: int  # the lease's: a decision of a lower one than known is refused
     number: int  # one more than the decision before it
@@ -44,6 +57,18 @@
     body: bytes
 
 
+class Standing(Struct, frozen=True):
+    """Lease and decision in one document, under `fleet/standing/KIND`: taking over fences by itself.
+
+    `epoch` is the revision that the document had when the lease was taken over: the store lets one
+    write only replace a revision, so epochs are unique and grow.
+    """
+
+    epoch: int
+    lease: Lease
+    decision: Decision | None = None
+
+
 class Part(Protocol):
     """One thing the fleet decides in common. Pure: no I/O, no clock; what it is told may be hostile."""
 
@@ -64,3 +89,38 @@
     def adopt(self, now: float, body: bytes | None) -> bool:
         """Act on a decision from now on; None: on none, the plain behaviour. False: it can't be acted on."""
         ...
+
+
+T = TypeVar("T", Summary, Standing)
+
+
+def write(document: Summary | Standing) -> bytes:
+    """A document's text."""
+    return msgspec.json.encode(document)
+
+
+def read(key: str, text: bytes | str, form: type[T]) -> T:
+    """The document in a text; Garbage where it is none, too long, or a number is out of all bounds."""
+    try:
+        document = msgspec.json.decode(text, type=form)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise Garbage(key, str(error)) from None
+    if isinstance(document, Summary):
+        names, counts, bodies = [document.router, document.incarnation], [document.sequence], [document.body]
+    else:
+        lease, decision = document.lease, document.decision
+        names, counts, bodies = [lease.holder, lease.incarnation], [document.epoch, lease.renewals], []
+        if decision is not None:
+            counts += [decision.epoch, decision.number]
+            bodies.append(decision.body)
+            if not (0 < decision.ttl_ms < MOST_NUMBER and decision.epoch <= document.epoch):
+                raise Garbage(key, "a decision with an impossible time to live or epoch")
+        if not 0 < lease.ttl_ms < MOST_NUMBER:
+            raise Garbage(key, "a lease with an impossible time to live")
+    if not all(0 < len(name) <= MOST_NAME for name in names):
+        raise Garbage(key, "a name that is empty or too long")
+    if not all(0 <= count < MOST_NUMBER for count in counts):
+        raise Garbage(key, "a count out of bounds")
+    if any(len(body) > MOST_BODY for body in bodies):
+        raise Garbage(key, f"a body of more than {MOST_BODY} bytes")
+    return document
--- a/spoolbarrow/net/agreement.py
+++ b/spoolbarrow/net/agreement.py
@@ -20,6 +20,7 @@
     from spoolbarrow.net.inbound import Inbound
     from spoolbarrow.operator import Operator
 
+IN_COMMON = tuple(item for item in Item if "/" in item.value)  # followed from the store
 OWN = ("node", "zone")  # of the settings: each router's own
 
 
@@ -100,11 +101,19 @@
             self._note(Item.LIST, index, digest(lines))
             self._note(Item.SUSPENSIONS, 0, digest(destinations.all_suspended()))
         self._note(Item.DRAIN, 0, digest(self._inbound.sent_away))
+        told = {} if self._host.fleet is None else self._host.fleet.versions()
+        for item in IN_COMMON:
+            if item.value in told:
+                self._note(item, *told[item.value])
+            elif self.ledger.versions.pop(item, None) is not None:
+                log("version", item=item.value, number=0, digest="")
 
     def tell(self) -> dict[str, Any]:
         """Every version as it is now, for an operator."""
         self.look()
+        fleet = self._host.fleet
         return {
+            **({} if fleet is None else {"fleet": fleet.tell()}),
             "agree": "on", "router": self._host.config.name, "within_s": self._table.within_s,
             "now_ms": self._host.now(),
             "versions": {item.value: to_builtins(v) for item, v in self.ledger.versions.items()},
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -38,7 +38,8 @@
         self._config, self._tell, self._left = config, tell, left
         self._now = now
         self._lines: dict[str, ListEntry] = {}  # what discovery said last of each that is listed
-        self._suspended: set[str] = set()
+        self._suspended: set[str] = set()  # by hand, at this router
+        self._shared: frozenset[str] = frozenset()  # by the document that all routers share
         self._listing: dict[str, tuple[str, bool]] | None = None  # of both; None: to be made anew
         self._resumed: dict[str, float] = {}  # when, of those listed: they may have been restarted meanwhile
         self._index: int | None = config.known.index  # None: the whole list must be asked for
@@ -127,7 +128,7 @@
 
     def suspended(self, name: str) -> bool:
         """Whether operators want nothing more sent to it."""
-        return name in self._suspended
+        return name in self._suspended or name in self._shared
 
     def has(self, name: str) -> bool:
         """Whether an operator can mean this endpoint: it is listed, or was when it was suspended."""
@@ -141,7 +142,7 @@
         if self._listing is None:
             serving = i.ReplicaState.SERVING
             self._listing = {
-                name: (line.zone, STATES[line.status] is serving and name not in self._suspended)
+                name: (line.zone, STATES[line.status] is serving and not self.suspended(name))
                 for name, line in self._lines.items()
             }
         return self._listing
@@ -190,8 +191,25 @@
         if name not in self._suspended:
             return
         self._suspended.discard(name)
+        self._taken_back(name)
+
+    def share_suspensions(self, names: frozenset[str]) -> None:
+        """What all routers suspend, apart from those by hand: an engine is out while either says so."""
+        old, self._shared = self._shared, names
+        for name in sorted(names ^ old):
+            if name in self._suspended:
+                continue
+            if name not in names:
+                self._taken_back(name)
+                continue
+            self._listing = None
+            self._serving.discard(name)
+            self._left(name)
+            self._say_again(name)
+
+    def _taken_back(self, name: str) -> None:
         self._listing = None
-        if name in self._lines:
+        if name in self._lines and not self.suspended(name):
             self._resumed[name] = self._now()
             if STATES[self._lines[name].status] is i.ReplicaState.SERVING:
                 self._serving.add(name)
@@ -226,7 +244,7 @@
             line.weight,
             line.since_ms,  # Unix time, as the host's clock counts too
         )
-        out = entry.replica in self._suspended or line.zone in self._zones_out
+        out = self.suspended(entry.replica) or line.zone in self._zones_out
         if out and entry.state is i.ReplicaState.SERVING:
             return replace(entry, state=i.ReplicaState.DRAINING)
         resumed = max(self._resumed.get(entry.replica, 0.0), self._zones_back.get(line.zone, 0.0))
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -69,6 +69,18 @@
         """Decide on what happened."""
 
 
+class InCommon(Protocol):
+    """What this router knows together with others."""
+
+    def versions(self) -> dict[str, tuple[int, str]]:
+        """Number and digest of each shared document and decision that is acted on, by item."""
+        ...
+
+    def tell(self) -> dict[str, object]:
+        """How it goes, for an operator."""
+        ...
+
+
 class Host:
     """The decisions' surroundings on one machine."""
 
@@ -77,6 +89,7 @@
         self.now = Clock()
         self.taps = Taps()
         self.agreement: Agreement | None = None  # where versions are told; operators ask for it
+        self.fleet: InCommon | None = None  # where the store is followed; versions are told of it
         self.destinations = DestinationSet(config, self._post, self._endpoint_left, self.now)
         self._endpoints = Endpoints(config, self.destinations, self)
         self._router = Router(config.settings, config.seed)
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -18,7 +18,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from spoolbarrow.config import ConfigError, find_faults
+from spoolbarrow.config import ConfigError, address, find_faults
 
 VARIABLE = "SPOOLBARROW_OPERATOR"
 ENVIRONMENT = {
@@ -165,6 +165,39 @@
     period_ms: Annotated[float, Meta(ge=10)] = 500.0  # how often the list is looked at
 
 
+class FleetTable(Struct, forbid_unknown_fields=True, frozen=True):
+    """`[fleet]`: the store's members, and what is decided in common (docs/operators/fleet.md)."""
+
+    members: Annotated[list[str], Meta(min_length=1, max_length=9)]  # HOST:PORT of their control listeners
+    parts: list[str] = []  # what is decided for all, by name: PARTS
+    within_s: Positive = 10.0  # past this without word, the safer of the two versions known
+    ttl_s: Positive = 10.0  # of the lease, and of a decision
+    period_ms: Annotated[float, Meta(ge=50)] = 1000.0  # how often the store is asked
+    evidence_ms: Annotated[float, Meta(ge=50)] = 5000.0  # how often summaries are written
+    call_ms: Annotated[float, Meta(ge=50)] = 1000.0  # a member's whole answer must have come by then
+
+
+PARTS = {"roll": "spoolbarrow.fleet.roll:Roll"}  # by name: module and class, loaded where it is on
+
+
+def fleet_faults(table: FleetTable) -> list[str]:
+    """What `[fleet]` says that can't be: each fault with its key."""
+    found = []
+    for n, text in enumerate(table.members):
+        try:
+            address(f"fleet.members[{n}]", text)
+        except ConfigError as error:
+            found.append(str(error))
+        if text in table.members[:n]:
+            found.append(f"fleet.members[{n}]: {text} is named twice")
+    for n, name in enumerate(table.parts):
+        if name not in PARTS or name in table.parts[:n]:
+            found.append(f"fleet.parts[{n}]: {name!r} is none of {', '.join(PARTS)}, or named twice")
+    if table.ttl_s * 1000 < 4 * table.period_ms:
+        found.append("fleet.ttl_s: less than four times fleet.period_ms: a lease would end between two looks")
+    return found
+
+
 class Operator(Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
@@ -174,6 +207,7 @@
     door: DoorTable | None = None
     failover: FailoverTable | None = None
     agree: AgreeTable | None = None
+    fleet: FleetTable | None = None
 
 
 class Collector(Struct, frozen=True):
@@ -268,6 +302,8 @@
             collectors(operator.flows)
         if operator.failover is not None and operator.failover.hold_most_ms < operator.failover.hold_ms:
             raise ConfigError("failover.hold_most_ms: less than failover.hold_ms")
+        if operator.fleet is not None and (faults := fleet_faults(operator.fleet)):
+            return Operator(), faults
     except ConfigError as error:
         return Operator(), [str(error)]
     return operator, []
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -28,6 +28,7 @@
     from spoolbarrow.flows.exporter import Exporter
     from spoolbarrow.net.agreement import Agreement
     from spoolbarrow.net.failover import ZoneWatch
+    from spoolbarrow.net.follow import Follower
     from spoolbarrow.operator import FailoverTable, Operator
     from spoolbarrow.shadow import copier
     from spoolbarrow.shadow.copier import Copier
@@ -59,6 +60,8 @@
         self._door: Keeper | None = None
         self._failover: ZoneWatch | None = None
         self._agreement: Agreement | None = None
+        self._fleet: Follower | None = None
+        self._operator: Operator | None = None
 
     def prepare(self, operator: Operator | None, settings: config.Config) -> Prepared:
         """Everything about new settings that can fail; ConfigError where it does, and nothing is changed."""
@@ -93,6 +96,7 @@
     def apply(self, operator: Operator | None, prepared: Prepared) -> None:
         """Go by settings that were prepared; what is not set is as without a file."""
         flows, shadow, door, failover = prepared
+        self._operator = operator
         if operator is None:
             standard.configure()
         else:
@@ -137,6 +141,22 @@
             from spoolbarrow.net.agreement import Agreement
 
             self._agreement = Agreement(self._host, self._inbound, operator, self)
+        # Last: the others have seen the tenants as the files have them.
+        if operator is None or operator.fleet is None:
+            self._end_fleet()
+        elif self._fleet is not None:
+            self._fleet.apply(operator.fleet)
+        else:
+            from spoolbarrow.net.follow import Follower
+
+            self._fleet = Follower(self._host, operator.fleet, self._shares_laid)
+
+    def _shares_laid(self) -> None:
+        """Tenants have other shares than their file says: the door goes by them, too."""
+        if self._door is not None and self._operator is not None and self._operator.door is not None:
+            from spoolbarrow.door import keeper
+
+            self._door.apply(keeper.Prepared(self._operator.door, self._host.config))
 
     @property
     def failover(self) -> ZoneWatch | None:
@@ -227,6 +247,11 @@
             self._agreement.stop()
             self._agreement = None
 
+    def _end_fleet(self) -> None:
+        if self._fleet is not None:
+            self._fleet.stop()
+            self._fleet = None
+
     def _end_flows(self) -> None:
         if self._flows is not None:
             self._flows.close()
--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -7,6 +7,8 @@
 
     GET /v1/status            who leads, term, commit, drops, and the disk's fault
     GET /v1/store/KEY         the document as this member has it, with its revision
+    GET /v1/changes?after=REVISION&prefix=PREFIX...
+                              documents written since then, oldest first, as far as this member has them
     PUT /v1/store/KEY[?expect=REVISION]
                               through the leader; 409 with its name elsewhere, or at another revision
 """
@@ -21,7 +23,7 @@
 from pathlib import Path
 from random import SystemRandom
 from typing import Any
-from urllib.parse import unquote
+from urllib.parse import parse_qs, unquote
 
 import gevent
 import msgspec
@@ -45,6 +47,7 @@
 CALL_S = 3.0
 KEPT = 1000  # entries between snapshots
 MAX_HEAD = 8192
+MOST_TOLD = 1 << 20  # bytes of documents in one answer; at least one is told
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.Decoder(Wire).decode
 
@@ -199,6 +202,8 @@
         path, _, query = message.target.decode("latin-1").partition("?")
         if path == "/v1/status" and message.method == b"GET":
             return 200, self.status()
+        if path == "/v1/changes" and message.method == b"GET":
+            return self._changes(query)
         key = unquote(path.removeprefix("/v1/store/"))
         if not path.startswith("/v1/store/") or not key:
             return 404, {"error": "no such path"}
@@ -214,6 +219,24 @@
             return 400, {"error": "expect: wants a revision"}
         return self._put(s.Put(secrets.token_hex(8), key, bytes(message.body), int(expect)))
 
+    def _changes(self, query: str) -> tuple[int, dict[str, Any]]:
+        asked = parse_qs(query)
+        after, prefixes = asked.get("after", ["0"])[0], tuple(asked.get("prefix", ()))
+        if not after.isdigit() or not prefixes:
+            return 400, {"error": "wants after=REVISION and prefix=PREFIX"}
+        told: list[dict[str, Any]] = []
+        size, upto = 0, self._applied
+        for key, found in sorted(self._state.documents.items(), key=lambda item: item[1].revision):
+            if found.revision <= int(after) or not key.startswith(prefixes):
+                continue
+            if told and size + len(found.value) > MOST_TOLD:
+                upto = told[-1]["revision"]
+                break
+            size += len(found.value)
+            value = found.value.decode("utf-8", "replace")
+            told.append({"key": key, "revision": found.revision, "value": value})
+        return 200, {"applied": self._applied, "upto": upto, "leader": self._raft.leader, "documents": told}
+
     def _put(self, put: s.Put) -> tuple[int, dict[str, Any]]:
         if why := s.fault(put):
             return 400, {"error": why}
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -112,7 +112,7 @@
 def test_serving_imports_no_command_line() -> None:
     unwanted = (
         "{'click', 'tomllib', 'spoolbarrow.operator', 'spoolbarrow.failover', 'spoolbarrow.net.failover', "
-        "'spoolbarrow.agree', 'spoolbarrow.net.agreement'}"
+        "'spoolbarrow.agree', 'spoolbarrow.net.agreement', 'spoolbarrow.fleet', 'spoolbarrow.net.follow'}"
     )
     code = f"import spoolbarrow.serve, sys; print({unwanted} & set(sys.modules))"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
