--- a/spoolbarrow/net/follow.py
+++ b/spoolbarrow/net/follow.py
@@ -365,9 +365,11 @@
     # Leading
 
     def _lead(self, held: Held) -> None:
-        now, wish = self._host.now(), None
+        now, wish, last = self._host.now(), None, None
         if held.claim.seen is None:
             held.claim.see(now, lease.Seen(0))  # all was read, and there is none
+        elif held.claim.seen.standing is not None:
+            last = held.claim.seen.standing.decision
         if held.claim.holds():
             wish = self._decide(held)
         else:
@@ -375,6 +377,10 @@
         sent = self._host.now()
         put = held.claim.handle(sent, wish)
         if put is not None:
+            if wish is not None and put.standing.decision != last:
+                made = put.standing.decision
+                assert made is not None
+                log("fleet_decided", kind=held.part.kind, epoch=made.epoch, number=made.number)
             revision, _ = self._put(held.key, d.write(put.standing), put.expect)
             if revision > 0:
                 self._see(sent, held, lease.Seen(revision, put.standing))
