--- a/spoolbarrow/net/follow.py
+++ b/spoolbarrow/net/follow.py
@@ -317,9 +317,9 @@
                 raise Silent(f"behind: it has {told.applied} of {self._floor}")
             for document in told.documents:
                 self._take(asked, document)
+            if not told.leader:  # cut off from the others: what it has is committed, and may not be all
+                raise Silent("it knows of no leader")
             self._after, self._floor = max(self._after, told.upto), told.applied
-        if not told.leader:
-            raise Silent("it knows of no leader")
         self._word_at = asked
         for shared in self._shared.values():
             shared.word(asked)
