--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -226,9 +226,12 @@
             return 400, {"error": "wants after=REVISION and prefix=PREFIX"}
         told: list[dict[str, Any]] = []
         size, upto = 0, self._applied
-        for key, found in sorted(self._state.documents.items(), key=lambda item: item[1].revision):
-            if found.revision <= int(after) or not key.startswith(prefixes):
-                continue
+        newer = [
+            (found.revision, key) for key, found in self._state.documents.items()
+            if found.revision > int(after) and key.startswith(prefixes)
+        ]
+        for _, key in sorted(newer):
+            found = self._state.documents[key]
             if told and size + len(found.value) > MOST_TOLD:
                 upto = told[-1]["revision"]
                 break
