--- a/spoolbarrow/fleet/lease.py
+++ b/spoolbarrow/fleet/lease.py
@@ -14,7 +14,8 @@
 
 from spoolbarrow.fleet.documents import Decision, Garbage, Lease, Standing, read
 
-RENEWALS = 4  # within a time to live
+RENEWALS = 4  # within a lease's time to live
+STANDS = 2.0  # of them a decision stands: where a holder dies, another has renewed its word before it ends
 LONGEST = 4.0  # times to live of one's own: an absurd one in a document is waited out no longer
 
 
@@ -41,7 +42,7 @@
 
 
 class Claim:
-    """One process's part in the lease: it says what to write, and never writes twice at one revision."""
+    """One process's part in a lease of `ttl_ms`: it says what to write, twice at one revision never both."""
 
     def __init__(self, me: str, incarnation: str, ttl_ms: float) -> None:
         self.me, self.incarnation, self.ttl_ms = me, incarnation, ttl_ms
@@ -87,7 +88,8 @@
         last = standing.decision
         if wish is not None and (last is None or wish != last.body):
             number = 1 if last is None else last.number + 1
-            standing = replace(standing, decision=Decision(standing.epoch, number, self.ttl_ms, wish))
+            made = Decision(standing.epoch, number, STANDS * self.ttl_ms, wish)
+            standing = replace(standing, decision=made)
         elif now - self._moved_at < self.ttl_ms / RENEWALS:
             return None
         lease = replace(standing.lease, renewals=standing.lease.renewals + 1, ttl_ms=self.ttl_ms)
--- /dev/null
+++ b/spoolbarrow/lab/followed.py
@@ -0,0 +1,79 @@
+"""A cluster whose routers follow members of the store: a gate of the fault proxy from each to each of them.
+
+The members are the caller's; here are the gates, the routers' tables, and what the routers tell of the store.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any
+from urllib.parse import quote
+
+from spoolbarrow.fleet.documents import SUSPENSIONS
+from spoolbarrow.lab.cluster import HOST, LIFE_S, Cluster, Process
+
+
+class Followed(Cluster):
+    """`operator` ends with the table `[fleet]`, without its members; `controls` are their addresses."""
+
+    def __init__(
+        self, folder: Path, engines: int, routers: int, operator: str, controls: Sequence[str]
+    ) -> None:
+        super().__init__(folder, {"a": engines}, ["a"] * routers, operator)
+        self.members = list(controls)
+        targets = self.members * routers
+        self.calls = Process("-m", "spoolbarrow.lab.proxy", str(LIFE_S), *targets, stdin=True)
+        self.started.append(self.calls)
+        self.doors = self.calls.first_said().split()
+
+    def start_router(self, number: int) -> Process:
+        """One process of router `number`, which knows the members by gates of its own."""
+        count = len(self.members)
+        members = [f"{HOST}:{port}" for port in self.doors[count * number:count * (number + 1)]]
+        path = self.folder / f"operator{number}.toml"
+        path.write_text(self._operator + f"members = {json.dumps(members)}\n")
+        return super().start_router(number)
+
+    def restart_router(self, number: int) -> None:
+        """A process of a router in the place of one that ended; returns when it has started."""
+        self.routers[number] = made = self.start_router(number)
+        made.wait_for(lambda: bool(made.events("started")))
+
+    def to_store(
+        self, mode: str, routers: Iterable[int] | None = None, members: Iterable[int] | None = None
+    ) -> None:
+        """A fault between these routers and these members, all where none are named."""
+        count, chosen = len(self.members), list(range(len(self.members)) if members is None else members)
+        numbers = range(len(self.ports)) if routers is None else routers
+        self.calls.tell(f"{','.join(str(count * n + m) for n in numbers for m in chosen)} {mode}")
+
+    def acts(self, number: int, item: str) -> tuple[int, str]:
+        """Number and digest of what a router acts on; (0, "") for nothing."""
+        told = self.control(number, "versions")["versions"].get(item)
+        return (told["number"], told["digest"]) if told else (0, "")
+
+    def fleet(self, number: int) -> dict[str, Any]:
+        """What a router tells of the store."""
+        told: dict[str, Any] = self.control(number, "versions")["fleet"]
+        return told
+
+    def part(self, number: int, kind: str = "roll") -> dict[str, Any]:
+        """What a router tells of a part of the fleet."""
+        told: dict[str, Any] = self.fleet(number)["parts"][kind]
+        return told
+
+    def mode(self, number: int, key: str = SUSPENSIONS) -> str:
+        """By what a router goes about a shared document."""
+        return str(self.fleet(number)["documents"][key]["mode"])
+
+    def sent(self, engine: int, router: str = "") -> int:
+        """Requests that an engine was sent by one router, or all."""
+        asked = self.counts()[engine]["asked"]
+        return int(asked.get(router, 0) if router else sum(asked.values()))
+
+
+def at_key(key: str, expect: int | None = None) -> str:
+    """The path of a document at a member."""
+    return f"/v1/store/{quote(key, safe='')}" + ("" if expect is None else f"?expect={expect}")
--- a/spoolbarrow/net/follow.py
+++ b/spoolbarrow/net/follow.py
@@ -95,7 +95,7 @@
     def __init__(self, part: d.Part, me: str, its: str, table: FleetTable) -> None:
         self.part = part
         self.key, self.own = d.STANDING + part.kind, f"{d.EVIDENCE}{part.kind}/{me}"
-        self.claim = lease.Claim(me, its, table.ttl_s * 1000)
+        self.claim = lease.Claim(me, its, table.ttl_s * 1000 / lease.STANDS)
         self.acting = lease.Acting(LONGEST * table.ttl_s * 1000)
         self.acts: d.Decision | None = None  # adopted
         self.refused: d.Decision | None = None  # one that the part can't act on
@@ -139,7 +139,7 @@
         for shared in self._shared.values():
             shared.within_ms = table.within_s * 1000
         for held in self._parts.values():
-            held.claim.ttl_ms = table.ttl_s * 1000
+            held.claim.ttl_ms = table.ttl_s * 1000 / lease.STANDS
         for kind in PARTS.keys() & self._parts.keys() - set(table.parts):
             self.remove(kind)
         for kind in table.parts:
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -171,7 +171,7 @@
     members: Annotated[list[str], Meta(min_length=1, max_length=9)]  # HOST:PORT of their control listeners
     parts: list[str] = []  # what is decided for all, by name: PARTS
     within_s: Positive = 10.0  # past this without word, the safer of the two versions known
-    ttl_s: Positive = 10.0  # of the lease, and of a decision
+    ttl_s: Positive = 10.0  # of a decision without word; a lease lives half as long
     period_ms: Annotated[float, Meta(ge=50)] = 1000.0  # how often the store is asked
     evidence_ms: Annotated[float, Meta(ge=50)] = 5000.0  # how often summaries are written
     call_ms: Annotated[float, Meta(ge=50)] = 1000.0  # a member's whole answer must have come by then
@@ -193,8 +193,8 @@
     for n, name in enumerate(table.parts):
         if name not in PARTS or name in table.parts[:n]:
             found.append(f"fleet.parts[{n}]: {name!r} is none of {', '.join(PARTS)}, or named twice")
-    if table.ttl_s * 1000 < 4 * table.period_ms:
-        found.append("fleet.ttl_s: less than four times fleet.period_ms: a lease would end between two looks")
+    if table.ttl_s * 1000 < 8 * table.period_ms:
+        found.append("fleet.ttl_s: less than eight times fleet.period_ms: leases would end between looks")
     return found
 
 
