Have members notice links that ended while idle, so that no vote is lost with them

Cause: followers say nothing to each other, so a link that had ended was noticed only by the election's first messages, which were lost with it; each cost a second or two.

--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -20,6 +20,7 @@
 import time
 from collections import deque
 from collections.abc import Mapping
+from contextlib import suppress
 from pathlib import Path
 from random import SystemRandom
 from typing import Any
@@ -45,6 +46,7 @@
 TICK_S = 0.02
 ANSWER_S = 3.0  # a change that is not committed by then is told as unknown
 CALL_S = 3.0
+TAKES_S = 2.0  # a member that takes nothing of a message so long is connected to anew
 KEPT = 1000  # entries between snapshots
 MAX_HEAD = 8192
 MOST_TOLD = 1 << 20  # bytes of documents in one answer; at least one is told
@@ -138,16 +140,23 @@
         while True:
             try:
                 with socket.create_connection(address, 1.0) as sock:
-                    sock.settimeout(2.0)
+                    sock.settimeout(None)
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    while True:
-                        while queue:
+                    # Guards against a connection that ended while nothing was said: what an election sends
+                    # first would be lost with it, and a second or two until it is sent again.
+                    ended = gevent.spawn(_ended, sock)
+                    ended.link(lambda _: wake.set())
+                    while not ended.ready():
+                        while queue and not ended.ready():
                             text = queue.popleft()
-                            sock.sendall(struct.pack(">I", len(text)) + text)
+                            with gevent.Timeout(TAKES_S):
+                                sock.sendall(struct.pack(">I", len(text)) + text)
                         wake.clear()
-                        wake.wait()
-            except OSError:
-                gevent.sleep(0.05)
+                        if not ended.ready():
+                            wake.wait()
+            except (OSError, gevent.Timeout):
+                pass
+            gevent.sleep(0.05)
 
     def _accept(self, listener: Any, open_: set[Any], most: int, serve: Any) -> None:
         while True:
@@ -278,6 +287,12 @@
         self._disk.close()
 
 
+def _ended(sock: Any) -> None:
+    """Until the other side, which says nothing on this connection, has closed it."""
+    with suppress(OSError):
+        sock.recv(1)
+
+
 def _exactly(sock: Any, size: int) -> bytes:
     """So many bytes; OSError where the other side ends before."""
     pieces, left = [], size
