--- a/spoolbarrow/lab/followed.py
+++ b/spoolbarrow/lab/followed.py
@@ -6,21 +6,28 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable, Sequence
+import time
+from collections.abc import Callable, Iterable, Sequence
 from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
+from spoolbarrow.agree import digest
 from spoolbarrow.fleet.documents import SUSPENSIONS
 from spoolbarrow.lab.cluster import HOST, LIFE_S, Cluster, Process
 
 
 class Followed(Cluster):
-    """`operator` ends with the table `[fleet]`, without its members; `controls` are their addresses."""
+    """`operator` ends with the table `[fleet]`, without its members; `controls` are their addresses.
+
+    Where it waits for routers it does so for `bound_s` at most, unless it is told otherwise.
+    """
 
     def __init__(
-        self, folder: Path, engines: int, routers: int, operator: str, controls: Sequence[str]
+        self, folder: Path, engines: int, routers: int, operator: str, controls: Sequence[str],
+        bound_s: float,
     ) -> None:
+        self.bound_s = bound_s
         super().__init__(folder, {"a": engines}, ["a"] * routers, operator)
         self.members = list(controls)
         targets = self.members * routers
@@ -68,12 +75,47 @@
         """By what a router goes about a shared document."""
         return str(self.fleet(number)["documents"][key]["mode"])
 
+    def holder(self) -> int:
+        """The router that holds the roll's lease, as it says itself."""
+        found: list[int] = until(
+            lambda: [n for n in range(len(self.ports)) if self.part(n)["holds"]], self.bound_s
+        )
+        return found[0]
+
+    def epoch(self, number: int) -> int:
+        """Of the decision of the roll that a router acts on; 0 for none."""
+        return int(self.part(number)["epoch"] or 0)
+
+    def wait_suspended(
+        self, revision: int, *engines: str, routers: Iterable[int] | None = None, seconds: float = 0.0
+    ) -> None:
+        """Until these routers act on that version of the suspensions, and suspend these engines."""
+        numbers = list(range(len(self.ports)) if routers is None else routers)
+        wanted = {(revision, digest(sorted(engines)))}
+        until(lambda: {self.acts(n, SUSPENSIONS) for n in numbers} == wanted, seconds or self.bound_s)
+
+    def wait_called(self, names: Sequence[str], routers: Iterable[int] | None = None) -> None:
+        """Until these routers act on one decision of the roll, which names these."""
+        numbers, wanted = list(range(len(self.ports)) if routers is None else routers), list(names)
+        until(lambda: all(self.part(n)["routers"] == wanted for n in numbers)
+              and len({self.acts(n, "fleet/roll") for n in numbers}) == 1, self.bound_s)
+
     def sent(self, engine: int, router: str = "") -> int:
         """Requests that an engine was sent by one router, or all."""
         asked = self.counts()[engine]["asked"]
         return int(asked.get(router, 0) if router else sum(asked.values()))
 
 
+def until(true: Callable[[], Any], seconds: float = 40.0) -> Any:
+    """What it gives once that is true; TimeoutError where it never is."""
+    end = time.monotonic() + seconds
+    while not (found := true()):
+        if time.monotonic() > end:
+            raise TimeoutError(f"not true within {seconds:g} s")
+        time.sleep(0.03)
+    return found
+
+
 def at_key(key: str, expect: int | None = None) -> str:
     """The path of a document at a member."""
     return f"/v1/store/{quote(key, safe='')}" + ("" if expect is None else f"?expect={expect}")
