--- a/spoolbarrow/cli/agree.py
+++ b/spoolbarrow/cli/agree.py
@@ -91,7 +91,7 @@
         if item not in found:
             version = next((versions[item] for versions in told.values() if item in versions), None)
             if version is None:
-                continue  # no router tells it
+                continue  # what is off at all of them is not told
             click.echo(f"{item.value}: all {len(told)} act on {_short(version)}")
             continue
         for_s = max(0.0, now - found[item].since_ms) / 1000.0
--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -7,6 +7,8 @@
 
     GET /v1/status            who leads, term, commit, drops, and the disk's fault
     GET /v1/store/KEY         the document as this member has it, with its revision
+    GET /v1/changes?after=REVISION&prefix=PREFIX...
+                              documents written since then, oldest first, as far as this member has them
     PUT /v1/store/KEY[?expect=REVISION]
                               through the leader; 409 with its name elsewhere, or at another revision
 """
@@ -18,9 +20,11 @@
 import time
 from collections import deque
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from pathlib import Path
 from random import SystemRandom
 from typing import Any, TypeVar
+from urllib.parse import parse_qs
 
 import gevent
 import msgspec
@@ -43,7 +47,9 @@
 MOST_PEERS = 32  # connections at once
 TICK_S = 0.02
 ANSWER_S = 3.0  # a change that is not committed by then is told as unknown
+TAKES_S = 2.0  # a member that takes nothing of a message so long is connected to anew
 KEPT = 1000  # entries between snapshots
+MOST_TOLD = 1 << 20  # bytes of documents in one answer; at least one is told
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.Decoder(Wire).decode
 
@@ -133,16 +139,23 @@
         while True:
             try:
                 with socket.create_connection(address, 1.0) as sock:
-                    sock.settimeout(2.0)
+                    sock.settimeout(None)
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    while True:
-                        while queue:
+                    # Guards against a connection that ended while nothing was said: what an election sends
+                    # first would be lost with it, and a second or two until it is sent again.
+                    ended = gevent.spawn(_ended, sock)
+                    ended.link(lambda _: wake.set())
+                    while not ended.ready():
+                        while queue and not ended.ready():
                             text = queue.popleft()
-                            sock.sendall(struct.pack(">I", len(text)) + text)
+                            with gevent.Timeout(TAKES_S):
+                                sock.sendall(struct.pack(">I", len(text)) + text)
                         wake.clear()
-                        wake.wait()
-            except OSError:
-                gevent.sleep(0.05)
+                        if not ended.ready():
+                            wake.wait()
+            except (OSError, gevent.Timeout):
+                pass
+            gevent.sleep(0.05)
 
     def _accept(self) -> None:
         while True:
@@ -181,6 +194,8 @@
         """What a call comes to; StoreFault where it is not carried out."""
         if call.path == "/v1/status" and call.method == "GET":
             return self.status()
+        if call.path == "/v1/changes" and call.method == "GET":
+            return self._changes(call.query)
         key = call.path.removeprefix("/v1/store/")
         if not call.path.startswith("/v1/store/") or not key:
             raise f.NoSuchPath("", "no such path")
@@ -196,6 +211,27 @@
             raise f.BadCall("expect", "wants a revision")
         return self._put(s.Put(secrets.token_hex(8), key, call.body, int(expect)))
 
+    def _changes(self, query: str) -> dict[str, Any]:
+        asked = parse_qs(query)
+        after, prefixes = asked.get("after", ["0"])[0], tuple(asked.get("prefix", ()))
+        if not after.isdigit() or not prefixes:
+            raise f.BadCall("after", "wants after=REVISION and prefix=PREFIX")
+        told: list[dict[str, Any]] = []
+        size, upto = 0, self._applied
+        newer = [
+            (found.revision, key) for key, found in self._state.documents.items()
+            if found.revision > int(after) and key.startswith(prefixes)
+        ]
+        for _, key in sorted(newer):
+            found = self._state.documents[key]
+            if told and size + len(found.value) > MOST_TOLD:
+                upto = told[-1]["revision"]
+                break
+            size += len(found.value)
+            value = found.value.decode("utf-8", "replace")
+            told.append({"key": key, "revision": found.revision, "value": value})
+        return {"applied": self._applied, "upto": upto, "leader": self._raft.leader, "documents": told}
+
     def _put(self, put: s.Put) -> dict[str, Any]:
         s.check(put)
         if self.fault:
@@ -240,6 +276,12 @@
         raise CannotListen(key, f"{where[0]}:{where[1]}: {error}") from error
 
 
+def _ended(sock: Any) -> None:
+    """Until the other side, which says nothing on this connection, has closed it."""
+    with suppress(OSError):
+        sock.recv(1)
+
+
 def _exactly(sock: Any, size: int) -> bytes:
     """So many bytes; OSError where the other side ends before."""
     pieces, left = [], size
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -161,7 +161,8 @@
     unwanted = (
         "{'click', 'tomllib', 'spoolbarrow.operator', 'spoolbarrow.failover', 'spoolbarrow.net.failover', "
         "'spoolbarrow.agree', 'spoolbarrow.net.agreement', 'spoolbarrow.store', 'gevent.pywsgi', "
-        "'http.client'}"
+        "'http.client', 'spoolbarrow.fleet.documents', "
+        "'spoolbarrow.net.follow', 'spoolbarrow.sessions'}"
     )
     code = f"import spoolbarrow.serve, sys; print({unwanted} & set(sys.modules))"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
