--- a/spoolbarrow/lab/warmth.py
+++ b/spoolbarrow/lab/warmth.py
@@ -34,7 +34,7 @@
         return f.cold_from + (1.0 - f.cold_from) * max(0.0, done)
 
     def take(self, now: float, tokens: int) -> bool:
-        """A prompt of so many tokens came; True when that is too much for a cold engine, with slack for chance."""
+        """A prompt of so many tokens came; True when that is too much for a cold one, with slack for chance."""
         f = self.figures
         if self.warm or f.fall_multiple <= 0.0:
             return False
