--- /dev/null
+++ b/benchmarks/pools.py
@@ -0,0 +1,291 @@
+"""The pool's split measured: what it is worth in the lab's virtual time, with the router's real decisions.
+
+    python benchmarks/pools.py [--short]
+
+Each day is played with no split, with the learnt split, with half of the engines reading, and with every fixed
+number of readers; the same requests each time. The routers' decisions are those of `spoolbarrow.router`; what
+docs/pools.md proposes to tell them (the side of a request, the side of an engine) is weighed by `Sided` here.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import orjson
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT)]
+
+from spoolbarrow import interface as i  # noqa: E402
+from spoolbarrow.lab import policies  # noqa: E402
+from spoolbarrow.lab.account import Record, percentile  # noqa: E402
+from spoolbarrow.lab.arrivals import asked  # noqa: E402
+from spoolbarrow.lab.policies import Decider, Truth  # noqa: E402
+from spoolbarrow.lab.scenario import Scenario, convert  # noqa: E402
+from spoolbarrow.lab.simulate import Simulation  # noqa: E402
+from spoolbarrow.pools import Engine, Pools, sketch, split  # noqa: E402
+from spoolbarrow.pools.part import SPAN_MS  # noqa: E402
+from spoolbarrow.router import Replica, ReplicaPool, Request, Router  # noqa: E402
+
+FEE_READ, FEE_WRITE = 0.1, 1.0  # aims of waiting, that a place on the other side counts as
+OWN_PROBES = 0.7  # share of spare probes that go to the request's own side
+SAY_MS = 1000.0  # between a router's summaries
+DECIDE_MS = 2000.0  # between decisions
+TIMER = "pools"
+READ_COST, WRITE_COST = 0.0667, 0.5  # ms of an engine for a token read, and about that for a token made
+LEAD_S = 40.0  # until evidence is there and the split stands
+GOAL_BEST, GOAL_NONE = 0.03, 0.01  # worth behind the best fixed split, and behind no split
+FOLLOW_S, MOVES_AN_HOUR = 30.0, 2.0
+ROUTERS = 0.5  # for each engine
+ERROR = 0.05  # of a quantile told
+
+
+# --- the router with sides
+
+
+class SidedPool(ReplicaPool):
+    """The pool of replicas, in which those of the other side count as waiting longer."""
+
+    side_of: Callable[[str], bool | None] = staticmethod(lambda name: None)
+    asking: bool | None = None  # side of the request that is placed now
+    fee = 0.0
+
+    def wait(self, replica: Replica, now: float, failing: bool = False) -> float:
+        """With the fee where the cost is weighed, not where it is asked whether the fleet is full."""
+        found = super().wait(replica, now, failing)
+        other = failing and self.asking is not None and self.side_of(replica.id) is not self.asking
+        return found + self.fee if other else found
+
+
+class Sided(Router):
+    """The router, told the side of requests and of replicas."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.pool: SidedPool = SidedPool(settings, self.rng)
+        self.configure(settings)
+        self.sides: dict[str, bool] = {}  # of open requests
+        self.side: Callable[[i.RequestArrived], bool | None] = lambda event: None
+
+    def _arrived(self, event: i.RequestArrived) -> None:
+        side = self.side(event)
+        pool = self.pool
+        if side is None:
+            return super()._arrived(event)
+        self.sides[event.request] = side
+        whole = pool.near, pool.local, pool.walks
+        near = [place for place in pool.near if pool.side_of(place[1]) is side]
+        if near:
+            # Homes are on the own side; its loads are looked at more often than the other's.
+            pool.near, pool.walks = near, {}
+            if self.rng.random() < OWN_PROBES:
+                pool.local = [r for r in pool.local if pool.side_of(r.id) is side]
+        try:
+            super()._arrived(event)
+        finally:
+            pool.near, pool.local, pool.walks = whole
+
+    def _least(self, request: Request, *told: Any, **named: Any) -> Any:
+        self.pool.asking = self.sides.get(request.id)
+        self.pool.fee = (FEE_READ if self.pool.asking else FEE_WRITE) * request.aim
+        return super()._least(request, *told, **named)
+
+    def _close(self, request: Request) -> None:
+        super()._close(request)
+        self.sides.pop(request.id, None)
+
+
+def fixed(readers: frozenset[str], cls: int) -> Callable[[i.Settings, int, Truth], Decider]:
+    """Routers with a split that never changes: one class reads, and these engines."""
+
+    def make(settings: i.Settings, seed: int, truth: Truth) -> Decider:
+        router = Sided(settings, seed)
+        if readers:
+            router.side = lambda event: event.cls == cls
+            router.pool.side_of = lambda name: name in readers
+        return router
+
+    return make
+
+
+class Hub:
+    """What stands for the store and the lease: the newest summaries, and one decision of them."""
+
+    def __init__(self) -> None:
+        self.bodies: dict[int, bytes] = {}
+        self.decision: bytes | None = None
+        self.decided_ms = 0.0
+        self.history: list[tuple[float, int, str]] = []  # when, how many read, why
+        self.said = 0  # bytes
+        self.took_s: list[float] = []
+        self.moves: list[float] = []
+
+    def turn(self, now: float, node: int, pools: Pools) -> None:
+        """A router says what it saw, the first one decides, all adopt."""
+        self.bodies[node] = pools.summary(now)
+        self.said += len(self.bodies[node])
+        if node == 0 and now - self.decided_ms >= DECIDE_MS:
+            self.decided_ms = now
+            begin = time.perf_counter()
+            new = pools.decide(now, list(self.bodies.values()), self.decision)
+            self.took_s.append(time.perf_counter() - begin)
+            if new is not None:
+                self._note(now, split.read(new), split.read(self.decision))
+                self.decision = new
+        pools.adopt(now, self.decision)
+
+    def _note(self, now: float, new: split.Plan | None, old: split.Plan | None) -> None:
+        assert new is not None, "what was decided can be read"
+        self.history.append((now, len(new.readers), new.why))
+        if new.readers != (old.readers if old is not None else []):
+            self.moves.append(now)
+
+
+class Learning(Sided):
+    """Routers that learn the split: each notes what its requests showed."""
+
+    def __init__(self, settings: i.Settings, seed: int, hub: Hub) -> None:
+        super().__init__(settings, seed)
+        self.hub = hub
+        total = sum(t.portion for t in settings.tenants)
+        self.pools = Pools(0.0, settings.classes, [t.portion / total for t in settings.tenants])
+        self.pool.side_of = self.pools.engine_reads
+        self.side = lambda event: self.pools.request_reads(event.cls, event.prompt_tokens)
+        self.open: dict[str, tuple[i.RequestArrived, float, float]] = {}  # when it came, its first token
+        self.armed = False
+
+    def handle(self, now_ms: float, events: list[i.Event]) -> list[i.Action]:
+        """The decisions, with notes taken of what they see."""
+        rest = []
+        turned = not self.armed
+        for event in events:
+            if isinstance(event, i.TimerFired) and event.token == TIMER:
+                turned = True
+                continue
+            rest.append(event)
+            self._note(now_ms, event)
+        actions = super().handle(now_ms, rest)
+        for action in actions:
+            if isinstance(action, (i.Refuse, i.Fail)) and action.request in self.open:
+                event, _, _ = self.open.pop(action.request)
+                self.pools.notes.answered(now_ms, event.cls, event.tenant, 0, False, True)
+        if turned:
+            self.armed = True
+            self.pools.listed({
+                name: Engine(str(r.kind), r.zone, 0.0 < now_ms - r.started_at < self.settings.cold_ms
+                             and r.started_at > 0.0)
+                for name, r in self.pool.replicas.items() if r.serving
+            })  # fmt: skip
+            self.hub.turn(now_ms, self.settings.node, self.pools)
+            actions = [*actions, i.SetTimer(TIMER, SAY_MS)]
+        return actions
+
+    def _note(self, now: float, event: i.Event) -> None:
+        notes = self.pools.notes
+        if isinstance(event, i.RequestArrived):
+            self.open[event.request] = (event, now, 0.0)
+        elif isinstance(event, i.StreamStarted) and event.request in self.open:
+            one, came, _ = self.open[event.request]
+            self.open[event.request] = (one, came, now)
+        elif isinstance(event, i.ProbeAnswered) and event.report is not None:
+            replica, report = self.pool.replicas.get(event.replica), event.report
+            if replica is not None:
+                notes.report(now, str(replica.kind), report.busy_share, report.memory_share)
+        elif isinstance(event, i.RequestGone) and event.request in self.open:
+            one, _, first = self.open.pop(event.request)
+            self._asked(now, one, -1.0)
+            notes.answered(now, one.cls, one.tenant, 0, False, first == 0.0)
+        elif isinstance(event, i.AttemptEnded) and event.closed and event.request in self.open:
+            one, came, first = self.open.pop(event.request)
+            whole = event.outcome is i.Outcome.SERVED
+            tokens = one.max_answer_tokens if whole else 0
+            unread = one.prompt_tokens - event.kept_tokens
+            self._asked(now, one, unread if whole else -1.0)
+            cls = self.settings.classes[one.cls]
+            pace = (now - first) / max(1, tokens - 1)
+            late = not whole or first - came > cls.aim(one.prompt_tokens) or (
+                0.0 < cls.token_aim_ms < pace and tokens > 1)
+            notes.answered(now, one.cls, one.tenant, tokens, whole, late)
+            replica = self.pool.replicas.get(event.replica)
+            if whole and replica is not None:
+                sent = event.lag_ms - (now - first)
+                notes.engine(now, str(replica.kind), unread, sent, tokens, now - first)
+
+    def _asked(self, now: float, event: i.RequestArrived, unread: float) -> None:
+        notes = self.pools.notes
+        if unread < 0.0:
+            unread = notes.expected(event.cls, event.tenant, event.prompt_tokens)
+        notes.asked(now, event.cls, event.tenant, event.prompt_tokens, unread)
+
+
+# --- days
+
+
+READS = {"aim_ms": 1500.0, "deadline_ms": 6000.0, "token_aim_ms": 0.0, "new_tokens": [4000, 12000],
+         "answer_tokens": [8, 32], "openings": 0, "opening_share": 0.0, "turns": 1.0}  # fmt: skip
+WRITES = {"aim_ms": 600.0, "deadline_ms": 4000.0, "token_aim_ms": 40.0, "new_tokens": [50, 300],
+          "answer_tokens": [150, 500], "openings": 0, "opening_share": 0.0, "turns": 1.0}  # fmt: skip
+
+
+def day(reading: float, load: float, engines: int = 8, length_s: float = 40.0, **changes: Any) -> Scenario:
+    """A day with such a share of the engines' work in reading, at so much of what they can do."""
+    mean_read, mean_write = 7300.0 * READ_COST, 290.0 * WRITE_COST + 130.0 * READ_COST
+    reads, writes = reading / mean_read, (1.0 - reading) / mean_write
+    return convert({
+        "name": f"{reading:g} reading at {load:g}", "length_s": length_s, "lead_s": LEAD_S, "engines": engines,
+        "routers": max(2, round(ROUTERS * engines)),
+        "load": {"per_engine": load * 1000.0 * (reads + writes)},
+        "classes": {"read": {"share": reads, **READS}, "write": {"share": writes, **WRITES}}, **changes,
+    })  # fmt: skip
+
+
+class Played(msgspec.Struct):
+    """What a day came to."""
+
+    worth: float
+    first_ms: list[float]  # by class, at the 95th
+    pace_ms: list[float]
+    requests: int
+    history: list[tuple[float, int, str]] = []
+    moves: list[float] = []
+    said: float = 0.0  # bytes a router and second
+    decide_ms: float = 0.0
+
+
+def play(scenario: Scenario, seed: int, make: Callable[[i.Settings, int, Truth], Decider]) -> Played:
+    """One day with these routers."""
+    policies.POLICIES["pools"] = make
+    simulation = Simulation(scenario, "pools", seed)
+    report = simulation.play()
+    assert not report["rules_broken"], report["rules_broken"]
+    records = [r for r in simulation.callers.records if r.asked.at_ms >= scenario.lead_ms()]
+    by_class = [[r for r in records if r.asked.cls == n] for n in range(len(scenario.classes))]
+    return Played(
+        report["worth"],
+        [round(percentile([r.first_ms for r in some if r.first_ms >= 0.0], 95), 1) for some in by_class],
+        [round(percentile([_pace(r) for r in some if r.outcome == "served"], 95), 2) for some in by_class],
+        len(records),
+    )
+
+
+def _pace(record: Record) -> float:
+    return (record.end_ms - record.first_ms) / max(1, record.asked.answer - 1)
+
+
+def learnt(scenario: Scenario, seed: int) -> Played:
+    """The same with the split learnt."""
+    hub = Hub()
+    played = play(scenario, seed, lambda settings, its, truth: Learning(settings, its, hub))
+    whole = scenario.whole_s() * scenario.routers
+    return msgspec.structs.replace(
+        played, history=hub.history, moves=hub.moves, said=hub.said / whole,
+        decide_ms=1000.0 * percentile(hub.took_s, 50),
+    )  # fmt: skip
--- /dev/null
+++ b/spoolbarrow/pools/split.py
@@ -0,0 +1,297 @@
+"""The split itself: how many engines read, from which prompt length a request does, and which engines move.
+
+Pure functions from merged evidence to a plan. A plan changes slowly: it is entered only on a gain that
+outlasts the noise of the evidence, moves a step at a time towards its target, and is left at once where the
+model, or what was measured since it stands, shows no gain against no split. The engines that move are
+chosen by rendezvous hashing, so that one that comes or goes moves no other and few kept prompts are lost.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from hashlib import blake2b
+from math import inf, isfinite, sqrt
+
+import msgspec
+from msgspec import Struct, field
+
+from spoolbarrow.fleet.documents import MOST_BODY
+from spoolbarrow.interface import RequestClass
+from spoolbarrow.pools import sketch
+from spoolbarrow.pools.evidence import MOST_CLASSES, REST, US, Cell, Pace, Seen
+from spoolbarrow.pools.model import HURT, Atom, Rates, Traffic, flow
+
+LITTLE = 30.0  # requests weighed by age, below which there is too little evidence
+SURE = 2.0  # standard deviations of the evidence's noise that a gain must outlast
+ENTER, LEAVE, MOVE = 0.015, 0.004, 0.003  # predicted share of the worth: to split, to go on, to move
+STEP = 16  # one engine of so many moves at a time, at least one
+MOVE_MS, STAY_MS = 4000.0, 20_000.0  # between moves, and what an engine stays on its side at least
+TRIAL_MS, REST_MS = 40_000.0, 600_000.0  # until a split's measured lateness counts; none after it failed
+WORSE = 0.02  # share late, beyond the noise, that shows a split to do harm
+AMISS = 0.4  # between predicted and measured lateness: the model does not describe this fleet
+CUTS = 4  # lengths tried, from which a request reads
+CLOSE = 4  # of all tried, the best by what was seen, that are held against the noise as well
+TRIES = 12  # numbers of readers tried
+FAST = 0.1  # quantile of the times seen that stands for an engine with nothing else to do
+PACES = 10.0  # samples of an engine type's rates, below which they are not known
+RUN_SHARE = 0.007  # of a step, what each further stream adds: not seen apart from outside (docs/pools.md)
+NEVER = -1.0  # in `reads_from`: no request of this class reads
+
+
+class Engine(Struct, frozen=True):
+    """One line of the holder's list, as far as the split goes."""
+
+    kind: str = ""
+    zone: int = 0
+    cold: bool = False
+    only: str = ""  # "read" or "write": an operator says that this type can do nothing else
+
+
+class Plan(Struct, array_like=True, forbid_unknown_fields=True, omit_defaults=False):
+    """The decision's body. No readers: no split."""
+
+    at_ms: float = 0.0
+    reads_from: list[float] = field(default_factory=list)  # by class: prompt tokens from which it reads
+    readers: list[str] = field(default_factory=list)  # engines, in order
+    since_ms: float = 0.0  # of the split
+    moved_ms: float = 0.0  # of the last move
+    moved: dict[str, float] = field(default_factory=dict)  # engines that must stay, since when
+    rest_until_ms: float = 0.0  # no split until then
+    none_lost: float = 0.0  # predicted share of the worth lost without a split
+    split_lost: float = 0.0  # and with this one
+    trial: tuple[float, float, float] = (0.0, 0.0, 0.0)  # before it: share late, its weight, predicted
+    wanted: tuple[int, int] = (0, 0)  # readers and writers that the traffic wants, whatever can be steered
+    why: str = ""
+
+
+ENCODE, DECODE = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder(Plan).decode
+
+
+def read(body: bytes | None) -> Plan | None:
+    """A plan that can be acted on; None otherwise."""
+    if body is None or len(body) > MOST_BODY:
+        return None
+    try:
+        plan = DECODE(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return None
+    numbers = (plan.at_ms, plan.since_ms, plan.moved_ms, plan.rest_until_ms, plan.none_lost, plan.split_lost,
+               *plan.trial, *plan.reads_from, *plan.moved.values())  # fmt: skip
+    sane = all(map(isfinite, numbers)) and len(plan.reads_from) <= MOST_CLASSES
+    return plan if sane and all(x == NEVER or x >= 0.0 for x in plan.reads_from) else None
+
+
+# --- from evidence to what the model takes
+
+
+def guarded(seen: Seen, portions: Sequence[float]) -> tuple[dict[int, Cell], bool]:
+    """By class, and whether a tenant was held back: with no tenant's reading weighing more than its portion while others ask as well.
+
+    What a tenant asks beyond counts as if it were asked by the others: the rate stays true, and one tenant's
+    odd prompts move the shape of the traffic by no more than its share.
+    """
+    work: dict[int, float] = {}
+    for (_, tenant), cell in sorted(seen.cells.items()):
+        work[tenant] = work.get(tenant, 0.0) + _work(cell)
+    total = sum(work.values())
+    most = {t: portions[t] if 0 <= t < len(portions) else 1.0 / max(1, len(portions)) for t in work}
+    most[REST] = 1.0  # many tenants together
+    over = {t for t, much in work.items() if len(work) > 1 and much > most[t] * total > 0.0}
+    left = total - sum(most[t] * total for t in over)
+    others = sum(much for t, much in work.items() if t not in over)
+    if over and (others <= 0.0 or left <= 0.0):
+        over = set()  # all ask beyond their portions: then none of them is odd
+    found: dict[int, Cell] = {}
+    for (cls, tenant), cell in sorted(seen.cells.items()):
+        share = 1.0
+        if over:
+            share = most[tenant] * total / work[tenant] if tenant in over else left / others
+        found.setdefault(cls, Cell()).take(cell, share)
+    return found, bool(over)
+
+
+def _work(cell: Cell) -> float:
+    return sum(sums[1] for sums in cell.spans.values()) + cell.weight()
+
+
+def atoms(by_class: Mapping[int, Cell], classes: Sequence[RequestClass], span_ms: float) -> list[Atom]:
+    """What the model takes, of evidence whose weight stands for so many ms."""
+    found = []
+    for cls, cell in sorted(by_class.items()):
+        if cls >= len(classes):
+            continue
+        c = classes[cls]
+        lengths = sketch.survived(cell.ended, cell.cut)
+        answer = sketch.mean(lengths) if lengths else 0.0
+        for number, (count, tokens, squares) in sorted(cell.spans.items()):
+            if count > 0.0:
+                prompt = 1.5 * 2.0**number
+                found.append(Atom(
+                    cls, 2.0**number, prompt, count / span_ms, tokens / count, squares / count, answer,
+                    c.aim(round(prompt)), c.token_aim_ms, c.worth * (1.0 - c.late_share),
+                ))  # fmt: skip
+    return found
+
+
+def rates(seen: Seen, kinds: Mapping[str, int], found: Sequence[Atom], apart: bool) -> Rates | None:
+    """Of a mean engine of a fleet with so many of each type; None where no type's rates are known.
+
+    Where engines do not stand apart, every stream is held up by reading: a step's own time is then what is
+    left of the usual pace, not the least that was seen.
+    """
+    known: dict[str, tuple[float, float]] = {}
+    for kind, pace in sorted(seen.paces.items()):
+        if kind in kinds and min(sum(pace.read.values()), sum(pace.step.values())) >= PACES:
+            read, step = (sketch.quantile(h, FAST) / US for h in (pace.read, pace.step))
+            known[kind] = (read, step)
+    weight = sum(kinds[kind] for kind in known)
+    if not weight:
+        return None
+    # Speeds add up, times do not.
+    reading = sum(kinds[kind] / known[kind][0] for kind in known) / weight
+    stepping = sum(kinds[kind] / known[kind][1] for kind in known) / weight
+    step = 1.0 / stepping
+    if not apart:
+        read = sum(a.rate * a.unread for a in found) / reading / sum(kinds.values())
+        step = min(step, _usual(seen) * max(0.1, 1.0 - HURT * min(1.0, read)))
+    return Rates(1.0 / reading, step, RUN_SHARE * step)
+
+
+def _usual(seen: Seen) -> float:
+    """The median pace of all streams, ms a token."""
+    steps: dict[int, float] = {}
+    for pace in seen.paces.values():
+        sketch.add(steps, pace.step)
+    return sketch.quantile(steps, 0.5) / US
+
+
+def roomy(told: Rates, seen: Seen, found: Sequence[Atom], engines: int) -> Rates:
+    """With the slots and the memory that reports tell of: the streams that run now fill so much of them."""
+    weight, busy, memory = (sum(p.full[n] for p in seen.paces.values()) for n in range(3))
+    _, _, _, made, _, held = flow(found)
+    running = made * _usual(seen) / engines
+    if weight < PACES or running <= 0.0:
+        return told
+    slots = running * weight / busy if busy > 0.0 else inf
+    tokens = running * held / made * weight / memory if memory > 0.0 else inf
+    return msgspec.structs.replace(told, slots=slots, memory=tokens)
+
+
+def contradicts(all_seen: Sequence[Seen], whole: Seen, factor: float = 3.0) -> bool:
+    """Whether two routers tell quite different rates of one type of engine."""
+    for seen in all_seen:
+        for kind, pace in seen.paces.items():
+            for mine, its in _pairs(pace, whole.paces[kind]):
+                if min(sum(mine.values()), sum(its.values())) >= 2 * PACES:
+                    ratio = sketch.quantile(mine, 0.5) / max(sketch.quantile(its, 0.5), 1e-9)
+                    if not 1.0 / factor <= ratio <= factor:
+                        return True
+    return False
+
+
+def _pairs(one: Pace, other: Pace) -> Iterable[tuple[dict[int, float], dict[int, float]]]:
+    return (one.read, other.read), (one.step, other.step)
+
+
+# --- the choice
+
+
+class Judged(Struct):
+    """What the model says of this traffic, at the figures seen and at those that noise could hide."""
+
+    traffics: list[Traffic]  # as seen, then with less and with more reading
+    engines: int
+    rates: Rates
+
+    def none(self) -> list[float]:
+        """Predicted share of the worth lost without a split."""
+        return [traffic.unsplit(self.engines, self.rates) for traffic in self.traffics]
+
+    def seen(self, readers: int) -> float:
+        """Predicted share lost with so many readers, by the figures as seen."""
+        return self.traffics[0].lost(readers, self.engines, self.rates)
+
+    def lost(self, readers: int) -> list[float]:
+        """With so many readers."""
+        return [traffic.lost(readers, self.engines, self.rates) for traffic in self.traffics]
+
+
+def judged(found: Sequence[Atom], reads: Sequence[bool], engines: int, rates: Rates, noise: float) -> Judged:
+    """With these requests reading; the noise is that of the reading asked."""
+    traffics = []
+    for factor in (1.0, max(0.5, 1.0 - noise), 1.0 + noise):
+        some = [msgspec.structs.replace(a, rate=a.rate * (factor if r else 1.0))
+                for a, r in zip(found, reads, strict=True)]  # fmt: skip
+        traffics.append(Traffic(some, reads))
+    return Judged(traffics, engines, rates)
+
+
+def noise(found: Sequence[Atom], weight: float) -> float:
+    """How far the reading asked may be from what was seen, as a share."""
+    asked = sum(a.rate for a in found)
+    reading = sum(a.rate * a.unread for a in found)
+    square = sum(a.rate * a.unread_sq for a in found)
+    return SURE * sqrt(square * asked / reading**2 / weight) if reading > 0.0 and weight > 0.0 else inf
+
+
+def cuts(found: Sequence[Atom]) -> list[float]:
+    """Tokens to be read, from which requests could be taken as readers: both sides must have some."""
+    values = sorted({a.unread for a in found if a.rate > 0.0})[1:]
+    if len(values) <= CUTS:
+        return values
+    return [values[n * (len(values) - 1) // (CUTS - 1)] for n in range(CUTS)]
+
+
+def counts(engines: int, now: int) -> list[int]:
+    """Numbers of readers to try: all of a small fleet, evenly of a large one, and near what stands."""
+    if engines <= TRIES + 1:
+        return list(range(1, engines))
+    some = {max(1, round(engines * n / (TRIES + 1))) for n in range(1, TRIES + 1)}
+    near = {now + d * max(1, engines // 32) for d in (-1, 0, 1)} if now else set()
+    return sorted(k for k in some | near if 1 <= k < engines)
+
+
+def thresholds(found: Sequence[Atom], cut: float, classes: int) -> list[float]:
+    """By class, the prompt length from which requests read: above it all spans read at least `cut` tokens."""
+    limits = [NEVER] * classes
+    for cls in range(classes):
+        for atom in sorted((a for a in found if a.cls == cls), key=lambda a: -a.low):
+            if atom.unread < cut:
+                break
+            limits[cls] = atom.low if atom.low > 1.0 else 0.0
+    return limits
+
+
+def apart(found: Sequence[Atom], limits: Sequence[float]) -> list[bool]:
+    """Which of the requests read by these thresholds."""
+    return [limits[a.cls] != NEVER and a.low >= limits[a.cls] for a in found]
+
+
+# --- which engines
+
+
+def score(name: str) -> int:
+    """An engine's place in the order in which engines read: the same at all times, whoever else is there."""
+    return int.from_bytes(blake2b(name.encode(), key=b"pools", digest_size=8).digest(), "big")
+
+
+def moved(readers: set[str], engines: Mapping[str, Engine], change: int, staying: set[str]) -> list[str]:
+    """Engines that change sides: so many begin to read (or, below 0, to write), zones kept in proportion."""
+    names = sorted(name for name, e in engines.items() if not e.only and name not in staying)
+    sizes: dict[int, int] = {}
+    reading: dict[int, int] = {}
+    for name, engine in engines.items():
+        sizes[engine.zone] = sizes.get(engine.zone, 0) + 1
+        reading[engine.zone] = reading.get(engine.zone, 0) + (name in readers)
+    sign = 1 if change > 0 else -1
+    free = [name for name in names if (name in readers) is (change < 0)]
+    chosen: list[str] = []
+    for _ in range(min(abs(change), len(free))):
+        # Cold ones have little to lose, but the zones' proportion comes first: reading must be near.
+        best = min(free, key=lambda n: (
+            sign * reading[engines[n].zone] / sizes[engines[n].zone], not engines[n].cold, sign * score(n),
+        ))  # fmt: skip
+        free.remove(best)
+        chosen.append(best)
+        reading[engines[best].zone] += sign
+    return chosen
