--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -2,24 +2,20 @@
 
     python benchmarks/pools.py [--short]
 
-Each day is played with no split, with the learnt split, with half of the engines reading, and with every fixed
-number of readers; the same requests each time. The routers' decisions are those of `spoolbarrow.router`; what
+Each day is played with no split, with the learnt split, with half of the engines reading, and with every
+fixed number of readers; the same requests each time. The routers' decisions are those of `spoolbarrow.router`; what
 docs/pools.md proposes to tell them (the side of a request, the side of an engine) is weighed by `Sided` here.
 """
 
 from __future__ import annotations
 
-import argparse
 import sys
-import tempfile
 import time
 from collections.abc import Callable
 from pathlib import Path
-from random import Random
 from typing import Any
 
 import msgspec
-import orjson
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT)]
@@ -27,12 +23,10 @@
 from spoolbarrow import interface as i  # noqa: E402
 from spoolbarrow.lab import policies  # noqa: E402
 from spoolbarrow.lab.account import Record, percentile  # noqa: E402
-from spoolbarrow.lab.arrivals import asked  # noqa: E402
 from spoolbarrow.lab.policies import Decider, Truth  # noqa: E402
 from spoolbarrow.lab.scenario import Scenario, convert  # noqa: E402
 from spoolbarrow.lab.simulate import Simulation  # noqa: E402
-from spoolbarrow.pools import Engine, Pools, sketch, split  # noqa: E402
-from spoolbarrow.pools.part import SPAN_MS  # noqa: E402
+from spoolbarrow.pools import Engine, Pools, split  # noqa: E402
 from spoolbarrow.router import Replica, ReplicaPool, Request, Router  # noqa: E402
 
 FEE_READ, FEE_WRITE = 0.1, 1.0  # aims of waiting, that a place on the other side counts as
@@ -240,8 +234,8 @@
     mean_read, mean_write = 7300.0 * READ_COST, 290.0 * WRITE_COST + 130.0 * READ_COST
     reads, writes = reading / mean_read, (1.0 - reading) / mean_write
     return convert({
-        "name": f"{reading:g} reading at {load:g}", "length_s": length_s, "lead_s": LEAD_S, "engines": engines,
-        "routers": max(2, round(ROUTERS * engines)),
+        "name": f"{reading:g} reading at {load:g}", "length_s": length_s, "lead_s": LEAD_S,
+        "engines": engines, "routers": max(2, round(ROUTERS * engines)),
         "load": {"per_engine": load * 1000.0 * (reads + writes)},
         "classes": {"read": {"share": reads, **READS}, "write": {"share": writes, **WRITES}}, **changes,
     })  # fmt: skip
--- a/spoolbarrow/pools/model.py
+++ b/spoolbarrow/pools/model.py
@@ -19,6 +19,7 @@
 HURT = 0.82  # of reading's time that streams lose: a step that reads makes a token of each as well
 SPILL_READ, SPILL_WRITE = 1.2, 1.0  # aims of waiting at which a request leaves its side, all prices together
 HALVINGS = 8  # of each search: a share is known to 0.4 %
+NOTHING = 1e-12  # requests or tokens a millisecond: less is none
 EASY = 0.5  # share of the time: below it next to nothing is refused
 
 
@@ -82,7 +83,7 @@
         self.kept = 1.0  # share not refused
         self.busy = read * rates.read_ms / engines  # share of the time
         self.read_ms = rates.read_ms
-        if count > 0.0 and read > 0.0:
+        if min(count, read) > NOTHING:
             service = read / count * rates.read_ms
             # The mean service, times 1 + its squared variation, halved.
             self._shape = service * square * count / read**2 / 2.0
--- a/spoolbarrow/pools/part.py
+++ b/spoolbarrow/pools/part.py
@@ -106,7 +106,7 @@
             kinds[engine.kind] = kinds.get(engine.kind, 0) + 1
         guarded, odd = split.guarded(whole, self.portions)
         found = split.atoms(guarded, self.classes, SPAN_MS)
-        rates = split.rates(whole, kinds, found, bool(plan.readers))
+        rates = split.rates(whole, kinds, found, plan.step_ms if plan.readers else 0.0)
         weight = sum(cell.weight() for cell in whole.cells.values())
         if rates is None or weight < split.LITTLE or len(found) < 2:
             return _none(plan, "too little evidence")
@@ -125,19 +125,21 @@
             return _none(plan, "all requests read alike")
         if odd and plan.readers:
             # What a tenant asks beyond its portion moves nothing, but leaving it out may do no harm.
-            true = split.atoms(split.guarded(whole, ())[0], self.classes, SPAN_MS)
-            really = split.judged(true, split.apart(true, plan.reads_from), len(self.engines), rates, 0.0)
-            if really.lost(self._reading(plan))[0] > really.none()[0] + split.ENTER:
+            true = split.atoms(split.guarded(whole, None)[0], self.classes, SPAN_MS)
+            really = split.judged(true, split.apart(true, plan.reads_from), len(self.engines), rates, weight)
+            if really.seen(self._reading(plan)) > really.none()[0] + split.ENTER:
                 return _none(plan, "harms the traffic as it is")
-        return self._weighed(now, plan, target, whole)
+        return self._weighed(now, plan, target, whole, rates)
 
     def _reading(self, plan: Plan) -> int:
         return len(plan.readers) + sum(e.only == "read" for e in self.engines.values())
 
     def _target(self, plan: Plan, found: Sequence[Atom], rates: Rates, weight: float) -> Target | None:
         engines, now = len(self.engines), self._reading(plan) if plan.readers else 0
-        doubt = split.noise(found, weight)
-        options = [split.thresholds(found, cut, len(self.classes)) for cut in split.cuts(found)]
+        options: list[list[float]] = []
+        for cut in split.cuts(found, rates):
+            limits = split.thresholds(found, cut, len(self.classes), rates)
+            options += [limits] if limits not in options else []
         stands = plan.reads_from if plan.readers and len(plan.reads_from) == len(self.classes) else None
         if stands is not None and stands not in options:
             options.append(stands)
@@ -147,7 +149,7 @@
             reads = split.apart(found, limits)
             if all(reads) or not any(reads):
                 continue
-            judge = split.judged(found, reads, engines, rates, doubt)
+            judge = split.judged(found, reads, engines, rates, weight)
             if limits == stands and 0 < now < engines:
                 now_lost = judge.lost(now)
             for readers in split.counts(engines, now if limits == stands else 0):
@@ -160,7 +162,7 @@
         lost, readers, judge, limits = min(close, key=lambda one: sum(one[0]))
         return Target(limits, readers, judge.none(), lost, now_lost)
 
-    def _weighed(self, now: float, plan: Plan, target: Target, whole: Seen) -> Plan:
+    def _weighed(self, now: float, plan: Plan, target: Target, whole: Seen, rates: Rates) -> Plan:
         """From what stands to the target: by so much, or not at all."""
         gains = [without - lost for without, lost in zip(target.none, target.best, strict=True)]
         earns = sum(gains) >= len(gains) * split.ENTER and min(gains) >= 0.0
@@ -179,7 +181,7 @@
             return msgspec.structs.replace(
                 plan, readers=sorted(names), reads_from=target.limits, since_ms=now, moved_ms=now, moved={},
                 none_lost=target.none[0], split_lost=target.best[0], trial=(late, weight, target.none[0]),
-                why="split",
+                step_ms=rates.step_ms, why="split",
             )  # fmt: skip
         stands = target.stands
         ends = not stands or sum(target.none) - sum(stands) < len(stands) * split.LEAVE
@@ -196,10 +198,12 @@
 
     def _moved(self, now: float, plan: Plan, target: Target) -> Plan:
         """One step towards the target, where the gain outlasts the noise."""
+        reading = self._reading(plan)
+        back = (target.readers - reading) * plan.direction < 0
+        least = split.MOVE * (split.BACK if back else 1.0)
         worth = not target.stands or all(
-            a - b > split.MOVE for a, b in zip(target.stands, target.best, strict=True)
+            a - b > least for a, b in zip(target.stands, target.best, strict=True)
         )
-        reading = self._reading(plan)
         if not worth or 0.0 <= now - plan.moved_ms < split.MOVE_MS:
             return plan
         most = max(1, len(self.engines) // split.STEP)
@@ -212,6 +216,7 @@
         moved = {name: at for name, at in plan.moved.items() if name in staying} | dict.fromkeys(names, now)
         return msgspec.structs.replace(
             plan, readers=readers, reads_from=target.limits, moved_ms=now, moved=moved,
+            direction=(change > 0) - (change < 0) or plan.direction,
             none_lost=target.none[0], split_lost=target.best[0], why="split",
         )  # fmt: skip
 
--- a/spoolbarrow/pools/split.py
+++ b/spoolbarrow/pools/split.py
@@ -21,9 +21,11 @@
 from spoolbarrow.pools.evidence import MOST_CLASSES, REST, US, Cell, Pace, Seen
 from spoolbarrow.pools.model import HURT, Atom, Rates, Traffic, flow
 
-LITTLE = 30.0  # requests weighed by age, below which there is too little evidence
-SURE = 2.0  # standard deviations of the evidence's noise that a gain must outlast
-ENTER, LEAVE, MOVE = 0.015, 0.004, 0.003  # predicted share of the worth: to split, to go on, to move
+LITTLE = 60.0  # requests weighed by age, below which there is too little evidence
+SURE = 3.0  # standard deviations of the evidence's noise that a gain must outlast
+ENTER, LEAVE, MOVE = 0.015, 0.004, 0.008  # predicted share of the worth: to split, to go on, to move
+DOUBT = 0.5  # of what was seen, the most that noise is taken for
+BACK = 4.0  # times the gain, for a move against the direction of the last one
 STEP = 16  # one engine of so many moves at a time, at least one
 MOVE_MS, STAY_MS = 4000.0, 20_000.0  # between moves, and what an engine stays on its side at least
 TRIAL_MS, REST_MS = 40_000.0, 600_000.0  # until a split's measured lateness counts; none after it failed
@@ -35,6 +37,7 @@
 FAST = 0.1  # quantile of the times seen that stands for an engine with nothing else to do
 PACES = 10.0  # samples of an engine type's rates, below which they are not known
 RUN_SHARE = 0.007  # of a step, what each further stream adds: not seen apart from outside (docs/pools.md)
+UNTOLD = 0.5  # portion of a tenant that none was told for
 NEVER = -1.0  # in `reads_from`: no request of this class reads
 
 
@@ -56,6 +59,8 @@
     since_ms: float = 0.0  # of the split
     moved_ms: float = 0.0  # of the last move
     moved: dict[str, float] = field(default_factory=dict)  # engines that must stay, since when
+    step_ms: float = 0.0  # of an engine, as learnt while there was no split
+    direction: int = 0  # of the last move: 1 to read, -1 to write
     rest_until_ms: float = 0.0  # no split until then
     none_lost: float = 0.0  # predicted share of the worth lost without a split
     split_lost: float = 0.0  # and with this one
@@ -76,7 +81,7 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     numbers = (plan.at_ms, plan.since_ms, plan.moved_ms, plan.rest_until_ms, plan.none_lost, plan.split_lost,
-               *plan.trial, *plan.reads_from, *plan.moved.values())  # fmt: skip
+               plan.step_ms, *plan.trial, *plan.reads_from, *plan.moved.values())  # fmt: skip
     sane = all(map(isfinite, numbers)) and len(plan.reads_from) <= MOST_CLASSES
     return plan if sane and all(x == NEVER or x >= 0.0 for x in plan.reads_from) else None
 
@@ -84,33 +89,39 @@
 # --- from evidence to what the model takes
 
 
-def guarded(seen: Seen, portions: Sequence[float]) -> tuple[dict[int, Cell], bool]:
-    """By class, and whether a tenant was held back: with no tenant's reading weighing more than its portion while others ask as well.
+def guarded(seen: Seen, portions: Sequence[float] | None) -> tuple[dict[int, Cell], bool]:
+    """By class, and whether a tenant was held back; None: hold nobody back.
 
-    What a tenant asks beyond counts as if it were asked by the others: the rate stays true, and one tenant's
-    odd prompts move the shape of the traffic by no more than its share.
+    No tenant's reading weighs more than its portion while others ask as well. What a tenant asks beyond
+    counts as if it were asked by the others: the rate stays true, and one tenant's odd prompts move the shape
+    of the traffic by no more than its share.
     """
-    work: dict[int, float] = {}
+    asked: dict[int, float] = {}
     for (_, tenant), cell in sorted(seen.cells.items()):
-        work[tenant] = work.get(tenant, 0.0) + _work(cell)
-    total = sum(work.values())
-    most = {t: portions[t] if 0 <= t < len(portions) else 1.0 / max(1, len(portions)) for t in work}
-    most[REST] = 1.0  # many tenants together
-    over = {t for t, much in work.items() if len(work) > 1 and much > most[t] * total > 0.0}
-    left = total - sum(most[t] * total for t in over)
-    others = sum(much for t, much in work.items() if t not in over)
-    if over and (others <= 0.0 or left <= 0.0):
+        asked[tenant] = asked.get(tenant, 0.0) + work(cell)
+    total = sum(asked.values())
+    over: set[int] = set()
+    most: dict[int, float] = {REST: 1.0}  # many tenants together
+    if portions is not None and len(asked) > 1:
+        for tenant in asked:
+            told = portions[tenant] if 0 <= tenant < len(portions) else UNTOLD
+            most.setdefault(tenant, told)
+        over = {tenant for tenant, much in asked.items() if much > most[tenant] * total > 0.0}
+    left = total - sum(most[tenant] * total for tenant in over)
+    others = sum(much for tenant, much in asked.items() if tenant not in over)
+    if others <= 0.0 or left <= 0.0:
         over = set()  # all ask beyond their portions: then none of them is odd
     found: dict[int, Cell] = {}
     for (cls, tenant), cell in sorted(seen.cells.items()):
         share = 1.0
         if over:
-            share = most[tenant] * total / work[tenant] if tenant in over else left / others
+            share = most[tenant] * total / asked[tenant] if tenant in over else left / others
         found.setdefault(cls, Cell()).take(cell, share)
     return found, bool(over)
 
 
-def _work(cell: Cell) -> float:
+def work(cell: Cell) -> float:
+    """What a cell asks, in tokens read; a request counts as one more."""
     return sum(sums[1] for sums in cell.spans.values()) + cell.weight()
 
 
@@ -133,11 +144,11 @@
     return found
 
 
-def rates(seen: Seen, kinds: Mapping[str, int], found: Sequence[Atom], apart: bool) -> Rates | None:
+def rates(seen: Seen, kinds: Mapping[str, int], found: Sequence[Atom], before: float) -> Rates | None:
     """Of a mean engine of a fleet with so many of each type; None where no type's rates are known.
 
     Where engines do not stand apart, every stream is held up by reading: a step's own time is then what is
-    left of the usual pace, not the least that was seen.
+    left of the usual pace, not the least that was seen. `before` is what that came to before they did, or 0.
     """
     known: dict[str, tuple[float, float]] = {}
     for kind, pace in sorted(seen.paces.items()):
@@ -151,7 +162,9 @@
     reading = sum(kinds[kind] / known[kind][0] for kind in known) / weight
     stepping = sum(kinds[kind] / known[kind][1] for kind in known) / weight
     step = 1.0 / stepping
-    if not apart:
+    if before > 0.0:
+        step = min(step, before)
+    else:
         read = sum(a.rate * a.unread for a in found) / reading / sum(kinds.values())
         step = min(step, _usual(seen) * max(0.1, 1.0 - HURT * min(1.0, read)))
     return Rates(1.0 / reading, step, RUN_SHARE * step)
@@ -216,27 +229,40 @@
         return [traffic.lost(readers, self.engines, self.rates) for traffic in self.traffics]
 
 
-def judged(found: Sequence[Atom], reads: Sequence[bool], engines: int, rates: Rates, noise: float) -> Judged:
-    """With these requests reading; the noise is that of the reading asked."""
+def judged(
+    found: Sequence[Atom], reads: Sequence[bool], engines: int, rates: Rates, weight: float
+) -> Judged:
+    """With these requests reading, of evidence of so many requests; one side's noise against the other's."""
+    sides = [[a for a, r in zip(found, reads, strict=True) if r is side] for side in (True, False)]
+    share = [sum(a.rate for a in side) / (sum(a.rate for a in found) or 1.0) for side in sides]
+    doubts = (noise(sides[0], weight * share[0], "unread"), noise(sides[1], weight * share[1], "answer"))
     traffics = []
-    for factor in (1.0, max(0.5, 1.0 - noise), 1.0 + noise):
-        some = [msgspec.structs.replace(a, rate=a.rate * (factor if r else 1.0))
-                for a, r in zip(found, reads, strict=True)]  # fmt: skip
+    for sign in (0.0, -1.0, 1.0):
+        of = {True: 1.0 + sign * doubts[0], False: 1.0 - sign * doubts[1]}
+        some = [msgspec.structs.replace(a, rate=a.rate * of[r]) for a, r in zip(found, reads, strict=True)]
         traffics.append(Traffic(some, reads))
     return Judged(traffics, engines, rates)
 
 
-def noise(found: Sequence[Atom], weight: float) -> float:
-    """How far the reading asked may be from what was seen, as a share."""
+def noise(found: Sequence[Atom], weight: float, of: str) -> float:
+    """How far the tokens asked of so many requests may be from what was seen, as a share; DOUBT at most."""
     asked = sum(a.rate for a in found)
-    reading = sum(a.rate * a.unread for a in found)
-    square = sum(a.rate * a.unread_sq for a in found)
-    return SURE * sqrt(square * asked / reading**2 / weight) if reading > 0.0 and weight > 0.0 else inf
+    tokens = sum(a.rate * getattr(a, of) for a in found)
+    square = sum(a.rate * (a.unread_sq if of == "unread" else a.answer**2) for a in found)
+    if tokens <= 0.0 or weight <= 0.0:
+        return DOUBT
+    # Weights that halve with age tell as much as twice as many requests that count alike in one span.
+    return min(DOUBT, SURE * sqrt(square * asked / tokens**2 / weight / 2.0))
 
 
-def cuts(found: Sequence[Atom]) -> list[float]:
-    """Tokens to be read, from which requests could be taken as readers: both sides must have some."""
-    values = sorted({a.unread for a in found if a.rate > 0.0})[1:]
+def lies_in_prompt(atom: Atom, rates: Rates) -> bool:
+    """Whether more of an engine's time goes into reading such a request than into writing its answer."""
+    return atom.unread * rates.read_ms > atom.answer * rates.run_ms
+
+
+def cuts(found: Sequence[Atom], rates: Rates) -> list[float]:
+    """Tokens to be read, from which requests could be taken as readers: their cost lies in the prompt."""
+    values = sorted({a.unread for a in found if a.rate > 0.0 and lies_in_prompt(a, rates)})
     if len(values) <= CUTS:
         return values
     return [values[n * (len(values) - 1) // (CUTS - 1)] for n in range(CUTS)]
@@ -251,12 +277,12 @@
     return sorted(k for k in some | near if 1 <= k < engines)
 
 
-def thresholds(found: Sequence[Atom], cut: float, classes: int) -> list[float]:
-    """By class, the prompt length from which requests read: above it all spans read at least `cut` tokens."""
+def thresholds(found: Sequence[Atom], cut: float, classes: int, rates: Rates) -> list[float]:
+    """By class, the prompt length from which requests read: all spans above it read at least `cut` tokens."""
     limits = [NEVER] * classes
     for cls in range(classes):
         for atom in sorted((a for a in found if a.cls == cls), key=lambda a: -a.low):
-            if atom.unread < cut:
+            if atom.unread < cut or not lies_in_prompt(atom, rates):
                 break
             limits[cls] = atom.low if atom.low > 1.0 else 0.0
     return limits
