--- a/spoolbarrow/pools/part.py
+++ b/spoolbarrow/pools/part.py
@@ -120,6 +120,8 @@
             plan = msgspec.structs.replace(plan, wanted=wanted)
         if steered < 2:
             return _none(plan, "fewer than two engines that can do both")
+        if not plan.readers and split.lives_on_kept(found, len(self.engines), rates):
+            return _none(plan, "the fleet lives on kept prompts, and homes would move")
         target = self._target(plan, found, rates, weight)
         if target is None:
             return _none(plan, "all requests read alike")
@@ -165,8 +167,10 @@
     def _weighed(self, now: float, plan: Plan, target: Target, whole: Seen, rates: Rates) -> Plan:
         """From what stands to the target: by so much, or not at all."""
         gains = [without - lost for without, lost in zip(target.none, target.best, strict=True)]
-        earns = sum(gains) >= len(gains) * split.ENTER and min(gains) >= 0.0
         late, weight = self._measured(whole)
+        # What is not late cannot be gained: a model that sees more lateness than there is gains less.
+        real = min(1.0, late / target.none[0]) if target.none[0] > 0.0 else 0.0
+        earns = sum(gains) * real >= len(gains) * split.ENTER and min(gains) >= 0.0
         if not plan.readers:
             if _until(plan.rest_until_ms, now, split.REST_MS):
                 return _none(plan, "rests: the last split did not show the gain predicted")
@@ -189,13 +193,15 @@
         if max(stood, most) < split.LEAVE or stood < -split.ENTER:
             return _none(plan, "no gain predicted any more")
         since = now - plan.since_ms
+        amiss = late - max(target.stands, default=1.0) - split.SURE * 0.5 / max(weight, 1.0) ** 0.5
+        if since >= split.TRIAL_MS and weight >= split.LITTLE and amiss > split.AMISS_SPLIT:
+            return _resting(plan, now)
         alike = abs(target.none[0] - plan.trial[2]) <= split.OTHER
         if alike and since >= split.TRIAL_MS and min(weight, plan.trial[1]) >= split.LITTLE:
-            expected = plan.trial[0] + target.none[0] - plan.trial[2]
+            expected = plan.trial[0] + max(0.0, target.none[0] - plan.trial[2])
             doubt = split.SURE * 0.5 * (1.0 / weight + 1.0 / plan.trial[1]) ** 0.5
             if late > expected + split.WORSE + doubt:
-                rest = _none(plan, "rests: the last split did not show the gain predicted")
-                return msgspec.structs.replace(rest, rest_until_ms=now + split.REST_MS)
+                return _resting(plan, now)
         return self._moved(now, plan, target)
 
     def _moved(self, now: float, plan: Plan, target: Target) -> Plan:
@@ -251,6 +257,11 @@
     return Plan(rest_until_ms=plan.rest_until_ms, wanted=plan.wanted, why=why)
 
 
+def _resting(plan: Plan, now: float) -> Plan:
+    rest = _none(plan, "rests: the last split did not show the gain predicted")
+    return msgspec.structs.replace(rest, rest_until_ms=now + split.REST_MS)
+
+
 def _same(one: Plan, other: Plan) -> bool:
     """Whether routers would do the same by both, and a person be told the same."""
     return (one.readers, one.reads_from, one.rest_until_ms, one.wanted, one.why) == (
--- a/spoolbarrow/pools/split.py
+++ b/spoolbarrow/pools/split.py
@@ -26,12 +26,15 @@
 ENTER, LEAVE, MOVE = 0.015, 0.004, 0.008  # predicted share of the worth: to split, to go on, to move
 DOUBT = 0.5  # of what was seen, the most that noise is taken for
 BACK = 4.0  # times the gain, for a move against the direction of the last one
+SAVED = 0.3  # share of the engines' time that kept prompts save, from which losing them is looked at
 STEP = 16  # one engine of so many moves at a time, at least one
 MOVE_MS, STAY_MS = 4000.0, 20_000.0  # between moves, and what an engine stays on its side at least
 TRIAL_MS, REST_MS = 40_000.0, 600_000.0  # until a split's measured lateness counts; none after it failed
-OTHER = 0.05  # in predicted lateness without a split: then the traffic is not what the trial began with
+OTHER = 0.15  # in predicted lateness without a split: then the traffic is not what the trial began with
 WORSE = 0.02  # share late, beyond the noise, that shows a split to do harm
-AMISS = 0.4  # between predicted and measured lateness: the model does not describe this fleet
+AMISS = 0.2  # between predicted and measured lateness: the model does not describe this fleet
+AMISS_SPLIT = 0.1  # measured beyond predicted under a split that stands: it does not do what it should
+KEEPS = 0.35  # share of prompts found kept, from which a class stays on one side: its sessions grow
 CUTS = 4  # lengths tried, from which a request reads
 CLOSE = 4  # of all tried, the best by what was seen, that are held against the noise as well
 TRIES = 12  # numbers of readers tried
@@ -267,6 +270,13 @@
     return atom.unread * rates.read_ms > atom.answer * rates.run_ms
 
 
+def lives_on_kept(found: Sequence[Atom], engines: int, rates: Rates) -> bool:
+    """Whether the fleet could not read its prompts if none were kept: then no homes may move at once."""
+    whole = sum(a.rate * a.prompt for a in found) * rates.read_ms / engines
+    read = sum(a.rate * a.unread for a in found) * rates.read_ms / engines
+    return whole - read > SAVED and whole > 1.0
+
+
 def cuts(found: Sequence[Atom], rates: Rates) -> list[float]:
     """Tokens to be read, from which requests could be taken as readers: their cost lies in the prompt."""
     values = sorted({a.unread for a in found if a.rate > 0.0 and lies_in_prompt(a, rates)})
@@ -288,7 +298,15 @@
     """By class, the prompt length from which requests read: all spans above it read at least `cut` tokens."""
     limits = [NEVER] * classes
     for cls in range(classes):
-        for atom in sorted((a for a in found if a.cls == cls), key=lambda a: -a.low):
+        own = [a for a in found if a.cls == cls]
+        asked = sum(a.rate for a in own)
+        unread = sum(a.rate * a.unread for a in own)
+        if unread < (1.0 - KEEPS) * sum(a.rate * a.prompt for a in own):
+            # A session that changed sides as its prompt grows would leave all behind that was kept of it.
+            writes = sum(a.rate * a.answer for a in own) * rates.run_ms
+            limits[cls] = 0.0 if unread >= cut * asked and unread * rates.read_ms > writes else NEVER
+            continue
+        for atom in sorted(own, key=lambda a: -a.low):
             if atom.unread < cut or not lies_in_prompt(atom, rates):
                 break
             limits[cls] = atom.low if atom.low > 1.0 else 0.0
