--- a/spoolbarrow/pools/evidence.py
+++ b/spoolbarrow/pools/evidence.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from math import isfinite, log2
 
 import msgspec
@@ -96,8 +96,8 @@
     version: int
     at_ms: float
     since_ms: float
-    cells: list[tuple[int, int, float, float, list[list[float]], dict[int, tuple[float, float, float]]]]
-    paces: dict[str, tuple[list[float], list[float], tuple[float, float, float]]]
+    cells: list[tuple[int, int, float, float, list[list[int]], dict[int, tuple[float, float, float]]]]
+    paces: dict[str, tuple[list[int], list[int], tuple[float, float, float]]]
 
 
 ENCODE, DECODE = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder(Body).decode
@@ -231,7 +231,7 @@
     return all(isfinite(value) and 0.0 <= value <= sketch.MOST for value in values)
 
 
-def _cell(answered: float, late: float, flat: Sequence[Iterable[float]],
+def _cell(answered: float, late: float, flat: Sequence[Sequence[int]],
           spans: Mapping[int, tuple[float, float, float]]) -> Cell | None:
     histograms = [counts for counts in map(sketch.heard, flat) if counts is not None]
     if len(histograms) != 4 or not _sane(answered, late) or late > answered + 0.01:
--- a/spoolbarrow/pools/sketch.py
+++ b/spoolbarrow/pools/sketch.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
 from math import exp, isfinite, log, log1p, sqrt
 
 GROWTH = 1.1
@@ -74,23 +74,22 @@
     return found
 
 
-def told(counts: Mapping[int, float]) -> list[float]:
+def told(counts: Mapping[int, float]) -> list[int]:
     """As bucket, weight, bucket, weight ... in order; weights in hundredths."""
-    return [value for n, weight in sorted(counts.items()) for value in (n, round(weight, 2))]
+    return [value for n, weight in sorted(counts.items()) for value in (n, round(weight * 100.0))]
 
 
-def heard(flat: Iterable[float]) -> dict[int, float] | None:
-    """What `told` says; None where it can't be (no number, negative, beyond all bounds, out of order)."""
-    values = list(flat)
+def heard(values: Sequence[int]) -> dict[int, float] | None:
+    """What `told` says; None where it can't be (negative, beyond all bounds, out of order)."""
     if len(values) % 2 or len(values) > 2 * BUCKETS:
         return None
     found: dict[int, float] = {}
     last = -1
     for n, weight in zip(values[::2], values[1::2], strict=True):
-        if not (last < n < BUCKETS and n == int(n) and 0.0 <= weight <= MOST):
+        if not (last < n < BUCKETS and 0 <= weight <= 100 * MOST):
             return None
-        last = int(n)
-        found[last] = weight
+        last = n
+        found[n] = weight / 100.0
     return found
 
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -310,6 +310,20 @@
     assert made.engine_reads("e0") is True and made.engine_reads("e1") is False
 
 
+def test_a_class_that_keeps_its_prompts_stays_on_one_side() -> None:
+    def atoms(unread: float) -> list[Atom]:
+        return [Atom(0, low, 1.5 * low, 0.002, unread * low, (unread * low) ** 2, 50.0, 1500.0, 0.0, 1.0)
+                for low in (1024.0, 4096.0, 16384.0)]  # fmt: skip
+
+    rates = Rates(0.081, 15.0, 0.1)
+    assert split.thresholds(atoms(1.4), 5000.0, 1, rates) == [4096.0]
+    assert split.thresholds(atoms(0.3), 2000.0, 1, rates) == [0.0]
+    assert split.thresholds(atoms(0.3), 5000.0, 1, rates) == [split.NEVER]
+    # Prompts for 5.2 engines, of which one's are read: four could not read all anew, a hundred could.
+    assert split.lives_on_kept(atoms(0.3), 4, rates) and not split.lives_on_kept(atoms(0.3), 100, rates)
+    assert not split.lives_on_kept(atoms(1.5), 4, rates)
+
+
 def test_a_thousand_engines_fit_into_a_decision() -> None:
     engines = {f"engine-with-a-rather-long-name-{n:04d}.example": Engine("big", n % 5) for n in range(1000)}
     many = [notes(READING[0] * 4, READING[1] * 4, seed, span_s=15.0).body(NOW) for seed in range(3)]
