--- a/spoolbarrow/pools/part.py
+++ b/spoolbarrow/pools/part.py
@@ -192,18 +192,22 @@
         most = split.gain(target.none, target.best)
         if max(stood, most) < split.LEAVE or stood < -split.ENTER:
             return _none(plan, "no gain predicted any more")
-        since = now - plan.since_ms
-        amiss = late - max(target.stands, default=1.0) - split.SURE * 0.5 / max(weight, 1.0) ** 0.5
-        if since >= split.TRIAL_MS and weight >= split.LITTLE and amiss > split.AMISS_SPLIT:
-            return _resting(plan, now)
-        alike = abs(target.none[0] - plan.trial[2]) <= split.OTHER
-        if alike and since >= split.TRIAL_MS and min(weight, plan.trial[1]) >= split.LITTLE:
-            expected = plan.trial[0] + max(0.0, target.none[0] - plan.trial[2])
-            doubt = split.SURE * 0.5 * (1.0 / weight + 1.0 / plan.trial[1]) ** 0.5
-            if late > expected + split.WORSE + doubt:
-                return _resting(plan, now)
+        if now - plan.since_ms >= split.TRIAL_MS and self._failed(plan, target, late, weight):
+            rest = _none(plan, "rests: the last split did not show the gain predicted")
+            return msgspec.structs.replace(rest, rest_until_ms=now + split.REST_MS)
         return self._moved(now, plan, target)
 
+    @staticmethod
+    def _failed(plan: Plan, target: Target, late: float, weight: float) -> bool:
+        """Whether what is measured shows that a split which stands does harm, or not what it should."""
+        least, (before, then, predicted) = min(weight, plan.trial[1]), plan.trial
+        if least < split.LITTLE or abs(target.none[0] - predicted) > split.OTHER:
+            return False
+        doubt = split.SURE * 0.5 * (1.0 / weight + 1.0 / then) ** 0.5
+        expected = before + max(0.0, target.none[0] - predicted)
+        amiss = late - max(target.stands, default=1.0) - doubt > split.AMISS_SPLIT
+        return late > expected + split.WORSE + doubt or (amiss and late >= expected)
+
     def _moved(self, now: float, plan: Plan, target: Target) -> Plan:
         """One step towards the target, where the gain outlasts the noise."""
         reading = self._reading(plan)
@@ -257,11 +261,6 @@
     return Plan(rest_until_ms=plan.rest_until_ms, wanted=plan.wanted, why=why)
 
 
-def _resting(plan: Plan, now: float) -> Plan:
-    rest = _none(plan, "rests: the last split did not show the gain predicted")
-    return msgspec.structs.replace(rest, rest_until_ms=now + split.REST_MS)
-
-
 def _same(one: Plan, other: Plan) -> bool:
     """Whether routers would do the same by both, and a person be told the same."""
     return (one.readers, one.reads_from, one.rest_until_ms, one.wanted, one.why) == (
