--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -434,7 +434,7 @@
 
 
 def main() -> dict[str, Any]:
-    """Everything; the short form plays three mixes once, a turn and the sketches' errors; --large 200 engines."""
+    """Everything; three mixes once, a turn and the sketches' errors in the short form."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0] if __doc__ else None)
     parser.add_argument("--short", action="store_true")
     parser.add_argument("--large", action="store_true", help="200 engines as well; some ten minutes more")
