Tell a prefix's share by what was seen more than once: few hot ones met at two engines each

Ruled out: drains and restarts (the loss begins before them), refusals (0.4 %), failures (0.1 %). At fault: `ReplicaPool.homes` divided counts by no less than the number of engines, so that a prefix with a tenth of all requests had two homes until a router had seen a hundred requests, and each restart began that anew.

Change: Good and Turing: what was seen once stands for what was not seen.

--- a/spoolbarrow/admin/state.py
+++ b/spoolbarrow/admin/state.py
@@ -19,8 +19,8 @@
 MOST_HEAT = 2000  # prefixes whose counts are passed on, the most used ones
 OF_ROUTER = ("answer_ms", "hedges", "probe_lag")
 OF_POOL = (
-    "heat_sum", "heat_at", "request_tokens", "zone_load", "zone_memory", "zone_at", "lateness", "home_read",
-    "missed",
+    "heat_sum", "heat_at", "seen", "once", "request_tokens", "zone_load", "zone_memory", "zone_at",
+    "lateness", "home_read", "missed",
 )
 OF_REPLICA = (
     "report_at", "heard_at", "reports", "memory", "load", "slow", "slow_at", "failing", "failed_at",
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -213,7 +213,7 @@
         self.far: list[tuple[int, str, Replica]] = []
         self.walks: dict[tuple[int, int], dict[Replica, None]] = {}
         self.heat: dict[int, float] = {}
-        self.heat_sum = self.heat_at = 0.0
+        self.heat_sum, self.heat_at, self.seen, self.once = 0.0, 0.0, 0.0, 0  # all, of prefixes, of ones
         self.cold: list[Replica] = []
         self.request_tokens = 2000.0  # mean tokens of a request, learnt
         self.zone_load: list[float] = []
@@ -276,7 +276,8 @@
         if now - self.heat_at > HEAT_MS:
             self.heat_at = now
             self.heat = {k: v / 2 for k, v in self.heat.items() if v > 0.5}
-            self.heat_sum /= 2.0
+            self.heat_sum, self.seen = self.heat_sum / 2.0, sum(self.heat.values())
+            self.once = sum(v <= 1.0 for v in self.heat.values())
             self.walks.clear()
         if len(self.walks) >= WALKS_MAX:
             self.walks.clear()  # sessions come and go
@@ -284,9 +285,10 @@
         count = 1
         if request.prefix:
             heat = self.heat[key] = self.heat.get(key, 0.0) + 1.0
-            # Of few requests seen, one says nothing of its prefix's share: it must not ask for many homes.
-            members = len(self.local or self.remote)
-            wanted = SPREAD * members * heat / max(self.heat_sum, members)
+            # What was seen once stands for what was not seen (Good and Turing): the rest alone tells shares.
+            self.seen, self.once = self.seen + 1.0, self.once + (heat <= 1.0) - (1.0 < heat <= 2.0)
+            covered = (self.seen - self.once + 1.0) / (self.seen + 4.0)
+            wanted = SPREAD * len(self.local or self.remote) * covered * heat / (self.heat_sum + 5.0)
             while count < wanted:
                 count *= 2  # coarse steps: nodes that count few requests must still agree on homes
         session = request.session or self.rng.getrandbits(63)
