--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -597,8 +597,8 @@
             first = self.pool.first(*choice[2:])
             busy = soonest[2] * self.pool.lateness >= HOME_BUSY * self.full_ms
             choice = choice if busy and first <= HOME_AIM * request.aim else soonest
-        if choice is None or soonest is None:
-            return self._finish(request)
+        if choice is None or soonest is None:  # with no list yet, all must not come back in one wave
+            return self._finish(request, 0.0 if pool.serving else settings.max_retry_after_ms / 1.5)
         wait, read = soonest[2:]
         slice_rate = self._baseline(request.tenant) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -198,3 +198,13 @@
     for n, name in enumerate(names[:3]):
         router.handle(40.0 + n, [ProbeAnswered(name, Outcome.SERVED, 1.0, Report(0.1, 300_000.0))])
     assert isinstance(ask(router, "q", now=50.0, cls=1), Send)
+
+
+def test_what_comes_before_any_list_is_told_to_come_back_over_the_time_a_start_takes() -> None:
+    """Guards against one wave of all that were refused while routers start."""
+    times = []
+    for seed in range(40):
+        refusal = ask(Router(make_settings(max_retry_after_ms=2000.0), seed), "q")
+        assert isinstance(refusal, Refuse)
+        times.append(refusal.retry_after_ms)
+    assert min(times) >= 1000.0 and max(times) <= 2000.0 and max(times) - min(times) > 800.0
