--- a/tests/test_fleet_harness.py
+++ b/tests/test_fleet_harness.py
@@ -321,4 +321,6 @@
         assert ended.value.code == 2 and named in capsys.readouterr().err
     with pytest.raises(NotObeyed, match="known"):
         Cluster(Path(), {"a": 1}, ["a"], "", known="young")
+    with pytest.raises(NotObeyed, match="begin"):  # a fault of the start, on routers that run
+        script.play(Cluster(Path(), {"a": 1}, ["a"], ""), script.SCRIPTS["third-gone"], begin=False)
     assert router_at(address(70_000)) == "r70000" and router_at("127.0.0.1") == ""
