--- a/spoolbarrow/net/follow.py
+++ b/spoolbarrow/net/follow.py
@@ -85,6 +85,19 @@
         ...
 
 
+@runtime_checkable
+class Watching(Protocol):
+    """A part that learns from what happens at its host."""
+
+    def watch(self, host: Host, table: FleetTable) -> None:
+        """From now on; again with each new table."""
+        ...
+
+    def end(self) -> None:
+        """No more."""
+        ...
+
+
 class Silent(Exception):
     """A member gave no answer that can be used."""
 
@@ -146,6 +159,9 @@
             if kind not in self._parts:
                 module, _, name = PARTS[kind].partition(":")
                 self.add(getattr(import_module(module), name)(self._me))
+        for held in self._parts.values():
+            if isinstance(held.part, Watching):
+                held.part.watch(self._host, table)
 
     def add(self, part: d.Part) -> None:
         """Decide this in common, too, from now on; who adds it has given it what it needs of the host."""
@@ -156,7 +172,10 @@
 
     def remove(self, kind: str) -> None:
         """Decide this no more: plain behaviour."""
-        self._parts.pop(kind).part.adopt(self._host.now(), None)
+        part = self._parts.pop(kind).part
+        part.adopt(self._host.now(), None)
+        if isinstance(part, Watching):
+            part.end()
 
     def stop(self) -> None:
         """Follow no more: as without a store."""
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -177,9 +177,14 @@
     period_ms: Annotated[float, Meta(ge=50)] = 1000.0  # how often the store is asked
     evidence_ms: Annotated[float, Meta(ge=50)] = 5000.0  # how often summaries are written
     call_ms: Annotated[float, Meta(ge=50)] = 1000.0  # a member's whole answer must have come by then
+    only_read: list[str] = []  # engine types that can do nothing else: the split names them, and moves none
+    only_write: list[str] = []
 
 
-PARTS = {"roll": "spoolbarrow.fleet.roll:Roll"}  # by name: module and class, loaded where it is on
+PARTS = {  # by name: module and class, loaded where it is on
+    "roll": "spoolbarrow.fleet.roll:Roll",
+    "pools": "spoolbarrow.net.pools:Split",
+}
 
 
 def fleet_faults(table: FleetTable) -> list[ConfigError]:
@@ -196,6 +201,9 @@
         if name not in PARTS or name in table.parts[:n]:
             why = f"{name!r} is none of {', '.join(PARTS)}, or named twice"
             found.append(ConfigError(f"fleet.parts[{n}]", why))
+    for n, name in enumerate(table.only_write):
+        if name in table.only_read:
+            found.append(ConfigError(f"fleet.only_write[{n}]", f"{name!r} stands in fleet.only_read, too"))
     if table.ttl_s * 1000 < 8 * table.period_ms:
         why = "less than eight times fleet.period_ms: leases would end between looks"
         found.append(ConfigError("fleet.ttl_s", why))
--- a/spoolbarrow/pools/evidence.py
+++ b/spoolbarrow/pools/evidence.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from math import isfinite, log2
 
 import msgspec
@@ -275,8 +275,13 @@
     return found
 
 
-def merged(all_seen: Sequence[Seen], weights: Sequence[float]) -> Seen:
-    """Of several routers; ages are each router's own, so clocks that differ say nothing wrong."""
+def merged(
+    all_seen: Sequence[Seen], weights: Sequence[float], between: Callable[[], None] = lambda: None
+) -> Seen:
+    """Of several routers; ages are each router's own, so clocks that differ say nothing wrong.
+
+    `between` is called after each router.
+    """
     whole = Seen()
     for seen, weight in zip(all_seen, weights, strict=True):
         for key, cell in seen.cells.items():
@@ -286,4 +291,5 @@
             add(mine.read, pace.read)
             add(mine.step, pace.step)
             mine.full = [a + b for a, b in zip(mine.full, pace.full, strict=True)]
+        between()
     return whole
--- a/spoolbarrow/pools/part.py
+++ b/spoolbarrow/pools/part.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
@@ -37,9 +37,13 @@
 
     kind = "pools"
 
-    def __init__(self, now: float, classes: Sequence[RequestClass], portions: Sequence[float] = ()) -> None:
+    def __init__(
+        self, now: float, classes: Sequence[RequestClass], portions: Sequence[float] = (),
+        between: Callable[[], None] = lambda: None,
+    ) -> None:
         self.classes = classes
         self.portions = portions  # of tenants, as shares of 1
+        self.between = between  # called between the pieces of a decision, each a few ms at most
         self.notes = Notes(now)
         self.engines: dict[str, Engine] = {}
         self.plan: Plan | None = None  # acted on
@@ -66,12 +70,17 @@
         """One plan from all summaries, the same whatever their order; None: what stands goes on."""
         before = split.read(last)
         plan = self._without_lost(before or Plan())
-        told = [seen for seen in map(hear, sorted(bodies)) if seen is not None and _current(seen, now)]
+        told = []
+        for body in sorted(bodies):
+            seen = hear(body)
+            if seen is not None and _current(seen, now):
+                told.append(seen)
+            self.between()
         after = self._next(now, plan, told)
         if before is not None and _same(before, after):
             return None
-        body = ENCODE(msgspec.structs.replace(after, at_ms=now))
-        return body if len(body) <= MOST_BODY else None
+        made = ENCODE(msgspec.structs.replace(after, at_ms=now))
+        return made if len(made) <= MOST_BODY else None
 
     # --- the facts
 
@@ -100,7 +109,7 @@
         steered = sum(not e.only for e in self.engines.values())
         if len(self.engines) < 2:
             return _none(plan, "fewer than two engines")
-        whole = merged(told, [_youth(seen) for seen in told])
+        whole = merged(told, [_youth(seen) for seen in told], self.between)
         kinds: dict[str, int] = {}
         for engine in self.engines.values():
             kinds[engine.kind] = kinds.get(engine.kind, 0) + 1
@@ -156,9 +165,12 @@
                 now_lost = judge.lost(now)
             for readers in split.counts(engines, now if limits == stands else 0):
                 tried.append((judge.seen(readers), readers, judge, limits))
+                self.between()
         tried.sort(key=lambda one: one[:2])
-        close = [(judge.lost(readers), readers, judge, limits)
-                 for _, readers, judge, limits in tried[: split.CLOSE]]  # fmt: skip
+        close: list[tuple[list[float], int, split.Judged, list[float]]] = []
+        for _, readers, judge, limits in tried[: split.CLOSE]:
+            close.append((judge.lost(readers), readers, judge, limits))
+            self.between()
         if not close:
             return None
         lost, readers, judge, limits = min(close, key=lambda one: sum(one[0]))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -162,7 +162,7 @@
         "{'click', 'tomllib', 'spoolbarrow.operator', 'spoolbarrow.failover', 'spoolbarrow.net.failover', "
         "'spoolbarrow.agree', 'spoolbarrow.net.agreement', 'spoolbarrow.store', 'gevent.pywsgi', "
         "'http.client', 'spoolbarrow.fleet.documents', "
-        "'spoolbarrow.net.follow', 'spoolbarrow.sessions'}"
+        "'spoolbarrow.net.follow', 'spoolbarrow.net.pools', 'spoolbarrow.pools', 'spoolbarrow.sessions'}"
     )
     code = f"import spoolbarrow.serve, sys; print({unwanted} & set(sys.modules))"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
