--- a/spoolbarrow/pools/split.py
+++ b/spoolbarrow/pools/split.py
@@ -335,14 +335,19 @@
         sizes[engine.zone] = sizes.get(engine.zone, 0) + 1
         reading[engine.zone] = reading.get(engine.zone, 0) + (name in readers)
     sign = 1 if change > 0 else -1
-    free = [name for name in names if (name in readers) is (change < 0)]
+    # Cold ones have little to lose, but the zones' proportion comes first: reading must be near.
+    free: dict[int, list[tuple[bool, int, str]]] = {}  # by zone, the best last
+    for name in names:
+        if (name in readers) is (change < 0):
+            free.setdefault(engines[name].zone, []).append(
+                (not engines[name].cold, sign * score(name), name))  # fmt: skip
+    for some in free.values():
+        some.sort(reverse=True)
     chosen: list[str] = []
-    for _ in range(min(abs(change), len(free))):
-        # Cold ones have little to lose, but the zones' proportion comes first: reading must be near.
-        best = min(free, key=lambda n: (
-            sign * reading[engines[n].zone] / sizes[engines[n].zone], not engines[n].cold, sign * score(n),
-        ))  # fmt: skip
-        free.remove(best)
-        chosen.append(best)
-        reading[engines[best].zone] += sign
+    while free and len(chosen) < abs(change):
+        zone = min(free, key=lambda z: (sign * reading[z] / sizes[z], free[z][-1]))
+        chosen.append(free[zone].pop()[2])
+        reading[zone] += sign
+        if not free[zone]:
+            del free[zone]
     return chosen
