--- a/spoolbarrow/lab/followed.py
+++ b/spoolbarrow/lab/followed.py
@@ -20,15 +20,16 @@
 class Followed(Cluster):
     """`operator` ends with the table `[fleet]`, without its members; `controls` are their addresses.
 
-    Where it waits for routers it does so for `bound_s` at most, unless it is told otherwise.
+    Where it waits for routers it does so for `bound_s` at most, unless it is told otherwise. `options` as of
+    `Cluster`.
     """
 
     def __init__(
         self, folder: Path, engines: int, routers: int, operator: str, controls: Sequence[str],
-        bound_s: float,
+        bound_s: float, **options: Any,
     ) -> None:
         self.bound_s = bound_s
-        super().__init__(folder, {"a": engines}, ["a"] * routers, self._told)
+        super().__init__(folder, {"a": engines}, ["a"] * routers, self._told, **options)
         self._text, self._asked = operator, list(controls)
         targets = self._asked * routers
         self.calls = Process("-m", "spoolbarrow.lab.proxy", str(LIFE_S), *targets, stdin=True)
@@ -74,16 +75,16 @@
         """By what a router goes about a shared document."""
         return str(self.fleet(number)["documents"][key]["mode"])
 
-    def holder(self) -> int:
-        """The router that holds the roll's lease, as it says itself."""
+    def holder(self, kind: str = "roll") -> int:
+        """The router that holds a part's lease, as it says itself."""
         found: list[int] = until(
-            lambda: [n for n in range(len(self.ports)) if self.part(n)["holds"]], self.bound_s
+            lambda: [n for n in range(len(self.ports)) if self.part(n, kind)["holds"]], self.bound_s
         )
         return found[0]
 
-    def epoch(self, number: int) -> int:
-        """Of the decision of the roll that a router acts on; 0 for none."""
-        return int(self.part(number)["epoch"] or 0)
+    def epoch(self, number: int, kind: str = "roll") -> int:
+        """Of the decision of a part that a router acts on; 0 for none."""
+        return int(self.part(number, kind)["epoch"] or 0)
 
     def wait_suspended(
         self, revision: int, *engines: str, routers: Iterable[int] | None = None, seconds: float = 0.0
--- a/spoolbarrow/lab/standin.py
+++ b/spoolbarrow/lab/standin.py
@@ -4,7 +4,9 @@
 
 FIGURES (JSON, `cold.Figures`) gives them a capacity, a bound on connections, and a fall. Lines on standard
 input: `ENGINES MODE [VALUE]`, the engines by index (`0,3,4`, or `*`), the mode `well`, `error` (500), `full`
-(503, unprocessed, with VALUE as `Retry-After`), `slow MS` (to the first event), `down` (refuses connections;
+(503, unprocessed, with VALUE as `Retry-After`), `slow MS` (to the first event), `asked` (as each
+request's `X-Facts` say: `lab_first` ms to the first event, then `max_out` tokens `lab_pace` ms apart, and a
+usage that tells them), `down` (refuses connections;
 those that are open are reset) or `restart` (a new process: cold where there are FIGURES, answered with its
 start in Unix ms); `counts`, answered with what each was sent; `mark`: seconds are counted from now on. It
 ends after SECONDS.
@@ -27,11 +29,12 @@
 from spoolbarrow.lab import loopback
 from spoolbarrow.lab.cold import Cold, Figures
 from spoolbarrow.lab.orders import obey_lines
-from spoolbarrow.lab.wire import EVENT, HEAD, PLAIN, RESET, chunk, facts
+from spoolbarrow.lab.wire import EVENT, HEAD, PLAIN, RESET, USAGE, chunk, facts
 from spoolbarrow.net.http1 import RequestParser
 
 EVENTS, GAP_S = 4, 0.02  # of an answer, and between them
-MODES = {"well": 0, "error": 0, "full": 1, "slow": 1, "down": 0, "restart": 0}  # values that each may have
+# Values that each may have.
+MODES = {"well": 0, "error": 0, "full": 1, "slow": 1, "asked": 0, "down": 0, "restart": 0}
 MOST_SECONDS = 900  # that are counted one by one; what comes later counts in the last
 KINDS = ("handshakes", "probes", "work")
 CALM = b"x1=0,load_share=0.1,x0=0.1"
@@ -205,14 +208,20 @@
             sock.sendall(PLAIN % (b"503 Service Unavailable", b"X-Unprocessed: 1\r\n" + later, 0, b""))
             return
         late = self.value if self.mode == "slow" else 0.0
+        gap_s, end = GAP_S, b""
+        if self.mode == "asked":
+            told = facts(message)
+            late, tokens = float(told["lab_first"]), int(told["max_out"])
+            gap_s = float(told["lab_pace"]) * (tokens - 1) / (EVENTS - 1) / 1000.0
+            end = chunk(USAGE % (int(told["prompt_len"]), tokens, 0))
         if taken + late > done:
             gevent.sleep((taken + late - done) / 1000.0)
         event = EVENT % (b"word", b"null")
         sock.sendall(HEAD + chunk(event))
         for _ in range(EVENTS - 1):
-            gevent.sleep(GAP_S)
+            gevent.sleep(gap_s)
             sock.sendall(chunk(event))
-        sock.sendall(chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
+        sock.sendall(end + chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
 
     def _report(self, cold: Cold) -> bytes:
         waiting = cold.waiting(self._now())
--- a/spoolbarrow/net/pools.py
+++ b/spoolbarrow/net/pools.py
@@ -91,6 +91,7 @@
         self._listing: object = None  # of which the engines are
         self._open: dict[str, _Open] = {}
         self._decided_at = -1e18
+        self._decided: dict[str, object] | None = None  # of the last decision made here
         self._plan: split.Plan | None = None  # as it was last adopted, one without a split as well
         self.unnoted = 0  # requests beyond MOST_OPEN
 
@@ -126,7 +127,11 @@
         # Of its own: while it gives way, the list may change, and one decision must be of one list.
         judge = Pools(now, self._pools.classes, self._pools.portions, self._give_way)
         judge.listed(self._pools.engines)
-        return judge.decide(now, bodies, last)
+        made = judge.decide(now, bodies, last)
+        number = 1 + (int(str(self._decided["number"])) if self._decided is not None else 0)
+        took_ms = round(self._host.now() - now) if self._host is not None else 0
+        self._decided = {"number": number, "summaries": len(bodies), "took_ms": took_ms}
+        return made
 
     def adopt(self, now: float, body: bytes | None) -> bool:
         """Tell this split from now on, or none."""
@@ -156,6 +161,7 @@
         return {
             "split": stands, "why": "no decision stands" if plan is None else plan.why,
             "wanted": None if plan is None or not any(plan.wanted) else list(plan.wanted),
+            "decided": self._decided,
             "own": {
                 "asked": round(sum(cell.weight() for cell in cells), 1),
                 "answered": round(sum(cell.answered for cell in cells), 1),
--- /dev/null
+++ b/tests/test_fleet_pools.py
@@ -0,0 +1,346 @@
+"""The pool's split told by five routers that follow three members of the store, with faults between them.
+
+One set of processes for all cases, in their order: the traffic turns, and a split stands; then each case
+names its fault and its bound, and ends when all are alike again. One router sees only long prompts, one only
+short ones, the others both. Stand-in engines take as long as each request says, so what is late is known.
+Leases live TTL_S / 2, decisions TTL_S without word, summaries count for 1.05 s; one decides every 2 s.
+Bounds are several times what is needed at rest: a machine may be busy. In all cases all routers tell one
+split or none, and at the end each request has its answer that was not at a router which a case killed or
+stopped.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from math import nan
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+from unittest.mock import Mock
+
+import msgspec
+import pytest
+
+from spoolbarrow import interface as i
+from spoolbarrow.config import ListEntry
+from spoolbarrow.fleet.documents import EVIDENCE, Summary, write
+from spoolbarrow.lab.cluster import Answer, Load, call
+from spoolbarrow.lab.followed import Followed, at_key, until
+from spoolbarrow.net import pools
+from spoolbarrow.net.http1 import Fault, Message
+from spoolbarrow.net.request import Attempt, Request
+from spoolbarrow.net.taps import Taps
+from spoolbarrow.operator import FleetTable
+from spoolbarrow.pools import sketch
+from spoolbarrow.pools.evidence import Notes, hear
+from tests.test_fleet_store import Members, ask
+
+ALL = range(5)
+ENGINES = 6
+KIND = "pools"
+TTL_S = 3.0
+SPLIT_S = 40.0  # the traffic has turned: 60 requests weighed by age, 12 s to forget, a decision, slack
+TAKEN_S = 20.0  # a holder is gone: TTL_S, calls at three members, an evidence age, a decision, and slack
+SILENT_S = 15.0  # a router without word tells none
+LOST_S = 15.0  # an engine has left the list: two decisions, and slack
+TOKENS, READ_US, STEP_MS, SLOW_MS = 2400, 81.0, 31.0, 45.0  # a third of the streams is slow: late
+CLIENTS = ("rrrr", "wwwwww", "rrwww", "rrwww", "rrwww")  # of each router: those that read, those that write
+EVERY_S = {"r": 1.4, "w": 2.8}  # between a client's requests
+OPERATOR = f"""
+[agree]
+revision = 1
+period_ms = 50
+[fleet]
+parts = ["{KIND}"]
+ttl_s = {TTL_S}
+period_ms = 100
+evidence_ms = 300
+call_ms = 800
+"""
+SETTINGS = {
+    "Classes": [
+        {"Name": "r", "AimMs": 2500.0, "DeadlineMs": 8000.0, "Effect": "retryable", "Stream": True},
+        {"Name": "w", "AimMs": 600.0, "DeadlineMs": 8000.0, "Effect": "retryable", "Stream": True},
+    ],
+    "Specifics": {"TokenAimMs": [0.0, 40.0]},
+}
+
+
+class Mixed(Load):
+    """Clients that read and clients that write; prompts that are read are `longer` times as long."""
+
+    def __init__(self, made: Fleet) -> None:
+        self.longer = 1
+        super().__init__(made, clients=max(map(len, CLIENTS)))
+
+    def _ask(self, port: int, router: int, client: int) -> None:
+        if client >= len(CLIENTS[router]):
+            return
+        kind = CLIENTS[router][client]
+        due = time.monotonic() + EVERY_S[kind] * ((5 * client + router) * 0.618 % 1.0)
+        for sent in range(10_000):
+            if self._stop.wait(max(0.0, due - time.monotonic())):
+                return
+            due = max(due + EVERY_S[kind], time.monotonic() - EVERY_S[kind])
+            spread = 0.6 + 0.8 * (sent * 0.618 % 1.0)
+            prompt = round(spread * (TOKENS * self.longer if kind == "r" else 175))
+            answer, pace = (8, STEP_MS) if kind == "r" else (60, STEP_MS if (sent + client) % 3 else SLOW_MS)
+            text = (
+                f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\n"
+                f"X-Correlation-Id: r{router}-{client}-{sent}\r\nX-Service-Class: {kind}\r\n"
+                f"X-Account: acme\r\nX-Session-Key: {router:04x}{client:04x}{sent:x}\r\n"
+                f"X-Time-Left-Ms: 8000\r\nX-Facts: prompt_len={prompt},max_out={answer},"
+                f"lab_first={prompt * READ_US / 1000.0:g},lab_pace={pace:g}\r\n"
+                f"Content-Length: 2\r\nConnection: close\r\n\r\n{{}}"
+            ).encode()
+            begun = time.monotonic()
+            try:
+                status, _ = call(port, text, 20.0)
+            except (OSError, Fault):
+                status = 0
+            now = time.monotonic()
+            self.answers.append(Answer(now, router, status, (now - begun) * 1000))
+
+
+class Fleet(Followed):
+    """Five routers, six engines, and three members."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = Members(folder)
+        super().__init__(folder, ENGINES, 5, OPERATOR, self.store.controls, TAKEN_S, settings=SETTINGS)
+        self.started += [*self.store.processes, self.store.proxy]
+
+    def told(self, number: int) -> dict[str, Any]:
+        """What a router tells of the part, with the decision that it acts on."""
+        versions = self.control(number, "versions")
+        part: dict[str, Any] = versions["fleet"]["parts"][KIND]
+        acts = versions["versions"].get(f"fleet/{KIND}")
+        return part | {"acts": acts and (acts["number"], acts["digest"])}
+
+    def readers(self, number: int) -> list[str]:
+        """The engines that a router tells to read; none without a split."""
+        split = self.told(number)["split"]
+        return split["readers"] if split is not None else []
+
+    def wait_one(self, routers: Iterable[int] = ALL, seconds: float = TAKEN_S, **wanted: Any) -> list[str]:
+        """Until these routers tell one decision alike, of at least `epoch`, with a split or not; its readers.
+
+        `split`: whether there must be one; `without`: an engine that it does not name.
+        """
+        def one() -> list[dict[str, Any]] | None:
+            told = [self.told(n) for n in routers]
+            first = told[0]
+            same = all((t["acts"], t["split"], t["why"]) == (first["acts"], first["split"], first["why"])
+                       for t in told)  # fmt: skip
+            readers = first["split"]["readers"] if first["split"] is not None else []
+            right = (
+                first["acts"] is not None and first["epoch"] >= wanted.get("epoch", 0)
+                and wanted.get("split", bool(readers)) is bool(readers)
+                and wanted.get("without", "") not in readers
+            )
+            return told if same and right else None
+
+        try:
+            split = until(one, seconds)[0]["split"]
+        except TimeoutError:
+            raise AssertionError("\n".join(str(self.told(n)) for n in routers)) from None
+        return split["readers"] if split is not None else []
+
+    def decisions(self, number: int) -> int:
+        """That a router has made."""
+        decided = self.told(number)["decided"]
+        return decided["number"] if decided is not None else 0
+
+    def say(self, router: str, sequence: int, body: bytes) -> None:
+        """Write a summary by hand."""
+        text = write(Summary(router, "by-hand", sequence, time.time() * 1000.0, body))
+        until(lambda: any(ask(member, "PUT", at_key(f"{EVIDENCE}{KIND}/{router}"), text)[0] == 200
+                          for member in self.store.controls))
+
+    def list(self, *out: int) -> None:
+        """Have the service list all engines but these."""
+        self.out = set(out)
+        self.list_again()
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[tuple[Fleet, Mixed]]:
+    made = Fleet(tmp_path_factory.mktemp("pools"))
+    try:
+        made.start()
+        made.engines.tell("* asked")
+        load = Mixed(made)
+        try:
+            yield made, load
+        finally:
+            load.stop()
+        answered = Counter(one.status for one in load.answers if one.router not in made.ended)
+        assert set(answered) <= {200, 503} and load.statuses()[200] > 50 > 10 * answered[503]
+    finally:
+        made.end()
+        made.store.end()
+
+
+@pytest.fixture
+def fleet(running: tuple[Fleet, Mixed]) -> Iterator[Fleet]:
+    """All alike before a case, and after it."""
+    running[0].wait_one()
+    yield running[0]
+    running[0].wait_one()
+
+
+@pytest.fixture
+def load(running: tuple[Fleet, Mixed]) -> Mixed:
+    return running[1]
+
+
+def test_prompts_three_times_as_long_make_one_split_of_what_no_router_sees_alone(
+    fleet: Fleet, load: Mixed
+) -> None:
+    """Traffic that turns at once, one router seeing long prompts alone, one short ones: none before, and in
+    SPLIT_S all tell one split, its item in the versions the same; engines get requests as before."""
+    until(lambda: {fleet.told(n)["why"] for n in ALL} == {"no gain predicted"}, SPLIT_S)
+    load.longer = 3
+    readers = fleet.wait_one(seconds=SPLIT_S, split=True)
+    assert 0 < len(readers) < ENGINES
+    split = fleet.told(0)["split"]
+    assert set(split["reads_from"]) == {"r"} and split["late_with"] < split["late_without"]
+    assert all(fleet.routers[n].events("fleet_split")[-1]["readers"] == len(readers) for n in ALL)
+    before = [fleet.sent(n) for n in range(ENGINES)]
+    until(lambda: all(fleet.sent(n) > before[n] for n in range(ENGINES)))  # told, not steered
+
+
+def test_summaries_of_yesterday_garbage_and_hostile_ones_count_as_absent(fleet: Fleet) -> None:
+    """Under five names by hand, each said thrice: two decisions later (LOST_S) the split stands as it stood."""
+    fleet.wait_one(split=True)
+    since = fleet.told(0)["split"]["since_ms"]
+    now = time.time() * 1000.0
+    old = Notes(now - 86_400_000.0 - 60_000.0)
+    for n in range(2000):
+        old.asked(now - 86_400_000.0 - 20_000.0 + 10 * n, 1, 0, 100, 100)
+    cell = [0, 0, 10.0, 0.0, [[], [], [], []]]
+    spans = [{12: (nan, 1.0, 1.0)}, {12: (-5.0, 1.0, 1.0)}, {12: (1e18, 1e18, 1e18)}]
+    hostile = [msgspec.msgpack.encode([1, now, now - 60_000.0, [[*cell, span]], {}]) for span in spans]
+    right = msgspec.msgpack.encode([1, now, now - 60_000.0, [[*cell, {12: (5.0, 2e4, 8e7)}]], {}])
+    assert hear(right) is not None and not any(map(hear, hostile))  # by their figures, not by their form
+    bodies = [old.body(now - 86_400_000.0), b"\xff" * 500, *hostile]
+    holder = fleet.holder(KIND)
+    before, sequence = fleet.decisions(holder), 0
+    assert before > 0
+
+    def seen() -> bool:
+        nonlocal sequence
+        sequence += 1
+        for n, body in enumerate(bodies):
+            fleet.say(f"hand{n}", sequence, body)
+        decided = fleet.told(holder)["decided"]
+        return bool(decided["number"] >= before + 2 and decided["summaries"] == 10)
+
+    until(seen, LOST_S)
+    fleet.wait_one(split=True)
+    assert {fleet.told(n)["split"]["since_ms"] for n in ALL} == {since}
+
+
+def test_an_engine_that_is_gone_is_named_by_nobody(fleet: Fleet) -> None:
+    """One that reads leaves the list: in LOST_S all tell one split without it, or none."""
+    gone = fleet.wait_one(split=True)[0]
+    fleet.list(fleet.names.index(gone))
+    fleet.wait_one(seconds=LOST_S, without=gone)
+    fleet.list()
+
+
+def test_a_holder_killed_between_decision_and_commit_leaves_no_half_of_it(fleet: Fleet) -> None:
+    """SIGKILL while its decision is on the way, the write lost: the others tell one of theirs in TAKEN_S."""
+    gone = fleet.wait_one(split=True)[0]
+    holder, epoch = fleet.holder(KIND), fleet.epoch(0, KIND)
+    left = [n for n in ALL if n != holder]
+    fleet.to_store("delay 120", [holder])  # each way: so long is a write on its way
+
+    def made() -> int:
+        return sum(e["kind"] == KIND for e in fleet.routers[holder].events("fleet_decided"))
+
+    before = made()
+    fleet.list(fleet.names.index(gone))
+    until(lambda: made() > before, LOST_S)
+    fleet.kill_router(holder)
+    fleet.to_store("reset", [holder])
+    fleet.wait_one(left, epoch=epoch + 1, without=gone)
+    fleet.list()
+    fleet.to_store("pass")
+    fleet.restart_router(holder)
+
+
+def test_routers_cut_off_from_the_store_tell_none_and_the_others_one(fleet: Fleet, load: Mixed) -> None:
+    """Three of five, the holder among them, cut off while a split stands and prompts get short again: none in
+    SILENT_S, plain behaviour; the two others one decision of themselves in TAKEN_S."""
+    fleet.wait_one(seconds=SPLIT_S, split=True)
+    holder, epoch = fleet.holder(KIND), fleet.epoch(0, KIND)
+    load.longer = 1
+    cut = [(holder + n) % 5 for n in range(3)]
+    left = [n for n in ALL if n not in cut]
+    fleet.to_store("drop", cut)
+    until(lambda: all(fleet.told(n)["acts"] is None for n in cut), SILENT_S)
+    assert [fleet.readers(n) for n in cut] == [[]] * 3
+    fleet.wait_one(left, epoch=epoch + 1)
+    fleet.to_store("pass")
+
+
+def test_a_holder_that_was_stopped_and_wakes_writes_nothing(fleet: Fleet) -> None:
+    """SIGSTOP until the others tell one newer decision (TAKEN_S), then SIGCONT: it tells theirs in
+    TAKEN_S, and no older one was ever written."""
+    holder, epoch = fleet.holder(KIND), fleet.epoch(0, KIND)
+    left = [n for n in ALL if n != holder]
+    fleet.ended.add(holder)  # what its clients get while it is stopped is no test of it
+    fleet.routers[holder].popen.send_signal(signal.SIGSTOP)
+    try:
+        fleet.wait_one(left, epoch=epoch + 1)
+    finally:
+        fleet.routers[holder].popen.send_signal(signal.SIGCONT)
+    fleet.wait_one(epoch=epoch + 1)
+    assert not fleet.told(holder)["holds"] and {fleet.told(n)["refused"] for n in ALL} == {0}
+
+
+def test_what_requests_showed_is_noted_and_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Served, left in the middle, refused, and one too many; a usage that can't be is none."""
+    monkeypatch.setattr(pools, "MOST_OPEN", 3)
+    classes = (i.RequestClass(1000.0, 5000.0, 1.0, token_aim_ms=40.0),)
+    lines = [ListEntry("e0", "", "z", "big")]
+    host: Any = SimpleNamespace(
+        now=lambda: 9000.0, taps=Taps(),
+        config=SimpleNamespace(
+            settings=i.Settings(nodes=1, classes=classes), classes={}, tenants={}, zones={}),
+        destinations=SimpleNamespace(listing=dict, seen=lambda: (1, lines), serving=lambda name: True),
+    )
+    part = pools.Split("r0")
+    part.watch(host, FleetTable(["m"], only_read=["big"]))
+
+    def request(key: str) -> Any:
+        made = Request(key, key, Message(), Mock(), i.RequestArrived(key, 0, 0.0), 5000.0, 9e9)
+        host.taps.request_taken(made, i.RequestArrived(key, 0, 0.0, prompt_tokens=1000))
+        return made
+
+    served, left, refused, beyond = (request(key) for key in "abcd")
+    for one in (served, left):
+        one.stream = Attempt(one, 0, "e0", 5100.0)
+        one.stream.first_at = 5900.0
+        host.taps.passed_on(one, [b"data: {}\n\n", b"data: {}\n\n"])
+    host.taps.passed_on(served, [b'data: {"usage":{"completion_tokens":63,'
+                                 b'"prompt_tokens_details":{"cached_tokens":400}}}\n\n'])
+    for one, how in ((served, "served"), (left, "left"), (refused, "fail_fast"), (beyond, "served")):
+        one.end(how)
+        host.taps.request_answered(one)
+    cell = part._pools.notes.seen.cells[0, 0]
+    pace = part._pools.notes.seen.paces["big"]
+    assert (sum(cell.ended.values()), sum(cell.cut.values()), cell.answered, cell.late) == (1, 1, 3, 2)
+    assert sketch.quantile(cell.ended, 0.5) == pytest.approx(63, rel=0.05)
+    assert sketch.quantile(cell.cut, 0.5) == pytest.approx(2, abs=0.2)
+    assert sketch.quantile(cell.unread, 0.1) == pytest.approx(600, rel=0.05)
+    assert sketch.quantile(pace.read, 0.5) == pytest.approx(800_000 / 600, rel=0.05)
+    assert part._pools.engines["e0"].only == "read" and part.unnoted == 1 and not part._open
+    for tail in (b"", b'data: {"usage":{"completion_tokens":-1}}\n', b'data: {"usage":[]}\n', b'"usage"'):
+        assert pools.usage(tail) is None
+    part.end()
+    assert not host.taps.active
