--- a/spoolbarrow/net/pools.py
+++ b/spoolbarrow/net/pools.py
@@ -91,7 +91,8 @@
         self._listing: object = None  # of which the engines are
         self._open: dict[str, _Open] = {}
         self._decided_at = -1e18
-        self._decided: dict[str, object] | None = None  # of the last decision made here
+        self._decisions = 0  # made here
+        self._decided: dict[str, object] | None = None  # of the last of them
         self._plan: split.Plan | None = None  # as it was last adopted, one without a split as well
         self.unnoted = 0  # requests beyond MOST_OPEN
 
@@ -128,9 +129,9 @@
         judge = Pools(now, self._pools.classes, self._pools.portions, self._give_way)
         judge.listed(self._pools.engines)
         made = judge.decide(now, bodies, last)
-        number = 1 + (int(str(self._decided["number"])) if self._decided is not None else 0)
-        took_ms = round(self._host.now() - now) if self._host is not None else 0
-        self._decided = {"number": number, "summaries": len(bodies), "took_ms": took_ms}
+        self._decisions += 1
+        took_ms = round(self._host.now() - now) if self._host is not None else 0  # it may have ended meanwhile
+        self._decided = {"number": self._decisions, "summaries": len(bodies), "took_ms": took_ms}
         return made
 
     def adopt(self, now: float, body: bytes | None) -> bool:
--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -33,7 +33,7 @@
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.request import Attempt, Request
 from spoolbarrow.net.taps import Taps
-from spoolbarrow.operator import FleetTable
+from spoolbarrow.operator import FleetTable, fleet_faults
 from spoolbarrow.pools import sketch
 from spoolbarrow.pools.evidence import Notes, hear
 from tests.test_fleet_store import Members, ask
@@ -214,7 +214,7 @@
 
 
 def test_summaries_of_yesterday_garbage_and_hostile_ones_count_as_absent(fleet: Fleet) -> None:
-    """Under five names by hand, each said thrice: two decisions later (LOST_S) the split stands as it stood."""
+    """Under five names by hand, each said thrice: two decisions later (LOST_S) the split stands as before."""
     fleet.wait_one(split=True)
     since = fleet.told(0)["split"]["since_ms"]
     now = time.time() * 1000.0
@@ -344,3 +344,5 @@
         assert pools.usage(tail) is None
     part.end()
     assert not host.taps.active
+    both = FleetTable(["127.0.0.1:7200"], only_read=["big"], only_write=["small", "big"])
+    assert ["fleet.only_write[1]" in str(fault) for fault in fleet_faults(both)] == [True]
