--- a/spoolbarrow/net/pools.py
+++ b/spoolbarrow/net/pools.py
@@ -130,7 +130,8 @@
         judge.listed(self._pools.engines)
         made = judge.decide(now, bodies, last)
         self._decisions += 1
-        took_ms = round(self._host.now() - now) if self._host is not None else 0  # it may have ended meanwhile
+        # Meanwhile it may have been ended.
+        took_ms = round(self._host.now() - now) if self._host is not None else 0
         self._decided = {"number": self._decisions, "summaries": len(bodies), "took_ms": took_ms}
         return made
 
--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -252,6 +252,20 @@
     fleet.list()
 
 
+def test_a_router_whose_file_names_the_part_no_more_tells_nothing_of_it(fleet: Fleet) -> None:
+    """SIGHUP with other parts: nothing told in LOST_S, and it serves; SIGHUP back: one in TAKEN_S."""
+    file = fleet.folder / "operator0.toml"
+    text = file.read_text()
+    file.write_text(text.replace(f'parts = ["{KIND}"]', "parts = []").replace("revision = 1", "revision = 2"))
+    fleet.hang_up([0])
+    until(lambda: fleet.fleet(0)["parts"] == {} and fleet.acts(0, f"fleet/{KIND}") == (0, ""), LOST_S)
+    file.write_text(text.replace("revision = 1", "revision = 3"))
+    fleet.hang_up([0])
+    until(lambda: fleet.fleet(0)["parts"], LOST_S)
+    fleet.wait_one()
+    until(lambda: fleet.told(0)["own"]["answered"] > 0)
+
+
 def test_a_holder_killed_between_decision_and_commit_leaves_no_half_of_it(fleet: Fleet) -> None:
     """SIGKILL while its decision is on the way, the write lost: the others tell one of theirs in TAKEN_S."""
     gone = fleet.wait_one(split=True)[0]
