Have a store member with an older file count for nothing until it has caught up

A member begun again with a copy of its file got nothing until the leader changed, and the leader went on counting what it had answered for: a committed entry could be lost. Each process now has a life that all keep.

--- a/spoolbarrow/lab/quorum.py
+++ b/spoolbarrow/lab/quorum.py
@@ -1,16 +1,17 @@
 """Members of the store in virtual time: clocks, disks and a network that fail, and what must hold yet.
 
 One seed is one history: messages are lost, delayed, doubled and overtaken, members are cut off (one way too),
-crash between any two writes and come back with what their disks hold, clocks leap. At every step it is held:
-one leader a term; nobody applies another entry at an index than the others did, or leaves one out; what was
-applied anywhere is never lost; at the end, logs match where terms do. Once the faults end, a new entry must
-be committed everywhere, in bounded time. `Broken` tells which of these does not hold.
+crash between any two writes and come back with what their disks hold or with an older copy of it (fewer than
+a majority at once), clocks leap. At every step it is held: one leader a term; nobody applies another entry
+at an index than the others did, or leaves one out; what was applied anywhere is never lost; at the end, logs
+match where terms do. Once the faults end, a new entry must be committed everywhere, in bounded time. `Broken`
+tells which of these does not hold.
 """
 
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from heapq import heappop, heappush
 from random import Random
 
@@ -21,6 +22,7 @@
     Entry,
     Hard,
     Install,
+    Known,
     Message,
     Raft,
     Ready,
@@ -36,7 +38,9 @@
 HEALED_MS = 6000.0  # in which a new entry must be everywhere
 KEPT = 12  # entries that a member keeps before it compacts
 CHANCES = {"crash_in_save": (0.01, 0.2), "crash_voting": (0.3, 0.9), "crash_leading": (0.02, 0.2)}
-FAULTS = ("net", "net", "cut", "one way", "crash", "leap", "all", *CHANCES)
+FAULTS = ("net", "net", "cut", "one way", "crash", "leap", "all", "old", "old", *CHANCES)
+# From a member's end to its beginning with an older file: what its last process sent has arrived by then.
+RESTORE_MS = 1600.0
 SPREADS = (0.05, 1.0)  # of elections: at once, or one after the other
 
 
@@ -63,11 +67,25 @@
         # The disk:
         self.hard, self.snapshot = Hard(), Snapshot()
         self.entries: list[Entry] = []
+        self.lives: Mapping[str, int] = {}
+        self.kept: list[Saved] = []  # copies of it, each made while no process ran
+        self.down_at = 0.0
+        self.old = False  # began with one of these, and is not sure yet
         # What the process has applied, all of it:
         self.state: list[str] = []
         self.applied = 0
 
 
+    def saved(self) -> Saved:
+        """What the disk holds."""
+        return Saved(self.hard, self.snapshot, tuple(self.entries), self.lives)
+
+    def lay_back(self, saved: Saved) -> None:
+        """An older file stands in its place."""
+        self.hard, self.snapshot, self.lives = saved.hard, saved.snapshot, saved.lives
+        self.entries, self.old = list(saved.entries), True
+
+
 class Play:
     """One history by its seed. `make` builds members: a mutant, to see that it is found."""
 
@@ -85,7 +103,7 @@
         self.leaders: dict[int, str] = {}  # by term
         self.applied: dict[int, Entry] = {}  # by index: what was applied first anywhere
         self.proposed = 0
-        self.steps = 0
+        self.steps = self.restored = 0
         self.crash_in_save = 0.0  # chance, at each write
         self.crash_voting = self.crash_leading = 0.0  # at each vote given, and each message of a leader's
 
@@ -134,7 +152,7 @@
         if member.raft is not None:
             return
         member.life += 1
-        saved = Saved(member.hard, member.snapshot, tuple(member.entries))
+        saved = member.saved()
         rng = Random(self.rng.random())
         try:
             member.raft = self.make(name, self.names, self.now + member.leap, rng, saved, self.settings)
@@ -143,12 +161,31 @@
         self._load(member, member.snapshot)
         self.at(self.now, self.tick, name, member.life)
 
-    def crash(self, name: str) -> None:
-        """Its process ends; the disk stays."""
+    def crash(
+        self, name: str, away: tuple[float, float] | None = None, again: Callable[[str], None] | None = None
+    ) -> None:
+        """Its process ends; the disk stays, and a copy of it is kept."""
         member = self.members[name]
+        if member.raft is not None:
+            member.down_at = self.now
+            member.kept.append(member.saved())
         member.raft = None
-        away = (1.0, 20.0) if self.rng.random() < 0.5 else (50.0, 1500.0)
-        self.at(self.now + self.rng.uniform(*away), self.start, name)
+        away = away or ((1.0, 20.0) if self.rng.random() < 0.5 else (50.0, 1500.0))
+        self.at(self.now + self.rng.uniform(*away), again or self.start, name)
+
+    def restore(self, name: str) -> None:
+        """Begin a member that was down long enough with an older file; see RESTORE_MS."""
+        member = self.members[name]
+        if member.raft is not None or self.now - member.down_at < RESTORE_MS:
+            return
+        others = [one for one in self.members.values() if one is not member]
+        quorum = len(self.names) // 2 + 1
+        known = sorted(one.lives.get(name, 0) for one in others)[quorum - 2]  # by all but too few to be asked
+        kept = [saved for saved in member.kept if saved.lives.get(name, 0) < known]
+        if kept and sum(one.old for one in others) + 1 < quorum:
+            self.restored += 1
+            member.lay_back(self.rng.choice(kept))
+        self.start(name)
 
     def tick(self, name: str, life: int) -> None:
         """Time passes for one."""
@@ -185,6 +222,7 @@
             write()
         raft = member.raft
         assert raft is not None
+        member.old &= not raft.sure
         for message in ready.messages:
             self.send(message)
             voting = isinstance(message, Vote) and message.granted and not message.pre
@@ -204,6 +242,8 @@
     def _writes(self, member: Member, ready: Ready) -> Iterator[Callable[[], None]]:
         if ready.hard is not None:
             yield lambda: setattr(member, "hard", ready.hard)
+        if ready.lives is not None:
+            yield lambda: setattr(member, "lives", ready.lives)
         if ready.snapshot is not None or ready.truncate is not None or ready.entries:
             yield lambda: self._save_log(member, ready)
 
@@ -264,6 +304,10 @@
             self.at(end, self.cut.difference_update, pairs)
         elif kind == "crash":
             self.crash(rng.choice(self.names))
+        elif kind == "old":
+            name = rng.choice(self.names)
+            if self.members[name].raft is not None:
+                self.crash(name, (RESTORE_MS + 1.0, 2 * RESTORE_MS), self.restore)
         elif kind in CHANCES:
             setattr(self, kind, rng.uniform(*CHANCES[kind]))
             self.at(end, setattr, self, kind, 0.0)
@@ -283,7 +327,9 @@
         self.calm()
         self.cut.clear()
         self.crash_in_save = self.crash_voting = self.crash_leading = 0.0
-        for name in self.names:
+        for name, member in self.members.items():
+            if member.raft is not None:  # a clock that was set back does not stand still any longer
+                member.leap = max(member.leap, member.raft.now - self.now)
             self.start(name)
 
     def _match(self) -> None:
@@ -379,7 +425,31 @@
         return structs.replace(ready, entries=ready.entries[:-1]) if self._rng.random() < 0.1 else ready
 
 
+class CountsLost(Raft):
+    """Counts on what a member had before it began with an older file, and on those that count for nothing."""
+
+    def _begins(self, peer: object, answer: object) -> bool:
+        return False
+
+    def _counts(self, answer: object) -> bool:
+        return True
+
+
+class TrustsItsFile(Raft):
+    """Takes part whatever others know of its later lives."""
+
+    def _knows(self, known: Known) -> None:
+        super()._knows(structs.replace(known, life=min(known.life, self.lives.get(self.me, 0))))
+
+
+class SureTooSoon(Raft):
+    """Takes part again as soon as others have answered, whatever it lacks."""
+
+    def _has_all(self) -> bool:
+        return self._not_behind()
+
+
 MUTANTS = (
     VoteForgotten, VotesTwice, VotesForStale, CommitsOldTerm, AppendsBlindly, KeepsConflicts, CommitsBeyond,
-    SmallQuorum, EntriesUnsaved,
+    SmallQuorum, EntriesUnsaved, CountsLost, TrustsItsFile, SureTooSoon,
 )
--- a/spoolbarrow/net/troubles.py
+++ b/spoolbarrow/net/troubles.py
@@ -258,6 +258,14 @@
     remedy = "Make room or change the disk, then start the member again: the others carry on meanwhile."
 
 
+class StoreMemberBehind(Trouble):
+    """A store member began with an older file than it had: it counts for nothing until it has caught up."""
+
+    event, level = "store_member_behind", "info"
+    where = "`member`, `told_by`"
+    remedy = "Leave it running: it catches up, and counts for nothing until a majority besides it runs."
+
+
 class StoreFrame(Trouble):
     """What came from another store member can't be read; its connection was closed."""
 
--- a/spoolbarrow/store/disk.py
+++ b/spoolbarrow/store/disk.py
@@ -20,6 +20,8 @@
 create table snapshot (one integer primary key check (one = 1), place integer, term integer, data blob);
 create table log (place integer primary key, term integer, data blob);
 """
+# Apart, since files written before lives were kept have none of it: such a member has known of no life yet.
+LIVES = "create table if not exists lives (name text primary key, life integer)"
 
 
 class DiskError(Problem):
@@ -59,6 +61,7 @@
                 self._begin()
             else:
                 self._check()
+            self._file.execute(LIVES)
         except sqlite3.Error as error:
             raise DiskDamaged(f"{path}: {error}; restore it from a backup, or begin {name} anew") from error
 
@@ -84,23 +87,28 @@
             hard = self._file.execute("select term, vote from hard").fetchone()
             snapshot = self._file.execute("select place, term, data from snapshot").fetchone()
             log = self._file.execute("select place, term, data from log order by place").fetchall()
+            lives = self._file.execute("select name, life from lives").fetchall()
         except sqlite3.Error as error:
             raise DiskError(f"{self.path}: {error}") from error
         return Saved(
             Hard(*hard) if hard else Hard(),
             Snapshot(*snapshot) if snapshot else Snapshot(),
             tuple(Entry(*row) for row in log),
+            dict(lives),
         )
 
     def save(self, ready: Ready) -> None:
         """All that must be on disk before its messages leave; DiskError, and nothing of it is saved."""
-        if ready.hard is None and ready.snapshot is None and ready.truncate is None and not ready.entries:
+        written = (ready.hard, ready.lives, ready.snapshot, ready.truncate)
+        if all(part is None for part in written) and not ready.entries:
             return
         run = self._file.execute
         try:
             run("begin immediate")
             if ready.hard is not None:
                 run("replace into hard values (1, ?, ?)", (ready.hard.term, ready.hard.vote))
+            if ready.lives is not None:
+                self._file.executemany("replace into lives values (?, ?)", ready.lives.items())
             if ready.truncate is not None:
                 run("delete from log where place >= ?", (ready.truncate,))
             if ready.snapshot is not None:
--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -38,10 +38,22 @@
 from spoolbarrow.store import state as s
 from spoolbarrow.store.callers import Call, Callers
 from spoolbarrow.store.disk import Disk, DiskError
-from spoolbarrow.store.raft import Append, Appended, Ask, Install, Raft, Ready, Settings, Vote
+from spoolbarrow.store.raft import (
+    Append,
+    Appended,
+    Ask,
+    Hello,
+    Install,
+    Known,
+    Raft,
+    Ready,
+    Settings,
+    Vote,
+)
 
 T = TypeVar("T")
-Wire = Ask | Vote | Append | Appended | Install
+Wire = Ask | Vote | Append | Appended | Install | Hello | Known
+OLDER = "its file is an older one than it had"
 MOST_FRAME = 64 << 20  # a snapshot of all that may be kept is refused before it is longer
 MOST_QUEUED = 256  # messages to one member
 MOST_PEERS = 32  # connections at once
@@ -117,6 +129,8 @@
             done = self._state.apply(entry.index, entry.data)
             if done is not None and done[0] in self._waiting:
                 self._waiting[done[0]].set(done[1])
+        for name in ready.behind:
+            log("store_member_behind", member=name, told_by=self.name, why=OLDER)
         now = (self._raft.role.value, self._raft.leader)
         if now != self._told:
             self._told = now
@@ -260,6 +274,7 @@
             "member": self.name, "role": role, "leader": raft.leader, "term": raft.term,
             "commit": raft.commit, "applied": self._applied, "kept": len(raft.log),
             "keys": len(self._state.documents), "dropped": self.dropped, "fault": self.fault,
+            "behind": raft.behind,
         }
 
     def close(self) -> None:
--- a/spoolbarrow/store/raft.py
+++ b/spoolbarrow/store/raft.py
@@ -6,13 +6,18 @@
 write `snapshot`, what `truncate` drops, and `entries`; only then send `messages`; then apply `snapshot` and
 `committed`. A caller that stops anywhere in between and begins again from what it saved breaks nothing.
 
+A process of a member that begins takes no part until others have said what they know of its earlier ones:
+each has a number, its life, which all keep. Who knows of a later life than the member's file has tells it
+that the file is an older one: what it had answered for and voted may be lost, and it counts for nothing until
+it has all that any leader may have counted on (docs/agreement.md).
+
 Members are fixed. Times are milliseconds on the caller's clock; one that is set back stands still here, one
 that leaps ahead costs an election at most. Logs are bounded by the caller's `compact`.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from enum import Enum
 from random import Random
 
@@ -59,6 +64,7 @@
     hard: Hard = Hard()
     snapshot: Snapshot = Snapshot()
     entries: tuple[Entry, ...] = ()
+    lives: Mapping[str, int] = {}  # the last life known of each member, its own among them
 
 
 class Message(Struct, frozen=True, kw_only=True, tag=True):
@@ -82,6 +88,7 @@
 
     granted: bool
     pre: bool = False
+    life: int = 0
 
 
 class Append(Message, frozen=True, kw_only=True):
@@ -100,10 +107,30 @@
 
 
 class Appended(Message, frozen=True, kw_only=True):
-    """`ok`: the log is the leader's up to `index`; else it may be so up to there, no further."""
+    """`ok`: the log is the leader's up to `index`; else it may be so up to there, no further. No life: not to
+    be counted on."""
 
     index: int
     ok: bool
+    life: int = 0
+
+
+class Hello(Message, frozen=True, kw_only=True):
+    """From a process that begins, with a mark of its own: `life` is its own if `sure`, else its file's."""
+
+    life: int
+    mark: int
+    sure: bool
+
+
+class Known(Message, frozen=True, kw_only=True):
+    """The answer: the last `life` known of the asker before, and how far this member's term and log are."""
+
+    life: int
+    mark: int
+    last_index: int
+    leads: bool
+    sure: bool
 
 
 class Settings(Struct, frozen=True, kw_only=True):
@@ -119,22 +146,25 @@
     """What is to be done, in the order of the fields."""
 
     hard: Hard | None = None
+    lives: Mapping[str, int] | None = None  # saved with `hard`
     snapshot: Snapshot | None = None
     truncate: int | None = None  # the first index that no longer holds
     entries: tuple[Entry, ...] = ()
     messages: list[Message] = field(default_factory=list)
     committed: tuple[Entry, ...] = ()
+    behind: tuple[str, ...] = ()  # members newly found to have begun with an older file
 
 
 class Peer:
     """What a leader knows of another member."""
 
-    __slots__ = ("match", "next", "sent_at", "heard_at", "waiting")
+    __slots__ = ("match", "next", "sent_at", "heard_at", "waiting", "life")
 
     def __init__(self, last: int, now: float) -> None:
         self.match, self.next = 0, last + 1
         self.sent_at, self.heard_at = -1e18, now
         self.waiting = False  # for the answer to what was sent: one batch at a time
+        self.life = 0  # whose answers `match` goes by
 
 
 class LogError(Problem, ValueError):
@@ -174,6 +204,16 @@
         self._installed: Snapshot | None = None
         self._out: list[Message] = []
         self._wait_anew()
+        self.lives, self._saved_lives = dict(saved.lives), dict(saved.lives)
+        self.sure = self.behind = False  # whether it takes part; whether its file is known to be an older one
+        self._mark = rng.getrandbits(32)
+        self._begun_at, self._said_at = now, -1e18
+        self._known: dict[str, Known] = {}
+        self._told: dict[str, int] = {}  # the life that others know of it
+        self._same = (0, 0)  # the log is that of this term's leader up to this index
+        self._found: dict[str, int] = {}  # the marks of members that were found behind
+        self._behind: list[str] = []
+        self._be_sure()
 
     # What it is asked
 
@@ -240,6 +280,7 @@
         return self.leader != "" and self.now - self._led_at < self.settings.election_ms
 
     def _tick(self) -> None:
+        self._say_hello()
         if self.role is Role.LEADER:
             heard = sum(self.now - peer.heard_at < self.settings.election_ms for peer in self.peers.values())
             if heard + 1 < self.quorum:
@@ -248,7 +289,7 @@
             for name, peer in self.peers.items():
                 if self.now - peer.sent_at >= self.settings.beat_ms:
                     self._send_entries(name, peer)
-        elif self.now >= self._deadline:
+        elif self.sure and self.now >= self._deadline:
             self._ask(pre=True)
 
     def _ask(self, pre: bool) -> None:
@@ -291,19 +332,21 @@
 
     def _asked(self, ask: Ask) -> None:
         if ask.pre:
-            granted = ask.term > self.term and self._as_fresh(ask) and not self._led()
+            granted = self.sure and ask.term > self.term and self._as_fresh(ask) and not self._led()
             term = ask.term if granted else self.term
         else:
             if ask.term > self.term:
                 if self._led():
                     return
                 self._follow(ask.term)
-            granted = self._may_vote(ask) and self._as_fresh(ask)
+            granted = self.sure and self._may_vote(ask) and self._as_fresh(ask)
             term = self.term
             if granted:
                 self.vote = ask.src
                 self._wait_anew()
-        self._out.append(Vote(src=self.me, dst=ask.src, term=term, granted=granted, pre=ask.pre))
+        self._out.append(Vote(
+            src=self.me, dst=ask.src, term=term, granted=granted, pre=ask.pre, life=self._life(),
+        ))
 
     def _voted(self, vote: Vote) -> None:
         wanted = Role.ASKING if vote.pre else Role.CANDIDATE
@@ -312,13 +355,93 @@
             self._votes.add(vote.src)
             self._count()
 
+    # Lives
+
+    def _life(self) -> int:
+        """Its own, where it takes part."""
+        return self.lives[self.me] if self.sure else 0
+
+    def _say_hello(self) -> None:
+        """To all until it is sure, then to those that do not know it yet."""
+        every = self.settings.election_ms if self.sure else self.settings.beat_ms
+        life = self.lives.get(self.me, 0)
+        unheard = [name for name in self.others if not self.sure or self._told.get(name, 0) < life]
+        if not unheard or self.now - self._said_at < every:
+            return
+        self._said_at = self.now
+        for name in unheard:
+            self._out.append(Hello(
+                src=self.me, dst=name, term=self.term, life=life, mark=self._mark, sure=self.sure,
+            ))
+
+    def _hello(self, hello: Hello) -> None:
+        last = self.lives.get(hello.src, 0)
+        if hello.sure:
+            self._lives(hello.src, hello.life)
+        elif hello.life < last and self._found.get(hello.src) != hello.mark and self.role is Role.LEADER:
+            self._found[hello.src] = hello.mark
+            self._behind.append(hello.src)
+        self._out.append(Known(
+            src=self.me, dst=hello.src, term=self.term, life=self.lives.get(hello.src, 0), mark=hello.mark,
+            last_index=self.last_index, leads=self.role is Role.LEADER, sure=self.sure,
+        ))
+
+    def _lives(self, name: str, life: int) -> bool:
+        """Keep a member's life, if one is told; False for one that has ended."""
+        if life:
+            self.lives[name] = max(life, self.lives.get(name, 0))
+        return not life or life == self.lives[name]
+
+    def _knows(self, known: Known) -> None:
+        if known.mark != self._mark:
+            return
+        self._known[known.src] = known
+        self._told[known.src] = known.life
+        if known.life > self.lives.get(self.me, 0) and not self.behind:
+            self.sure, self.behind = False, True  # what it voted and answered for since is not there
+            self._behind.append(self.me)
+            self._follow(self.term)
+        self._be_sure()
+
+    def _be_sure(self) -> None:
+        if self.sure or not (self._has_all() if self.behind else self._not_behind()):
+            return
+        lives = [known.life for known in self._known.values()]
+        self.lives[self.me] = max([self.lives.get(self.me, 0), *lives]) + 1
+        self.sure, self.behind = True, False
+        self._said_at = -1e18
+        self._wait_anew()
+
+    def _not_behind(self) -> bool:
+        """As many know of no later life as it needs to be of use, and the rest had its time to answer."""
+        patient = self.now - self._begun_at < self.settings.election_ms
+        return len(self._known) >= (len(self.others) if patient else self.quorum - 1)
+
+    def _has_all(self) -> bool:
+        """Whether its log holds all that it can have answered for: a majority without it answered, nobody of
+        it in a later term than a leader, whose log it has up to where that was then."""
+        told = [known for known in self._known.values() if known.sure]
+        if len(told) < self.quorum:
+            return False
+        newest = max(self.term, *(known.term for known in told))
+        return any(
+            known.leads and known.term == newest == self._same[0] and known.last_index <= self._same[1]
+            for known in told
+        )
+
     # The log
 
     def _receive(self, message: Message) -> None:
+        if isinstance(message, Hello):
+            return self._hello(message)
+        if isinstance(message, Known):
+            return self._knows(message)
         if isinstance(message, Ask):
             return self._asked(message)
         if message.term > self.term and not (isinstance(message, Vote) and message.pre and message.granted):
             self._follow(message.term)
+        if isinstance(message, (Vote, Appended)) and not self._lives(message.src, message.life):
+            return
         if isinstance(message, Vote):
             return self._voted(message)
         if message.term < self.term:
@@ -388,7 +511,12 @@
         self._answer(src, self.commit, True)
 
     def _answer(self, dst: str, index: int, ok: bool) -> None:
-        self._out.append(Appended(src=self.me, dst=dst, term=self.term, index=index, ok=ok))
+        if ok:
+            self._same = (self.term, max(index, self._same[1] if self._same[0] == self.term else 0))
+            self._be_sure()
+        self._out.append(Appended(
+            src=self.me, dst=dst, term=self.term, index=index, ok=ok, life=self._life(),
+        ))
 
     def _send_entries(self, name: str, peer: Peer) -> None:
         peer.sent_at, peer.waiting = self.now, True
@@ -406,9 +534,11 @@
     def _appended(self, answer: Appended) -> None:
         peer = self.peers[answer.src]
         peer.heard_at, peer.waiting = self.now, False
+        if self._begins(peer, answer):
+            peer.life, peer.match = answer.life, 0
         if answer.ok:
-            peer.match = max(peer.match, answer.index)
-            peer.next = max(peer.next, peer.match + 1)
+            peer.match = max(peer.match, answer.index if self._counts(answer) else 0)
+            peer.next = max(peer.next, answer.index + 1)
             self._advance()
             if peer.next <= self.last_index:
                 self._send_entries(answer.src, peer)
@@ -416,6 +546,14 @@
             peer.next = max(peer.match + 1, min(peer.next - 1, answer.index + 1))
             self._send_entries(answer.src, peer)
 
+    def _begins(self, peer: Peer, answer: Appended) -> bool:
+        """Whether another process answers: what those before it had is not known to be there."""
+        return answer.life != peer.life
+
+    def _counts(self, answer: Appended) -> bool:
+        """Whether what it has will be there if its file is."""
+        return answer.life > 0
+
     def _advance(self) -> None:
         """Commit what a quorum has."""
         for index in range(self.last_index, self.commit, -1):
@@ -432,12 +570,16 @@
         hard, base = Hard(self.term, self.vote), self.snapshot.index
         ready = Ready(
             hard=None if hard == self._saved_hard else hard,
+            lives=None if self.lives == self._saved_lives else dict(self.lives),
             snapshot=self._installed,
             truncate=self._truncate,
             entries=tuple(self.log[self._stable - base :]),
             messages=self._out,
             committed=tuple(self.log[self._applied - base : self.commit - base]),
+            behind=tuple(self._behind),
         )
+        self._saved_lives = dict(self.lives)
+        self._behind = []
         self._saved_hard, self._stable, self._applied = hard, self.last_index, self.commit
         self._installed = self._truncate = None
         self._out = []
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -23,7 +23,9 @@
     Ask,
     Entry,
     Hard,
+    Hello,
     Install,
+    Known,
     Raft,
     Role,
     Saved,
@@ -36,7 +38,21 @@
 
 
 def member(make: type[Raft] = Raft, saved: Saved = Saved(), members: list[str] = MEMBERS) -> Raft:  # noqa: B008
-    return make("m0", members, 0.0, Random(1), saved, r.Settings())
+    """One that others know nothing against."""
+    made = make("m0", members, 0.0, Random(1), saved, r.Settings())
+    hellos: list[Any] = made.handle(0.0).messages
+    for hello in hellos:
+        hellos += made.handle(0.0, known(hello, hello.life)).messages
+    assert made.sure
+    return made
+
+
+def known(hello: Any, life: int, **told: Any) -> Known:
+    """What a member answers to one that begins."""
+    return Known(
+        src=hello.dst, dst="m0", life=life, mark=hello.mark,
+        **{"term": 0, "last_index": 0, "leads": False, "sure": True, **told},
+    )
 
 
 def ask(src: str, term: int, last: tuple[int, int] = (0, 0), pre: bool = False) -> Ask:
@@ -67,7 +83,7 @@
 
 def a_vote_outlives_its_process(make: type[Raft]) -> None:
     ready = member(make).handle(1.0, ask("m1", 1))
-    assert ready.messages == [Vote(src="m0", dst="m1", term=1, granted=True)]
+    assert ready.messages == [Vote(src="m0", dst="m1", term=1, granted=True, life=1)]
     again = member(make, Saved(ready.hard or Hard()))
     (answer,) = again.handle(2.0, ask("m2", 1)).messages
     assert isinstance(answer, Vote) and not answer.granted
@@ -92,10 +108,10 @@
     five = [*MEMBERS, "m3", "m4"]
     leader, now = lead(make, Saved(Hard(3, ""), Snapshot(), log(1, 2)), five)
     for name in ("m1", "m2"):
-        ready = leader.handle(now, Appended(src=name, dst="m0", term=4, index=2, ok=True))
+        ready = leader.handle(now, Appended(src=name, dst="m0", term=4, index=2, ok=True, life=1))
         assert not ready.committed and leader.commit == 0
     for name in ("m1", "m2"):
-        leader.handle(now, Appended(src=name, dst="m0", term=4, index=3, ok=True))
+        leader.handle(now, Appended(src=name, dst="m0", term=4, index=3, ok=True, life=1))
     assert leader.commit == 3
 
 
@@ -108,7 +124,7 @@
 def entries_follow_what_the_leader_has(make: type[Raft]) -> None:
     made = member(make, Saved(Hard(1, ""), Snapshot(), log(1, 1)))
     (answer,) = made.handle(1.0, append(3, (2, 2), 0, Entry(3, 3))).messages
-    assert answer == Appended(src="m0", dst="m1", term=3, index=1, ok=False) and made.last_index == 2
+    assert answer == Appended(src="m0", dst="m1", term=3, index=1, ok=False, life=1) and made.last_index == 2
 
 
 def what_another_leader_wrote_gives_way(make: type[Raft]) -> None:
@@ -136,11 +152,42 @@
         assert [entry.index for entry in saved] == list(range(1, index + 1))
 
 
+def what_a_member_had_before_it_began_with_an_older_file_is_not_counted(make: type[Raft]) -> None:
+    leader, now = lead(make, Saved(Hard(3, ""), Snapshot(), log(1, 2)), [*MEMBERS, "m3", "m4"])
+
+    def hear(src: str, index: int, ok: bool, life: int) -> int:
+        leader.handle(now, Appended(src=src, dst="m0", term=4, index=index, ok=ok, life=life))
+        return leader.commit
+
+    assert hear("m1", 3, True, 7) == 0
+    assert hear("m1", 1, False, 0) == 0  # its log ends before what it had answered for
+    assert hear("m2", 3, True, 1) == 0  # the third of five, were m1 counted
+    assert hear("m1", 3, True, 0) == 0  # it has all again, and may not know yet what it voted
+    assert hear("m1", 3, True, 8) == 3
+
+
+def who_began_with_an_older_file_takes_no_part_until_it_has_all(make: type[Raft]) -> None:
+    saved = Saved(Hard(1, ""), Snapshot(), log(1), {"m0": 1})
+    made = make("m0", MEMBERS, 0.0, Random(1), saved, r.Settings())
+    hello, other = made.handle(0.0).messages
+    leads: Any = {"term": 2, "last_index": 3, "leads": True}
+    assert made.handle(1.0, known(hello, 2, **leads)).behind == ("m0",)
+    made.handle(700.0, known(other, 1))  # whoever knows nothing of its later life
+    (answer,) = (told for told in made.handle(701.0, ask("m2", 3, (9, 9))).messages if isinstance(told, Vote))
+    assert not answer.granted and made.role is Role.FOLLOWER and made.behind
+    made.handle(702.0, known(hello, 2, **{**leads, "term": 3}))
+    for entry in (Entry(2, 3), Entry(3, 3)):
+        assert not made.sure
+        made.handle(703.0, append(3, (made.term_at(entry.index - 1) or 0, entry.index - 1), 0, entry))
+    assert made.sure and made.lives["m0"] == 3
+
+
 DIALOGUES = [
     a_vote_outlives_its_process, one_vote_a_term, no_vote_for_a_log_that_lacks_entries,
     an_older_terms_entry_is_committed_only_behind_one_of_its_own, what_is_not_compared_is_not_committed,
     entries_follow_what_the_leader_has, what_another_leader_wrote_gives_way, a_majority_is_more_than_half,
-    what_is_answered_for_is_saved,
+    what_is_answered_for_is_saved, what_a_member_had_before_it_began_with_an_older_file_is_not_counted,
+    who_began_with_an_older_file_takes_no_part_until_it_has_all,
 ]
 
 
@@ -185,7 +232,7 @@
     other = Raft("m1", MEMBERS, 0.0, Random(2), Saved(), r.Settings())
     ready = other.handle(1.0, sent)
     assert ready.snapshot == Snapshot(5, 1, b"state") and not ready.committed
-    assert ready.messages == [Appended(src="m1", dst="m0", term=2, index=5, ok=True)]
+    assert Appended(src="m1", dst="m0", term=2, index=5, ok=True) in ready.messages
     assert other.compact(5, b"state").snapshot == Snapshot(5, 1, b"state")
     with pytest.raises(ValueError):
         other.compact(6, b"more")
@@ -201,7 +248,7 @@
 
 
 def test_messages_travel_as_json_or_msgpack() -> None:
-    union = Ask | Vote | Append | Appended | Install
+    union = Ask | Vote | Append | Appended | Install | Hello | Known
     sent = append(2, (1, 1), 0, Entry(2, 2, b"\x00\xff"))
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(sent), type=union) == sent
     assert msgspec.json.decode(msgspec.json.encode(sent), type=union) == sent
