--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -231,7 +231,7 @@
         made.processes[back] = made.start(back)
         writer.more(20)
         had = made.status(lead)["applied"]
-        until(lambda: made.status(back)["applied"] >= had)
+        until(lambda: made.status(back).get("applied", 0) >= had)
         for n in (back, third):
             made.kill(n)
         for file in tmp_path.glob(f"m{back}.store*"):
@@ -245,7 +245,7 @@
         assert made.processes[back].events("store_member_behind")
         made.processes[third] = made.start(third)
         until(lambda: made.status(back).get("behind") is False, 20.0)
-        until(lambda: made.status(back)["applied"] >= had, 20.0)
+        until(lambda: made.status(back).get("applied", 0) >= had, 20.0)
         made.leader()
         writer.more(5)
         lost = made.leader()
