Keep one form each of what routers know in common, of taking an engine out, of asking a member

`InCommon` stood in net/host.py and net/agreement.py: it is in fleet/documents.py, imported for its type alone. `suspend` and `share_suspensions` took an engine out by the same four lines: `_taken_out`, beside `_taken_back`. tests/test_fleet_store.py had the members' `ask` of lab/members.py. And `Router._decide` named its pool two ways. Behaviour is unchanged.

--- a/spoolbarrow/fleet/documents.py
+++ b/spoolbarrow/fleet/documents.py
@@ -124,3 +124,15 @@
     if any(len(body) > MOST_BODY for body in bodies):
         raise Garbage(key, f"a body of more than {MOST_BODY} bytes")
     return document
+
+
+class InCommon(Protocol):
+    """What this router knows together with others."""
+
+    def versions(self) -> dict[str, tuple[int, str]]:
+        """Number and digest of each shared document and decision that is acted on, by item."""
+        ...
+
+    def tell(self) -> dict[str, object]:
+        """How it goes, for an operator."""
+        ...
--- a/spoolbarrow/net/agreement.py
+++ b/spoolbarrow/net/agreement.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any, Protocol
 
 import gevent
@@ -18,6 +17,7 @@
 from spoolbarrow.net.log import log, unexpected
 
 if TYPE_CHECKING:
+    from spoolbarrow.fleet.documents import InCommon
     from spoolbarrow.operator import Operator
 
 IN_COMMON = tuple(item for item in Item if "/" in item.value)  # followed from the store
@@ -67,18 +67,6 @@
         ...
 
 
-class InCommon(Protocol):
-    """What routers know in common, by the store."""
-
-    def versions(self) -> Mapping[str, tuple[int, str]]:
-        """Number and digest of each item that is acted on."""
-        ...
-
-    def tell(self) -> Mapping[str, object]:
-        """How it goes, for an operator."""
-        ...
-
-
 class Surroundings(Protocol):
     """What is acted on besides the files."""
 
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -193,10 +193,7 @@
         if len(self._suspended) >= MOST_SUSPENDED:
             raise NoRoom("", f"{MOST_SUSPENDED} endpoints are suspended: resume one that is gone")
         self._suspended.add(name)
-        self._listing = None
-        self._serving.discard(name)
-        self._left(name)
-        self._say_again(name)
+        self._taken_out(name)
 
     def resume(self, name: str) -> None:
         """Take an endpoint into service again, as far as discovery does; it counts as started now."""
@@ -211,13 +208,16 @@
         for name in sorted(names ^ old):
             if name in self._suspended:
                 continue
-            if name not in names:
+            if name in names:
+                self._taken_out(name)
+            else:
                 self._taken_back(name)
-                continue
-            self._listing = None
-            self._serving.discard(name)
-            self._left(name)
-            self._say_again(name)
+
+    def _taken_out(self, name: str) -> None:
+        self._listing = None
+        self._serving.discard(name)
+        self._left(name)
+        self._say_again(name)
 
     def _taken_back(self, name: str) -> None:
         self._listing = None
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import gevent
 from gevent.event import Event
@@ -27,6 +27,9 @@
 from spoolbarrow.net.taps import Taps
 from spoolbarrow.router import Router
 
+if TYPE_CHECKING:
+    from spoolbarrow.fleet.documents import InCommon
+
 OVERDUE_TICKS = 2.0  # past its deadline: a request that the decisions then leave open is answered by the host
 
 
@@ -66,18 +69,6 @@
         """Decide on what happened."""
 
 
-class InCommon(Protocol):
-    """What this router knows together with others."""
-
-    def versions(self) -> dict[str, tuple[int, str]]:
-        """Number and digest of each shared document and decision that is acted on, by item."""
-        ...
-
-    def tell(self) -> dict[str, object]:
-        """How it goes, for an operator."""
-        ...
-
-
 class Host:
     """The decisions' surroundings on one machine."""
 
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -590,12 +590,12 @@
         now, settings, pool = self.now, self.settings, self.pool
         entitlement = self.entitlements.setdefault(request.tenant, Entitlement())
         choice = soonest = self._choose(request)
-        if choice is not None and choice[2] * self.pool.lateness > self.full_ms:
+        if choice is not None and choice[2] * pool.lateness > self.full_ms:
             # A home that keeps a prompt waiting is no reason to refuse it where others have room. Where all
             # are busy it waits at home while it can be in time: else its reading fills the fleet.
             soonest = self._choose(request, True) or choice
-            first = self.pool.first(*choice[2:])
-            busy = soonest[2] * self.pool.lateness >= HOME_BUSY * self.full_ms
+            first = pool.first(*choice[2:])
+            busy = soonest[2] * pool.lateness >= HOME_BUSY * self.full_ms
             choice = choice if busy and first <= HOME_AIM * request.aim else soonest
         if choice is None or soonest is None:  # with no list yet, all must not come back in one wave
             return self._finish(request, 0.0 if pool.serving else settings.max_retry_after_ms / 1.5)
@@ -603,10 +603,10 @@
         slice_rate = self._baseline(request.tenant) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
         request.priority = request.weight * standing * request.standing
-        first = self.pool.first(wait, read)
-        wait *= self.pool.lateness
+        first = pool.first(wait, read)
+        wait *= pool.lateness
         if not request.resumed:
-            saved = entitlement.save(now, slice_rate, self.pool.request_tokens)
+            saved = entitlement.save(now, slice_rate, pool.request_tokens)
             refused = False
             if wait > self.full_ms and not request.promised:
                 seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / pool.request_tokens
--- a/tests/test_fleet_follow.py
+++ b/tests/test_fleet_follow.py
@@ -22,7 +22,8 @@
 from spoolbarrow.fleet.documents import SHARES, STANDING, SUSPENSIONS
 from spoolbarrow.lab.cluster import BROKEN, Load
 from spoolbarrow.lab.followed import Followed, at_key, until
-from tests.test_fleet_store import Members, ask
+from spoolbarrow.lab.members import ask
+from tests.test_fleet_store import Members
 
 ALL = range(5)
 NAMES = [f"r{n}" for n in ALL]
--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -29,6 +29,7 @@
 from spoolbarrow.fleet.documents import EVIDENCE, Summary, write
 from spoolbarrow.lab.cluster import Answer, Load, call
 from spoolbarrow.lab.followed import Followed, at_key, until
+from spoolbarrow.lab.members import ask
 from spoolbarrow.net import pools
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.request import Attempt, Request
@@ -36,7 +37,7 @@
 from spoolbarrow.operator import FleetTable, fleet_faults
 from spoolbarrow.pools import sketch
 from spoolbarrow.pools.evidence import Notes, hear
-from tests.test_fleet_store import Members, ask
+from tests.test_fleet_store import Members
 
 ALL = range(5)
 ENGINES = 6
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -10,21 +10,13 @@
 from pathlib import Path
 from typing import Any
 
-from spoolbarrow.cli.calls import call
-from spoolbarrow.cli.faults import NoAnswer
 from spoolbarrow.lab.cluster import LISTEN, Process, free_ports
+from spoolbarrow.lab.members import ask
 from tests.stage import until
 
 LIFE_S = 120.0
 
 
-def ask(member: str, method: str, path: str, body: bytes = b"") -> tuple[int, dict[str, Any]]:
-    try:
-        return call(member, method, path, body)
-    except NoAnswer as error:
-        return 0, {"error": str(error)}
-
-
 class Members:
     """Three members, a gate of the proxy from each to each other."""
 
