Look for a client's end in the kernel before each attempt begins

A client's end was noticed only when its reader's recv() gave nothing, so an attempt began for one that had gone wherever the reader had no turn or did not read.

Seen, each by a probe before the change: (1) a retry, a hedge, and a request held back, decided in the batch in which the end had come: written to the engine at once over a pooled connection, or after the connect. (2) An end that comes while the connection to an engine comes up: written. (3) More than AHEAD requests read ahead: the reader waits in Client.run (_room.wait()), so the end behind them was never seen and the waiting request stayed with the decisions for its whole time. (4) A connection accepted with the end behind its request: the decisions heard of it. (5) A process stopped for 0.25 s, eight clients gone meanwhile: four requests reached the engine, those with more sent than is read ahead. Ruled out: running streams handed to another process (nothing is begun there), idle connections handed on (read anew), requests behind a fault (_distrust drops them), shadow copies (dropped where answered 'left').

At fault: Host.may_send asked only what this process had read; Client.run waited without looking.

Change: Answer.gone(), asked last by may_send, which settles the request as its reader would. It polls the descriptor for POLLRDHUP, POLLHUP and POLLERR, which tell of the end behind unread bytes as well; where a system tells no POLLRDHUP, a peek finds an end that is next. Not known counts as there; it never waits. The reader that waits for room looks each 50 ms, and a request whose client has gone is not taken.

--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -217,10 +217,19 @@
         self._endpoints.forget(endpoint)
 
     def may_send(self, attempt: Attempt) -> bool:
-        """Whether an attempt may still be written to its endpoint, asked just before the first byte."""
+        """Whether an attempt may still be written to its endpoint, asked just before the first byte.
+
+        Guards against work for nobody: a client's end stands in the kernel until its reader's turn comes,
+        perhaps long after a full batch of decisions. One that has gone is settled here, as its reader would.
+        """
         request = attempt.request
         late = self.now() >= request.deadline
-        return not (attempt.ended or request.over or request.stream is not None or late)
+        if attempt.ended or request.over or request.stream is not None or late:
+            return False
+        if request.answer.gone():
+            self.client_left(request)
+            return False
+        return True
 
     def claim(self, attempt: Attempt) -> bool:
         """An attempt's first event has come: whether it is the client's, or another one was first."""
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -21,6 +21,7 @@
 from spoolbarrow.net.request import Request
 from spoolbarrow.net.taps import Side, Why
 
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what poll tells of a peer's end
 CHAT, UP = b"/v1/chat/completions", b"/up"
 RECV = 65536  # bytes read at once, into one buffer: they are parsed before any other greenlet runs
 AHEAD = 4  # requests read ahead of the one that is served; then the client must wait
@@ -35,6 +36,7 @@
 DRAIN_S = 0.02  # between looks at what a drain's clock has reached
 ABLE_S = 0.01  # between looks at whether this process can serve yet
 EMPTYING_S = 0.05  # between looks at which connections are idle while clients are sent away
+GONE_S = 0.05  # between looks for a client's end while it is not read: half of what it may go unseen
 MAX_PATIENCE = 2.0  # of the class's deadline: nobody waits longer
 REPEATS_STREAM = b"again"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
@@ -122,6 +124,10 @@
             return ""
         return address
 
+    def gone(self) -> bool:
+        """Whether its client has closed, reset or half-closed the connection."""
+        return self.client.gone()
+
     def fail_fast(self, retry_after_ms: float, header: bytes = b"") -> None:
         """Declined: 503, with when to come back."""
         after = _retry_after(retry_after_ms)
@@ -237,6 +243,31 @@
         watched.register(self.sock.fileno(), select.POLLIN)
         return bool(watched.poll(0))
 
+    def gone(self) -> bool:
+        """Whether its client has closed, reset or half-closed it, whatever stands unread before that end.
+
+        Never waits. Where the system does not tell, the client counts as there: its reader comes to the end.
+        """
+        if self._closed:
+            return True
+        watched = select.poll()
+        watched.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        told = watched.poll(0)
+        if not told:
+            return False
+        if told[0][1] & ENDED:
+            return True
+        # Guards against a system that tells of no half-close: the end is then what is read next.
+        self.sock.settimeout(0.0)
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self.sock.settimeout(None)
+
     def answered(self) -> bool:
         """Whether its client's machine has all that was written to it."""
         return not tcpinfo.awaits_peer(self.sock)
@@ -271,7 +302,8 @@
                 parser = self._parser
                 while (parser.fault is not None or len(parser.whole) > AHEAD) and not self.ending:
                     self._room.clear()  # bounded: what follows a fault, or comes far ahead, is not read
-                    self._room.wait()
+                    if not self._room.wait(GONE_S) and parser.fault is None and self.gone():
+                        return  # its end stands behind what is not read
                 gevent.sleep(0)  # guards the others: a client that sends at full speed is always readable
             if self.ending:
                 self._linger(view)
@@ -438,6 +470,9 @@
         if deadline <= inbound.host.now():
             self._turned_away(message, "failed")
             return exchange.fail(True)
+        if self.gone():  # also where its end came while the connection waited to be accepted
+            self._turned_away(message, "left")
+            return self.lost()
         exchange.request = inbound.host.submit(name, message, exchange, deadline, facts, self.number)
 
     def _turned_away(self, message: Message, how: str) -> None:
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -23,6 +23,9 @@
     def peer(self) -> str:
         """The client's address; empty where it has gone."""
 
+    def gone(self) -> bool:
+        """Whether the client has closed, reset or half-closed its connection, read or not; never waits."""
+
     def fail(self, late: bool) -> None:
         """Failed; nothing is promised."""
 
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,196 @@
+"""A client that closed, reset or half-closed its connection has gone: nothing is begun for it after that.
+
+Most tests have the client go in an instant in which its reader can have no turn: inside a batch of
+decisions, or inside the connect to an endpoint. That is what a router short of processor time sees, and
+needs no waiting.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket as plain
+import struct
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+
+from spoolbarrow import interface as i
+from spoolbarrow.net import http1, inbound
+from spoolbarrow.net.http1 import Message
+from tests.stage import LISTEN, TURNED_AWAY, Client, Stage, ask, entry, make_config, serve_all, stage, until
+from tests.test_drain import asked, router
+
+READ_AHEAD = inbound.AHEAD + 4  # so many requests at once that some are never read
+NOW = i.TimerFired("test")
+LONG_S = 0.25  # a stop of the process, over twice what a client's end may go unseen
+
+
+def close(client: Any) -> None:
+    client.sock.close()
+
+
+def reset(client: Any) -> None:
+    client.sock.setsockopt(plain.SOL_SOCKET, plain.SO_LINGER, struct.pack("ii", 1, 0))
+    client.sock.close()
+
+
+def half_close(client: Any) -> None:
+    client.sock.shutdown(plain.SHUT_WR)
+
+
+def with_more_unread(client: Any) -> None:
+    client.sock.sendall(b"POST /v1/chat/")
+    client.sock.close()
+
+
+ENDS = pytest.mark.parametrize("go", [close, reset, half_close, with_more_unread])
+
+
+def has(kind: type, events: list[i.Event]) -> bool:
+    return any(isinstance(event, kind) for event in events)
+
+
+@ENDS
+@pytest.mark.parametrize("moment", ["held", "retry", "hedge"])
+def test_nothing_begins_for_a_client_that_went_in_the_same_batch(
+    moment: str, go: Callable[[Any], None]
+) -> None:
+    """Its end stands in the kernel when the decisions have an attempt begun, and its reader had no turn."""
+    kept: list[i.Action] = []
+
+    def handle(now: float, events: list[i.Event]) -> list[i.Action]:
+        actions: list[i.Action] = decide(now, events)
+        if NOW in events:
+            go(client)
+            return actions + kept
+        if moment == "retry" and has(i.AttemptEnded, events) and not scene.host.request("1").over:
+            go(client)
+        if has(i.RequestArrived, events) and moment == "held":
+            kept.extend(action for action in actions if isinstance(action, i.Send))
+            scene.host._post(NOW)
+            return [action for action in actions if action not in kept]
+        return actions
+
+    def first(sock: socket.socket, message: Message) -> None:
+        if moment == "retry":
+            sock.sendall(TURNED_AWAY)
+        elif moment == "hedge":
+            kept.append(i.Send("1", "e0"))
+            scene.host._post(NOW)
+
+    with stage(first, first) as (scene, *engines):
+        decide, scene.host._router.handle = scene.host._router.handle, handle
+        client = scene.client().send(ask())
+        until(lambda: scene.heard(i.RequestGone) and scene.host.open_requests() == 0)
+        assert sum(len(engine.requests) for engine in engines) == (moment in ("retry", "hedge"))
+
+
+@ENDS
+def test_nothing_is_written_for_a_client_that_went_while_its_connection_came_up(
+    go: Callable[[Any], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connect = http1.connect
+
+    def last_instant(address: Any, timeout_s: float) -> socket.socket:
+        sock = connect(address, timeout_s)
+        if address[1] == engine.port:
+            go(client)
+        return sock
+
+    with stage(serve_all) as (scene, engine):
+        monkeypatch.setattr(http1, "connect", last_instant)
+        client = scene.client().send(ask())
+        until(lambda: scene.heard(i.RequestGone) and scene.host.open_requests() == 0)
+        until(lambda: engine.ends == 1)  # the connection, and nothing on it
+        assert not engine.requests
+
+
+def test_an_end_behind_what_is_not_read_is_seen_while_the_request_waits() -> None:
+    """The attempt waits for a connection; more requests than are read ahead hide the end from the reader."""
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = [socket.socket() for _ in range(2)]
+        for filler in fillers:
+            with suppress(TimeoutError):
+                filler.settimeout(0.2)
+                filler.connect(full.getsockname())
+        scene = Stage(make_config([entry("slow", full.getsockname()[1])]))
+        try:
+            client = scene.client().send(b"".join(ask(X_Correlation_Id=str(n)) for n in range(READ_AHEAD)))
+            inside = until(lambda: next(iter(scene.inbound._clients), None))
+            assert inside is not None
+            until(lambda: len(inside._parser.whole) > inbound.AHEAD and scene.heard(i.RequestArrived))
+            close(client)
+            until(lambda: scene.heard(i.RequestGone) and scene.host.open_requests() == 0)
+            assert len(scene.heard(i.RequestArrived)) == 1 and inside not in scene.inbound._clients
+        finally:
+            scene.inbound.close()
+            scene.host.stop()
+
+
+@ENDS
+def test_the_decisions_never_hear_of_a_client_that_went_before_it_was_accepted(
+    go: Callable[[Any], None],
+) -> None:
+    with stage(serve_all) as (scene, engine):
+        before = scene.client().send(ask())  # what was accepted in vain is told by its number
+        assert before.answer().status == 200
+        number = max(client.number for client in scene.inbound._clients)
+        late = Client.__new__(Client)
+        late.sock = plain.create_connection((LISTEN, scene.config.listen[1]))  # no greenlet runs meanwhile
+        late.send(ask(X_Correlation_Id="late"))
+        go(late)
+        # One accepted after it is served, and so that one was.
+        assert scene.client().send(ask(X_Correlation_Id="next")).answer().status == 200
+        assert next(scene.host.taps._numbers) > number + 2
+        assert [m.fields[b"x-correlation-id"] for m in engine.requests] == [b"9b1f", b"next"]
+        assert len(scene.heard(i.RequestArrived)) == 2
+
+
+def test_where_the_system_tells_of_no_half_close_the_end_is_found_by_looking(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(inbound, "ENDED", 0)
+    with stage(serve_all) as (scene, _):
+        client = scene.client()
+        inside = until(lambda: next(iter(scene.inbound._clients), None))
+        assert inside is not None and not inside.gone()  # nothing to read: it did not wait
+        client.sock.sendall(b"P")
+        assert not inside.gone()
+        until(lambda: inside._parser.reading)
+        client.sock.shutdown(plain.SHUT_WR)
+        assert inside.gone()
+
+
+def test_a_client_that_said_its_end_still_hears_what_was_wrong() -> None:
+    """Where no endpoint is asked, an answer costs nothing: programs that check routers do so."""
+    with stage(serve_all) as (scene, _):
+        for raw, status in ((b"GET /up HTTP/1.1\r\n\r\n", 200), (ask(X_Account="nobody"), 400)):
+            client = scene.client().send(raw)
+            half_close(client)
+            assert client.answer().status == status
+
+
+@ENDS
+def test_a_process_that_stood_still_begins_nothing_for_clients_that_went_meanwhile(
+    go: Callable[[Any], None], tmp_path: Path
+) -> None:
+    with router(tmp_path) as made:
+        known = [made.used() for _ in range(4)]
+        os.kill(made.process.pid, signal.SIGSTOP)
+        fresh = [made.client() for _ in range(4)]
+        for n, client in enumerate((*known, *fresh)):
+            client.send(b"".join(asked(f"{n}.{m}") for m in range(READ_AHEAD if n % 2 else 1)))
+            go(client)
+        gevent.sleep(LONG_S)
+        os.kill(made.process.pid, signal.SIGCONT)
+        assert made.client().send(asked("last")).answer().status == 200
+        until(lambda: made.log().count('"event":"request"') >= 1)
+        assert [m.fields[b"x-correlation-id"] for m in made.engine.requests] == [b"last"]
