Half-close a broken stream over unread bytes, and bound an engine's framing line in time

Seen, each by a probe before the change: (1) a stream that breaks while its client had sent more than is read ahead: the client got a reset in place of the end, since Exchange.abort closed over unread bytes. (2) After a stream's first event, an engine that writes zeros of a chunk's size, or an extension, byte by byte for ever: 30,000 bytes without a fault and without an end, since AnswerReader counted time only in a chunk (parser.in_chunk) or a head, and each byte began the time for silence anew; the deadline no longer runs then. (3) Control's connections had no TCP_NODELAY. Ruled out, they held: trailers without end (the last chunk's time covers them), interim heads without end (431's bound covers them), idle closes (what is unread is read first: _close_idle, _close_overdue, _make_room), answers that end their connection (_finish half-closes and lingers), 408s and faults (the same), what is read after the half-close (discarded, never sent on), calls to discovery, followers and candidates (http1.connect).

Change: Client.break_off half-closes and lingers where something stands unread or has not come to the peer, and closes else. ResponseParser.in_size: the line before a chunk is a piece with a time of its own, and 'between' is right where CR and LF come in two reads, so that a pause there is no line begun. http1.listen sets TCP_NODELAY, which accepted connections inherit.

--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -146,7 +146,7 @@
     def read(self) -> None:
         """Parse what comes next; Fault where a piece does not end, TimeoutError where a stream stops."""
         parser = self._parser
-        begun = parser.in_chunk or (parser.begun and not parser.headed)
+        begun = parser.in_chunk or parser.in_size or (parser.begun and not parser.headed)
         if begun:
             if self._piece != parser.pieces:
                 self._piece, self._left_s = parser.pieces, self._options.piece_ms / 1000
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -177,7 +177,9 @@
         self.begun = False  # its head has begun
         self.in_chunk = False  # a chunk was announced whose end has not come
         self.between = False  # what was fed ended where a chunk or the head did
-        self.pieces = 0  # heads and chunks that have begun
+        self.in_size = False  # the line that announces a chunk has begun
+        self.pieces = 0  # heads, chunks and lines before them that have begun
+        self._last = b""  # the last two bytes fed
         self._chunk = 0
         self._body: list[bytes] = []
         self._head = 0
@@ -197,7 +199,11 @@
             self.reusable = False  # the answer came whole; what follows it is nobody's
         if not self.headed and self._head > self._max_head:
             raise Fault(502, "head too large")
-        self.between = self.headed and not (self.in_chunk or self.whole) and bytes(data[-2:]) == b"\r\n"
+        self._last = (self._last + bytes(data[-2:]))[-2:]
+        outside = self.headed and not (self.in_chunk or self.whole)
+        self.between = outside and self._last == b"\r\n"
+        had, self.in_size = self.in_size, outside and not self.between and b"transfer-encoding" in self.fields
+        self.pieces += self.in_size and not had
 
     def read(self, sock: socket, buffer: bytearray) -> None:
         """Parse what comes next on a connection; blocks, raises OSError or Fault."""
@@ -287,6 +293,7 @@
     listener = socket(AF_INET, SOCK_STREAM)
     try:
         listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        listener.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)  # what is accepted has it too (Linux)
         listener.bind(address)
         listener.listen(backlog)
     except OSError:
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -191,7 +191,7 @@
 
     def abort(self) -> None:
         """No last chunk: the connection's end tells the client that the stream broke."""
-        self.client.close()
+        self.client.break_off()
 
     def _closing(self) -> bool:
         """Whether the connection ends with this answer: never before what was sent behind it is answered."""
@@ -356,6 +356,17 @@
         else:
             self._advance()
 
+    def break_off(self) -> None:
+        """End the connection with what was written as the last.
+
+        Guards events that its client has not had: closed over bytes that it sent meanwhile, the kernel would
+        reset the connection, and what it still holds would go with it.
+        """
+        if self._closed or not (self.unread() or tcpinfo.awaits_peer(self.sock)):
+            self.close()
+        else:
+            self._finish()
+
     def lost(self) -> None:
         """The client has gone, or must go: nothing more is read or written."""
         self.close()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -16,8 +16,10 @@
 from gevent.event import Event
 
 from spoolbarrow import interface as i
+from spoolbarrow.net import http1
 from spoolbarrow.net.endpoint import parse_load, probe_outcome
 from spoolbarrow.net.http1 import Message, ResponseParser
+from spoolbarrow.net.inbound import AHEAD
 from spoolbarrow.net.inbound import Client as InboundClient
 from tests import stage as st
 from tests.stage import (
@@ -35,6 +37,7 @@
     until,
 )
 
+END = b"0\r\n\r\n"
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -148,6 +151,56 @@
         assert scene.heard(i.AttemptEnded)[0].closed and len(engine.requests) == 1
 
 
+def test_a_stream_that_breaks_keeps_its_events_where_its_client_sent_more() -> None:
+    """Closed over bytes that nobody read, the connection is reset, and what the kernel holds is lost."""
+    go = Event()
+
+    def half(sock: socket.socket, message: Message) -> bool:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        return go.wait()
+
+    with stage(half) as (scene, _):
+        client = scene.client().send(ask())
+        got = client.sock.recv(65536)
+        inside = until(lambda: next(iter(scene.inbound._clients), None))
+        assert inside is not None
+        client.send(b"".join(ask(X_Correlation_Id=str(n)) for n in range(AHEAD + 1)))
+        until(lambda: len(inside._parser.whole) > AHEAD)
+        client.send(b"POST")
+        until(inside.unread)
+        go.set()
+        while data := client.sock.recv(65536):
+            got += data
+        assert EVENTS[0] in got and END not in got
+        client.sock.close()
+        until(lambda: not scene.inbound._clients)
+
+
+@pytest.mark.parametrize("endless", [b"0", b";x"])
+def test_a_line_of_framing_that_never_ends_ends_the_stream(endless: bytes) -> None:
+    """Each byte is in time, and no chunk has begun: only the line's own time can end it."""
+
+    def script(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]) + b"0")
+        while True:
+            sock.sendall(endless)
+            gevent.sleep(0.005)
+
+    with stage(script, options={"piece_ms": 50.0}) as (scene, engine):
+        with pytest.raises(ConnectionResetError):
+            scene.client().send(ask()).answer()
+        until(lambda: engine.ends == 1 and told_outcomes(scene) == [i.Outcome.UNREADABLE])
+
+
+def test_no_connection_holds_small_writes_back() -> None:
+    with http1.listen(("127.0.0.1", 0), 1) as listener:
+        ours = http1.connect(listener.getsockname(), 5.0)
+        theirs, _ = listener.accept()
+        for sock in (ours, theirs):
+            with sock:
+                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
 def test_a_pooled_connection_that_breaks_is_a_reset_and_only_the_decisions_send_again() -> None:
     def second_time_never(sock: socket.socket, message: Message) -> bool:
         if message.body != b"again":
