--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import select
 import signal
 import subprocess
 import sys
@@ -192,6 +193,22 @@
         until(lambda: engine.ends == 1 and told_outcomes(scene) == [i.Outcome.UNREADABLE])
 
 
+def test_a_request_whose_rest_has_come_when_its_time_is_over_is_served() -> None:
+    """A process that stood still finds the time over and the rest unread: the time was its own."""
+    with stage(serve_all) as (scene, _):
+        client = scene.client().send(ask()[:40])
+        inside = until(lambda: next(iter(scene.inbound._clients), None))
+        assert inside is not None
+        until(lambda: inside._parser.reading)
+        client.sock.sendall(ask()[40:])
+        watched = select.poll()
+        watched.register(inside.sock.fileno(), select.POLLIN)
+        assert watched.poll(20_000)  # no greenlet runs meanwhile
+        inside.since = 0.0
+        scene.inbound._close_overdue()
+        assert client.answer().status == 200
+
+
 def test_no_connection_holds_small_writes_back() -> None:
     with http1.listen(("127.0.0.1", 0), 1) as listener:
         ours = http1.connect(listener.getsockname(), 5.0)
