Write no repeat after the time for repeats, however late its connection came up

Seen, by a probe before the change: a class whose repeats are dropped for a while, its first attempt reset, the second one's connection up only after that while: it was written, which is a second effect (rule 2 runs to the last byte sent). Ruled out: classes that must not run twice (no further attempt while one may run), groups by zone or cell (an endpoint's does not change while its connection comes up), the window in the decisions (Request.may_send of router.py, from the settings, a tick less).

At fault: Host.may_send asked of the deadline alone. Change: Request.may_repeat, asked there too; the attempt is moot, and the decisions answer as after any window that is over: refused where the group is all.

Measured: nothing timed; the test fails without it.

--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -173,6 +173,9 @@
         key = str(next(self._keys))
         facts = replace(facts, request=key)
         request = Request(key, id, message, answer, facts, self.now(), deadline, connection)
+        cls = self.config.settings.classes[facts.cls]
+        if cls.effect is i.Effect.KEYED:
+            request.repeat_ms = cls.window_ms - self.config.settings.tick_ms  # as the decisions count it
         self._enter(request, facts)
         self._post(facts)
         self._at(deadline, lambda: self._deadline(key))
@@ -221,10 +224,12 @@
 
         Guards against work for nobody: a client's end stands in the kernel until its reader's turn comes,
         perhaps long after a full batch of decisions. One that has gone is settled here, as its reader would.
+        And against a second effect: a connection may have come up after the time for repeats.
         """
-        request = attempt.request
-        late = self.now() >= request.deadline
-        if attempt.ended or request.over or request.stream is not None or late:
+        request, now = attempt.request, self.now()
+        if attempt.ended or request.over or request.stream is not None or now >= request.deadline:
+            return False
+        if not request.may_repeat(attempt, now):
             return False
         if request.answer.gone():
             self.client_left(request)
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Protocol
 
 import gevent
@@ -53,6 +54,7 @@
         self.cls, self.tenant = facts.cls, facts.tenant
         self.connection = connection  # its client's, by the taps' number; 0: told by none
         self.taken_at, self.deadline = now, deadline
+        self.repeat_ms = inf  # a further attempt is written whole so long after the first that may have run
         self.attempts: list[Attempt] = []
         self.stream: Attempt | None = None  # the attempt that is the client's
         self.over = False  # answered, or the client has gone
@@ -76,6 +78,11 @@
             "attempts": [a.account(since) for a in self.attempts],
         }
 
+    def may_repeat(self, attempt: Attempt, now: float) -> bool:
+        """Whether an attempt that is written now falls within the time for repeats."""
+        ran = [other.sent_at for other in self.attempts if other is not attempt and not other.never_ran()]
+        return not ran or now < min(ran) + self.repeat_ms
+
     def done(self) -> bool:
         """Whether nothing more can happen to it."""
         return self.over and all(attempt.ended for attempt in self.attempts)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -362,6 +362,30 @@
         assert told_outcomes(scene) == [i.Outcome.UNREACHABLE] and not engine.requests
 
 
+def test_a_repeat_whose_connection_comes_up_after_the_time_for_repeats_is_not_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the second effect: the window runs to the last byte sent, not to the decision."""
+    connect = http1.connect
+    ports: list[int] = []
+
+    def second_is_late(address: Any, timeout_s: float) -> socket.socket:
+        if address[1] in (engines[0].port, engines[1].port):
+            ports.append(address[1])
+            if len(ports) == 2:
+                scene.host.now._offset += 20.0  # so long it takes, and nobody waits
+        return connect(address, timeout_s)
+
+    settings = make_config([])["settings"]
+    settings["Classes"][0] |= {"Effect": "dedup", "Group": "all", "RepeatWindowMs": 20e3, "DeadlineMs": 60e3}
+    with stage(hang_up, hang_up, settings=settings) as (scene, *engines):
+        monkeypatch.setattr(http1, "connect", second_is_late)
+        # Its client may repeat it: the group is all.
+        assert scene.client().send(ask(left=60_000)).answer().status == 503
+        assert told_outcomes(scene) == [i.Outcome.RESET, i.Outcome.MOOT]
+        assert sum(len(engine.requests) for engine in engines) == 1
+
+
 def test_idle_connections_are_dropped_in_time_and_used_ones_only_whole() -> None:
     def answer_and_more(sock: socket.socket, message: Message) -> None:
         serve_all(sock, message)
