Note when a client went once its end is on its way for certain

Need: on a machine with a load of 30 a stand-in client may be stopped between noting the time and closing; what began meanwhile would count as begun for one that had gone. Seen: nothing yet; read from the code.

--- a/benchmarks/gone.py
+++ b/benchmarks/gone.py
@@ -155,9 +155,12 @@
         gevent.sleep(after)
         if way == "reset":
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        left.update(dict.fromkeys(names, time.monotonic()))
         if way == "half":
             sock.shutdown(socket.SHUT_WR)
+        else:
+            sock.close()
+        left.update(dict.fromkeys(names, time.monotonic()))  # its end is on its way for certain
+        if way == "half":
             gevent.sleep(6.0)
 
 
