Tell every client in 3 s whatever fills the descriptors, and count what is held

Need: idle clients may fill the descriptors while discovery is down; a new one is taken or told at once.

Seen, with a real process of 256 descriptors and 2,000 clients at once, discovery refusing, then silent, then back: those that said half a request or stayed after their 400 held all 112 places, and a client that came then waited over 20 s (a request: 17 s, then 504). Clients that take nothing of their streams held everybody for 30 s (`stall_ms`). Cause: `Inbound._accept` slept while `_make_room` found nobody idle; connections that have their answer and linger, and requests half read, were never given up for others, and who waited in the kernel's queue was told nothing. The silent were told 2 s after they were accepted, not after they connected: 2.9 s. The list itself was never late: the halves of the descriptors hold. But a limit of the process below `limits.sockets`, descriptors open at the start, and 16 operators' calls were not counted. `accept_paused` was written every 0.1 s.

Change: the one in front is accepted and waits; room is made of lingering ones first, then the idle, each only once it has its answer and holds nothing unread; half-read requests are refused after 0.5 s; who waited 2 s is told 503 (`net/overflow.py`), half-closed, read, closed. `config.share_out`, `config.within` divide the descriptors by the lower limit, less what was open. Waiting in the queue counts towards the head's time-out.

--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -27,6 +27,12 @@
 INHERITED = "NODE_INHERITED_FD"  # the number of a listening socket that was passed on at the start
 NAME_A_FILE = "Have NODE_CONFIG (or `--config`) name a file that this user can read."
 MIN_SOCKETS = 64  # below this the fixed needs leave nothing for clients
+# Descriptors that neither clients nor endpoints get, however many there are: standard input, output, error,
+# the event loop's (8); the listener, and the next one where its address changes (2); discovery, watched and
+# asked by several calls at once (9); clients that are told there is no room (10); files that are read (3).
+RESERVED = 32
+RESERVED_CONTROL = 20  # and, where operators call: their listener, the next one, and their calls
+AT_START = 8  # those of RESERVED that may be open when the program starts; any beyond count against the rest
 
 
 class ConfigError(Problem, ValueError):
@@ -58,6 +64,13 @@
     remedy = "Install the package that is named, or remove the key."
 
 
+class TooFewDescriptors(ConfigError):
+    """The process may hold fewer descriptors than it needs, or was started with many open."""
+
+    where = "limits.sockets"
+    remedy = "Raise the process's limit (`ulimit -n`), and pass it no descriptors that it has no use for."
+
+
 class ListEntry(Struct):
     """One endpoint as discovery tells it."""
 
@@ -222,7 +235,7 @@
         raise ConfigError(f"seed: {file.seed!r} is not hex") from None
     if isfinite(file.options.list_calls_per_s):
         settings = replace(settings, list_rate=file.options.list_calls_per_s)
-    spare = file.limits.sockets - MIN_SOCKETS // 2  # the rest: files, listener, discovery, event loop
+    inbound, outbound = share_out(file.limits.sockets, bool(file.control))
     return Config(
         name=file.name,
         listen=address("listen", file.listen),
@@ -240,13 +253,34 @@
         limits=file.limits,
         resumes=names.Specifics.Resume,
         load_probes=names.Stats.Via != "off",
-        max_inbound=spare // 2,
-        max_outbound=spare - spare // 2,
+        max_inbound=inbound,
+        max_outbound=outbound,
         max_held=int(file.limits.memory_mb * 1024 * 1024 / 4),
         control=address("control", file.control) if file.control else None,
     )
 
 
+def share_out(descriptors: int, control: bool) -> tuple[int, int]:
+    """How many connections clients may hold, and how many there may be to endpoints.
+
+    Each side has its half, so that neither can take what the other needs; a side has 4 at least.
+    """
+    spare = max(8, descriptors - RESERVED - RESERVED_CONTROL * control)
+    return spare // 2, spare - spare // 2
+
+
+def within(config: Config, allowed: int, held: int) -> Config:
+    """The configuration for a process that may hold `allowed` descriptors and held `held` as it started.
+
+    ConfigError where that leaves too few.
+    """
+    own = min(config.limits.sockets, allowed) - max(0, held - AT_START)
+    if own < MIN_SOCKETS:
+        raise TooFewDescriptors("limits.sockets", f"{own} left, {MIN_SOCKETS} are needed")
+    inbound, outbound = share_out(own, config.control is not None)
+    return replace(config, max_inbound=inbound, max_outbound=outbound)
+
+
 def _place(error: str) -> str:
     """msgspec's message with its place in front: `settings.Classes[0].AimMs: Expected ...`."""
     of_settings = error.startswith("Params")  # the simulator's word for them
@@ -276,7 +310,9 @@
     """The configuration that the environment names."""
     config = parse(read(environment))
     if config.control is None and environment.get(CONTROL):
-        return replace(config, control=address(CONTROL, environment[CONTROL]))
+        inbound, outbound = share_out(config.limits.sockets, True)
+        control = address(CONTROL, environment[CONTROL])
+        return replace(config, control=control, max_inbound=inbound, max_outbound=outbound)
     return config
 
 
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import errno
 import select
 from collections.abc import Callable
+from contextlib import suppress
 from heapq import nsmallest
 
 import gevent
@@ -18,14 +20,19 @@
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.overflow import Overflow
 from spoolbarrow.net.request import Request
 from spoolbarrow.net.taps import Side, Why
 
 CHAT, UP = b"/v1/chat/completions", b"/up"
 RECV = 65536  # bytes read at once, into one buffer: they are parsed before any other greenlet runs
 AHEAD = 4  # requests read ahead of the one that is served; then the client must wait
-BACKLOG = 1024
+BACKLOG = 4096  # connections that the kernel holds for this process, as far as its own limit goes
 SETTLED_MS = 100.0  # a connection idle so long may be closed for one that waits
+HALF_MS = 500.0  # and a request half read so long refused for it
+PATIENCE_MS = 2000.0  # a connection that has waited so long for room is told that there is none
+ROOM_S = 0.02  # between looks for room
+OUT_S = 0.1  # between tries to accept where the process is out of descriptors
 ROOM_AT_ONCE = 16  # connections closed at once for those that wait
 ACCEPT_AT_ONCE, ACCEPT_PAUSE_S = 8, 0.002  # a burst of connections leaves time for those that are served
 DISCARD_PAUSE_S = 0.001  # between reads of what a client still sends after its error
@@ -485,6 +492,9 @@
         self.held = 0  # bytes of bodies in memory
         self.buffer = bytearray(RECV)
         self._clients: set[Client] = set()
+        self._overflow = Overflow(self.buffer)
+        self._next: socket.socket | None = None  # accepted, and waiting for room
+        self._out = False  # of descriptors, as far as is known
         self._listener: socket.socket | None = None
         self._inherited = False  # other processes accept from it, too
         self._accepting: gevent.Greenlet[[socket.socket, bool], None] | None = None
@@ -616,6 +626,9 @@
         gevent.killall([each for each in (self._accepting, self._leaving, self._sweeper) if each is not None])
         if self._listener is not None:
             self._listener.close()
+        if self._next is not None:
+            self._next.close()
+        self._overflow.close()
         for client in list(self._clients):
             client.close(Why.ENDED)
 
@@ -642,25 +655,57 @@
         while not (at_once or self.able()):
             gevent.sleep(ABLE_S)
         while True:
-            if len(self._clients) >= self.config.max_inbound and not self._make_room():
-                gevent.sleep(0.02)
-                continue
-            try:
-                self._admit(listener)
-            except OSError as error:
-                # Out of descriptors: those waiting to be accepted wait on, and this loop must not spin.
-                log("accept_paused", why=str(error))
-                gevent.sleep(0.1)
-                continue
+            self._take(listener)
             accepted += 1
             if accepted % ACCEPT_AT_ONCE == 0:
                 gevent.sleep(ACCEPT_PAUSE_S)
 
-    def _admit(self, listener: socket.socket) -> None:
-        sock, _ = listener.accept()
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    def _take(self, listener: socket.socket) -> None:
+        """The next connection that comes: taken as soon as there is room, or told that there is none.
+
+        BlockingIOError where the listener does not wait and none has come. Nobody waits long: the one in
+        front is told first, and where it came long ago those behind it have waited hardly less.
+        """
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            raise
+        except OSError as error:
+            return self._cannot_accept(error)
+        self._out = False
+        self._seat(sock)
+
+    def _seat(self, sock: socket.socket) -> None:
+        """Serve a connection as soon as there is room, or tell it that there is none."""
+        self._next, since = sock, self.host.now()
+        while len(self._clients) >= self.config.max_inbound:
+            if self._make_room():
+                continue
+            if max(self.host.now() - since, tcpinfo.last_received_ms(sock)) >= PATIENCE_MS:
+                self._next = None
+                return self._overflow.refuse(sock, self.host.now())
+            gevent.sleep(ROOM_S)
+        self._next = None
+        self._admit(sock)
+
+    def _cannot_accept(self, error: OSError) -> None:
+        """Those waiting to be accepted wait on; the loop must not spin, nor fill the log."""
+        if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+            self._make_room()
+        if not self._out:
+            self._out = True
+            log("accept_paused", why=str(error))
+        gevent.sleep(OUT_S)
+
+    def _admit(self, sock: socket.socket) -> None:
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            waited = tcpinfo.last_received_ms(sock)
+        except OSError:  # its client has gone
+            return sock.close()
         sock.settimeout(None)
         client = Client(self, sock)
+        client.since -= waited  # in the kernel's queue: a silent one has had that time already
         self._clients.add(client)
         client.go_on()
 
@@ -668,41 +713,51 @@
         """Accept nothing that comes from now on, but for what another process does not."""
         if self._accepting is not None and self._listener is not None:
             self._accepting.kill()
-            if not self.succeeded:
-                self._leaving = gevent.spawn(self._let_go, self._listener, self._inherited)
+            waiting, self._next = self._next, None
+            listener = None if self.succeeded else self._listener
+            self._leaving = gevent.spawn(self._let_go, listener, self._inherited, waiting)
 
-    def _let_go(self, listener: socket.socket, inherited: bool) -> None:
+    def _let_go(
+        self, listener: socket.socket | None, inherited: bool, waiting: socket.socket | None
+    ) -> None:
         """Guards requests on connections that the kernel has accepted: a listener's end resets them."""
+        if waiting is not None:
+            self._seat(waiting)
+        if listener is None:
+            return
         listener.settimeout(0.0)
-        waiting = True
-        while waiting:
-            try:
-                while len(self._clients) < self.config.max_inbound or self._make_room():
-                    self._admit(listener)
-            except BlockingIOError:
-                waiting = False
-            except OSError as error:
-                log("accept_paused", why=str(error))
-            if waiting:
-                gevent.sleep(DRAIN_S)
+        with suppress(BlockingIOError):
+            while True:
+                self._take(listener)
         # One that was inherited stays as long as the process: closed here, the others' would still wake
         # this one's event loop for each connection.
         if not inherited:
             listener.close()
 
     def _make_room(self) -> bool:
-        """Close those that have longest had nothing under way; those that never asked anything go first."""
-        # Not one just opened or just used: its next request is likely on its way.
-        before = self.host.now() - SETTLED_MS
-        idle = [c for c in self._clients if c.idle() and c.since < before and not c.unread()]
-        for client in nsmallest(ROOM_AT_ONCE, idle, key=lambda client: (not client.fresh, client.since)):
+        """Close what has longest had nothing under way: first those that have their last answer.
+
+        Then those that never asked anything, the oldest first. Where there are none, requests that are still
+        half read are refused, which makes room soon.
+        """
+        # Not one just opened or just used: its next request is likely on its way. Nor one that has not taken
+        # in its answer: what crosses the close would have the kernel reset the connection under that.
+        now = self.host.now()
+        settled = [c for c in self._clients if c.since < now - SETTLED_MS and (c.ending or c.idle())]
+        leave = [c for c in settled if not c.unread() and c.answered()]
+        first = nsmallest(ROOM_AT_ONCE, leave, key=lambda c: (not c.ending, not c.fresh, c.since))
+        for client in first:
             client.close(Why.ROOM)
-        return bool(idle)
+        if not first:
+            for client in [c for c in self._clients if c.since < now - HALF_MS]:
+                client.hurry(self.config.settings.max_retry_after_ms)
+        return bool(first)
 
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_S)
             try:
+                self._overflow.sweep(self.host.now())
                 self._close_overdue()
             except Exception as error:  # without this loop, silent connections would take all the room
                 unexpected("sweep", error)
@@ -720,5 +775,5 @@
             used = client.idle() and not client.fresh
             limit = options.keep_alive_ms if used else options.head_timeout_ms
             # Never one whose request has begun to come in: its reader runs next.
-            if now - client.since > limit and not (client.idle() and client.unread()):
+            if now - client.since > limit and not client.unread():
                 client.overdue()
--- a/spoolbarrow/net/troubles.py
+++ b/spoolbarrow/net/troubles.py
@@ -155,6 +155,14 @@
     remedy = "Raise the process's limit of descriptors to `limits.sockets` (`ulimit -n`), or lower that."
 
 
+class NoRoomForClients(Trouble):
+    """Clients' connections were answered 503: others with requests under way had all the places."""
+
+    event = "no_room_for_clients"
+    where = "`refused`: how many since the last such line"
+    remedy = "Give the router more of `limits.sockets`, or put another one beside it."
+
+
 class ControlPaused(Trouble):
     """No operator's call could be accepted for a moment."""
 
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -7,6 +7,7 @@
 
 import gc
 import os
+import resource
 import signal
 from importlib.util import find_spec
 from typing import TYPE_CHECKING
@@ -63,11 +64,34 @@
     return operator.load()
 
 
+class Descriptors:
+    """What this process may hold: its own limit counts where it is lower than the platform's."""
+
+    def __init__(self) -> None:
+        # The look itself takes one.
+        self._held = len(os.listdir("/proc/self/fd")) - 1
+
+    def fit(self, settings: config.Config) -> config.Config:
+        """A configuration as this process can keep it; ConfigError where it can't.
+
+        A soft limit below the platform's is raised as far as the process may: it is a shell's habit.
+        """
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        wanted = settings.limits.sockets if hard < 0 else min(hard, settings.limits.sockets)
+        if 0 <= soft < wanted:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+            soft = wanted
+        return config.within(settings, settings.limits.sockets if soft < 0 else soft, self._held)
+
+
 class Subsystems:
     """What the operator's file switches on; nothing of what is off is imported."""
 
-    def __init__(self, host: Host, inbound: Inbound, operations: Operations | None) -> None:
+    def __init__(
+        self, host: Host, inbound: Inbound, operations: Operations | None, descriptors: Descriptors
+    ) -> None:
         self._host, self._inbound, self._operations = host, inbound, operations
+        self._descriptors = descriptors
         self._flows: Exporter | None = None
         self._shadow: Copier | None = None
         self._door: Keeper | None = None
@@ -180,7 +204,7 @@
 
     def _read(self) -> tuple[config.Config, config.Config, Operator | None, Prepared]:
         """Both files as they are now: as read, as it fits this process, and all that can be prepared."""
-        read, operator = config.load(), operators()
+        read, operator = self._descriptors.fit(config.load()), operators()
         settings = read if self._operations is None else self._operations.fit(read)
         return read, settings, operator, self.prepare(operator, settings)
 
@@ -279,8 +303,9 @@
     """Serve until SIGTERM, then finish what was taken."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end a program that is not up yet
     operations: Operations | None = None
+    descriptors = Descriptors()
     try:
-        settings, operator = config.load(), operators()
+        settings, operator = descriptors.fit(config.load()), operators()
         if settings.control is not None or config.INHERITED in os.environ:
             from spoolbarrow.admin.operations import Operations
 
@@ -294,7 +319,7 @@
     gevent.signal_handler(signal.SIGINT, told_to_end.set)
     host = Host(settings)
     inbound = Inbound(settings, host)
-    subsystems = Subsystems(host, inbound, operations)
+    subsystems = Subsystems(host, inbound, operations, descriptors)
     try:
         subsystems.apply(operator, subsystems.prepare(operator, settings))
     except config.ConfigError as error:
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,264 @@
+"""Clients fill the descriptors of a real process while discovery is away, and it comes back."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+
+from spoolbarrow import config
+from spoolbarrow.lab.cluster import LISTEN, Process
+from spoolbarrow.lab.loopback import most_files
+from tests.stage import HEAD, Client, Party, ask, chunk, entry, make_config, serve_all, stage, until
+
+MANY = 2000  # clients that say nothing to the point
+TOLD_S = 3.0  # after connecting, each of them is told or closed
+LIST_S = 6.0  # after discovery can be reached, the list is known
+LIMITED = (
+    "import resource, runpy, sys\n"
+    "resource.setrlimit(resource.RLIMIT_NOFILE, (int(sys.argv[1]),) * 2)\n"
+    "del sys.argv[1:]\n"
+    "runpy.run_module('spoolbarrow', run_name='__main__', alter_sys=True)\n"
+)
+
+
+class Discovery:
+    """A service at a port of its own: away (refusing), then silent, then answering."""
+
+    def __init__(self) -> None:
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+        self.endpoints: list[dict[str, Any]] = []
+        self.answers = False
+        self.held: list[socket.socket] = []
+        self.accepting: Any = None
+
+    def listen(self) -> None:
+        self.sock.listen(64)
+        self.accepting = gevent.spawn(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.sock.accept()
+            self.held.append(sock)
+            if self.answers:
+                gevent.spawn(self._answer, sock)
+
+    def _answer(self, sock: socket.socket) -> None:
+        line = json.dumps({"index": 9, "snapshot": True, "endpoints": self.endpoints}).encode() + b"\n"
+        sock.recv(4096)
+        with suppress(OSError):  # it may have given up
+            sock.sendall(HEAD + chunk(line))
+            while True:
+                gevent.sleep(1.0)
+                sock.sendall(chunk(b"\n"))
+
+    def close(self) -> None:
+        if self.accepting is not None:
+            self.accepting.kill()
+        for sock in (self.sock, *self.held):
+            sock.close()
+
+
+class Idler:
+    """A client that says nothing to the point, and stays until it is told, and then for `stays` s.
+
+    `again`: then it comes again.
+    """
+
+    def __init__(self, port: int, says: bytes, stays: float, again: bool) -> None:
+        self.port, self.says, self.stays, self.again = port, says, stays, again
+        self.told_s: list[float] = []  # after connecting, on each connection
+        self.running = gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while not self.told_s or self.again:
+            with socket.socket() as sock:
+                sock.connect((LISTEN, self.port))
+                begun = time.monotonic()
+                with suppress(OSError):
+                    sock.sendall(self.says)
+                    sock.recv(4096)
+                self.told_s.append(time.monotonic() - begun)
+                gevent.sleep(self.stays)
+
+
+def flood(
+    port: int, count: int, says: bytes = b"", stays: float = 0.0, again: bool = False
+) -> list[Idler]:
+    return [Idler(port, says, stays, again) for _ in range(count)]
+
+
+def asked(port: int, name: str) -> int:
+    return Client(port).send(ask(X_Correlation_Id=name, left=9000)).answer().status
+
+
+def longest(idlers: list[Idler]) -> float:
+    for one in idlers:
+        one.again = False
+    gevent.joinall([one.running for one in idlers], raise_error=True)
+    return max(max(one.told_s) for one in idlers)
+
+
+class Router:
+    """A real process with its limit of descriptors; how many it holds is looked at all the time."""
+
+    def __init__(self, folder: Path, sockets: int, limit: int, discovery: Discovery, **changes: Any) -> None:
+        known = changes.pop("known", [])
+        raw = make_config(known, discovery.port, limits={"sockets": sockets}, **changes)
+        raw["settings"]["Discovery"] = "subscribe"
+        raw["settings"]["Classes"][0]["DeadlineMs"] = 20e3
+        file = folder / f"config{len(list(folder.iterdir()))}.json"
+        file.write_text(json.dumps(raw))
+        self.port = int(raw["listen"].rpartition(":")[2])
+        self.process = Process("-c", LIMITED, str(limit), env={"NODE_CONFIG": str(file)})
+        self.most = 0
+        self._looking = gevent.spawn(self._look)
+
+    def _look(self) -> None:
+        while self.process.popen.poll() is None:
+            with suppress(OSError):
+                self.most = max(self.most, len(os.listdir(f"/proc/{self.process.popen.pid}/fd")))
+            gevent.sleep(0.02)
+
+    def listed(self) -> bool:
+        return any(line["serving"] for line in self.process.events("destinations"))
+
+    def end(self) -> None:
+        self._looking.kill()
+        self.process.kill()
+
+
+@pytest.fixture
+def world(tmp_path: Path) -> Iterator[Callable[..., Any]]:
+    """Make routers, all of one discovery (`discovery`), with one engine (`engine`)."""
+    most_files()
+    made: list[Router] = []
+    discovery = Discovery()
+    engine = Party(serve_all)
+    discovery.endpoints = [entry("e0", engine.port)]
+
+    def make(sockets: int = 256, limit: int = 256, script: Any = serve_all, **changes: Any) -> Any:
+        engine.script = script
+        made.append(Router(tmp_path, sockets, limit, discovery, **changes))
+        until(lambda: made[-1].process.events("started"))
+        return made[-1], discovery, engine
+
+    yield make
+    for router in made:
+        router.end()
+    discovery.close()
+    engine.close()
+
+
+@pytest.mark.parametrize(
+    "says, stays", [(b"", 0.0), (b"POST /v1/chat/completions HT", 0.0), (b"NONSENSE\r\n\r\n", 1.8)]
+)
+def test_a_flood_while_discovery_is_away_costs_neither_the_list_nor_a_place(
+    world: Callable[..., Any], says: bytes, stays: float
+) -> None:
+    """Silent, half a request, told but staying: each told in 3 s, the list known in 6, a request served."""
+    router, discovery, _ = world()
+    idlers = flood(router.port, MANY, says, stays, again=True)
+    asking = [gevent.spawn(asked, router.port, f"a{n}") for n in range(9)]
+    gevent.sleep(1.0)  # refused
+    discovery.listen()
+    gevent.sleep(1.0)  # silent
+    discovery.answers = True
+    back = time.monotonic()
+    until(router.listed)
+    assert time.monotonic() - back < LIST_S
+    for one in idlers:
+        one.again = False
+    begun, statuses = time.monotonic(), [0]
+    while statuses[-1] != 200:  # refused while others have come before it
+        statuses.append(asked(router.port, f"b{len(statuses)}"))
+    assert time.monotonic() - begun < LIST_S and set(statuses) <= {0, 503, 200}
+    assert longest(idlers) < TOLD_S
+    assert {one.get() for one in asking} <= {200, 503, 504}
+    assert router.most <= 256 and not router.process.events("accept_paused")
+
+
+def test_clients_that_take_nothing_of_their_streams_do_not_keep_others_waiting(
+    world: Callable[..., Any],
+) -> None:
+    def stream(sock: socket.socket, message: Any) -> None:
+        sock.sendall(HEAD + chunk(b"data: " + b"x" * 60_000 + b"\n\n") * 200)
+
+    router, discovery, engine = world(script=stream, known=[])
+    discovery.answers = True
+    discovery.listen()
+    until(router.listed)
+    places = config.share_out(256, False)[0]
+    slow = [Client(router.port).send(ask(X_Correlation_Id=f"s{n}", left=15_000)) for n in range(places)]
+    until(lambda: len(engine.requests) == places)
+    begun = time.monotonic()
+    late = Client(router.port).send(ask())
+    assert late.answer().status == 503 and late.ended()
+    assert longest(flood(router.port, 300)) < TOLD_S
+    assert time.monotonic() - begun < 2 * TOLD_S and router.most <= 256
+    assert router.process.events("no_room_for_clients")[0]["remedy"]
+    assert all(client.sock.recv(1) for client in slow)  # theirs go on
+
+
+def test_several_routers_each_keep_their_reserve(world: Callable[..., Any]) -> None:
+    """One has a lower limit than the platform told it, one a far larger: the lower counts."""
+    limits = ((256, 256), (1024, 100), (1024, 1024))
+    made = [world(sockets, limit) for sockets, limit in limits]
+    _, discovery, _ = made[0]
+    idlers = [one for router, _, _ in made for one in flood(router.port, 700, again=True)]
+    gevent.sleep(0.5)
+    discovery.answers = True
+    discovery.listen()
+    back = time.monotonic()
+    for router, _, _ in made:
+        until(router.listed)
+    assert time.monotonic() - back < LIST_S
+    assert longest(idlers) < TOLD_S
+    for (router, _, _), (_, limit) in zip(made, limits, strict=True):
+        assert router.most <= limit and not router.process.events("accept_paused")
+
+
+def test_a_process_that_may_hold_too_few_does_not_start(tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(make_config([], 1)))
+    process = Process("-c", LIMITED, "40", env={"NODE_CONFIG": str(file)})
+    assert process.popen.wait(30) == 2
+    until(lambda: process.events("bad_config"))
+    assert process.events("bad_config")[0]["error"].startswith("limits.sockets: ")
+
+
+def test_what_was_open_at_the_start_comes_out_of_what_connections_may_take() -> None:
+    made = config.parse(json.dumps(make_config([], 1, limits={"sockets": 256})).encode())
+    few, many = config.within(made, 1000, 6), config.within(made, 200, 48)
+    assert (few.max_inbound, few.max_outbound) == (made.max_inbound, made.max_outbound) == (112, 112)
+    assert many.max_inbound + many.max_outbound == 200 - 40 - config.RESERVED
+    called = config.parse(json.dumps(make_config([], 1, limits={"sockets": 256}, control="h:1")).encode())
+    assert called.max_inbound + called.max_outbound == 256 - config.RESERVED - config.RESERVED_CONTROL
+
+
+def test_running_out_of_descriptors_is_logged_once(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    with stage(serve_all) as (scene, _):
+        accept = type(scene.inbound._listener).accept
+        failures = iter([OSError(24, "Too many open files")] * 4)
+
+        def failing(listener: Any) -> Any:
+            for error in failures if listener is scene.inbound._listener else ():
+                raise error
+            return accept(listener)
+
+        monkeypatch.setattr(type(scene.inbound._listener), "accept", failing)
+        scene.client().send(ask()).answer()  # the accept under way is the old one
+        assert scene.client().send(ask()).answer().status == 200
+    assert capfd.readouterr().err.count('"accept_paused"') == 1
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -259,7 +259,7 @@
     operator, none = read({"SPOOLBARROW_OPERATOR": str(tmp_path / "operator.toml")})
     settings = config.parse(msgspec.json.encode(make_config([])))
     with pytest.raises(config.ConfigError, match=r"^failover\.regions\.west: x is no zone"):
-        Subsystems(None, None, None).prepare(operator, settings)  # type: ignore[arg-type]
+        Subsystems(None, None, None, None).prepare(operator, settings)  # type: ignore[arg-type]
     assert not none
 
 
