Have KNOWN-RED.txt name tests that are red for a real fault, three at most, and hold it to that

Need: a test that shows a real fault must not be weakened or taken out while the fault stands, nor stop every run.

A listed test is run as one that must fail, and its line is printed. A line of another form, one named twice, a fourth one, an id that no test has, and a listed test that passes fail the run. Whether an id is unknown is judged where all tests of its file were asked for, or there is no such file: a part of the tests can still be run alone. tests/test_known_red.py runs the hook over a small tree of its own; all of it fails without the hook.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,61 @@
+"""The hook for tests that are known to be red, run over a small tree of its own."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+HOOK = Path(__file__).parent / "conftest.py"
+TESTS = "def test_red(): assert 0\n\ndef test_green(): pass\n\ndef test_rotten(): assert 0\n"
+RED = "test_it.py::test_red | it divides by nothing | 35\n"
+ROTTEN = "test_it.py::test_rotten | rust | 36\n"
+
+
+def run(folder: Path, known: str | None, *args: str) -> tuple[int, str]:
+    (folder / "conftest.py").write_text(HOOK.read_text())
+    (folder / "test_it.py").write_text(TESTS)
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    if known is not None:
+        (folder / "KNOWN-RED.txt").write_text(known)
+    argv = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *args]
+    ran = subprocess.run(argv, cwd=folder, capture_output=True, text=True, timeout=60)
+    return ran.returncode, ran.stdout + ran.stderr
+
+
+def test_those_listed_are_passed_over_and_printed(tmp_path: Path) -> None:
+    status, said = run(tmp_path, RED + ROTTEN)
+    assert status == 0 and RED in said and ROTTEN in said and "1 passed, 2 xfailed" in said
+
+
+@pytest.mark.parametrize("known", [None, "", ROTTEN])
+def test_a_red_test_that_is_not_listed_fails_the_run(tmp_path: Path, known: str | None) -> None:
+    status, said = run(tmp_path, known)
+    assert status == 1 and "FAILED test_it.py::test_red" in said
+
+
+@pytest.mark.parametrize(
+    "known, told",
+    [
+        (RED + ROTTEN + "test_it.py::test_green | luck | 37\n", "FAILED test_it.py::test_green"),  # passes
+        (RED + ROTTEN + "test_it.py::test_gone | lost | 37\n", "no test has the id test_it.py::test_gone"),
+        (RED + ROTTEN + "test_no.py::test_gone | lost | 37\n", "no test has the id test_no.py::test_gone"),
+        (RED + ROTTEN + RED, "line 3 names test_it.py::test_red again"),
+        (RED + ROTTEN + "a::b | c | 1\nd::e | f | 2\n", "4 lines, 3 are allowed"),
+        (RED + ROTTEN + "test_it.py::test_green | 37\n", "line 3 is not"),
+        (RED + ROTTEN + "test_it.py::test_green |  | 37\n", "line 3 is not"),
+        (RED + "\n" + ROTTEN, "line 2 is not"),
+        ("all of them | rust | 36\n", "line 1 is not"),
+    ],
+)
+def test_whatever_else_the_file_says_fails_the_run(tmp_path: Path, known: str, told: str) -> None:
+    status, said = run(tmp_path, known)
+    assert status != 0 and told in said
+
+
+def test_a_part_of_the_tests_is_judged_by_what_it_holds(tmp_path: Path) -> None:
+    assert run(tmp_path, RED + ROTTEN, "test_it.py::test_green")[0] == 0
+    assert run(tmp_path, RED + ROTTEN, "-k", "green")[0] == 0
+    assert run(tmp_path, "test_it.py::test_gone | lost | 37\n", "test_it.py", "-k", "green")[0] != 0
