Have two processes of a router hold together no more descriptors than one may

Need: the limit counts what all processes hold together. Seen by the arithmetic: while an older process lives, each took half of the connections and a whole reserve besides: 288 of 256, with operators' calls 308. Nothing was ruled out; the halves had been taken after the reserve. Change: `Handover.fit` halves the descriptors before the reserve is set aside (`config.share_out`). Result: 128 each of 256; tests/test_descriptors.py fails without the change (half of the connections: 51 for clients, 154 with the reserve).

--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -260,12 +260,17 @@
     )
 
 
+def reserved(control: bool) -> int:
+    """Descriptors that no connection of clients or to endpoints may take; `control`: operators call."""
+    return RESERVED + RESERVED_CONTROL * control
+
+
 def share_out(descriptors: int, control: bool) -> tuple[int, int]:
     """How many connections clients may hold, and how many there may be to endpoints.
 
     Each side has its half, so that neither can take what the other needs; a side has 4 at least.
     """
-    spare = max(8, descriptors - RESERVED - RESERVED_CONTROL * control)
+    spare = max(8, descriptors - reserved(control))
     return spare // 2, spare - spare // 2
 
 
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -20,7 +20,7 @@
 from gevent import socket
 from msgspec.structs import replace
 
-from spoolbarrow.config import INHERITED, Config, ConfigError
+from spoolbarrow.config import INHERITED, Config, ConfigError, reserved, share_out
 from spoolbarrow.errors import Problem
 from spoolbarrow.net.log import log, unexpected
 
@@ -271,9 +271,12 @@
         """This process's part of the router's room while another one lives."""
         if not self.shared():
             return config
+        # Each keeps a whole reserve for itself: together they hold no more than one alone.
+        control = config.control is not None
+        both = config.max_inbound + config.max_outbound + reserved(control)
+        inbound, outbound = share_out(both // 2, control)
         return replace(
-            config, max_inbound=config.max_inbound // 2, max_outbound=config.max_outbound // 2,
-            max_held=config.max_held // 2,
+            config, max_inbound=inbound, max_outbound=outbound, max_held=config.max_held // 2,
         )
 
     def close(self) -> None:
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -775,6 +775,6 @@
         for client in [c for c in self._clients if not (c.exchange or c.ending or c.paused())]:
             used = client.idle() and not client.fresh
             limit = options.keep_alive_ms if used else options.head_timeout_ms
-            # Never one whose request has begun to come in: its reader runs next.
+            # Never one of whose request more has come in, or its beginning: its reader runs next.
             if now - client.since > limit and not client.unread():
                 client.overdue()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -15,6 +15,7 @@
 from gevent import socket
 
 from spoolbarrow import config
+from spoolbarrow.handover import Handover
 from spoolbarrow.lab.cluster import LISTEN, Process
 from spoolbarrow.lab.loopback import most_files
 from tests.stage import HEAD, Client, Party, ask, chunk, entry, make_config, serve_all, stage, until
@@ -246,6 +247,20 @@
     assert called.max_inbound + called.max_outbound == 256 - config.RESERVED - config.RESERVED_CONTROL
 
 
+def test_two_processes_of_a_router_hold_together_what_one_may(tmp_path: Path) -> None:
+    made = config.parse(json.dumps(make_config([], 1, limits={"sockets": 256}, control="h:1")).encode())
+    older = Handover(str(tmp_path))
+    newer = Handover(str(tmp_path))
+    try:
+        newer.look()
+        fitted = newer.fit(made)
+        own = fitted.max_inbound + fitted.max_outbound + config.RESERVED + config.RESERVED_CONTROL
+        assert newer.older and own == 128 and fitted.max_inbound == 38
+    finally:
+        newer.close()
+        older.close()
+
+
 def test_running_out_of_descriptors_is_logged_once(
     monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
