Ask discovery again within the clock whatever call failed, and beside one that hangs

Need: a change counts as told 6 s after discovery had it and could be reached, whatever our own call met. Seen in the code: `Pacing.failed` backed off to 8 s, 80 ms a router (16 s at 200) or 28 s; a call without an answer held the router for 3.2 s, and the decisions for 8 s (ASK_LOST_MS). Also seen: `2.0 ** mute` overflows after 1,024 mute watches in a row (an hour of a mute service), and the watch dies of it. Change: pauses after failed calls are 0.5 to 1 s, then 1 to 2 s; while no answer has begun another call is begun every 1.75 to 2.25 s with the first left open, two at most, the first answer wins; none beside a call that follows one refused after a wait, since a full queue is no hang and the second turn would be worked off for nothing. An answer that is torn, too long, of the wrong type or of an older version is refused as `bad_list`. Time-outs that do not fit the clock are refused with their key. Ruled out: hedging after 1 s (calls that stand in a queue of 1 to 3 s are begun twice), hedging after refusals too (a fifth later at 10 a second).

--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -20,6 +20,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow import wire
 from spoolbarrow.errors import Problem
+from spoolbarrow.fleet.pacing import CLOCK_MS, SILENT_SPREAD_MS
 
 Address = tuple[str, int]
 MISSING = "Object missing required field "  # msgspec's words
@@ -195,6 +196,20 @@
             raise ConfigError(f"{place}.{key}: must be positive")
 
 
+def _fits_clock(options: Options) -> None:
+    """Guards against time-outs with which the list comes too late by themselves (`fleet/pacing.py`)."""
+    silence, call = options.watch_silence_ms, options.call_timeout_ms
+    if silence + SILENT_SPREAD_MS + call <= CLOCK_MS:
+        return
+    plain = Options()
+    key = "watch_silence_ms" if call <= plain.call_timeout_ms else "call_timeout_ms"
+    raise ConfigError(
+        f"options.{key}",
+        f"{silence:g} ms of silence, {SILENT_SPREAD_MS:g} and a call of {call:g} are over {CLOCK_MS:g}",
+        f"Let `watch_silence_ms` and `call_timeout_ms` be {CLOCK_MS - SILENT_SPREAD_MS:g} together at most.",
+    )
+
+
 def _index(names: list[str]) -> dict[str, int]:
     return {name: number for number, name in enumerate(names)}
 
@@ -213,6 +228,7 @@
         raise ConfigError("settings", str(error)) from error
     _positive("limits", file.limits)
     _positive("options", file.options)
+    _fits_clock(file.options)
     _positive("settings.Limits", names.Limits)
     if file.limits.sockets < MIN_SOCKETS:
         raise ConfigError(f"limits.sockets: at least {MIN_SOCKETS} are needed")
--- a/spoolbarrow/net/asking.py
+++ b/spoolbarrow/net/asking.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from typing import TypeVar
 
 import gevent
 import msgspec
 from gevent import socket
 from gevent.event import AsyncResult
+from gevent.queue import Empty, Queue
 
 from spoolbarrow.config import Address, HostList, Options
 from spoolbarrow.net import http1
@@ -20,14 +22,19 @@
 
 RECV = 65536
 MAX_LINE = 1 << 22  # a longer one is no list
-CLOCK_MS = 6000.0  # after a watch fell silent, what it would have said counts as told
 CONNECT_MS = 1200.0  # one packet lost is sent again after 1 s
-SPREAD_MS = 250.0  # before a watch that fell silent is opened anew: all may have fallen silent at once
-MUTE_MS = 2000.0  # the longest pause after calls that never brought a word, one after the other
+MOST_CALLS = 2  # of one router that are open at once
 AGENT_MS, AGENT_CALLS = 150.0, 8  # between calls to an agent that does not answer; so many at once
 AGENT_ANSWER_MS = 1000.0  # an agent answers at once; one that takes so long is silent
 _decoder = msgspec.json.Decoder(HostList)
-FAULTS = (OSError, http1.Fault, msgspec.DecodeError)  # what a call may end in
+T = TypeVar("T")
+
+
+class BadList(Exception):
+    """An answer that is no list: torn, too long, of the wrong type, or of an older version than is known."""
+
+
+FAULTS = (OSError, http1.Fault, BadList)  # what a call may end in
 
 
 class Silent(Exception):
@@ -42,22 +49,38 @@
         http1.send_pieces(sock, http1.get_pieces(b"/discovery/hosts", discovery))
         while not parser.whole:
             parser.read(sock, buffer)
+            _is_well(parser)
             body += b"".join(parser.take_body())
             if len(body) > MAX_LINE:
-                raise http1.Fault(502, "list too long")
-    if parser.status != 200:
+                raise BadList(f"longer than {MAX_LINE} bytes")
+    news = _decode(body)
+    if not news.snapshot:
+        raise BadList("no `snapshot`: it is not the whole list")
+    return news
+
+
+def _is_well(parser: http1.ResponseParser) -> None:
+    if parser.headed and parser.status != 200:
         raise http1.Fault(502, f"discovery answered {parser.status}")
-    return _decoder.decode(body)
+
+
+def _decode(text: bytes) -> HostList:
+    try:
+        return _decoder.decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadList(str(error)) from error
 
 
 def follow(
-    discovery: Address, options: Options, index: int, now: Callable[[], float], limit_ms: float
+    discovery: Address, options: Options, index: int, now: Callable[[], float], limit_ms: float,
+    headed: Callable[[], object] = lambda: None,
 ) -> Iterator[HostList | None]:
     """What a watch says from version `index` on, None for an empty line; ends where the watch does.
 
     Its answer begins within `limit_ms` (TimeoutError), each further word within `options.watch_silence_ms`
     of the one before it: Silent. A word is an empty line or a whole list: bytes that come, or lines of a
-    list, say nothing before it is whole. `now` counts ms. Any of FAULTS where the call fails.
+    list, say nothing before it is whole. `now` counts ms. `headed` is called when the answer has begun. Any
+    of FAULTS where the call fails.
     """
     parser, buffer = http1.ResponseParser(options.max_head), bytearray(RECV)
     messages, heard = Messages(MAX_LINE), now()
@@ -65,19 +88,30 @@
         target = b"/discovery/hosts?stream=1&index=%d" % index
         http1.send_pieces(sock, http1.get_pieces(target, discovery))
         while not parser.whole:
-            headed = parser.headed
-            limit = options.watch_silence_ms if headed else limit_ms
+            begun = parser.headed
+            limit = options.watch_silence_ms if begun else limit_ms
             if not _read(parser, sock, buffer, heard + limit - now()):
-                if headed:
+                if begun:
                     raise Silent
                 raise TimeoutError("no answer in time")
-            if parser.headed and parser.status != 200:
-                raise http1.Fault(502, f"discovery answered {parser.status}")
-            words = messages.feed(b"".join(parser.take_body()))
-            if words or parser.headed != headed:
+            _is_well(parser)
+            words = _cut(messages, b"".join(parser.take_body()), parser.whole)
+            if words or parser.headed != begun:
                 heard = now()
+            if parser.headed != begun:
+                headed()
             for word in words:
-                yield _decoder.decode(word) if word else None
+                yield _decode(word) if word else None
+
+
+def _cut(messages: Messages, data: bytes, ended: bool) -> list[bytes]:
+    try:
+        words = messages.feed(data)
+        if ended:
+            messages.end()
+        return words
+    except http1.Fault as error:
+        raise BadList(str(error)) from error
 
 
 def _read(parser: http1.ResponseParser, sock: socket.socket, buffer: bytearray, left_ms: float) -> bool:
@@ -96,18 +130,66 @@
     return True
 
 
+def first_of(
+    call: Callable[[Callable[[], object]], T], pause_ms: Callable[[], float], now: Callable[[], float],
+    lost: Callable[[Exception], object],
+) -> T:
+    """What the first of several calls gives that is answered; the others are given up then.
+
+    The next begins `pause_ms` after the one before it, which stays open: a service that hung may answer only
+    calls that come after its return. None begins beside an answer that has begun (a call calls what it is
+    given then), nor beside MOST_CALLS others. `lost` hears why a call failed while another was open; the last
+    one's error is raised: Silent or any of FAULTS.
+    """
+    ended: Queue[tuple[int, T | Exception]] = Queue()
+    calls: dict[int, gevent.Greenlet[[int], None]] = {}
+    begun: set[int] = set()  # their answers have
+
+    def run(number: int) -> None:
+        try:
+            ended.put((number, call(lambda: begun.add(number))))
+        except Exception as error:
+            ended.put((number, error))
+
+    made, due = 0, now()
+    try:
+        while True:
+            full = bool(begun) or len(calls) >= MOST_CALLS
+            if now() >= due and not full:
+                made += 1
+                calls[made] = gevent.spawn(run, made)
+                due = now() + pause_ms()
+                continue
+            try:
+                number, found = ended.get(timeout=None if full else max(1.0, due - now()) / 1000)
+            except Empty:
+                continue
+            if not isinstance(found, Exception):
+                return found
+            del calls[number]
+            begun.discard(number)
+            if not calls:
+                raise found
+            lost(found)
+    finally:
+        gevent.killall(list(calls.values()), block=False)
+
+
 def ask_agent(discovery: Address, options: Options) -> HostList:
     """The whole list from an agent on this machine, asked again and again until it answers.
 
     An agent answers at once and at no cost, or is silent while discovery is down, and what it has counts as
-    told at once when that is back. So no call that waits is given up for the next one: the first answer wins.
+    told at once when that is back. So no call that waits is given up for the next one: the first answer wins;
+    BadList where it is none.
     """
-    answer: AsyncResult[HostList] = AsyncResult()
+    answer: AsyncResult[HostList | BadList] = AsyncResult()
     calls: set[gevent.Greenlet[[], None]] = set()
 
     def call() -> None:
         try:
             answer.set(whole(discovery, options, AGENT_MS * AGENT_CALLS))
+        except BadList as error:
+            answer.set(error)
         except FAULTS:
             pass  # the next call is on its way
         except Exception as error:
@@ -119,6 +201,8 @@
             if len(calls) < AGENT_CALLS:
                 calls.add(gevent.spawn(call))
             news = answer.wait(AGENT_MS / 1000)
+            if isinstance(news, BadList):
+                raise news
             if news is not None:
                 return news
     finally:
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from random import Random
+from typing import TypeVar
 
 import gevent
 from gevent.event import Event
@@ -16,11 +17,12 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
 from spoolbarrow.errors import Problem
-from spoolbarrow.fleet.pacing import spread_ms
+from spoolbarrow.fleet.pacing import CLOCK_MS, WAITED_MS, hangs_ms, silent_ms, spread_ms
 from spoolbarrow.net import asking
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import STATES
 
+T = TypeVar("T")
 MOST_SUSPENDED = 4096  # names; they stay while their endpoints are gone, so only operators take them out
 
 
@@ -49,6 +51,9 @@
         self._watch: gevent.Greenlet[[], None] | None = None
         self._rng = Random(config.seed)
         self._spoke = False  # this watch has said something
+        self._asking: object = None  # the watch, while its calls are on their way and none has answered
+        self._full = False  # the last call was refused after a wait
+        self._bad = ""  # what was wrong with the last answer that was no list
         self._agent_heard = Event()  # where lists are pushed: what the agent has is known
         self._heard_at = now()
         self._doubt: gevent.Greenlet[[], None] | None = None  # until the clock for silence runs out
@@ -274,6 +279,11 @@
         asked = self._config.settings.subscribe
         self._watch = gevent.spawn_later(pause_ms / 1000, self._follow if asked else self._follow_agent)
 
+    def ask(self) -> None:
+        """Watch, unless calls are on their way: the decisions may have given up one that is not lost."""
+        if self._watch is None or self._asking is not self._watch:
+            self.watch()
+
     def hear_first(self) -> None:
         """Watch, and wait a moment for what the agent has: it counts as told before anything is decided."""
         self.watch()
@@ -293,11 +303,10 @@
             self._broken(why)
             if why != "silent":
                 return self._tell(i.ReplicaList(i.ListKind.FAILED))
-            # Not backed off as a failed call is: the clock runs. Watches that never speak cost the service a
-            # call each, so they are opened less often, but still within the clock.
+            # Watches that never speak cost the service a call each, so they are opened less often, but still
+            # within the clock.
             mute = 0 if self._spoke else mute + 1
-            pause = min(asking.MUTE_MS, asking.SPREAD_MS * 2.0 ** max(0, mute - 1))
-            gevent.sleep(pause * self._rng.random() / 1000)
+            gevent.sleep(silent_ms(mute, self._rng) / 1000)
 
     def _follow_agent(self) -> None:
         last = ""
@@ -314,40 +323,95 @@
         try:
             read()
             return "ended"
-        except (asking.Silent, TimeoutError):
+        except Exception as error:
+            return self._why(error)
+
+    def _why(self, error: Exception) -> str:
+        if isinstance(error, (asking.Silent, TimeoutError)):
             # Also a call that got no answer at all: a service that is too busy or down says so, and the clock
-            # runs from the call. Told as failed, it would be backed off past the clock.
+            # runs from the call.
             return "silent"
-        except asking.FAULTS as error:
-            return f"{type(error).__name__}: {error}"
-        except Exception as error:
+        if not isinstance(error, asking.FAULTS):
             unexpected("watch", error)
             return "unexpected"
+        if isinstance(error, asking.BadList) and str(error) != self._bad:  # an agent is asked for ever
+            self._bad = str(error)
+            log("bad_list", why=str(error), index=self._index)
+        return f"{type(error).__name__}: {error}"
 
     def _read_watch(self) -> None:
-        options, discovery = self._config.options, self._config.discovery
+        config = self._config
+        options, discovery = config.options, config.discovery
         if self._index is None:
-            self._news(asking.whole(discovery, options, options.call_timeout_ms))
-        self._read_words(options.call_timeout_ms)
+            self._news(self._first_of(lambda _: asking.whole(discovery, options, options.call_timeout_ms)))
+
+        def begin(headed: Callable[[], object]) -> tuple[HostList | None, Iterator[HostList | None]]:
+            words = self._words(options.call_timeout_ms, headed)
+            try:
+                first = next(words)
+            except StopIteration:
+                raise asking.BadList("a watch that ended without a word") from None
+            if first is not None:
+                self._check(first)
+            return first, words
+
+        first, words = self._first_of(begin)
+        self._take_word(first)
+        self._read_words(words)
+
+    def _first_of(self, call: Callable[[Callable[[], object]], T]) -> T:
+        me = self._asking = gevent.getcurrent()
+        begun = self._now()
+
+        def note(error: Exception) -> None:
+            refused = isinstance(error, asking.FAULTS) and not isinstance(error, TimeoutError)
+            self._full = refused and self._now() - begun >= WAITED_MS
+
+        def lost(error: Exception) -> None:
+            note(error)
+            log("watch_broken", why=self._why(error), index=self._index)
+
+        def pause_ms() -> float:
+            return hangs_ms(self._config.settings, self._rng, self._full)
+
+        try:
+            found = asking.first_of(call, pause_ms, self._now, lost)
+            self._full = False
+            return found
+        except Exception as error:
+            note(error)
+            raise
+        finally:
+            if self._asking is me:  # else another watch has taken its place
+                self._asking = None
 
     def _read_agent(self) -> None:
         self._news(asking.ask_agent(self._config.discovery, self._config.options))
         self._agent_heard.set()
-        self._read_words(asking.AGENT_ANSWER_MS)
+        self._read_words(self._words(asking.AGENT_ANSWER_MS))
 
-    def _read_words(self, limit_ms: float) -> None:
-        options, discovery = self._config.options, self._config.discovery
-        for word in asking.follow(discovery, options, self._index or 0, self._now, limit_ms):
-            if word is not None:
-                self._news(word)
-            else:
-                self._heard()
-                if not self._spoke:
-                    self._tell(i.ReplicaList(i.ListKind.CHANGES))  # nothing missed: the call's answer
-            self._spoke = True
+    def _words(
+        self, limit_ms: float, headed: Callable[[], object] = lambda: None
+    ) -> Iterator[HostList | None]:
+        config = self._config
+        return asking.follow(config.discovery, config.options, self._index or 0, self._now, limit_ms, headed)
+
+    def _read_words(self, words: Iterator[HostList | None]) -> None:
+        for word in words:
+            self._take_word(word)
+
+    def _take_word(self, word: HostList | None) -> None:
+        if word is not None:
+            self._news(word)
+        else:
+            self._heard()
+            if not self._spoke:
+                self._tell(i.ReplicaList(i.ListKind.CHANGES))  # nothing missed: the call's answer
+        self._spoke = True
 
     def _heard(self) -> None:
         """Discovery spoke: the list is what it has."""
+        self._bad = ""
         self._heard_at = self._now()
         if self._doubt is not None:
             self._doubt.kill(block=False)
@@ -362,7 +426,7 @@
 
     def _count_silence(self) -> None:
         if self._doubt is None:
-            left = self._heard_at + asking.CLOCK_MS - self._now()
+            left = self._heard_at + CLOCK_MS - self._now()
             self._doubt = gevent.spawn_later(max(0.0, left) / 1000, self._run_out)
 
     def _run_out(self) -> None:
@@ -370,7 +434,13 @@
         self._unconfirmed = True
         log("list_unconfirmed", index=self._index, silent_ms=round(self._now() - self._heard_at))
 
+    def _check(self, news: HostList) -> None:
+        """BadList for a version older than what is known, be it whole: engines that drain may serve in it."""
+        if self._index is not None and news.index < self._index:
+            raise asking.BadList(f"its index went back from {self._index} to {news.index}")
+
     def _news(self, news: HostList) -> None:
+        self._check(news)
         kind = i.ListKind.WHOLE if news.snapshot else i.ListKind.CHANGES
         self._take(news, kind)
         self._index = news.index
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -430,7 +430,7 @@
         self._at(self.now() + action.in_ms, lambda: self._post(i.TimerFired(action.token)))
 
     def _subscribe(self, action: i.Subscribe) -> None:
-        self.destinations.watch()
+        self.destinations.ask()
 
     def _forget(self, request: Request) -> None:
         if request.done() and self._requests.pop(request.key, None) is not None:
--- a/spoolbarrow/net/messages.py
+++ b/spoolbarrow/net/messages.py
@@ -23,6 +23,11 @@
         self._in_text = False
         self._ended = False  # an object ended on this line: its end is no empty line
 
+    def end(self) -> None:
+        """The stream has ended: Fault 502 where it did so inside an object."""
+        if self._depth:
+            raise Fault(502, "an object that is torn")
+
     def feed(self, data: bytes) -> list[bytes]:
         """Each object that is whole now, and b"" for each empty line between objects.
 
--- a/spoolbarrow/net/troubles.py
+++ b/spoolbarrow/net/troubles.py
@@ -83,6 +83,17 @@
     remedy = "If it repeats, see whether the named discovery runs and answers within `call_timeout_ms`."
 
 
+class BadList(Trouble):
+    """Discovery's answer is no list that can be taken: `why` names the fault; the list stays as it was."""
+
+    event, level = "bad_list", "error"
+    where = "`why`; `index`: the version that is known"
+    remedy = (
+        "Put right what discovery or something before it answers; where its versions began anew, "
+        "restart the routers."
+    )
+
+
 class ListUnconfirmed(Trouble):
     """Discovery has said nothing for 6 s: what it had to tell counts as told and is not known here."""
 
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -78,7 +78,7 @@
 LATE_MAX = 6.0  # largest general factor of late first tokens: loaded replicas read slower than idle ones
 SWEEP_MS = 500.0  # between looks at what no event wakes
 COLD_HOME, COLD_OTHERS = 0.3, 0.2  # of what rule 4 tolerates, as if an engine bore the mean: some bear less
-ASK_LOST_MS = 8000.0  # a call of the list whose answer has not come by then is made again
+ASK_LOST_MS = 3500.0  # calls wait 3 s: one without an answer by then is made again
 
 _M64 = (1 << 64) - 1
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -37,6 +37,8 @@
         ("known.endpoints", [{"name": "e"}], "known.endpoints[0].address"),
         ("options.probe_timeout_ms", -1, "options.probe_timeout_ms"),
         ("options.proble_timeout_ms", 1, "options"),
+        ("options.watch_silence_ms", 2_551, "options.watch_silence_ms"),  # with the rest over 6 s
+        ("options.call_timeout_ms", 3_251, "options.call_timeout_ms"),
         ("settings.Classes.0.AimMs", "soon", "settings.Classes[0].AimMs"),
         ("settings.Classes.0.Effect", "odd", "settings.Classes.Effect"),
         ("settings.Balancers", 0, "settings"),
