Measure how late routers hear of a drain after each way their list service can fail

Need: each way is its own case, with the time from reachable to the last request at a drained engine.

--- a/spoolbarrow/lab/cluster.py
+++ b/spoolbarrow/lab/cluster.py
@@ -95,6 +95,7 @@
             first = sum(len(found) for found in self.of_zone.values())
             self.of_zone[zone] = list(range(first, first + count))
         self.out: set[int] = set()  # engines that the service does not list
+        self.draining: set[int] = set()  # of those listed, engines that want nothing new
         self.since = [0.0] * len(self.names)  # when engines were started, Unix ms; 0: long ago
         self.ended: set[int] = set()  # routers that were killed at some time
         self.started: list[Process] = []
@@ -283,7 +284,8 @@
 
     def _lines(self, engines: Iterable[int]) -> list[dict[str, Any]]:
         zone = {n: name for name, found in self.of_zone.items() for n in found}
-        return [{"name": self.names[n], "zone": zone[n], "type": "m", "since_ms": self.since[n]}
+        return [{"name": self.names[n], "zone": zone[n], "type": "m", "since_ms": self.since[n],
+                 **({"status": "terminating"} if n in self.draining else {})}
                 for n in engines]
 
     def _tell(self, engines: Iterable[int]) -> None:
--- a/spoolbarrow/lab/listing.py
+++ b/spoolbarrow/lab/listing.py
@@ -12,8 +12,9 @@
 caller's own loopback address, or `addresses`, one for each router); `rate RATE [LINE_MS]`; `fail SHARE` of
 calls with 503, at their turn; `down` (connections are refused), `reset` (they are taken and reset), `up`,
 `restart` (queue and watches are lost); `ROUTERS MODE` (numbers, or `*`) with the mode `pass`, `mute` (watches
-say nothing), `deaf` (calls get no answer), `half` (half an answer, then nothing) or `cut` (connections are
-reset); `mark`: counts begin anew; `counts`, answered in JSON. It ends after SECONDS.
+say nothing), `deaf` (calls get no answer), `half` (half an answer, then nothing), `cut` (connections are
+reset), `full` (calls get 503 at once), `hang` and `stuck` (as `deaf` and `half`, and neither calls nor watches
+of that time ever speak again); `mark`: counts begin anew; `counts`, answered in JSON. It ends after SECONDS.
 """
 
 from __future__ import annotations
@@ -42,7 +43,7 @@
 MOST_OPEN = 8192  # connections; one more is reset
 HISTORY = 64  # versions of the list whose changes are known
 LEFT_OUT_S = 3600.0  # a wait that any news ends
-MODES = ("pass", "mute", "deaf", "half", "cut")
+MODES = ("pass", "mute", "deaf", "half", "cut", "full", "hang", "stuck")
 KINDS = ("calls", "failed", "lines")  # that are counted by router and by second
 WATCHED = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 FULL = PLAIN % (b"503 Service Unavailable", b"", 0, b"")
@@ -273,9 +274,11 @@
         asked = parse_qs(url.query)
         watch = asked.get("stream") == ["1"]
         index = int(asked.get("index", ["0"])[0]) if watch else 0
-        if not self._turn(router, len(self.versions.since(index)[1])):
+        if self.modes[router] == "full" or not self._turn(router, len(self.versions.since(index)[1])):
             sock.sendall(FULL)
             return
+        if self.modes[router] == "hang":
+            Event().wait()  # until the caller has left
         while self.modes[router] == "deaf" or (watch and self.modes[router] == "mute"):
             self._changed.wait()  # until that ends, or the caller has left and its connection with it
         text, index = self._text(router, index, watch)
@@ -283,7 +286,7 @@
             self._watch(sock, router, text, index)
             return
         head = PLAIN % (b"200 OK", b"Content-Type: application/json\r\n", len(text), b"")
-        if self.modes[router] == "half":
+        if self.modes[router] in ("half", "stuck"):
             sock.sendall(head + text[:len(text) // 2])
             self._stop_there(router)
             return
@@ -296,7 +299,8 @@
     def _stop_there(self, router: str) -> None:
         """Say nothing more."""
         self.counts.count("failed", router, time.monotonic())
-        while self.modes[router] == "half":
+        stuck = self.modes[router] == "stuck"
+        while stuck or self.modes[router] == "half":
             self._changed.wait()
         raise OSError("an answer that stopped half-way")
 
@@ -311,7 +315,7 @@
         return json.dumps(told).encode(), self.versions.index
 
     def _watch(self, sock: Any, router: str, text: bytes, index: int) -> None:
-        if self.modes[router] == "half":
+        if self.modes[router] in ("half", "stuck"):
             part = text or b"{"
             sock.sendall(WATCHED + b"%x\r\n" % len(part) + part[:len(part) // 2])
             self._stop_there(router)
@@ -319,11 +323,13 @@
         self._heard(router)
         self.watches[sock] = router, index
         leaving = gevent.spawn(self._leaving, sock)
+        hung = False
         try:
             while sock in self.watches:
                 changed = self._changed
                 changed.wait(ALIVE_S)
-                if self.modes[router] != "mute":
+                hung = hung or self.modes[router] in ("hang", "stuck")
+                if not hung and self.modes[router] != "mute":
                     text, index = self._text(router, index, True)
                     sock.sendall(chunk(text + b"\n"))
                     self.watches[sock] = router, index
--- a/spoolbarrow/lab/standin.py
+++ b/spoolbarrow/lab/standin.py
@@ -124,6 +124,7 @@
         self.asked: Counter[str] = Counter()  # requests by the beginning of their ids, up to the first `-`
         self.by: dict[str, dict[str, float]] = {kind: defaultdict(float) for kind in KINDS}  # by router
         self.seconds: dict[str, dict[int, float]] = {kind: defaultdict(float) for kind in KINDS}
+        self.last: dict[str, float] = {}  # when each router's last request came, Unix s
         self.begun = time.monotonic()
         self.door = Door(self._converse, self._admits)
 
@@ -138,6 +139,8 @@
 
     def _count(self, kind: str, router: str, much: float = 1.0) -> None:
         self.by[kind][router] += much
+        if kind == "work":
+            self.last[router] = time.time()
         self.seconds[kind][min(int(time.monotonic() - self.begun), MOST_SECONDS)] += much
 
     def told(self) -> dict[str, Any]:
@@ -146,6 +149,7 @@
             "asked": self.asked, "probes": int(sum(self.by["probes"].values())), "by_router": self.by,
             "seconds": self.seconds, "fallen": self.fallen, "falls": self.falls, "refused": self.refused,
             "full": self.full, "incarnation": self.incarnation, "connections": len(self.door.open),
+            "last": self.last,
         }
 
     def set(self, words: list[str]) -> str:
