--- a/spoolbarrow/lab/listing.py
+++ b/spoolbarrow/lab/listing.py
@@ -13,8 +13,8 @@
 calls with 503, at their turn; `down` (connections are refused), `reset` (they are taken and reset), `up`,
 `restart` (queue and watches are lost); `ROUTERS MODE` (numbers, or `*`) with the mode `pass`, `mute` (watches
 say nothing), `deaf` (calls get no answer), `half` (half an answer, then nothing), `cut` (connections are
-reset), `full` (calls get 503 at once), `hang` and `stuck` (as `deaf` and `half`, and neither calls nor watches
-of that time ever speak again); `mark`: counts begin anew; `counts`, answered in JSON. It ends after SECONDS.
+reset), `full` (calls get 503 at once), `hang` and `stuck` (as `deaf` and `half`, and what was open then never
+speaks again); `mark`: counts begin anew; `counts`, answered in JSON. It ends after SECONDS.
 """
 
 from __future__ import annotations
--- a/tests/test_fleet_told.py
+++ b/tests/test_fleet_told.py
@@ -6,15 +6,23 @@
 
 from __future__ import annotations
 
+import os
+import signal
+import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
+import msgspec
 import pytest
+from gevent import socket
 
 from spoolbarrow.fleet.pacing import CLOCK_MS
 from spoolbarrow.lab.cluster import Cluster, Load, cluster
 from spoolbarrow.lab.told import CASES, play, take_back
+from tests.stage import LISTEN, make_config, until
 
+ROOT = Path(__file__).parent.parent
 ROUTERS, ENGINES = 16, 2
 RATE = 20.0  # calls a second
 DOWN_S = 9.0  # long enough for pauses to grow, where they do
@@ -53,3 +61,27 @@
     found = play(fleet, {name: range(ROUTERS)}, 0, DOWN_S)
     assert max(found[name]) < BOUND_S, found
     take_back(fleet, 0)
+
+
+def test_time_outs_that_do_not_fit_the_clock_are_refused_with_their_key(tmp_path: Path) -> None:
+    """At the start with exit status 2; at SIGHUP nothing changes."""
+    file, good = tmp_path / "config.json", make_config([])
+    bad = {**good, "options": {"call_timeout_ms": 3_251.0}}
+    environment = {**os.environ, "NODE_CONFIG": str(file)}
+    file.write_bytes(msgspec.json.encode(bad))
+    run = [sys.executable, "-m", "spoolbarrow"]
+    ended = subprocess.run(run, cwd=ROOT, env=environment, capture_output=True, timeout=60)
+    assert ended.returncode == 2 and b"options.call_timeout_ms" in ended.stderr
+    file.write_bytes(msgspec.json.encode(good))
+    port = int(good["listen"].rpartition(":")[2])
+    with subprocess.Popen(run, cwd=ROOT, env=environment, stderr=subprocess.PIPE) as router:
+        try:
+            assert router.stderr is not None
+            until(lambda: not socket.socket().connect_ex((LISTEN, port)))
+            file.write_bytes(msgspec.json.encode({**bad, "discovery": "127.0.0.1:2"}))
+            router.send_signal(signal.SIGHUP)
+            while b"reload_failed" not in (line := router.stderr.readline()):
+                assert line and b'"reloaded"' not in line
+            assert b"options.call_timeout_ms" in line
+        finally:
+            router.kill()
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Any
 
-import gevent
+import gevent.event
 import msgspec
 import pytest
 from gevent import socket
@@ -25,6 +25,7 @@
 from spoolbarrow.config import Options
 from spoolbarrow.fleet.pacing import MUTE_MS, SILENT_SPREAD_MS, Pacing
 from spoolbarrow.lab.wire import PLAIN
+from spoolbarrow.net import asking
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.messages import Messages
@@ -317,6 +318,120 @@
         other.close()
 
 
+# Answers that are no list
+
+
+def answers(text: bytes, end: bool = False) -> Any:
+    def script(of: Scripted, sock: Sock) -> bool:
+        if b"stream=1" in of.targets[-1]:
+            say(sock, text)
+            sock.sendall(b"0\r\n\r\n" * end)
+        else:
+            sock.sendall(PLAIN % (b"200 OK", b"", len(text), text))
+        gevent.sleep(20 * (not end))
+        return end
+
+    return script
+
+
+BAD = {
+    "torn": (answers(lines(9, "e0")[:-9], end=True), "torn"),
+    "ended without a word": (answers(b"", end=True), "without a word"),
+    "no object": (answers(b"sorry\n"), "neither an object"),
+    "too long": (answers(b'{"x":"' + b"x" * 5000), "too long"),
+    "of the wrong type": (answers(lines(9, "e0").replace(b'"index":9', b'"index":"9"')), "Expected `int`"),
+    "no text": (answers(lines(9, "e0").replace(b"e0", b"\xff0")), "utf-8"),
+    "older changes": (answers(lines(6, "e0")), "went back from 7 to 6"),
+    "an older whole list": (answers(lines(6, "e0", whole=True)), "went back from 7 to 6"),
+}
+BAD_WHOLE = {
+    "torn": (answers(lines(9, "e0", whole=True)[:-9]), "truncated"),
+    "too long": (answers(b"x" * 5000), "longer than 4000"),
+    "not whole": (answers(lines(9, "e0")), "`snapshot`"),
+    "of the wrong type": (answers(b"[]"), "Expected `object`"),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_what_is_no_list_changes_nothing_and_is_asked_for_again(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Bound: 6 s from the answer to the list, as after any failed call; the error names the fault once."""
+    told: list[dict[str, Any]] = []
+    monkeypatch.setattr("spoolbarrow.net.destinations.log", lambda e, **more: told.append({"e": e, **more}))
+    monkeypatch.setattr(asking, "MAX_LINE", 4000)
+    bad, fault = BAD[name]
+    one, begun = Scripted(bad, tells), time.monotonic()
+    try:
+        one.set.watch()
+        until(lambda: one.heard)
+        assert one.heard - begun < CLOCK_S
+        assert one.targets == [b"/discovery/hosts?stream=1&index=7"] * 2
+        assert one.kinds == [i.ListKind.RESTORED, i.ListKind.FAILED, i.ListKind.CHANGES]
+        (line,) = [line for line in told if line["e"] == "bad_list"]
+        assert fault in line["why"] and line["index"] == 7
+    finally:
+        one.close()
+
+
+@pytest.mark.parametrize("name", BAD_WHOLE)
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_a_whole_answer_that_is_no_list_is_asked_for_again(
+    name: str, mode: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    told: list[dict[str, Any]] = []
+    monkeypatch.setattr("spoolbarrow.net.destinations.log", lambda e, **more: told.append({"e": e, **more}))
+    monkeypatch.setattr(asking, "MAX_LINE", 4000)
+    bad, fault = BAD_WHOLE[name]
+    one = Scripted(tells)
+    other = Scripted(bad, answers(lines(9, "e0", whole=True)), tells, mode=mode)
+    begun = time.monotonic()
+    try:
+        one.set.apply(other.config)  # the whole list is asked for
+        one.set.watch()
+        until(lambda: one.heard)
+        assert one.heard - begun < CLOCK_S and i.ListKind.WHOLE in one.kinds
+        assert fault in next(line["why"] for line in told if line["e"] == "bad_list")
+    finally:
+        one.close()
+        other.close()
+
+
+def test_calls_beside_one_that_hangs_are_two_at_most_and_the_first_answer_wins() -> None:
+    answer = gevent.event.Event()
+    begun: list[int] = []
+
+    def call(headed: Any) -> int:
+        number = len(begun)
+        begun.append(number)
+        answer.wait(20)
+        if not number:
+            raise OSError("the first fails")
+        return number
+
+    lost: list[Exception] = []
+    made = gevent.spawn(asking.first_of, call, lambda: 20.0, now_unix_ms, lost.append)
+    until(lambda: len(begun) == 2)
+    gevent.sleep(0.2)
+    assert begun == [0, 1]
+    answer.set()
+    assert made.get(timeout=20) in (1, 2) and len(lost) == 1
+
+
+def test_no_call_begins_beside_an_answer_that_has_begun() -> None:
+    begun: list[int] = []
+
+    def call(headed: Any) -> int:
+        begun.append(1)
+        headed()
+        gevent.sleep(0.2)
+        raise asking.Silent
+
+    with pytest.raises(asking.Silent):
+        asking.first_of(call, lambda: 20.0, now_unix_ms, print)
+    assert begun == [1]
+
+
 # Pushed lists
 
 
