--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -79,7 +79,7 @@
 SWEEP_MS = 500.0  # between looks at what no event wakes
 COLD_SHARE, COLD_HOME = 0.52, 0.2  # of what rule 4 tolerates: in all, for those at home there
 COLD_LIGHT, COLD_MOVED = 0.5, 0.05  # mean works counted at least; chance of moved streams: they come at once
-ASK_LOST_MS = 8000.0  # a call of the list whose answer has not come by then is made again
+ASK_LOST_MS = 3500.0  # calls wait 3 s: one without an answer by then is made again
 
 _M64 = (1 << 64) - 1
 
