--- a/benchmarks/cold_engines.py
+++ b/benchmarks/cold_engines.py
@@ -44,7 +44,7 @@
 TOLD_ONLY = ("slow engines",)  # not judged: a router does not know that they bear less than the mean
 ENGINES = 30
 COLD = (6, 9, 18)  # of them, at once, by seed: also a zone, and six in ten
-CHANCE = 0.002  # of a fall, for a start at which everything that may go to the engine does
+CHANCE = 0.001  # of a fall, for an engine of mean capacity
 USED = 0.5  # of the budget, at least, to which a cold engine is open at full load: less would starve it
 
 
