Learn the mean work that cold engines bear apart from the one that slices go by

Cause: ReplicaPool.request_tokens, now learnt in full from the first requests, also sets the depth of a tenant's slice (Entitlement.save): one of a few tokens. Change: cold_allows goes by mean_work; slices keep the learnt mean with its first guess. probe_lag, which nothing read, is gone.

--- a/spoolbarrow/lab/opened.py
+++ b/spoolbarrow/lab/opened.py
@@ -14,6 +14,7 @@
 
 from spoolbarrow.interface import ListKind, ReplicaEntry, ReplicaList, RequestArrived, RequestClass, Settings
 from spoolbarrow.lab.cold import bears
+from spoolbarrow.lab.scenario import ScenarioError
 from spoolbarrow.router import ReplicaPool, Request
 
 START = 10_000.0  # when the cold engines start
@@ -115,7 +116,7 @@
             "q", 0, 4000.0, session=rng.getrandbits(60) + 1, prefix=key, resumed=moved
         )
         request = Request(asked, cls, now)
-        request.tokens, request.draw = work * pool.request_tokens, rng.getrandbits(63)
+        request.tokens, request.draw = work * pool.mean_work, rng.getrandbits(63)
         homes = pool.homes(request, now)
         if now < START:
             continue
@@ -156,4 +157,4 @@
         request = Request(RequestArrived("q", 0, 4000.0, session=1, prefix=key), cls, START)
         if pool._walk(pool.near, key, 1)[0].id in cold and request.prefix:
             return key
-    raise ValueError("no engine is cold")
+    raise ScenarioError("engines", "none of them is cold")
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -217,6 +217,7 @@
         self.heat_sum, self.heat_at, self.seen, self.once = 0.0, 0.0, 0.0, 0  # all, of prefixes, of ones
         self.cold: list[Replica] = []
         self.request_tokens, self.arrived = 2000.0, count(1)  # mean tokens of a request, learnt; requests
+        self.mean_work = 2000.0  # the same from the first on: the guess would misjudge what cold ones bear
         self.zone_load: list[float] = []
         self.zone_memory: list[float] = []
         self.zone_at: list[float] = []
@@ -342,7 +343,7 @@
         ramp = settings.cold_from + (1.0 - settings.cold_from) * max(0.0, age) / settings.cold_ms
         at_home = min(1.0, COLD_HOME * settings.overload_factor * ramp)
         others = (COLD_SHARE * settings.overload_factor * ramp - at_home) / max(1, len(self.serving))
-        work = max(COLD_LIGHT, request.tokens / self.request_tokens)
+        work = max(COLD_LIGHT, request.tokens / max(1.0, self.mean_work))
         share = (at_home if home else others) * (COLD_MOVED if request.resumed else 1.0) / work**2
         return _mix(request.draw, replica.points[0]) < share * _M64
 
@@ -413,7 +414,6 @@
         self.answer_ms: list[float] = []  # streaming time, learnt
         self.configure(settings)
         self.hedges = 1.0
-        self.probe_lag = 1.0
         self.subscribed, self.asking, self.asked_at = not settings.subscribe, False, 0.0
         self.awaited: dict[str, list[Request]] = {}  # requests held, by the replica asked
         self.begun = False
@@ -548,7 +548,8 @@
         self.requests[event.request] = request
         answer = self.answer_ms[event.cls] / DECODE_MS
         request.tokens, request.draw = request.prompt + answer, self.draws.getrandbits(63)
-        pool.request_tokens += max(LEARN, 1.0 / next(pool.arrived)) * (request.tokens - pool.request_tokens)
+        pool.request_tokens += LEARN * (request.tokens - pool.request_tokens)
+        pool.mean_work += max(LEARN, 1.0 / next(pool.arrived)) * (request.tokens - pool.mean_work)
         self.hedges = min(HEDGE_DEPTH, self.hedges + self.hedge_ratio)
         request.homes = pool.homes(request, self.now)
         if settings.probing:
@@ -737,8 +738,7 @@
         self.pool.heard(attempt.replica, self.now)
         if attempt in attempt.replica.unstarted:
             attempt.replica.unstarted.remove(attempt)
-        if attempt.first_ms < 0.0:
-            attempt.replica.running += 1
+        attempt.replica.running += attempt.first_ms < 0.0
         attempt.first_ms = self.now - attempt.sent_at
         self._swallowed(attempt.replica, attempt.sent_at - OVERTAKEN_MS)
         self.pool.slower(attempt.replica, attempt.first_ms / max(attempt.predicted, 100.0), self.now)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -37,7 +37,7 @@
     pool.take(ReplicaList(ListKind.WHOLE, tuple(entries)), STARTED)
     (cold,) = pool.cold
     request = Request(RequestArrived("q", 0, 4000.0, resumed=moved), cfg.classes[0], STARTED)
-    request.tokens, found = work * pool.request_tokens, set()
+    request.tokens, found = work * pool.mean_work, set()
     for number, request.draw in enumerate(DRAWS):
         if pool.cold_allows(cold, request, STARTED + age, home):
             found.add(number)
@@ -71,7 +71,7 @@
     router.handle(0.0, [serving("a", "b")])
     for n in range(5):  # of far more than is assumed at first: each looked like four mean ones
         router.handle(float(n), [RequestArrived(f"q{n}", 0, 4000.0, prompt_tokens=8000)])
-    assert router.pool.request_tokens == pytest.approx(8000.0, rel=0.1)
+    assert router.pool.mean_work == pytest.approx(8000.0, rel=0.1)
 
 
 @pytest.mark.parametrize("traffic", [
