--- a/spoolbarrow/interface.py
+++ b/spoolbarrow/interface.py
@@ -123,6 +123,7 @@
     tip_after_ms: float = 2000.0
     cross_zone_fee: float = 0.0
     waste_fee: float = 0.0
+    sized: bool = False  # the list's weights tell how large a replica is, more or less; else nothing
     tick_ms: float = 1.0
 
     def __post_init__(self) -> None:
--- a/spoolbarrow/lab/arrivals.py
+++ b/spoolbarrow/lab/arrivals.py
@@ -9,13 +9,13 @@
 from bisect import bisect
 from collections.abc import Iterable, Iterator
 from itertools import accumulate
-from math import inf, log, pi, sin
+from math import exp, inf, log, pi, sin, sqrt
 from random import Random
 
 import msgspec
 from msgspec import Struct
 
-from spoolbarrow.lab.kinds import draw, low_high
+from spoolbarrow.lab.kinds import Range, draw, low_high
 from spoolbarrow.lab.scenario import ClassShape, Load, Scenario, ScenarioError, Trouble
 
 QUOTA_DEPTH_S = 2.0  # of a quota that may be used at once
@@ -89,9 +89,12 @@
     return rng.getrandbits(62) | 1
 
 
-def _tokens(value: tuple[float, float] | float, rng: Random) -> int:
-    """Lengths vary by orders of magnitude: evenly on the logarithmic scale."""
+def _tokens(value: Range, rng: Random, sigma: float = 0.0, most: int = 0) -> int:
+    """Lengths vary by orders of magnitude: evenly on the logarithmic scale, or log-normal."""
     low, high = low_high(value)
+    if sigma > 0.0:
+        drawn = sqrt(low * high) * exp(sigma * rng.gauss(0.0, 1.0))
+        return max(1, round(min(drawn, most or drawn)))
     return max(1, round(low * (high / low) ** rng.random())) if low > 0 else round(draw(value, rng))
 
 
@@ -133,8 +136,11 @@
         count = 1 if c.turns <= 1.0 else 1 + int(log(1.0 - rng.random()) / log(1.0 - 1.0 / c.turns))
         context, when = shared, at
         for _ in range(count):
-            context += _tokens(c.new_tokens, rng)
-            answer = _tokens(c.answer_tokens, rng)
+            room = c.max_context - context - c.max_answer if c.max_context else 0
+            if c.max_context and room < 1:
+                break
+            context += _tokens(c.new_tokens, rng, c.new_sigma, room)
+            answer = _tokens(c.answer_tokens, rng, c.answer_sigma, c.max_answer)
             if 0.0 <= when < scenario.whole_s():
                 found.append(
                     Asked(when * 1000.0, cls, tenant, session, prefix, context, shared, answer, False)
--- a/spoolbarrow/lab/engine.py
+++ b/spoolbarrow/lab/engine.py
@@ -330,10 +330,11 @@
             context += job.work.prompt + job.made
         budget = max(1, f.chunk - len(making))
         self.reading = []
-        tokens = 0
+        tokens, pairs = 0, 0.0
         for job in self.running:
             if job.read < job.target and tokens < budget:
                 piece = min(budget - tokens, job.target - job.read)
+                pairs += piece * (job.read + 0.5 * piece)
                 self.reading.append((job, piece))
                 tokens += piece
                 context += job.read
@@ -345,7 +346,8 @@
             return
         batch = len(making) + len(self.reading)
         factor = self.slow / self.warmth.speed(now)
-        beside = f.per_running_ms * batch + f.per_context_ms * context + f.read_ms * tokens
+        beside = f.per_running_ms * batch + f.per_context_ms * context
+        beside += f.read_ms * tokens + f.pair_ms * pairs
         self.first_ms = factor * (f.step_ms + beside)
         self.grow_ms = factor * f.per_context_ms * len(making)
         self.count = 1
--- a/spoolbarrow/lab/fleet.py
+++ b/spoolbarrow/lab/fleet.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from spoolbarrow.lab.kinds import Figures, draw, figures
 from spoolbarrow.lab.scenario import Scenario, Trouble
@@ -39,6 +40,7 @@
     kind: int
     cell: int
     figures: Figures
+    weight: float = 1.0  # that the list tells
 
 
 class Planned(Struct, frozen=True):
@@ -60,7 +62,7 @@
         counts[n] += 1
     which = [n for n, count in enumerate(counts) for _ in range(count)]
     rng.shuffle(which)
-    return [
+    specs = [
         Spec(
             f"e{rng.getrandbits(32):08x}{n:04x}",
             n % scenario.zones,
@@ -70,6 +72,14 @@
         )
         for n, kind in enumerate(which)
     ]
+    if not scenario.discovery.weights:
+        return specs
+    return [replace(s, weight=_rough(s, scenario.discovery.weight_noise)) for s in specs]
+
+
+def _rough(spec: Spec, noise: float) -> float:
+    """An engine's size, more or less, as the list tells it."""
+    return spec.figures.speed * max(0.2, 1.0 + noise * Random(spec.id).gauss(0.0, 1.0))
 
 
 def plan(scenario: Scenario, rng: Random) -> list[Planned]:
--- a/spoolbarrow/lab/kinds.py
+++ b/spoolbarrow/lab/kinds.py
@@ -23,6 +23,7 @@
     step_ms_per_running: Range = 0.1  # added for each running request
     step_ms_per_1000_context: Range = 0.02  # added for each 1,000 tokens of context of those that run
     read_tokens_per_s: Range = 15_000  # prompt reading, beside the step's own time
+    read_ms_per_million_pairs: Range = 0.0  # added: each token read attends to all before it
     chunk_tokens: Range = 1024  # prompt tokens read in a step at most
     speed: Range = 1.0  # divides all times
     cold_from: Range = 0.5  # share of its speed at start
@@ -47,6 +48,7 @@
 class Figures(Struct, frozen=True, kw_only=True):
     """One engine's own figures, drawn from its kind."""
 
+    speed: float
     slots: int
     waiting: int
     blocks: int
@@ -55,6 +57,7 @@
     per_running_ms: float
     per_context_ms: float  # for each token
     read_ms: float  # for each prompt token
+    pair_ms: float  # for each pair of a token read and one before it
     chunk: int
     cold_from: float
     cold_ms: float
@@ -113,6 +116,7 @@
     """Draw an engine of this kind."""
     speed = draw(kind.speed, rng)
     return Figures(
+        speed=speed,
         slots=max(1, round(draw(kind.slots, rng))),
         waiting=round(draw(kind.waiting, rng)),
         blocks=max(1, int(draw(kind.memory_tokens, rng) // kind.block_tokens)),
@@ -121,6 +125,7 @@
         per_running_ms=draw(kind.step_ms_per_running, rng) / speed,
         per_context_ms=draw(kind.step_ms_per_1000_context, rng) / 1000.0 / speed,
         read_ms=1000.0 / draw(kind.read_tokens_per_s, rng) / speed,
+        pair_ms=draw(kind.read_ms_per_million_pairs, rng) / 1e6 / speed,
         chunk=max(1, round(draw(kind.chunk_tokens, rng))),
         cold_from=min(1.0, draw(kind.cold_from, rng)),
         cold_ms=draw(kind.cold_ms, rng),
--- a/spoolbarrow/lab/scenario.py
+++ b/spoolbarrow/lab/scenario.py
@@ -46,6 +46,10 @@
     think_s: Range = (2.0, 12.0)
     new_tokens: Range = (100, 600)  # added by a turn
     answer_tokens: Range = (40, 160)
+    new_sigma: float = 0.0  # above 0: log-normal with this spread about the range's middle, so heavy-tailed
+    answer_sigma: float = 0.0
+    max_context: int = 0  # tokens of prompt and answer; a session that would go beyond ends. 0: no limit
+    max_answer: int = 0  # tokens; what requests tell. 0: the answer's own length
     openings: int = 20  # shared beginnings; 0: none
     opening_tokens: Range = (3000, 6000)
     opening_share: float = 0.9  # of sessions that begin with one
@@ -115,6 +119,8 @@
     call_ms: float = 200.0  # work for one call; calls wait in turn
     line_ms: float = 0.0  # more for each line told
     timeout_ms: float = 3000.0
+    weights: bool = False  # lines tell an engine's speed, more or less; else 1
+    weight_noise: float = 0.2  # standard deviation, as a share
 
 
 class Limits(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -224,6 +230,7 @@
             cold_from=min((kinds.low_high(k.cold_from)[0] for k in cold), default=1.0),
             cold_ms=max((kinds.low_high(k.cold_ms)[1] for k in cold), default=1.0),
             waste_fee=lim.waste_fee,
+            sized=self.discovery.weights,
             tick_ms=1.0,
         )
 
--- a/spoolbarrow/lab/simulate.py
+++ b/spoolbarrow/lab/simulate.py
@@ -60,7 +60,7 @@
     def entry(self) -> i.ReplicaEntry:
         """Its line in the list."""
         s = self.spec
-        return i.ReplicaEntry(self.id, s.zone, s.kind, s.cell, self.state, 1.0, self.started_at)
+        return i.ReplicaEntry(self.id, s.zone, s.kind, s.cell, self.state, s.weight, self.started_at)
 
 
 class Flight:
@@ -531,6 +531,9 @@
         work = sum(engine.made + engine.done_read for engine in engines)
         return effort(self.sim.scenario, records, work) | {
             "spread": round(sum(self.spread) / max(1, len(self.spread)), 4),
+            "read_anew_share": round(
+                sum(e.done_read for e in engines) / max(1, sum(e.asked for e in engines)), 6
+            ),
             "preempted": sum(engine.preempted for engine in engines),
             "falls": self.falls,
         }
@@ -692,8 +695,9 @@
         open = call.open = node.opens[name] = Open(name, call, now + budget)
         self.sim.callers.calls[name] = call
         self.clock.at(open.deadline, self._deadline, node, node.life, open)
+        most = list(self.sim.scenario.classes.values())[one.cls].max_answer or one.answer
         event = i.RequestArrived(
-            name, one.cls, budget, one.tenant, one.prompt, one.shared, one.answer, one.session, one.prefix
+            name, one.cls, budget, one.tenant, one.prompt, one.shared, most, one.session, one.prefix
         )
         self.feed(node, [event])
 
--- a/spoolbarrow/wire.py
+++ b/spoolbarrow/wire.py
@@ -337,6 +337,7 @@
     Tenants: list[_Tenant] = []
     Discovery: str = "subscribe"
     TickMs: float = 1.0
+    WeightKind: str = "off"
     Limits: _Limits = msgspec.field(default_factory=_Limits)
     Invariants: _Invariants = msgspec.field(default_factory=_Invariants)
     Fees: _Fees = msgspec.field(default_factory=_Fees)
@@ -344,6 +345,7 @@
 
 
 US_PER_1000_TO_MS_PER_TOKEN = 1e-6
+SIZES = ("nominal", "rough")  # kinds of weight that stay; a live one would move homes with each list
 
 
 def decode_settings(raw: dict[str, Any]) -> i.Settings:
@@ -392,5 +394,6 @@
         tip_after_ms=p.Invariants.TipAfterMs,
         cross_zone_fee=p.Fees.CrossZone,
         waste_fee=p.Fees.Waste,
+        sized=p.WeightKind in SIZES,
         tick_ms=p.TickMs,
     )
--- a/tests/test_lab_engine.py
+++ b/tests/test_lab_engine.py
@@ -51,6 +51,14 @@
     assert started == ["a", "b", "c"]
 
 
+def test_reading_grows_with_what_was_read_before() -> None:
+    """Each token read attends to all before it: the second piece of a prompt takes longer than the first."""
+    model = engine(read_ms_per_million_pairs=1000.0)
+    model.submit(0.0, Work("a", 200, 1))
+    # 100 tokens: 10 + 10 ms and 100 x 50 pairs, 5 ms; then 100 x 150 pairs, 15 ms.
+    assert [h.at for h in drain(model)] == pytest.approx([25.0 + 35.0] * 2)
+
+
 def test_a_kept_opening_is_not_read_again() -> None:
     model = engine()
     model.submit(0.0, Work("a", 100, 1, opening="o", opening_tokens=64, session="s"))
