Give engines as many homes as their size, where the list tells it

Cause: places on the ring of homes were the same for all engines, and the list's weights were read by nothing. At fault: ReplicaPool.take and Replica.points. Removed for it: probe_lag, which nothing read; lines put together. Without the change two tests fail.

--- a/spoolbarrow/admin/state.py
+++ b/spoolbarrow/admin/state.py
@@ -17,7 +17,7 @@
 
 VERSION = 1
 MOST_HEAT = 2000  # prefixes whose counts are passed on, the most used ones
-OF_ROUTER = ("answer_ms", "hedges", "probe_lag")
+OF_ROUTER = ("answer_ms", "hedges")
 OF_POOL = (
     "heat_sum", "heat_at", "seen", "once", "request_tokens", "zone_load", "zone_memory", "zone_at",
     "lateness", "home_read", "missed",
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -50,6 +50,7 @@
 FRESH_MS = 700.0  # a home's answer younger than this needs no new probe
 HOLD_MS = 25.0  # a request waits so long at most for its home's answer
 SILENT_MS = 1200.0  # wait counted for a home that does not answer within the hold: probes wait like prompts
+SILENT_AFTER = 0.9  # of the hold: a timer that fires on the very millisecond must not miss the silence
 FAR_PROBES = 0.2  # share of the spare probes, one a request, that go to other zones
 # Reading
 READ_RATE = 12.0  # tokens a millisecond; an order of magnitude, since loads are only compared
@@ -61,7 +62,7 @@
 HOME_AIM, HOME_BUSY = 0.65, 0.4  # of the aim, and of fullness: see where they are used
 SPREAD = 2.0  # homes of a prefix, as a multiple of the replicas its traffic could fill
 HOMES_TOLD = 16  # homes among which a session is placed: a prefix with more has them in parts of so many
-POINTS = 32  # places of a replica on the ring of homes: shares even to about a sixth
+POINTS = 24  # places on the ring of homes of a replica of middling size; from an eighth to twice as many
 HEAT_MS, WALKS_MAX = 60000.0, 500  # prefix counts halve in this time; walks of the ring remembered
 CROSS_AIMS = 3.0  # cross-zone fee in aims of waiting: missing an aim loses the worth the fee is a share of
 # Health
@@ -93,24 +94,24 @@
 class Replica:
     """What this node knows of a replica."""
 
-    def __init__(self, entry: ReplicaEntry) -> None:
+    def __init__(self, entry: ReplicaEntry, sized: bool) -> None:
         self.id = entry.replica
-        digests = [blake2b(self.id.encode(), salt=b"%d" % n).digest() for n in range(POINTS // 8)]
-        self.points = unpack(f">{POINTS}Q", b"".join(digests))
+        digests = [blake2b(self.id.encode(), salt=b"%d" % n).digest() for n in range(POINTS // 4)]
+        self.points, self.places = unpack(f">{2 * POINTS}Q", b"".join(digests)), 0
         self.report_at = self.heard_at = self.probed_at = -1e12
         self.probe_out = self.reports = False
         self.memory = self.load = 0.0
         self.unstarted: list[Attempt] = []
-        self.running = 0
         self.slow, self.slow_at, self.failing, self.failed_at, self.pace = 1.0, 0.0, 0.0, 0.0, 1.0
         self.suspect_until, self.strikes, self.silent = -1e12, 0, False
-        self.started_at = 0.0
-        self.update(entry)
+        self.running, self.started_at = 0, 0.0
+        self.update(entry, sized)
 
-    def update(self, entry: ReplicaEntry) -> None:
+    def update(self, entry: ReplicaEntry, sized: bool) -> None:
         """Take over a line of the list."""
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
         self.serving = entry.state is ReplicaState.SERVING
+        self.weight = entry.weight if sized and 0.0 < entry.weight < 1e9 else 1.0
 
     def quiet_ms(self, now: float) -> float:
         """How long a prompt waits here without any sign of life."""
@@ -122,9 +123,8 @@
 
     def __init__(self, request: Request, replica: Replica, now: float, read: float, rank: int) -> None:
         self.request, self.replica, self.sent_at, self.read, self.rank = request, replica, now, read, rank
-        self.predicted = 0.0
         self.outcome: Outcome | None = None
-        self.first_ms, self.lost = -1.0, False
+        self.predicted, self.first_ms, self.lost = 0.0, -1.0, False
 
     def may_have_run(self) -> bool:
         """Whether it ran or may yet run."""
@@ -215,11 +215,10 @@
         self.heat: dict[int, float] = {}
         self.heat_sum, self.heat_at, self.seen, self.once = 0.0, 0.0, 0.0, 0  # all, of prefixes, of ones
         self.cold: list[Replica] = []
-        self.request_tokens = 2000.0  # mean tokens of a request, learnt
         self.zone_load: list[float] = []
         self.zone_memory: list[float] = []
         self.zone_at: list[float] = []
-        self.lateness, self.full_ms = 1.0, 0.0
+        self.lateness, self.full_ms, self.request_tokens = 1.0, 0.0, 2000.0  # the last: mean, learnt
         self.home_read: list[float] = []  # tokens read at a session's home; a first guess, then learnt
         self.missed: list[list[float]] = [[], [], []]  # share of the prefix read, by rank
         self.configure(settings)
@@ -244,8 +243,8 @@
         for entry in event.entries:
             replica = self.replicas.get(entry.replica)
             if replica is None:
-                replica = self.replicas[entry.replica] = Replica(entry)
-            replica.update(entry)
+                replica = self.replicas[entry.replica] = Replica(entry, self.settings.sized)
+            replica.update(entry, self.settings.sized)
             if entry.started_at_ms > replica.started_at:
                 replica.started_at = entry.started_at_ms
                 replica.report_at = replica.suspect_until = -1e12  # nothing known of the old process holds
@@ -256,11 +255,18 @@
         self.local = [r for r in self.serving if r.zone == self.settings.zone]
         self.remote = [r for r in self.serving if r.zone != self.settings.zone]
         self.cold = [r for r in self.serving if r.started_at > max(0.0, now - self.settings.cold_ms)]
-        after = set(self.serving)
+        # Homes in proportion to size: as many at all, the slow kinds' queues were the late ones. The middle
+        # one is the measure, so that a line that lies draws at most twice a share, and none from the others.
+        stays = before.intersection(self.serving)
+        middle = sorted(r.weight for r in self.serving)[len(self.serving) // 2] if self.serving else 1.0
+        for r in self.serving:
+            places = max(POINTS // 8, min(2 * POINTS, round(POINTS * r.weight / middle)))
+            if places != r.places:
+                r.places = places
+                stays.discard(r)
         for ring, members in ((self.near, self.local), (self.far, self.remote)):
-            if before - after:
-                ring[:] = [place for place in ring if place[2] in after]
-            ring += [(point, r.id, r) for r in members if r not in before for point in r.points]
+            ring[:] = [place for place in ring if place[2] in stays]
+            ring += [(point, r.id, r) for r in members if r not in stays for point in r.points[: r.places]]
             ring.sort()
         self.walks.clear()
 
@@ -294,8 +300,7 @@
         session = request.session or self.rng.getrandbits(63)
         part = _mix(session, 2) % max(1, count // HOMES_TOLD)  # ranking hundreds for each costs too much
         chosen = self._walk(self.near or self.far, key + part, min(max(count, 2), HOMES_TOLD))
-        if count > 1:
-            chosen = sorted(chosen, key=lambda r: _mix(session, r.points[0]))[:2]
+        chosen = sorted(chosen, key=lambda r: _mix(session, r.points[0]))[:2] if count > 1 else chosen
         return chosen + (self._walk(self.far, key, 1) if self.near else [])
 
     def _walk(self, ring: list[tuple[int, str, Replica]], key: int, count: int) -> list[Replica]:
@@ -318,7 +323,7 @@
         since = replica.report_at - REPORT_LAG_MS
         wait += sum(a.read for a in replica.unstarted if a.sent_at > since) / READ_RATE
         wait += self.full_ms * memory + max(0.0, memory - MEMORY_FULL) * MEMORY_MS
-        if replica.probe_out and now - replica.probed_at > HOLD_MS:
+        if replica.probe_out and now - replica.probed_at >= SILENT_AFTER * HOLD_MS:
             wait += SILENT_MS  # asked and not answered: paused, silent or deep in work
         if replica.slow > 1.0:
             wait *= 1.0 + (replica.slow - 1.0) * exp((replica.slow_at - now) / SLOW_FADE_MS)
@@ -389,8 +394,7 @@
         """What a served attempt shows of kept prompts."""
         read = max(1.0, float(request.prompt - kept))
         if attempt.rank == 0:
-            mean = self.home_read[request.kind]
-            self.home_read[request.kind] = mean + LEARN * (read - mean)
+            self.home_read[request.kind] += LEARN * (read - self.home_read[request.kind])
         if request.shared > 0:
             missed = min(1.0, max(0.0, (read - (request.prompt - request.shared)) / request.shared))
             means = self.missed[attempt.rank]
@@ -410,14 +414,11 @@
         self.requests: dict[str, Request] = {}
         self.entitlements: dict[int, Entitlement] = {}
         self.actions: list[Action] = []
-        self.now = 0.0
+        self.now, self.hedges, self.begun = 0.0, 1.0, False
         self.answer_ms: list[float] = []  # streaming time, learnt
         self.configure(settings)
-        self.hedges = 1.0
-        self.probe_lag = 1.0
         self.subscribed, self.asking, self.asked_at = not settings.subscribe, False, 0.0
         self.awaited: dict[str, list[Request]] = {}  # requests held, by the replica asked
-        self.begun = False
         self.on: dict[type, Callable[[Any], None]] = {
             RequestArrived: self._arrived, ProbeAnswered: self._probed, TimerFired: self._fired,
             AttemptEnded: self._ended, StreamStarted: self._started, ReplicaList: self._list,
@@ -738,8 +739,7 @@
         self.pool.heard(attempt.replica, self.now)
         if attempt in attempt.replica.unstarted:
             attempt.replica.unstarted.remove(attempt)
-        if attempt.first_ms < 0.0:
-            attempt.replica.running += 1
+        attempt.replica.running += attempt.first_ms < 0.0
         attempt.first_ms = self.now - attempt.sent_at
         self._swallowed(attempt.replica, attempt.sent_at - OVERTAKEN_MS)
         self.pool.slower(attempt.replica, attempt.first_ms / max(attempt.predicted, 100.0), self.now)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -106,6 +106,42 @@
     assert len(set(before.values())) == len(NAMES)
 
 
+def at_home(weights: dict[str, float], sized: bool, seed: int = 1, lists: int = 1) -> dict[str, int]:
+    """How many of 600 sessions have their home at each replica, told `lists` times."""
+    router = Router(make_settings(zones=1, sized=sized), seed)
+    lines = tuple(ReplicaEntry(name, weight=weight) for name, weight in weights.items())
+    for n in range(lists):
+        router.handle(float(n), [ReplicaList(ListKind.WHOLE, lines if n == lists - 1 else lines[n:])])
+    found = dict.fromkeys(weights, 0)
+    for session in range(1, 601):
+        asks = RequestArrived(f"q{session}", cls=0, budget_ms=4000.0, prompt_tokens=500, session=session)
+        router.handle(10.0, [asks])
+        found[router.requests[asks.request].homes[0].id] += 1
+    return found
+
+
+def test_homes_go_by_size_where_lists_tell_it() -> None:
+    """Guards against slow engines with as many homes as quick ones: theirs were the late first tokens."""
+    large = {name: 2.0 if n % 2 else 1.0 for n, name in enumerate(NAMES)}
+    shares = {sized: sum(at_home(large, sized)[n] for n in NAMES[1::2]) / 600 for sized in (True, False)}
+    assert shares[True] > shares[False] + 0.1
+    assert at_home(large, False) == at_home(dict.fromkeys(NAMES, 1.0), True)  # a live weight moves nothing
+
+
+def test_routers_agree_on_homes_by_size_whatever_lists_came_before() -> None:
+    weights = {name: 0.5 + 0.25 * n for n, name in enumerate(NAMES)}
+    assert at_home(weights, True) == at_home(weights, True, seed=2, lists=4)
+
+
+@pytest.mark.parametrize("lie", [float("nan"), float("inf"), -1.0, 0.0, 1e300, 1e-300, 1e8])
+def test_a_weight_that_lies_makes_no_engine_a_magnet(lie: float) -> None:
+    """An absurd one takes at most about twice a share, and moves nothing among the others."""
+    usual = at_home(dict.fromkeys(NAMES, 3.0), True)
+    found = at_home({**dict.fromkeys(NAMES, 3.0), NAMES[0]: lie}, True)
+    assert found[NAMES[0]] <= 3.0 * 600 / len(NAMES)
+    assert all(found[name] > 0.4 * usual[name] for name in NAMES[1:])
+
+
 def test_a_hot_prefix_gets_several_homes_and_a_rare_one_few() -> None:
     router = Router(make_settings(zones=1), 1)
     router.handle(0.0, [serving(*NAMES)])
@@ -141,15 +177,19 @@
     assert sends(ask(router, 4.0, "q2", session=5))[0].replica == other
 
 
-def test_a_home_that_leaves_its_probe_unanswered_is_left_for_one_that_answered() -> None:
-    """Probes wait like prompts: what is not answered within the hold stands behind much to read."""
+@pytest.mark.parametrize("after", [0.0, 1.0])
+def test_a_home_that_leaves_its_probe_unanswered_is_left_for_one_that_answered(after: float) -> None:
+    """Probes wait like prompts: what is not answered within the hold stands behind much to read.
+
+    Guards too against a clock in whole ticks, where the timer fires on the very millisecond the hold ends.
+    """
     router, home, other = homed()
     router.handle(3000.0, [ProbeAnswered(other, Outcome.SERVED, 1.0, Report(0.2, 2000.0))])
     request = RequestArrived("q2", cls=0, budget_ms=4000.0, prompt_tokens=2000, session=5)
     asked = router.handle(3001.0, [request])
     assert home in [a.replica for a in asked if isinstance(a, Probe)] and not sends(asked)
     (hold,) = [a for a in asked if isinstance(a, SetTimer) and a.token == "h:q2"]
-    late = router.handle(3002.0 + hold.in_ms, [TimerFired("h:q2")])
+    late = router.handle(3001.0 + hold.in_ms + after, [TimerFired("h:q2")])
     assert sends(late)[0].replica == other
 
 
