Read anew in a busy fleet at its price, and refuse what is predicted to be late

At fault: Router._decide took the replica that starts soonest when a home was full, reading counted once; HOPELESS let in what is predicted half an aim late.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -36,7 +36,7 @@
 # Fullness
 FULL_STEPS = 12.0  # token aims: waits are guessed from few reports, and most come true far below the guess
 FULL_SHARE = 0.25  # of the mean aim, where no token aim is told
-HOPELESS = 1.5  # aims; predicted later than this, an attempt is refused: predictions spread about as much
+HOPELESS = 1.0  # aims; predicted later than this, an attempt is refused: late, it would only make others late
 CUT_SAMPLE, CUT_SPAN = 200, 1.0  # newest admitted, for the cut; fullness beyond full at which it is highest
 MEMORY_FULL, MEMORY_MS = 0.85, 4000.0  # memory held: beyond it requests are thrown back; wait for all beyond
 QUEUED_MS = 30.0  # wait counted for a request in the queue
@@ -50,6 +50,7 @@
 FRESH_MS = 700.0  # a home's answer younger than this needs no new probe
 HOLD_MS = 25.0  # a request waits so long at most for its home's answer
 SILENT_MS = 1200.0  # wait counted for a home that does not answer within the hold: probes wait like prompts
+SILENT_AFTER = 0.9  # of the hold: a timer that fires on the very millisecond must not miss the silence
 FAR_PROBES = 0.2  # share of the spare probes, one a request, that go to other zones
 # Reading
 READ_RATE = 12.0  # tokens a millisecond; an order of magnitude, since loads are only compared
@@ -102,10 +103,9 @@
         self.probe_out = self.reports = False
         self.memory = self.load = 0.0
         self.unstarted: list[Attempt] = []
-        self.running = 0
         self.slow, self.slow_at, self.failing, self.failed_at, self.pace = 1.0, 0.0, 0.0, 0.0, 1.0
         self.suspect_until, self.strikes, self.silent = -1e12, 0, False
-        self.started_at = 0.0
+        self.running, self.started_at = 0, 0.0
         self.update(entry)
 
     def update(self, entry: ReplicaEntry) -> None:
@@ -123,9 +123,8 @@
 
     def __init__(self, request: Request, replica: Replica, now: float, read: float, rank: int) -> None:
         self.request, self.replica, self.sent_at, self.read, self.rank = request, replica, now, read, rank
-        self.predicted = 0.0
         self.outcome: Outcome | None = None
-        self.first_ms, self.lost = -1.0, False
+        self.predicted, self.first_ms, self.lost = 0.0, -1.0, False
 
     def may_have_run(self) -> bool:
         """Whether it ran or may yet run."""
@@ -216,12 +215,11 @@
         self.heat: dict[int, float] = {}
         self.heat_sum, self.heat_at, self.seen, self.once = 0.0, 0.0, 0.0, 0  # all, of prefixes, of ones
         self.cold: list[Replica] = []
-        self.request_tokens, self.arrived = 2000.0, count(1)  # mean tokens of a request, learnt; requests
-        self.mean_work = 2000.0  # the same from the first on: the guess would misjudge what cold ones bear
+        self.mean_work, self.arrived = 2000.0, count(1)  # as request_tokens, but from the first request on
         self.zone_load: list[float] = []
         self.zone_memory: list[float] = []
         self.zone_at: list[float] = []
-        self.lateness, self.full_ms = 1.0, 0.0
+        self.lateness, self.full_ms, self.request_tokens = 1.0, 0.0, 2000.0  # the last: mean, learnt
         self.home_read: list[float] = []  # tokens read at a session's home; a first guess, then learnt
         self.missed: list[list[float]] = [[], [], []]  # share of the prefix read, by rank
         self.configure(settings)
@@ -296,8 +294,7 @@
         session = request.session or self.rng.getrandbits(63)
         part = _mix(session, 2) % max(1, count // HOMES_TOLD)  # ranking hundreds for each costs too much
         chosen = self._walk(self.near or self.far, key + part, min(max(count, 2), HOMES_TOLD))
-        if count > 1:
-            chosen = sorted(chosen, key=lambda r: _mix(session, r.points[0]))[:2]
+        chosen = sorted(chosen, key=lambda r: _mix(session, r.points[0]))[:2] if count > 1 else chosen
         return chosen + (self._walk(self.far, key, 1) if self.near else [])
 
     def _walk(self, ring: list[tuple[int, str, Replica]], key: int, count: int) -> list[Replica]:
@@ -320,7 +317,7 @@
         since = replica.report_at - REPORT_LAG_MS
         wait += sum(a.read for a in replica.unstarted if a.sent_at > since) / READ_RATE
         wait += self.full_ms * memory + max(0.0, memory - MEMORY_FULL) * MEMORY_MS
-        if replica.probe_out and now - replica.probed_at > HOLD_MS:
+        if replica.probe_out and now - replica.probed_at >= SILENT_AFTER * HOLD_MS:
             wait += SILENT_MS  # asked and not answered: paused, silent or deep in work
         if replica.slow > 1.0:
             wait *= 1.0 + (replica.slow - 1.0) * exp((replica.slow_at - now) / SLOW_FADE_MS)
@@ -389,8 +386,7 @@
         """What a served attempt shows of kept prompts."""
         read = max(1.0, float(request.prompt - kept))
         if attempt.rank == 0:
-            mean = self.home_read[request.kind]
-            self.home_read[request.kind] = mean + LEARN * (read - mean)
+            self.home_read[request.kind] += LEARN * (read - self.home_read[request.kind])
         if request.shared > 0:
             missed = min(1.0, max(0.0, (read - (request.prompt - request.shared)) / request.shared))
             means = self.missed[attempt.rank]
@@ -410,13 +406,11 @@
         self.requests: dict[str, Request] = {}
         self.entitlements: dict[int, Entitlement] = {}
         self.actions: list[Action] = []
-        self.now = 0.0
+        self.now, self.hedges, self.begun = 0.0, 1.0, False
         self.answer_ms: list[float] = []  # streaming time, learnt
         self.configure(settings)
-        self.hedges = 1.0
         self.subscribed, self.asking, self.asked_at = not settings.subscribe, False, 0.0
         self.awaited: dict[str, list[Request]] = {}  # requests held, by the replica asked
-        self.begun = False
         self.on: dict[type, Callable[[Any], None]] = {
             RequestArrived: self._arrived, ProbeAnswered: self._probed, TimerFired: self._fired,
             AttemptEnded: self._ended, StreamStarted: self._started, ReplicaList: self._list,
@@ -593,7 +587,9 @@
         if choice is not None and choice[2] * pool.lateness > self.full_ms:
             # A home that keeps a prompt waiting is no reason to refuse it where others have room. Where all
             # are busy it waits at home while it can be in time: else its reading fills the fleet.
-            soonest = self._choose(request, True) or choice
+            # The busier the fleet, the more wait for what is read anew: it goes elsewhere the less for that.
+            care = min(1.0, max(0.0, pool.zone_load[settings.zone] - QUEUED_MS) / self.full_ms)
+            soonest = self._choose(request, care) or choice
             first = pool.first(*choice[2:])
             busy = soonest[2] * pool.lateness >= HOME_BUSY * self.full_ms
             choice = choice if busy and first <= HOME_AIM * request.aim else soonest
@@ -606,8 +602,7 @@
         first = pool.first(wait, read)
         wait *= pool.lateness
         if not request.resumed:
-            saved = entitlement.save(now, slice_rate, pool.request_tokens)
-            refused = False
+            saved, refused = entitlement.save(now, slice_rate, pool.request_tokens), False
             if wait > self.full_ms and not request.promised:
                 seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / pool.request_tokens
                 refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved < request.tokens
@@ -626,8 +621,8 @@
         request.entitlement = entitlement
         self._send(request, *choice)
 
-    def _choose(self, request: Request, hurried: bool = False) -> Choice | None:
-        """The least loaded of the request's homes and the pool of fresh answers; hurried, the soonest."""
+    def _choose(self, request: Request, care: float = 1.0) -> Choice | None:
+        """The least loaded of its homes and the pool of fresh answers; with no care for all, the soonest."""
         pool, now = self.pool, self.now
         while pool.fresh and now - pool.fresh[0][0] > POOL_MS:
             pool.fresh.popleft()
@@ -636,7 +631,7 @@
         # A node meets a cold replica seldom by chance: those that this request may use are always compared.
         cold = [r for r in pool.cold if now - r.started_at < self.settings.cold_ms and r not in request.homes]
         candidates += [(r, 2) for r in cold if pool.cold_allows(r, request, now, False)]
-        best = self._least(request, candidates, False, hurried)
+        best = self._least(request, candidates, False, care)
         if best is None and pool.serving:
             # Nobody left to trust: suspicion must never empty the candidate set.
             some = [(pool.serving[int(self.rng.random() * len(pool.serving))], 2) for _ in range(6)]
@@ -644,19 +639,18 @@
         return best
 
     def _least(
-        self, request: Request, among: list[tuple[Replica, int]], desperate: bool, hurried: bool = False
+        self, request: Request, among: list[tuple[Replica, int]], desperate: bool, care: float = 1.0
     ) -> Choice | None:
-        pool, now = self.pool, self.now
+        pool, now, least = self.pool, self.now, 1e18
         tried = [a.replica for a in request.attempts]
+        price = 1.0 + (READ_PRICE - 1.0) * care
         cross = CROSS_AIMS * self.settings.cross_zone_fee * request.aim
         best: Choice | None = None
-        least = 1e18
         for replica, rank in among:
             if not replica.serving or replica in tried or (now < replica.suspect_until and not desperate):
                 continue
             read = pool.reading(request, rank)
             wait = pool.wait(replica, now)
-            price = 1.0 if hurried else READ_PRICE
             # Failing is a reason to choose another, not to think the fleet full and refuse.
             cost = pool.wait(replica, now, True) + RUNNING_PRICE * replica.running + price * read / READ_RATE
             cost = (cost + self.full_ms * max(0.0, replica.pace - 1.0)) * (1.0 + 0.1 * self.rng.random())
