Blame no engine where the router itself can open no connection

Cause: with all places for connections to engines taken, or with no descriptor left, `Pool.take` raised an OSError like any other. `_write` made NotSent of it, so the attempt ended UNREACHABLE, and the decisions (`Router._ended`) suspected the engine; a probe ended UNREACHABLE as well, and `_probed` counted the engine as full and suspected it. A check of failover (`ZoneWatch._check`) took the same lack for a zone that does not answer. A shortage of the router's own so left out healthy engines, and wrote a `not_sent` for each attempt.

Seen: with no place or no descriptor, three requests to two engines ended in six UNREACHABLE. Ruled out: an attempt's answer was given at once before too (refused, or sent elsewhere), none stayed open to its deadline. Besides, `_ended` suspected the engine of any attempt that ended MOOT, though it was never sent.

Change: `http1.connect` raises Shortage where the socket itself can't be had, `Pool.take` where all places are taken; attempts and probes then end MOOT, and a check says nothing. `_ended` holds MOOT against nobody: the request goes elsewhere, else is refused. The log has `no_room_for_attempts`, one line in 5 s with how many.

Checked: the new tests fail without it, and those of attempts without the line in `_ended` alone.

--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -32,6 +32,7 @@
 LOAD = b"x-backend-load"
 KIND, STREAM = b"content-type", b"text/event-stream"
 CLIENTS_FAULT = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # others would say the same
+SHORT_LOG_MS = 5000.0  # between lines of the log about a lack of connections
 MAX_LOAD = 1e6  # nothing that is reported is larger
 SHORT_NAMES = {"util": "load_share", "queue": "depth"}  # as sockets name them: the settings' names
 
@@ -174,6 +175,8 @@
         self._idle: dict[str, deque[Connection]] = {}
         self._settle: dict[str, float] = {}  # ms that connections rest, where it is not SETTLE_MS
         self._open = 0
+        # For lack of connections, since the last line of the log about it: how many, why, and its time.
+        self._unsent, self._short_of, self._logged_at = 0, "", -SHORT_LOG_MS
         self.apply(config)
 
     def apply(self, config: Config) -> None:
@@ -183,7 +186,7 @@
         self._idle_ms = config.idle_ms - min(2000.0, 0.2 * config.idle_ms)
 
     def take(self, endpoint: str) -> Connection:
-        """An idle connection, else a new one; OSError where none comes up."""
+        """An idle connection, else a new one; OSError where none comes up, Shortage where none can be had."""
         address = self._destinations.address(endpoint)
         if address is None:
             raise OSError("no address")
@@ -199,16 +202,23 @@
             self._learn_settle(connection)
             self.drop(connection)
         if self._open >= self._config.max_outbound and not self._make_room():
-            raise OSError("out of connections")
+            raise self._short(http1.Shortage("all places for connections to endpoints are taken"))
         self._open += 1
         try:
             sock = http1.connect(address, self._config.connect_timeout_ms / 1000)
             number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
             return Connection(endpoint, address, sock, number)
-        except BaseException:  # a cancelled attempt's GreenletExit too: the count must stay true
+        except BaseException as error:  # a cancelled attempt's GreenletExit too: the count must stay true
             self._open -= 1
+            if isinstance(error, http1.Shortage):
+                self._short(error)
             raise
 
+    def _short(self, error: http1.Shortage) -> http1.Shortage:
+        """Kept for the log: one line for many, since a shortage meets all that is sent."""
+        self._unsent, self._short_of = self._unsent + 1, str(error)
+        return error
+
     def adopt(self, endpoint: str, sock: socket) -> Connection:
         """A connection that another process of this router opened; OSError where it has ended."""
         address = self._destinations.address(endpoint) or sock.getpeername()
@@ -247,13 +257,16 @@
             self.drop(connection)
 
     def sweep(self) -> None:
-        """Drop what has stood idle too long."""
+        """Drop what has stood idle too long, and tell the log of a lack of connections."""
         oldest = self._host.now() - self._idle_ms
         for endpoint, idle in list(self._idle.items()):
             while idle and idle[0].idle_since <= oldest:
                 self.drop(idle.popleft(), Why.IDLE)
             if not idle:
                 del self._idle[endpoint]
+        if self._unsent and self._host.now() - self._logged_at >= SHORT_LOG_MS:
+            log("no_room_for_attempts", unsent=self._unsent, why=self._short_of)
+            self._unsent, self._logged_at = 0, self._host.now()
 
     def close(self) -> None:
         """Drop all idle connections."""
@@ -329,6 +342,8 @@
         outcome, kept, report = i.Outcome.RESET, 0, None
         try:
             outcome, kept, report = self._exchange(attempt) if underway is None else self._read(underway)
+        except http1.Shortage:  # the pool tells the log
+            outcome = i.Outcome.MOOT
         except NotSent as error:
             outcome = i.Outcome.UNREACHABLE
             log("not_sent", request=attempt.request.key, endpoint=attempt.endpoint, why=str(error))
@@ -402,6 +417,8 @@
         """A connection with the whole request written to it, or why there is none."""
         try:
             connection = self._pool.take(attempt.endpoint)
+        except http1.Shortage:
+            raise
         except OSError as error:
             raise NotSent(f"{type(error).__name__}: {error}") from error
         request, written = attempt.request, False
@@ -433,6 +450,8 @@
                 outcome, report = self._ask_load(endpoint)
         except gevent.Timeout:
             outcome = i.Outcome.TIMEOUT
+        except http1.Shortage:  # this router's own lack: an endpoint that was not asked is not blamed
+            outcome = i.Outcome.MOOT
         except NotSent:
             outcome = i.Outcome.UNREACHABLE
         except (OSError, http1.Fault, ValueError) as error:
@@ -445,6 +464,8 @@
     def _ask_load(self, endpoint: str) -> tuple[i.Outcome, i.Report | None]:
         try:
             connection = self._pool.take(endpoint)
+        except http1.Shortage:
+            raise
         except OSError as error:
             raise NotSent(str(error)) from error
         whole = reusable = False
--- a/spoolbarrow/net/failover.py
+++ b/spoolbarrow/net/failover.py
@@ -99,6 +99,8 @@
                 while not parser.headed:
                     parser.read(sock, buffer)
                 well = True
+        except http1.Shortage:  # nothing was asked
+            return
         except (OSError, http1.Fault, gevent.Timeout):
             pass
         now = self._host.now()
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -274,9 +274,19 @@
     return b"%s:%d" % (address[0].encode(), address[1])
 
 
+class Shortage(OSError):
+    """This process can open no connection: that says nothing of the other side."""
+
+
 def connect(address: Address, timeout_s: float) -> socket:
-    """A connection with no delay on writes; OSError where it does not come up in time."""
-    sock = socket(AF_INET, SOCK_STREAM)
+    """A connection with no delay on writes; OSError where it does not come up in time.
+
+    Shortage where this process or its machine has no descriptor or no memory for it: nothing was tried.
+    """
+    try:
+        sock = socket(AF_INET, SOCK_STREAM)
+    except OSError as error:
+        raise Shortage(error.errno, error.strerror) from error
     try:
         sock.settimeout(timeout_s)
         sock.connect(address)
--- a/spoolbarrow/net/troubles.py
+++ b/spoolbarrow/net/troubles.py
@@ -174,6 +174,20 @@
     remedy = "Give the router more of `limits.sockets`, or put another one beside it."
 
 
+class NoRoomForAttempts(Trouble):
+    """Attempts and probes were not sent: this router could open no more connections to engines.
+
+    Nothing is held against the engines; a request is tried elsewhere or refused.
+    """
+
+    event = "no_room_for_attempts"
+    where = "`unsent`: how many since the last such line; `why`"
+    remedy = (
+        "Give the router more of `limits.sockets`, with as high a limit of descriptors (`ulimit -n`) for "
+        "the process and enough of them on its machine, or put another router beside it."
+    )
+
+
 class ControlPaused(Trouble):
     """No operator's call could be accepted for a moment."""
 
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -778,7 +778,7 @@
         elif event.outcome is Outcome.UNREADABLE:
             # Such answers come from any replica equally: left out for one, it only sends its work to others.
             self.pool.heard(replica, now)
-        elif event.outcome is not Outcome.CANCELLED and replica.heard_at < attempt.sent_at:
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT) and replica.heard_at < attempt.sent_at:
             self.pool.suspect(replica, now)
         if event.report is not None:
             self.pool.answered(replica, event.report, 0.0, now)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import time
@@ -15,9 +16,13 @@
 from gevent import socket
 
 from spoolbarrow import config
+from spoolbarrow import interface as i
 from spoolbarrow.handover import Handover
 from spoolbarrow.lab.cluster import LISTEN, Process
 from spoolbarrow.lab.loopback import most_files
+from spoolbarrow.net import endpoint, http1
+from spoolbarrow.net.failover import ZoneWatch
+from spoolbarrow.operator import FailoverTable
 from tests.stage import HEAD, Client, Party, ask, chunk, entry, make_config, serve_all, stage, until
 
 MANY = 2000  # clients that say nothing to the point
@@ -277,3 +282,52 @@
         scene.client().send(ask()).answer()  # the accept under way is the old one
         assert scene.client().send(ask()).answer().status == 200
     assert capfd.readouterr().err.count('"accept_paused"') == 1
+
+
+def none_left(*_: Any) -> Any:
+    raise OSError(errno.EMFILE, "Too many open files")
+
+
+@pytest.mark.parametrize("lack", ["places", "descriptors"])
+def test_engines_are_not_blamed_where_the_router_can_open_no_connection(
+    lack: str, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """Each request has its one answer at once, no engine is left out, one line of the log tells of it."""
+    monkeypatch.setattr(endpoint, "SHORT_LOG_MS", 1e9)  # a busy machine must not pass for a second period
+    with stage(serve_all, serve_all) as (scene, *engines):
+        pool, replicas = scene.host._endpoints._pool, scene.host._router.pool.replicas.values()
+        with monkeypatch.context() as lacking:
+            if lack == "places":
+                lacking.setattr(pool, "_open", scene.config.max_outbound)
+            else:
+                lacking.setattr(http1, "socket", none_left)
+            for n in range(3):
+                answer = scene.client().send(ask(X_Correlation_Id=f"a{n}")).answer()
+                assert answer.status == 503 and answer.fields[b"retry-after"]
+                pool.sweep()
+            # Each at once after its attempts, on both engines: a deadline would have ended it otherwise.
+            assert [event.outcome for event in scene.heard(i.AttemptEnded)] == [i.Outcome.MOOT] * 6
+            for name in ("e0", "e1"):
+                scene.host._endpoints.probe(name)
+            until(lambda: len(scene.heard(i.ProbeAnswered)) == 2)
+            assert {event.outcome for event in scene.heard(i.ProbeAnswered)} == {i.Outcome.MOOT}
+            assert not any(replica.strikes or replica.load for replica in replicas)
+        assert scene.client().send(ask(X_Correlation_Id="b")).answer().status == 200
+        assert sum(len(engine.requests) for engine in engines) == 1
+    lines = [json.loads(line) for line in capfd.readouterr().err.splitlines()]
+    events = [line["event"] for line in lines]
+    assert events.count("no_room_for_attempts") == 1 and "not_sent" not in events
+
+
+def test_a_check_that_asked_nothing_for_lack_of_descriptors_says_nothing_of_a_zone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    with stage(serve_all) as (scene, engine):
+        watch = ZoneWatch(scene.host, FailoverTable(period_ms=600_000.0))
+        with monkeypatch.context() as lacking:
+            lacking.setattr(http1, "socket", none_left)
+            watch._check("e0", ("127.0.0.1", engine.port))
+        assert not watch._heard
+        watch._check("e0", ("127.0.0.1", engine.port))
+        assert [heard.ok for heard in watch._heard] == [True]
+        watch.stop()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -371,6 +371,18 @@
     assert [type(a).__name__ for a in actions if not isinstance(a, SetTimer)] == ["Refuse"]
 
 
+def test_an_attempt_that_never_was_goes_elsewhere_and_says_nothing_of_its_replica() -> None:
+    """With nothing left to try its request is refused at once, and both replicas are as trusted as before."""
+    router = Router(make_settings(zones=1), 1)
+    router.handle(0.0, [serving("a", "b")])
+    first = sends(ask(router, 1.0, "q"))[0].replica
+    second = sends(router.handle(3.0, [AttemptEnded("q", 0, first, Outcome.MOOT)]))[0].replica
+    assert {first, second} == {"a", "b"}
+    last = router.handle(4.0, [AttemptEnded("q", 1, second, Outcome.MOOT)])
+    assert [type(a).__name__ for a in last if not isinstance(a, SetTimer)] == ["Refuse"]
+    assert not any(replica.strikes for replica in router.pool.serving)
+
+
 def test_a_fast_failing_replica_loses_its_pull() -> None:
     router = Router(make_settings(zones=1), 1)
     router.handle(0.0, [serving("a")])
