--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -36,8 +36,7 @@
 # Fullness
 FULL_STEPS = 12.0  # token aims: waits are guessed from few reports, and most come true far below the guess
 FULL_SHARE = 0.25  # of the mean aim, where no token aim is told
-HOPELESS, BUSY = 1.0, 0.5  # aims; predicted later, an attempt is refused: it would make others late; less of
-# them in a full fleet, where predictions come true late and refusals come back
+HOPELESS = 1.0  # aims; predicted later than this, an attempt is refused: late, it would only make others late
 CUT_SAMPLE, CUT_SPAN = 200, 1.0  # newest admitted, for the cut; fullness beyond full at which it is highest
 MEMORY_FULL, MEMORY_MS = 0.85, 4000.0  # memory held: beyond it requests are thrown back; wait for all beyond
 QUEUED_MS = 30.0  # wait counted for a request in the queue
@@ -613,7 +612,7 @@
                 over = min(1.0, (wait / self.full_ms - 1.0) / CUT_SPAN)
                 cut = admitted[int(over * (len(admitted) - 1))] if admitted else 0.0
                 refused = refused or request.priority <= cut
-            if refused or now + first > request.arrived_at + (HOPELESS - BUSY * care) * request.aim:
+            if refused or now + first > request.arrived_at + HOPELESS * request.aim:
                 return self._finish(request, wait)
         entitlement.saved -= request.tokens
         entitlement.usage(now)
