--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import select
 import time
 from collections import deque
+from select import POLLIN
 from typing import Protocol
 
 import gevent
@@ -91,10 +91,7 @@
 
     def stale(self) -> bool:
         """Whether the other side closed it or said something unasked while it was idle."""
-        # poll, not select: that fails on descriptors of 1,024 and more.
-        watched = select.poll()
-        watched.register(self.sock.fileno(), select.POLLIN)
-        return bool(watched.poll(0))
+        return http1.polled(self.sock, POLLIN) != 0
 
     def unasked_ms(self, now: float) -> float:
         """How long after it became idle unasked bytes came, ms; 0 where none did."""
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from collections import deque
 from collections.abc import Sequence
 
@@ -274,6 +275,14 @@
     return b"%s:%d" % (address[0].encode(), address[1])
 
 
+def polled(sock: socket, events: int) -> int:
+    """Which of poll's `events`, or an end or error, a connection tells of now; 0 for none. Never waits."""
+    watched = select.poll()  # not select: that fails on descriptors of 1,024 and more
+    watched.register(sock.fileno(), events)
+    told = watched.poll(0)
+    return told[0][1] if told else 0
+
+
 class Shortage(OSError):
     """This process can open no connection: that says nothing of the other side."""
 
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -244,11 +244,7 @@
 
     def unread(self) -> bool:
         """Whether the kernel holds something that its client sent."""
-        if self._closed:
-            return False
-        watched = select.poll()
-        watched.register(self.sock.fileno(), select.POLLIN)
-        return bool(watched.poll(0))
+        return not self._closed and http1.polled(self.sock, select.POLLIN) != 0
 
     def gone(self) -> bool:
         """Whether its client has closed, reset or half-closed it, whatever stands unread before that end.
@@ -257,13 +253,9 @@
         """
         if self._closed:
             return True
-        watched = select.poll()
-        watched.register(self.sock.fileno(), select.POLLIN | select.POLLRDHUP)
-        told = watched.poll(0)
-        if not told:
-            return False
-        if told[0][1] & ENDED:
-            return True
+        told = http1.polled(self.sock, select.POLLIN | select.POLLRDHUP)
+        if not told or told & ENDED:
+            return told != 0
         # Guards against a system that tells of no half-close: the end is then what is read next.
         self.sock.settimeout(0.0)
         try:
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -215,11 +215,12 @@
         self.heat: dict[int, float] = {}
         self.heat_sum, self.heat_at, self.seen, self.once = 0.0, 0.0, 0.0, 0  # all, of prefixes, of ones
         self.cold: list[Replica] = []
+        self.request_tokens = 2000.0  # mean tokens of a request, learnt
         self.mean_work, self.arrived = 2000.0, count(1)  # as request_tokens, but from the first request on
         self.zone_load: list[float] = []
         self.zone_memory: list[float] = []
         self.zone_at: list[float] = []
-        self.lateness, self.full_ms, self.request_tokens = 1.0, 0.0, 2000.0  # the last: mean, learnt
+        self.lateness, self.full_ms = 1.0, 0.0
         self.home_read: list[float] = []  # tokens read at a session's home; a first guess, then learnt
         self.missed: list[list[float]] = [[], [], []]  # share of the prefix read, by rank
         self.configure(settings)
@@ -294,7 +295,8 @@
         session = request.session or self.rng.getrandbits(63)
         part = _mix(session, 2) % max(1, count // HOMES_TOLD)  # ranking hundreds for each costs too much
         chosen = self._walk(self.near or self.far, key + part, min(max(count, 2), HOMES_TOLD))
-        chosen = sorted(chosen, key=lambda r: _mix(session, r.points[0]))[:2] if count > 1 else chosen
+        if count > 1:
+            chosen = sorted(chosen, key=lambda r: _mix(session, r.points[0]))[:2]
         return chosen + (self._walk(self.far, key, 1) if self.near else [])
 
     def _walk(self, ring: list[tuple[int, str, Replica]], key: int, count: int) -> list[Replica]:
@@ -386,7 +388,8 @@
         """What a served attempt shows of kept prompts."""
         read = max(1.0, float(request.prompt - kept))
         if attempt.rank == 0:
-            self.home_read[request.kind] += LEARN * (read - self.home_read[request.kind])
+            mean = self.home_read[request.kind]
+            self.home_read[request.kind] = mean + LEARN * (read - mean)
         if request.shared > 0:
             missed = min(1.0, max(0.0, (read - (request.prompt - request.shared)) / request.shared))
             means = self.missed[attempt.rank]
@@ -584,11 +587,11 @@
         now, settings, pool = self.now, self.settings, self.pool
         entitlement = self.entitlements.setdefault(request.tenant, Entitlement())
         choice = soonest = self._choose(request)
-        care = min(1.0, max(0.0, pool.zone_load[settings.zone] - QUEUED_MS) / self.full_ms)
         if choice is not None and choice[2] * pool.lateness > self.full_ms:
             # A home that keeps a prompt waiting is no reason to refuse it where others have room. Where all
             # are busy it waits at home while it can be in time: else its reading fills the fleet.
             # The busier the fleet, the more wait for what is read anew: it goes elsewhere the less for that.
+            care = min(1.0, max(0.0, pool.zone_load[settings.zone] - QUEUED_MS) / self.full_ms)
             soonest = self._choose(request, care) or choice
             first = pool.first(*choice[2:])
             busy = soonest[2] * pool.lateness >= HOME_BUSY * self.full_ms
@@ -602,7 +605,8 @@
         first = pool.first(wait, read)
         wait *= pool.lateness
         if not request.resumed:
-            saved, refused = entitlement.save(now, slice_rate, pool.request_tokens), False
+            saved = entitlement.save(now, slice_rate, pool.request_tokens)
+            refused = False
             if wait > self.full_ms and not request.promised:
                 seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / pool.request_tokens
                 refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved < request.tokens
@@ -641,11 +645,12 @@
     def _least(
         self, request: Request, among: list[tuple[Replica, int]], desperate: bool, care: float = 1.0
     ) -> Choice | None:
-        pool, now, least = self.pool, self.now, 1e18
+        pool, now = self.pool, self.now
         tried = [a.replica for a in request.attempts]
         price = 1.0 + (READ_PRICE - 1.0) * care
         cross = CROSS_AIMS * self.settings.cross_zone_fee * request.aim
         best: Choice | None = None
+        least = 1e18
         for replica, rank in among:
             if not replica.serving or replica in tried or (now < replica.suspect_until and not desperate):
                 continue
@@ -732,7 +737,8 @@
         self.pool.heard(attempt.replica, self.now)
         if attempt in attempt.replica.unstarted:
             attempt.replica.unstarted.remove(attempt)
-        attempt.replica.running += attempt.first_ms < 0.0
+        if attempt.first_ms < 0.0:
+            attempt.replica.running += 1
         attempt.first_ms = self.now - attempt.sent_at
         self._swallowed(attempt.replica, attempt.sent_at - OVERTAKEN_MS)
         self.pool.slower(attempt.replica, attempt.first_ms / max(attempt.predicted, 100.0), self.now)
--- a/spoolbarrow/wire.py
+++ b/spoolbarrow/wire.py
@@ -337,7 +337,6 @@
     Tenants: list[_Tenant] = []
     Discovery: str = "subscribe"
     TickMs: float = 1.0
-    WeightKind: str = "off"
     Limits: _Limits = msgspec.field(default_factory=_Limits)
     Invariants: _Invariants = msgspec.field(default_factory=_Invariants)
     Fees: _Fees = msgspec.field(default_factory=_Fees)
