--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 lint: dev
 	.venv-ci/bin/ruff check .
+	.venv-ci/bin/ruff format --check .
 	.venv-ci/bin/mypy
 
 run: build
--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -40,8 +40,10 @@
 def text(revision: int) -> str:
     """An operator's file."""
     level = ("info", "debug")[revision % 2]
-    return (f"[agree]\nrevision = {revision}\nwithin_s = {WITHIN_S}\nperiod_ms = {PERIOD_MS}\n"
-            f"[log]\nlevel = '{level}'\n")
+    return (
+        f"[agree]\nrevision = {revision}\nwithin_s = {WITHIN_S}\nperiod_ms = {PERIOD_MS}\n"
+        f"[log]\nlevel = '{level}'\n"
+    )
 
 
 def acted(made: Cluster, item: str, number: int) -> float:
@@ -50,8 +52,11 @@
     while time.monotonic() < end:
         times: list[float] = []
         for router in made.routers:
-            its = [one["time"] for one in router.events("version")
-                   if one["item"] == item and one["number"] == number]
+            its = [
+                one["time"]
+                for one in router.events("version")
+                if one["item"] == item and one["number"] == number
+            ]
             times += its[:1]
         if len(times) == len(made.routers):
             return max(times) - min(times)
@@ -78,8 +83,10 @@
 def summed(found: list[float]) -> dict[str, Any]:
     """Of contradictions in s: in ms, and the worst as a share of what is allowed."""
     return {
-        "changes": len(found), "median_ms": round(statistics.median(found) * 1000, 1),
-        "most_ms": round(max(found) * 1000, 1), "of_allowed": round(max(found) / WITHIN_S, 4),
+        "changes": len(found),
+        "median_ms": round(statistics.median(found) * 1000, 1),
+        "most_ms": round(max(found) * 1000, 1),
+        "of_allowed": round(max(found) / WITHIN_S, 4),
     }
 
 
@@ -116,12 +123,20 @@
     told["cut_off_beyond_the_cut"] = summed(cut)
     refused = sum(status != 0 for _, status in changed)
     holds = (
-        refused == 0 and answers.keys() <= {200, 503} and load.retry_after_missing == 0
+        refused == 0
+        and answers.keys() <= {200, 503}
+        and load.retry_after_missing == 0
         and all(one["of_allowed"] <= 1.0 for one in told.values())
     )
     return {
-        "name": "agreement", "holds": holds, "routers": len(routers), "within_s": WITHIN_S,
-        "period_ms": PERIOD_MS, "contradiction": told, "changes_not_taken": refused, "answers": dict(answers),
+        "name": "agreement",
+        "holds": holds,
+        "routers": len(routers),
+        "within_s": WITHIN_S,
+        "period_ms": PERIOD_MS,
+        "contradiction": told,
+        "changes_not_taken": refused,
+        "answers": dict(answers),
     }
 
 
--- a/benchmarks/cold_engines.py
+++ b/benchmarks/cold_engines.py
@@ -21,8 +21,10 @@
 from spoolbarrow.lab.opened import USUAL, Rule, Traffic, play
 
 RULES = {
-    "first": Rule(0.34, 8600.0, 4.0, 2000.0), "second": Rule(0.12, 22_000.0, 2.5, 2000.0),
-    "small": Rule(0.1, 10_000.0, 2.0, 1000.0), "wide": Rule(0.6, 10_000.0, 3.0, 3000.0),
+    "first": Rule(0.34, 8600.0, 4.0, 2000.0),
+    "second": Rule(0.12, 22_000.0, 2.5, 2000.0),
+    "small": Rule(0.1, 10_000.0, 2.0, 1000.0),
+    "wide": Rule(0.6, 10_000.0, 3.0, 3000.0),
 }
 ROUTERS = (1, 20, 30, 200)
 TRAFFIC = {
@@ -50,6 +52,7 @@
 
 def interval(falls: int, starts: int) -> tuple[float, float]:
     """Clopper and Pearson, 95 %."""
+
     def at_most(p: float, most: int) -> float:
         return sum(comb(starts, k) * p**k * (1.0 - p) ** (starts - k) for k in range(most + 1))
 
@@ -66,12 +69,15 @@
 def case(rule: Rule, nodes: int, traffic: Traffic, plays: int) -> dict[str, float]:
     """Plays of one case."""
     all_of = [
-        one for seed in range(plays)
+        one
+        for seed in range(plays)
         for one in play(nodes, rule, seed, traffic, ENGINES, COLD[seed % len(COLD)])
     ]
     falls = sum(one.broke for one in all_of)
     return {
-        "starts": len(all_of), "falls": falls, "with_untold": sum(one.worst > 1.0 for one in all_of),
+        "starts": len(all_of),
+        "falls": falls,
+        "with_untold": sum(one.worst > 1.0 for one in all_of),
         "worst": round(max(one.worst for one in all_of), 3),
         "used": round(sum(one.used for one in all_of) / len(all_of), 3),
     }
@@ -101,11 +107,20 @@
     low, high = interval(falls, starts)
     chance, least = (low, 0.95 * USED) if short else (falls / starts, USED)
     holds = bool(chance <= CHANCE and min(opened.values()) >= least)
-    print(json.dumps({
-        "name": "cold_engines", "holds": holds, "falls": falls, "starts": starts,
-        "chance": round(falls / starts, 5), "interval": [round(low, 5), round(high, 5)], "opened": opened,
-        "plays": found,
-    }))
+    print(
+        json.dumps(
+            {
+                "name": "cold_engines",
+                "holds": holds,
+                "falls": falls,
+                "starts": starts,
+                "chance": round(falls / starts, 5),
+                "interval": [round(low, 5), round(high, 5)],
+                "opened": opened,
+                "plays": found,
+            }
+        )
+    )
     return 0 if holds else 1
 
 
--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -75,15 +75,23 @@
         for status, count in router["answers"].items():
             answers[status] = answers.get(status, 0) + count
     told: dict[str, Any] = {
-        "calls": service["calls"], "failed": service["failed"], "busiest_second": service["busiest_second"],
-        "longest": service["longest"], "longest_s": service["longest_s"],
-        "last_list_s": service["last_list_s"], "unknowing": len(found["unknowing"]), "answers": answers,
+        "calls": service["calls"],
+        "failed": service["failed"],
+        "busiest_second": service["busiest_second"],
+        "longest": service["longest"],
+        "longest_s": service["longest_s"],
+        "last_list_s": service["last_list_s"],
+        "unknowing": len(found["unknowing"]),
+        "answers": answers,
         "first_served_s": {"routers": len(served), "median": statistics.median(served), "most": served[-1]}
-        if served else None,
-        "calls_a_router": round(service["calls"] / routers, 3), "failed_share": service["failed_share"],
+        if served
+        else None,
+        "calls_a_router": round(service["calls"] / routers, 3),
+        "failed_share": service["failed_share"],
         "longest_wait_of_half_timeout": round(service["longest_s"] / (TIMEOUT_S / 2), 3),
         "last_list_of_needed": round((service["last_list_s"] or float("inf")) / (routers / rate), 3),
-        "falls": sum(engine["falls"] for engine in of_engines), "goodput": found["goodput"],
+        "falls": sum(engine["falls"] for engine in of_engines),
+        "goodput": found["goodput"],
         "served_in_the_cold": sum(found["goodput"][:COLD_S]),
     }
     if case == "all-cold":
@@ -97,7 +105,8 @@
     sent = sum(engine["work"]["sum"] for engine in of_engines)
     told["adds_up"] = (
         service["calls"] == sum(router["calls"] for router in of_routers.values())
-        and sent >= answers["200"] and not found["unexpected"]
+        and sent >= answers["200"]
+        and not found["unexpected"]
     )
     told["missed"] = [goal for goal, most in GOALS.items() if told.get(goal, 0.0) > most]
     return told
@@ -127,8 +136,13 @@
     missed = sorted({goal for case in found["now"] for goal in case["missed"]})
     adds_up = all(case["adds_up"] for case in found["now"])
     return {
-        "name": "cold_start", "holds": adds_up and not missed, "adds_up": adds_up, "missed": missed,
-        "goals": GOALS, "routers": routers, **found,
+        "name": "cold_start",
+        "holds": adds_up and not missed,
+        "adds_up": adds_up,
+        "missed": missed,
+        "goals": GOALS,
+        "routers": routers,
+        **found,
     }
 
 
--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -43,8 +43,13 @@
 FROM_REPORT = ("worth", "refused_share", "probes_a_request", "rules_broken")
 LOST_MS = 5000.0
 DAY: dict[str, Any] = {
-    "name": "zone-lost", "length_s": 16.0, "zones": 5, "routers": 200, "engines": 1000,
-    "load": {"per_engine": 0.5}, "classes": {"chat": {"aim_ms": 1500.0, "deadline_ms": 5000.0}},
+    "name": "zone-lost",
+    "length_s": 16.0,
+    "zones": 5,
+    "routers": 200,
+    "engines": 1000,
+    "load": {"per_engine": 0.5},
+    "classes": {"chat": {"aim_ms": 1500.0, "deadline_ms": 5000.0}},
     "troubles": [{"name": "vanish", "zone": 0, "part": 1.0, "begin_s": LOST_MS / 1000, "length_s": 6.0}],
 }
 COLD_S = 10.0  # the routers' settings, by default
@@ -88,9 +93,13 @@
     """Answers that ended in a span, by routers."""
     found = [one for one in list(load.answers) if begin <= one.at < end and one.router in routers]
     whole = [one.ms for one in found if one.status == 200]
-    return {"answers": len(found), "refused": sum(one.status == 503 for one in found),
-            "lost": sum(one.status not in (200, 503) for one in found),
-            "median_ms": statistics.median(whole), "p99_ms": statistics.quantiles(whole, n=100)[98]}
+    return {
+        "answers": len(found),
+        "refused": sum(one.status == 503 for one in found),
+        "lost": sum(one.status not in (200, 503) for one in found),
+        "median_ms": statistics.median(whole),
+        "p99_ms": statistics.quantiles(whole, n=100)[98],
+    }
 
 
 class Both:
@@ -136,8 +145,10 @@
     time.sleep(rest_s)
     own = [n for n, its in enumerate(ROUTERS) if its == zone]
     return {
-        "mode": mode, "zone": zone,
-        "known_ms": [round(ms) for ms in found], "back_ms": [round(ms) for ms in back],
+        "mode": mode,
+        "zone": zone,
+        "known_ms": [round(ms) for ms in found],
+        "back_ms": [round(ms) for ms in back],
         **{name: answered(load, begun, lost, own) for name, load in both.load.items()},
     }
 
@@ -152,13 +163,25 @@
         if policy == "failover":
             deciders = [node.decider for node in simulation.nodes.all]
             changes = [one.changes for one in deciders if isinstance(one, Zoned)]
-            known = [now - LOST_MS for its in changes for now, zone, state in its
-                     if zone == "0" and state is State.FAILED]
+            known = [
+                now - LOST_MS
+                for its in changes
+                for now, zone, state in its
+                if zone == "0" and state is State.FAILED
+            ]
             told["failed_falsely"] = sum(
-                zone != "0" and state is State.FAILED for its in changes for _, zone, state in its)
-            told |= {"routers": len(changes), "verdicts": len(known), "known_ms": {
-                "median": statistics.median(known), "p99": statistics.quantiles(known, n=100)[98],
-                "most": max(known)}, "apart_ms": max(known) - min(known)}
+                zone != "0" and state is State.FAILED for its in changes for _, zone, state in its
+            )
+            told |= {
+                "routers": len(changes),
+                "verdicts": len(known),
+                "known_ms": {
+                    "median": statistics.median(known),
+                    "p99": statistics.quantiles(known, n=100)[98],
+                    "most": max(known),
+                },
+                "apart_ms": max(known) - min(known),
+            }
     return told
 
 
@@ -195,24 +218,35 @@
         for field in ("median_ms", "p99_ms")
     }
     holds = (
-        false == 0 and max(common) <= STATED_MS and healthy["on"] >= KEPT_NEAR
-        and ratios["median_ms"] <= SLOWER_WITHIN and statuses["on"].get(0, 0) == missing == 0
+        false == 0
+        and max(common) <= STATED_MS
+        and healthy["on"] >= KEPT_NEAR
+        and ratios["median_ms"] <= SLOWER_WITHIN
+        and statuses["on"].get(0, 0) == missing == 0
     )
     large = None if short else lab()
     return {
-        "name": "failover", "holds": holds, "lab": large,
+        "name": "failover",
+        "holds": holds,
+        "lab": large,
         "kept_near": {"healthy": healthy, "slow": slow, "single": single},
-        "failed_falsely": false, "stated_ms": STATED_MS,
+        "failed_falsely": false,
+        "stated_ms": STATED_MS,
         "known_ms": {"median": statistics.median(known), "most": known[-1]},
         "common": {
-            "median_ms": statistics.median(common), "most_ms": max(common),
+            "median_ms": statistics.median(common),
+            "most_ms": max(common),
             "of_stated": round(max(common) / STATED_MS, 3),
             "checks": round(statistics.median(common) / TABLE.check_ms, 2),
         },
         "apart_ms": {"median": statistics.median(apart), "most": max(apart)},
-        "back_ms": {"median": statistics.median(ms for one in losses for ms in one["back_ms"]),
-                    "most": max(ms for one in losses for ms in one["back_ms"])},
-        "answers_on_against_off": ratios, "statuses": statuses, "losses": losses,
+        "back_ms": {
+            "median": statistics.median(ms for one in losses for ms in one["back_ms"]),
+            "most": max(ms for one in losses for ms in one["back_ms"]),
+        },
+        "answers_on_against_off": ratios,
+        "statuses": statuses,
+        "losses": losses,
     }
 
 
--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -82,7 +82,9 @@
     """The largest difference of any connection between its records and what its client's kernel counted."""
     sums: dict[int, list[int]] = {}
     names = (
-        "transportOctetDeltaCount", "reverseTransportOctetDeltaCount", "packetDeltaCount",
+        "transportOctetDeltaCount",
+        "reverseTransportOctetDeltaCount",
+        "packetDeltaCount",
         "reversePacketDeltaCount",
     )
     for record in rig.flows(CONNECTION.number):
@@ -121,7 +123,8 @@
     by_library = time.perf_counter() - begun
     assert ours == theirs == number
     return {
-        "written_per_s": round(number / written), "read_per_s": round(number / read),
+        "written_per_s": round(number / written),
+        "read_per_s": round(number / read),
         "read_by_netflume_per_s": round(number / by_library),
         "record_octets": len(writer.record(*values).data),
     }
@@ -186,17 +189,34 @@
     times = compared(load.rounds, rig.ports)
     flat = memory(100_000)
     holds = (
-        apart(times) <= WITHIN and max(off.values()) <= COUNT_WITHIN and lost == 0 and load.failed == 0
-        and flat["grown_kb"] <= FLAT_KB and flat["dropped"] == 0 and stalled > 0
+        apart(times) <= WITHIN
+        and max(off.values()) <= COUNT_WITHIN
+        and lost == 0
+        and load.failed == 0
+        and flat["grown_kb"] <= FLAT_KB
+        and flat["dropped"] == 0
+        and stalled > 0
     )
     extra = (cpu["on"] - (cpu["off"] + cpu["off_again"]) / 2) / records
     return {
-        "name": "flows", "holds": holds, "rounds": len(load.rounds), "requests": sum(load.asked.values()),
-        "failed": load.failed, "connections": len(load.counted), "records": records, "lost": lost,
-        "difference": off, "times": times, "cpu_us_per_record": round(extra * 1e6, 1),
-        "cpu_s": {kind: round(used, 2) for kind, used in cpu.items()}, "times_stalled": stalled,
+        "name": "flows",
+        "holds": holds,
+        "rounds": len(load.rounds),
+        "requests": sum(load.asked.values()),
+        "failed": load.failed,
+        "connections": len(load.counted),
+        "records": records,
+        "lost": lost,
+        "difference": off,
+        "times": times,
+        "cpu_us_per_record": round(extra * 1e6, 1),
+        "cpu_s": {kind: round(used, 2) for kind, used in cpu.items()},
+        "times_stalled": stalled,
         "rates": rates(20_000 if short else 100_000),
-        "memory": flat, "workers": WORKERS, "engines": ENGINES, "seconds": seconds,
+        "memory": flat,
+        "workers": WORKERS,
+        "engines": ENGINES,
+        "seconds": seconds,
     }
 
 
--- a/benchmarks/follow.py
+++ b/benchmarks/follow.py
@@ -42,8 +42,10 @@
     begun = time.time()
 
     def times() -> list[float]:
-        found = [[one["time"] for one in router.events("fleet_shared") if one["revision"] == revision]
-                 for router in made.routers]
+        found = [
+            [one["time"] for one in router.events("fleet_shared") if one["revision"] == revision]
+            for router in made.routers
+        ]
         return [its[0] for its in found] if all(found) else []
 
     at: list[float] = until(times)
--- a/benchmarks/gone.py
+++ b/benchmarks/gone.py
@@ -93,10 +93,14 @@
     """A router's configuration: its list is known, and discovery is down."""
     made = standin.config(port, 1)
     made["settings"]["Limits"]["ConnectTimeoutMs"] = 4000.0
-    made["known"] = {"index": 1, "snapshot": True, "endpoints": [
-        {"name": f"e{n}", "address": f"{standin.HOST}:{one}", "zone": "a", "type": "m"}
-        for n, one in enumerate(engines)
-    ]}
+    made["known"] = {
+        "index": 1,
+        "snapshot": True,
+        "endpoints": [
+            {"name": f"e{n}", "address": f"{standin.HOST}:{one}", "zone": "a", "type": "m"}
+            for n, one in enumerate(engines)
+        ],
+    }
     return made
 
 
--- a/benchmarks/pools.py
+++ b/benchmarks/pools.py
@@ -213,8 +213,11 @@
             self._asked(now, one, unread if whole else -1.0)
             cls = self.settings.classes[one.cls]
             pace = (now - first) / max(1, tokens - 1)
-            late = not whole or first - came > cls.aim(one.prompt_tokens) or (
-                0.0 < cls.token_aim_ms < pace and tokens > 1)
+            late = (
+                not whole
+                or first - came > cls.aim(one.prompt_tokens)
+                or (0.0 < cls.token_aim_ms < pace and tokens > 1)
+            )
             notes.answered(now, one.cls, one.tenant, tokens, whole, late)
             replica = self.pool.replicas.get(event.replica)
             if whole and replica is not None:
--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -64,10 +64,15 @@
         file.write_bytes(orjson.dumps(raw))
         told = {"NODE_CONFIG": str(file), "TMPDIR": str(self._folder), INHERITED: str(descriptor)}
         with (self._folder / f"{number}.log").open("wb") as log:
-            self.processes.append(subprocess.Popen(
-                [sys.executable, "-m", "spoolbarrow"], cwd=ROOT, env=os.environ | told, stderr=log,
-                pass_fds=[descriptor],
-            ))
+            self.processes.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "spoolbarrow"],
+                    cwd=ROOT,
+                    env=os.environ | told,
+                    stderr=log,
+                    pass_fds=[descriptor],
+                )
+            )
         for _ in range(400):
             if call(control, "readyz")[0] == 200:
                 break
@@ -144,7 +149,8 @@
     """Of calls: how many, how many wrongly or late, and how long they took."""
     times = [ms for _, ms in calls]
     return {
-        "calls": len(calls), "statuses": sorted({status for status, _ in calls}),
+        "calls": len(calls),
+        "statuses": sorted({status for status, _ in calls}),
         "late_or_wrong": sum(status != 200 or ms > DUE_MS for status, ms in calls),
         "median_ms": round(statistics.median(times), 2),
         "p99_ms": round(statistics.quantiles(times, n=100)[98], 2),
@@ -191,8 +197,10 @@
             load.ended = True
             gevent.joinall(workers, raise_error=True)
             gevent.killall(callers)
-            faults = sum((Path(directory) / f"{n}.log").read_bytes().count(b'"unexpected"')
-                         for n in range(upgrades + 1))
+            faults = sum(
+                (Path(directory) / f"{n}.log").read_bytes().count(b'"unexpected"')
+                for n in range(upgrades + 1)
+            )
         finally:
             platform.close()
             engines.kill()
@@ -200,21 +208,33 @@
     during = [t for begin, end, t in load.answers if any(begin < b and end > a for a, b in spans)]
     others = [t for begin, end, t in load.answers if not any(begin < b and end > a for a, b in spans)]
     ratios = {
-        f"{field}_{name}": round(of([getattr(t, field) for t in during])
-                                 / of([getattr(t, field) for t in others]), 3)
+        f"{field}_{name}": round(
+            of([getattr(t, field) for t in during]) / of([getattr(t, field) for t in others]), 3
+        )
         for field in ("first_ms", "whole_ms")
         for name, of in (("median", statistics.median), ("p99", lambda v: statistics.quantiles(v, n=100)[98]))
     }
     told = {"calm": summed(calm), "busy": summed(busy)}
     holds = (
-        load.failed == load.unheard == faults == 0 and told["busy"]["late_or_wrong"] == 0
-        and told["busy"]["p99_ms"] <= LAG_WITHIN * DUE_MS and ratios["whole_ms_median"] <= MEDIAN_WITHIN
+        load.failed == load.unheard == faults == 0
+        and told["busy"]["late_or_wrong"] == 0
+        and told["busy"]["p99_ms"] <= LAG_WITHIN * DUE_MS
+        and ratios["whole_ms_median"] <= MEDIAN_WITHIN
     )
     return {
-        "name": "service", "holds": holds, "upgrades": upgrades, "clients": CLIENTS, "silent": SILENT,
-        "answers": len(load.answers), "during_upgrades": len(during), "failed": load.failed,
-        "unheard": load.unheard, "told_to_go": load.told_to_go, "faults": faults,
-        "during_against_others": ratios, "calls": told,
+        "name": "service",
+        "holds": holds,
+        "upgrades": upgrades,
+        "clients": CLIENTS,
+        "silent": SILENT,
+        "answers": len(load.answers),
+        "during_upgrades": len(during),
+        "failed": load.failed,
+        "unheard": load.unheard,
+        "told_to_go": load.told_to_go,
+        "faults": faults,
+        "during_against_others": ratios,
+        "calls": told,
         "upgrade_s": round(statistics.median(b - a for a, b in spans), 2),
     }
 
--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -227,9 +227,7 @@
             of = alike.setdefault((found.low, found.high, found.chance), [0, 0])
             of[0] += 1
             of[1] += returns
-    told = [
-        {"turns": int(n), "stated": round(s / n, 4), "seen": round(k / n, 4)} for n, s, k in tenths if n
-    ]
+    told = [{"turns": int(n), "stated": round(s / n, 4), "seen": round(k / n, 4)} for n, s, k in tenths if n]
     sure = []
     for (low, high, chance), (n, back) in alike.items():
         drawn = 1.645 * (chance * (1.0 - chance) / n) ** 0.5  # what is seen is itself a draw
@@ -318,7 +316,6 @@
         return replace(found, chance=1.0, late_chance=1.0, late_ms=at - now + TELL_MS)
 
 
-
 class Told:
     """The real decisions with sessions beside them; `asks`: the oracle's."""
 
@@ -384,8 +381,14 @@
     with path.open("wb") as out:
         for one in turns(MIXES[mix], SITES[site], rate, length_s, seed, QUICK_CASE):
             asks.setdefault(one.session, []).append(one.at)
-            line = {"at_ms": one.at, "class": f"c{one.cls}", "prompt": one.prompt, "answer": one.answer,
-                    "tenant": f"t{one.tenant}", "session": f"{one.session:x}"}
+            line = {
+                "at_ms": one.at,
+                "class": f"c{one.cls}",
+                "prompt": one.prompt,
+                "answer": one.answer,
+                "tenant": f"t{one.tenant}",
+                "session": f"{one.session:x}",
+            }
             out.write(orjson.dumps(line) + b"\n")
     return asks
 
@@ -591,8 +594,11 @@
     body, _, took = learn([iter(days[0])], length)
     ours = Sessions(Settings(slots=32_768), 7)
     assert ours.adopt(0.0, body)
-    got = [(found.chance - (one.away <= cells.HORIZON_MS)) ** 2
-           for _, (one, found) in played(ours, iter(days[1])) if found is not None]
+    got = [
+        (found.chance - (one.away <= cells.HORIZON_MS)) ** 2
+        for _, (one, found) in played(ours, iter(days[1]))
+        if found is not None
+    ]
     made["own"] = {"brier": round(mean(got), 4), "fit_s": round(took, 3), "import_bytes": 0}
     for name, fit in (("scikit-learn", by_sklearn), ("river", by_river)):
         before, begin = resident(), perf_counter()
--- a/benchmarks/shadow.py
+++ b/benchmarks/shadow.py
@@ -93,8 +93,13 @@
 def deciding(requests: int) -> dict[str, Any]:
     """The share reached over 10,000 sessions, and memory over many requests."""
     plenty = decide.Limits(
-        share=0.3, classes=frozenset({0}), in_flight=10, engine_in_flight=10, requests_per_s=1e9,
-        prompt_tokens_per_s=1e9, answer_tokens_per_s=1e9,
+        share=0.3,
+        classes=frozenset({0}),
+        in_flight=10,
+        engine_in_flight=10,
+        requests_per_s=1e9,
+        prompt_tokens_per_s=1e9,
+        answer_tokens_per_s=1e9,
     )
     made = decide.Decider(0.0, plenty, 1)
     made.allowance.value = 1.0
@@ -108,7 +113,9 @@
         if n == 9_999:
             copied, before = made.copied, anonymous_kb()
     return {
-        "share": 0.3, "share_reached": copied / 10_000, "requests": requests,
+        "share": 0.3,
+        "share_reached": copied / 10_000,
+        "requests": requests,
         "grown_kb": anonymous_kb() - before,
     }
 
@@ -136,18 +143,34 @@
     most = max(sound.most_a_second(), stalling.most_a_second())
     stopped = stalling.after_stall_s()
     holds = (
-        apart(times) <= WITHIN and load.failed == 0 and 0 < most <= LIMIT and opened > 0
-        and 0 < stopped <= STOPPED_WITHIN_S and pure["grown_kb"] <= FLAT_KB
+        apart(times) <= WITHIN
+        and load.failed == 0
+        and 0 < most <= LIMIT
+        and opened > 0
+        and 0 < stopped <= STOPPED_WITHIN_S
+        and pure["grown_kb"] <= FLAT_KB
         and abs(pure["share_reached"] - pure["share"]) <= SHARE_WITHIN
     )
     copies = len(sound.came)
     extra = (cpu["on"] - (cpu["off"] + cpu["off_again"]) / 2) / max(copies, 1)
     return {
-        "name": "shadow", "holds": holds, "rounds": len(load.rounds), "requests": sum(load.asked.values()),
-        "failed": load.failed, "copies": copies, "copies_a_second_most": most, "limit": LIMIT,
-        "last_copy_after_stall_s": round(stopped, 3), "breaker_opened": opened, "times": times,
-        "cpu_us_per_copy": round(extra * 1e6), "cpu_s": {kind: round(used, 2) for kind, used in cpu.items()},
-        "deciding": pure, "workers": WORKERS, "engines": ENGINES, "seconds": seconds,
+        "name": "shadow",
+        "holds": holds,
+        "rounds": len(load.rounds),
+        "requests": sum(load.asked.values()),
+        "failed": load.failed,
+        "copies": copies,
+        "copies_a_second_most": most,
+        "limit": LIMIT,
+        "last_copy_after_stall_s": round(stopped, 3),
+        "breaker_opened": opened,
+        "times": times,
+        "cpu_us_per_copy": round(extra * 1e6),
+        "cpu_s": {kind: round(used, 2) for kind, used in cpu.items()},
+        "deciding": pure,
+        "workers": WORKERS,
+        "engines": ENGINES,
+        "seconds": seconds,
     }
 
 
--- a/benchmarks/standin.py
+++ b/benchmarks/standin.py
@@ -1,6 +1,6 @@
 """Stand-ins for measurements: engines that stream at a set pace, discovery, and a client that times answers.
 
-    python benchmarks/standin.py FIRST_MS EVENTS GAP_MS ENGINES      prints discovery's port, then serves
+python benchmarks/standin.py FIRST_MS EVENTS GAP_MS ENGINES      prints discovery's port, then serves
 """
 
 from __future__ import annotations
@@ -82,13 +82,21 @@
     """A router's configuration for these engines."""
     chat = {"Name": "chat", "AimMs": 4e3, "DeadlineMs": 15e3, "Effect": "retryable", "Stream": True}
     settings = {
-        "Balancers": 1, "Classes": [chat], "Tenants": [{"Name": "acme"}], "Zones": ["a"], "Skus": ["m"],
-        "TickMs": 1.0, "Discovery": "subscribe",
+        "Balancers": 1,
+        "Classes": [chat],
+        "Tenants": [{"Name": "acme"}],
+        "Zones": ["a"],
+        "Skus": ["m"],
+        "TickMs": 1.0,
+        "Discovery": "subscribe",
         "Limits": {"MaxAttempts": 3, "RetryAfter": True, "Cancelling": True, "MaxRetryAfterMs": 2000.0},
     }
     return {
-        "name": "bench", "listen": f"{HOST}:{listen_port}", "discovery": f"{HOST}:{discovery_port}",
-        "seed": "8c1f", "settings": settings,
+        "name": "bench",
+        "listen": f"{HOST}:{listen_port}",
+        "discovery": f"{HOST}:{discovery_port}",
+        "seed": "8c1f",
+        "settings": settings,
     }
 
 
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -53,8 +53,21 @@
     named = [part for n, port in enumerate(listens) for part in ("--member", f"m{n}={LISTEN}:{port}")]
     with tempfile.TemporaryDirectory() as directory:
         made = [
-            Process("-m", "spoolbarrow", "store", "serve", "--name", f"m{n}", *named, "--listen",
-                    f"{LISTEN}:{listens[n]}", "--control", controls[n], "--directory", directory)
+            Process(
+                "-m",
+                "spoolbarrow",
+                "store",
+                "serve",
+                "--name",
+                f"m{n}",
+                *named,
+                "--listen",
+                f"{LISTEN}:{listens[n]}",
+                "--control",
+                controls[n],
+                "--directory",
+                directory,
+            )
             for n in range(count)
         ]
         try:
@@ -86,8 +99,11 @@
             for one in made:
                 one.end()
     return {
-        "keys": max(kept), "failed": len(failed), "a_second": round(keys / took),
-        "median_ms": round(statistics.median(times), 2), "grown_mb": round(grown, 1),
+        "keys": max(kept),
+        "failed": len(failed),
+        "a_second": round(keys / took),
+        "median_ms": round(statistics.median(times), 2),
+        "grown_mb": round(grown, 1),
         "p99_ms": round(statistics.quantiles(times, n=100)[98], 2),
     }
 
@@ -120,15 +136,22 @@
     keys = 1000 if seeds < 100 else 10_000
     running = {str(count): members(count, keys) for count in (1, 3)}
     holds = (
-        not broken and sum(seed >= 0 for seed in found.values()) >= FOUND_BY_PLAY
+        not broken
+        and sum(seed >= 0 for seed in found.values()) >= FOUND_BY_PLAY
         and all(one["failed"] == 0 and one["keys"] == keys for one in running.values())
         and running["1"]["a_second"] <= SLOWER_AT_MOST * running["3"]["a_second"]
     )
     return {
-        "name": "store", "holds": holds, "members": running,
-        "histories": len(applied), "broken": broken[:5], "a_minute": round(len(applied) / took * 60),
-        "applied_median": statistics.median(applied), "leaders_median": statistics.median(leaders),
-        "leaders_most": max(leaders), "bugs_found_at_seed": found,
+        "name": "store",
+        "holds": holds,
+        "members": running,
+        "histories": len(applied),
+        "broken": broken[:5],
+        "a_minute": round(len(applied) / took * 60),
+        "applied_median": statistics.median(applied),
+        "leaders_median": statistics.median(leaders),
+        "leaders_most": max(leaders),
+        "bugs_found_at_seed": found,
     }
 
 
--- a/benchmarks/told.py
+++ b/benchmarks/told.py
@@ -42,8 +42,17 @@
     """The worst and median delay of each case; `together`: faults of some routers only are played at once."""
     found: dict[str, list[float]] = {}
     with tempfile.TemporaryDirectory() as folder:
-        made = Cluster(Path(folder), {"a": 2}, ["a"] * routers, "", gates=False, control=False, known="old",
-                       rate=max(A_ROUTER_S, float(routers)), tree=tree)
+        made = Cluster(
+            Path(folder),
+            {"a": 2},
+            ["a"] * routers,
+            "",
+            gates=False,
+            control=False,
+            known="old",
+            rate=max(A_ROUTER_S, float(routers)),
+            tree=tree,
+        )
         try:
             made.start()
             load = Load(made, 1, 0.1 if routers < 20 else 0.5)
@@ -59,8 +68,9 @@
             load.stop()
         finally:
             made.end(kill=True)
-    return {name: {"worst_s": max(late), "median_s": sorted(late)[len(late) // 2]}
-            for name, late in found.items()}
+    return {
+        name: {"worst_s": max(late), "median_s": sorted(late)[len(late) // 2]} for name, late in found.items()
+    }
 
 
 def virtual(routers: int, seeds: int) -> dict[str, Any]:
@@ -89,16 +99,25 @@
     short: bool = given.short
     cluster.LIFE_S = 600.0
     fleets = {routers: virtual(routers, 3 if short else 20) for routers in FITS}
-    processes = {12: real(12, 3.0, True, given.before)} if short else {
-        1: real(1, 9.0, False, given.before), 40: real(40, 9.0, False, given.before)
-    }
+    processes = (
+        {12: real(12, 3.0, True, given.before)}
+        if short
+        else {1: real(1, 9.0, False, given.before), 40: real(40, 9.0, False, given.before)}
+    )
     worst = max(case["worst_s"] for cases in processes.values() for case in cases.values())
     fits = all(
         fleet["fits_from"].get(beginning, 1e9) <= FITS[routers]
-        for routers, fleet in fleets.items() for beginning in BEGINNINGS
+        for routers, fleet in fleets.items()
+        for beginning in BEGINNINGS
     )
-    return {"name": "told", "holds": worst <= BOUND_S and fits, "bound_s": BOUND_S, "worst_s": worst,
-            "processes": processes, "virtual": fleets}
+    return {
+        "name": "told",
+        "holds": worst <= BOUND_S and fits,
+        "bound_s": BOUND_S,
+        "worst_s": worst,
+        "processes": processes,
+        "virtual": fleets,
+    }
 
 
 if __name__ == "__main__":
--- a/spoolbarrow/admin/calls.py
+++ b/spoolbarrow/admin/calls.py
@@ -94,14 +94,25 @@
 
 
 METHODS = {
-    Verb.READY: b"GET", Verb.METRICS: b"GET", Verb.SUSPEND: b"POST", Verb.RESUME: b"POST",
-    Verb.DRAIN: b"POST", Verb.ACTIVATE: b"POST", Verb.ZONES: b"GET",
-    Verb.VERSIONS: b"GET", Verb.CHECK: b"GET", Verb.ADOPT: b"POST",
+    Verb.READY: b"GET",
+    Verb.METRICS: b"GET",
+    Verb.SUSPEND: b"POST",
+    Verb.RESUME: b"POST",
+    Verb.DRAIN: b"POST",
+    Verb.ACTIVATE: b"POST",
+    Verb.ZONES: b"GET",
+    Verb.VERSIONS: b"GET",
+    Verb.CHECK: b"GET",
+    Verb.ADOPT: b"POST",
 }
 PLAIN = {
-    b"/v1/readyz": Verb.READY, b"/v1/metrics": Verb.METRICS,
-    b"/v1/router/drain": Verb.DRAIN, b"/v1/router/activate": Verb.ACTIVATE, b"/v1/zones": Verb.ZONES,
-    b"/v1/versions": Verb.VERSIONS, b"/v1/settings/check": Verb.CHECK,
+    b"/v1/readyz": Verb.READY,
+    b"/v1/metrics": Verb.METRICS,
+    b"/v1/router/drain": Verb.DRAIN,
+    b"/v1/router/activate": Verb.ACTIVATE,
+    b"/v1/zones": Verb.ZONES,
+    b"/v1/versions": Verb.VERSIONS,
+    b"/v1/settings/check": Verb.CHECK,
 }
 ENGINES = b"/v1/engines/"
 ADOPT = b"/v1/settings/adopt/"
--- a/spoolbarrow/admin/figures.py
+++ b/spoolbarrow/admin/figures.py
@@ -58,10 +58,13 @@
         """All figures, `name=value` a line."""
         told = {
             f"handled.{cls}.{fate.value}": count
-            for cls, counts in self._counts.items() for fate, count in counts.items()
+            for cls, counts in self._counts.items()
+            for fate, count in counts.items()
         }
         told |= {
-            "upstream_tries": self.upstream_tries, "in_progress": in_progress,
-            "known_engines": known_engines, "skipped_engines": skipped_engines,
+            "upstream_tries": self.upstream_tries,
+            "in_progress": in_progress,
+            "known_engines": known_engines,
+            "skipped_engines": skipped_engines,
         }
         return "".join(f"{PREFIX}.{name}={value}\n" for name, value in told.items())
--- a/spoolbarrow/admin/state.py
+++ b/spoolbarrow/admin/state.py
@@ -19,12 +19,31 @@
 MOST_HEAT = 2000  # prefixes whose counts are passed on, the most used ones
 OF_ROUTER = ("answer_ms", "hedges")
 OF_POOL = (
-    "heat_sum", "heat_at", "seen", "once", "request_tokens", "zone_load", "zone_memory", "zone_at",
-    "lateness", "home_read", "missed",
+    "heat_sum",
+    "heat_at",
+    "seen",
+    "once",
+    "request_tokens",
+    "zone_load",
+    "zone_memory",
+    "zone_at",
+    "lateness",
+    "home_read",
+    "missed",
 )
 OF_REPLICA = (
-    "report_at", "heard_at", "reports", "memory", "load", "slow", "slow_at", "failing", "failed_at",
-    "suspect_until", "strikes", "silent",
+    "report_at",
+    "heard_at",
+    "reports",
+    "memory",
+    "load",
+    "slow",
+    "slow_at",
+    "failing",
+    "failed_at",
+    "suspect_until",
+    "strikes",
+    "silent",
 )
 OF_ENTITLEMENT = ("burst", "debt", "used", "used_at", "saved", "saved_at")  # not what is in flight there
 
@@ -51,12 +70,19 @@
     """The text of a state."""
     pool = router.pool
     hottest = sorted(pool.heat.items(), key=lambda item: -item[1])[:MOST_HEAT]
-    return msgspec.json.encode(State(
-        VERSION, name, known, resumed, _of(router, OF_ROUTER), _of(pool, OF_POOL),
-        {str(prefix): heat for prefix, heat in hottest},
-        {replica.id: _of(replica, OF_REPLICA) for replica in pool.replicas.values()},
-        {str(tenant): _of(e, OF_ENTITLEMENT) for tenant, e in router.entitlements.items()},
-    ))
+    return msgspec.json.encode(
+        State(
+            VERSION,
+            name,
+            known,
+            resumed,
+            _of(router, OF_ROUTER),
+            _of(pool, OF_POOL),
+            {str(prefix): heat for prefix, heat in hottest},
+            {replica.id: _of(replica, OF_REPLICA) for replica in pool.replicas.values()},
+            {str(tenant): _of(e, OF_ENTITLEMENT) for tenant, e in router.entitlements.items()},
+        )
+    )
 
 
 def read(text: bytes, name: str) -> State:
--- a/spoolbarrow/cli/flows.py
+++ b/spoolbarrow/cli/flows.py
@@ -55,8 +55,16 @@
 @FORM
 @KIND
 def collect(
-    addresses: tuple[str, ...], directory: Path | None, file_bytes: int, ca: str | None,
-    certificate: str | None, key: str | None, records: int, enterprise: int, form: str, kind: str,
+    addresses: tuple[str, ...],
+    directory: Path | None,
+    file_bytes: int,
+    ca: str | None,
+    certificate: str | None,
+    key: str | None,
+    records: int,
+    enterprise: int,
+    form: str,
+    kind: str,
 ) -> int:
     """Collect at ADDRESSES (udp://IP:PORT, tcp://IP:PORT, tls://IP:PORT) until SIGTERM or SIGINT.
 
@@ -133,7 +141,13 @@
 @ENTERPRISE
 @FORM
 def top(
-    files: tuple[Path, ...], by: str, start: Any, end: Any, last: float | None, most: int, enterprise: int,
+    files: tuple[Path, ...],
+    by: str,
+    start: Any,
+    end: Any,
+    last: float | None,
+    most: int,
+    enterprise: int,
     form: str,
 ) -> int:
     """Rank tenants, classes, engines or clients' addresses by what passed."""
--- a/spoolbarrow/cli/store.py
+++ b/spoolbarrow/cli/store.py
@@ -16,8 +16,14 @@
 from spoolbarrow.cli.faults import Faulty, NoAnswer, Refused
 
 T = TypeVar("T")
-members = click.option("--at", "asked", multiple=True, required=True, metavar="HOST:PORT", help="A member's "
-                       "control address; the first that answers, or leads, is asked.")
+members = click.option(
+    "--at",
+    "asked",
+    multiple=True,
+    required=True,
+    metavar="HOST:PORT",
+    help="A member's control address; the first that answers, or leads, is asked.",
+)
 
 
 class MemberRefused(Refused):
@@ -35,8 +41,14 @@
 
 @command.command()
 @click.option("--name", required=True, help="This member's.")
-@click.option("--member", "named", multiple=True, required=True, metavar="NAME=HOST:PORT",
-              help="Each member with where it listens for the others; the same names for all.")
+@click.option(
+    "--member",
+    "named",
+    multiple=True,
+    required=True,
+    metavar="NAME=HOST:PORT",
+    help="Each member with where it listens for the others; the same names for all.",
+)
 @click.option("--listen", required=True, metavar="HOST:PORT", help="For the other members.")
 @click.option("--control", required=True, metavar="HOST:PORT", help="For callers.")
 @click.option("--directory", required=True, type=click.Path(path_type=Path, exists=True))
@@ -64,8 +76,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, told_to_end.set)
     made = Member(
-        name, addresses, config.address("--listen", listen), config.address("--control", control),
-        directory / f"{name}.store", Settings(election_ms=1000.0, beat_ms=100.0), most_pages,
+        name,
+        addresses,
+        config.address("--listen", listen),
+        config.address("--control", control),
+        directory / f"{name}.store",
+        Settings(election_ms=1000.0, beat_ms=100.0),
+        most_pages,
     )
     standard.start()
     log("store_started", member=name, listen=listen, control=control)
--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -310,7 +310,7 @@
     if text.startswith("Params."):
         place, _, text = text.removeprefix("Params.").partition(": ")
     elif text.startswith(MISSING):
-        place, text = f"{place}.{text[len(MISSING):].strip('`')}".removeprefix("."), "missing"
+        place, text = f"{place}.{text[len(MISSING) :].strip('`')}".removeprefix("."), "missing"
     if of_settings:
         place = f"settings.{place}".removesuffix(".")
     return f"{place or 'NODE_CONFIG'}: {text}"
--- a/spoolbarrow/failover/verdicts.py
+++ b/spoolbarrow/failover/verdicts.py
@@ -210,7 +210,8 @@
         """Whether another zone has endpoints in service and has not failed."""
         return any(
             zone.state is not State.FAILED and self._serving.get(other)
-            for other, zone in self._zones.items() if other != name
+            for other, zone in self._zones.items()
+            if other != name
         )
 
     def _step(
@@ -272,12 +273,20 @@
             return Verdict(State.FAILED, "all its zones failed", max(v.since_ms for v in own), 0.0)
         if states <= {State.FAILED, State.RETURNING}:
             back = [v for v in own if v.state is State.RETURNING]
-            return Verdict(State.RETURNING, "a zone returns", min(v.since_ms for v in back),
-                           sum(v.share for v in own) / len(own))
+            return Verdict(
+                State.RETURNING,
+                "a zone returns",
+                min(v.since_ms for v in back),
+                sum(v.share for v in own) / len(own),
+            )
         if states & {State.FAILED, State.SUSPECT, State.RETURNING}:
             sick = [v for v in own if v.state is not State.HEALTHY]
-            return Verdict(State.SUSPECT, f"{len(sick)} of {len(own)} zones not healthy",
-                           min(v.since_ms for v in sick), sum(v.share for v in own) / len(own))
+            return Verdict(
+                State.SUSPECT,
+                f"{len(sick)} of {len(own)} zones not healthy",
+                min(v.since_ms for v in sick),
+                sum(v.share for v in own) / len(own),
+            )
         return Verdict(State.HEALTHY, "all its zones healthy", 0.0)
 
 
--- a/spoolbarrow/fleet/evidence.py
+++ b/spoolbarrow/fleet/evidence.py
@@ -67,7 +67,8 @@
         document that it has seen only once may be of a process that died long ago.
         """
         counting = [
-            (router, entry.summary.body) for router, entry in self._entries.items()
+            (router, entry.summary.body)
+            for router, entry in self._entries.items()
             if entry.summary is not None and entry.moved and now - entry.seen_at <= age_ms
         ]
         return [body for _, body in sorted(counting)]
--- a/spoolbarrow/flows/decode.py
+++ b/spoolbarrow/flows/decode.py
@@ -275,9 +275,7 @@
             self.dropped_templates += 1
         self._forms[key] = form
 
-    def _count(
-        self, stream: tuple[int, int], sequence: int, records: int, unsure: bool = False
-    ) -> None:
+    def _count(self, stream: tuple[int, int], sequence: int, records: int, unsure: bool = False) -> None:
         expected = self._expected.get(stream, sequence)
         gap = (sequence - expected) & 0xFFFFFFFF
         if 0 < gap < 1 << 31:  # else late or repeated
--- a/spoolbarrow/flows/elements.py
+++ b/spoolbarrow/flows/elements.py
@@ -48,8 +48,14 @@
 
 
 SIZES = {
-    Kind.UNSIGNED8: 1, Kind.UNSIGNED16: 2, Kind.UNSIGNED32: 4, Kind.UNSIGNED64: 8,
-    Kind.FLOAT64: 8, Kind.STRING: VARIABLE, Kind.DATE_MS: 8, Kind.IPV4: 4,
+    Kind.UNSIGNED8: 1,
+    Kind.UNSIGNED16: 2,
+    Kind.UNSIGNED32: 4,
+    Kind.UNSIGNED64: 8,
+    Kind.FLOAT64: 8,
+    Kind.STRING: VARIABLE,
+    Kind.DATE_MS: 8,
+    Kind.IPV4: 4,
 }
 
 
@@ -139,8 +145,22 @@
 NAMED_INDEX = Element("routerNamedIndex", 15, U32, OWN, _ID)
 NAME = Element("routerName", 16, Kind.STRING, OWN)
 OWN_ELEMENTS = (
-    SIDE, ENGINE, RESENT, ROUND_TRIP, REQUEST, CLASS, TENANT, ENGINE_FLOW, ATTEMPTS, OUTCOME, FIRST_EVENT,
-    WHOLE, ANSWER_OCTETS, NAMED_KIND, NAMED_INDEX, NAME,
+    SIDE,
+    ENGINE,
+    RESENT,
+    ROUND_TRIP,
+    REQUEST,
+    CLASS,
+    TENANT,
+    ENGINE_FLOW,
+    ATTEMPTS,
+    OUTCOME,
+    FIRST_EVENT,
+    WHOLE,
+    ANSWER_OCTETS,
+    NAMED_KIND,
+    NAMED_INDEX,
+    NAME,
 )
 NONE_MS = 0xFFFFFFFF  # of FIRST_EVENT: no event came
 OUTCOMES = ("", "served", "fail_fast", "failed", "rejected", "broken", "moved", "left")
@@ -148,37 +168,102 @@
 END_REASONS = {1: "idle", 2: "active", 3: "ended", 4: "forced", 5: "resources"}  # flowEndReason (RFC 5102)
 
 _TWO_WAY = (OCTETS, PACKETS, PAYLOAD, PAYLOAD_PACKETS)
-CONNECTION = Template(256, "connection", (
-    START, END, FLOW, SOURCE, TARGET, SOURCE_PORT, TARGET_PORT, PROTOCOL,
-    *_TWO_WAY, *(element.reverse() for element in _TWO_WAY),
-    BIFLOW_DIRECTION, END_REASON, SIDE, ENGINE, RESENT, ROUND_TRIP,
-))
-REQUESTS = Template(257, "request", (
-    START, END, FLOW, REQUEST, CLASS, TENANT, ENGINE, ENGINE_FLOW, ATTEMPTS, OUTCOME, FIRST_EVENT, WHOLE,
-    ANSWER_OCTETS,
-))
+CONNECTION = Template(
+    256,
+    "connection",
+    (
+        START,
+        END,
+        FLOW,
+        SOURCE,
+        TARGET,
+        SOURCE_PORT,
+        TARGET_PORT,
+        PROTOCOL,
+        *_TWO_WAY,
+        *(element.reverse() for element in _TWO_WAY),
+        BIFLOW_DIRECTION,
+        END_REASON,
+        SIDE,
+        ENGINE,
+        RESENT,
+        ROUND_TRIP,
+    ),
+)
+REQUESTS = Template(
+    257,
+    "request",
+    (
+        START,
+        END,
+        FLOW,
+        REQUEST,
+        CLASS,
+        TENANT,
+        ENGINE,
+        ENGINE_FLOW,
+        ATTEMPTS,
+        OUTCOME,
+        FIRST_EVENT,
+        WHOLE,
+        ANSWER_OCTETS,
+    ),
+)
 NAMES = Template(258, "name", (NAMED_KIND, NAMED_INDEX, NAME), 2)
-STATISTICS = Template(259, "statistics", (  # RFC 7011, sections 4.1 and 4.3
-    PROCESS, EXPORTED_MESSAGES, EXPORTED_RECORDS, EXPORTED_OCTETS, NOT_SENT_RECORDS, NOT_SENT_PACKETS,
-    NOT_SENT_OCTETS,
-), 1)
-TYPES = Template(260, "type", (  # RFC 5610, section 3.9
-    ENTERPRISE, IE_ID, IE_KIND, IE_SEMANTICS, IE_UNITS, IE_NAME,
-), 2)
+STATISTICS = Template(
+    259,
+    "statistics",
+    (  # RFC 7011, sections 4.1 and 4.3
+        PROCESS,
+        EXPORTED_MESSAGES,
+        EXPORTED_RECORDS,
+        EXPORTED_OCTETS,
+        NOT_SENT_RECORDS,
+        NOT_SENT_PACKETS,
+        NOT_SENT_OCTETS,
+    ),
+    1,
+)
+TYPES = Template(
+    260,
+    "type",
+    (  # RFC 5610, section 3.9
+        ENTERPRISE,
+        IE_ID,
+        IE_KIND,
+        IE_SEMANTICS,
+        IE_UNITS,
+        IE_NAME,
+    ),
+    2,
+)
 SAMPLING = Template(261, "sampling", (DOMAIN, SELECTOR_ALGORITHM, SAMPLING_PROBABILITY), 1)
 TEMPLATES = (CONNECTION, REQUESTS, NAMES, STATISTICS, TYPES, SAMPLING)
 HASH_FILTERING = 6  # selectorAlgorithm: hash-based (RFC 5477, section 8.2.2)
 
 # NetFlow v9 has no enterprise elements (RFC 3954): it carries connections, and no requests or names.
-V9_CONNECTION = Template(256, "connection", (
-    FIRST_SWITCHED, LAST_SWITCHED, FLOW, SOURCE, TARGET, SOURCE_PORT, TARGET_PORT, PROTOCOL,
-    OCTETS, PACKETS, OUT_OCTETS, OUT_PACKETS, END_REASON,
-))
+V9_CONNECTION = Template(
+    256,
+    "connection",
+    (
+        FIRST_SWITCHED,
+        LAST_SWITCHED,
+        FLOW,
+        SOURCE,
+        TARGET,
+        SOURCE_PORT,
+        TARGET_PORT,
+        PROTOCOL,
+        OCTETS,
+        PACKETS,
+        OUT_OCTETS,
+        OUT_PACKETS,
+        END_REASON,
+    ),
+)
 V9_TEMPLATES = (V9_CONNECTION,)
 
-_STANDARD = (
-    *(e for e in globals().copy().values() if isinstance(e, Element) and e.enterprise == 0),
-)
+_STANDARD = (*(e for e in globals().copy().values() if isinstance(e, Element) and e.enterprise == 0),)
 BY_NUMBER: dict[tuple[int, int], Element] = {(0, e.number): e for e in _STANDARD}
 BY_NUMBER |= {(REVERSE, e.number): e.reverse() for e in _STANDARD}
 BY_NUMBER |= {(OWN, e.number): e for e in OWN_ELEMENTS}
--- a/spoolbarrow/flows/encode.py
+++ b/spoolbarrow/flows/encode.py
@@ -32,8 +32,13 @@
 _V9_HEADER = struct.Struct("!HHIIII")
 _SET = struct.Struct("!HH")
 _FORMATS = {
-    Kind.UNSIGNED8: "B", Kind.UNSIGNED16: "H", Kind.UNSIGNED32: "I", Kind.UNSIGNED64: "Q",
-    Kind.FLOAT64: "d", Kind.DATE_MS: "Q", Kind.IPV4: "4s",
+    Kind.UNSIGNED8: "B",
+    Kind.UNSIGNED16: "H",
+    Kind.UNSIGNED32: "I",
+    Kind.UNSIGNED64: "Q",
+    Kind.FLOAT64: "d",
+    Kind.DATE_MS: "Q",
+    Kind.IPV4: "4s",
 }
 
 
@@ -97,9 +102,7 @@
 def type_records(enterprise: int) -> list[Record]:
     """What the program's own elements are, for collectors that never heard of them (RFC 5610)."""
     writer = Writer(TYPES)
-    return [
-        writer.record(enterprise, e.number, e.kind, e.semantics, e.units, e.name) for e in OWN_ELEMENTS
-    ]
+    return [writer.record(enterprise, e.number, e.kind, e.semantics, e.units, e.name) for e in OWN_ELEMENTS]
 
 
 class Stream:
--- a/spoolbarrow/flows/exporter.py
+++ b/spoolbarrow/flows/exporter.py
@@ -136,7 +136,10 @@
         self._meter.configure(table.active_timeout_ms, table.idle_timeout_ms, table.sample_share)
         wanted = {str(collector): collector for collector in prepared.collectors}
         anew = (old.format, old.domain_id, old.enterprise, old.mtu) != (
-            table.format, table.domain_id, table.enterprise, table.mtu,
+            table.format,
+            table.domain_id,
+            table.enterprise,
+            table.mtu,
         )
         for name in list(self._sinks):
             if anew or name not in wanted:
@@ -201,10 +204,19 @@
         engine = self._engine(last.endpoint if last else "")
         self._put(
             self._request.record(
-                round(start), round(now), request.connection, int(request.key), request.cls, request.tenant,
-                engine, last.connection if last else 0, min(len(request.attempts), 255),
-                OUTCOMES.index(request.answered), meter.request_ms(start, first),
-                meter.request_ms(start, now), octets,
+                round(start),
+                round(now),
+                request.connection,
+                int(request.key),
+                request.cls,
+                request.tenant,
+                engine,
+                last.connection if last else 0,
+                min(len(request.attempts), 255),
+                OUTCOMES.index(request.answered),
+                meter.request_ms(start, first),
+                meter.request_ms(start, now),
+                octets,
             )
         )
 
@@ -239,19 +251,42 @@
         forward, backward = flow.forward, flow.backward
         packets, octets = forward.packets + backward.packets, forward.octets + backward.octets
         ends = (
-            ipv4(flow.source[0]), ipv4(flow.target[0]), flow.source[1], flow.target[1], TCP,
+            ipv4(flow.source[0]),
+            ipv4(flow.target[0]),
+            flow.source[1],
+            flow.target[1],
+            TCP,
         )
         if self._table.format == "ipfix":
             record = self._connection.record(
-                round(flow.start), round(flow.end), flow.number, *ends, *forward, *backward,
-                1, flow.reason, int(flow.outbound), self._engine(flow.engine), flow.again, flow.rtt_us,
-                packets=packets, octets=octets,
+                round(flow.start),
+                round(flow.end),
+                flow.number,
+                *ends,
+                *forward,
+                *backward,
+                1,
+                flow.reason,
+                int(flow.outbound),
+                self._engine(flow.engine),
+                flow.again,
+                flow.rtt_us,
+                packets=packets,
+                octets=octets,
             )
         else:
             record = self._v9.record(
-                uptime_ms(flow.start, self._origin), uptime_ms(flow.end, self._origin), flow.number, *ends,
-                forward.octets, forward.packets, backward.octets, backward.packets, flow.reason,
-                packets=packets, octets=octets,
+                uptime_ms(flow.start, self._origin),
+                uptime_ms(flow.end, self._origin),
+                flow.number,
+                *ends,
+                forward.octets,
+                forward.packets,
+                backward.octets,
+                backward.packets,
+                flow.reason,
+                packets=packets,
+                octets=octets,
             )
         self._put(record)
 
@@ -286,6 +321,11 @@
 
     def _statistics(self, stream: Stream, queue: RecordQueue) -> Record:
         return encode.statistics_writer.record(
-            os.getpid(), stream.messages, stream.records, stream.octets,
-            queue.dropped, queue.dropped_packets, queue.dropped_octets,
+            os.getpid(),
+            stream.messages,
+            stream.records,
+            stream.octets,
+            queue.dropped,
+            queue.dropped_packets,
+            queue.dropped_octets,
         )
--- a/spoolbarrow/flows/files.py
+++ b/spoolbarrow/flows/files.py
@@ -30,8 +30,12 @@
     """Writes the records of one directory."""
 
     def __init__(
-        self, collector: Collector, table: FlowsTable, options: Callable[[], list[Record]],
-        statistics: Callable[[Stream, RecordQueue], Record], origin: float,
+        self,
+        collector: Collector,
+        table: FlowsTable,
+        options: Callable[[], list[Record]],
+        statistics: Callable[[Stream, RecordQueue], Record],
+        origin: float,
     ) -> None:
         self.collector, self._table, self._options, self._statistics = collector, table, options, statistics
         self.queue = RecordQueue(table.queue_records, table.queue_bytes)
--- a/spoolbarrow/flows/meter.py
+++ b/spoolbarrow/flows/meter.py
@@ -99,7 +99,12 @@
         return len(self._open)
 
     def opened(
-        self, number: int, local: tuple[str, int], peer: tuple[str, int], outbound: bool, engine: str,
+        self,
+        number: int,
+        local: tuple[str, int],
+        peer: tuple[str, int],
+        outbound: bool,
+        engine: str,
         at: float,
     ) -> bool:
         """A connection came up at `at`, which may be before metering began; whether it is metered."""
@@ -163,24 +168,34 @@
         if not _moved(one.last, one.seen):
             one.told_at = max(one.told_at, self._looked[number])
 
-    def _tell(
-        self, number: int, one: _Open, counters: Counters, end: float, reason: int
-    ) -> ConnectionFlow:
+    def _tell(self, number: int, one: _Open, counters: Counters, end: float, reason: int) -> ConnectionFlow:
         last = one.last
         sent = _traffic(
-            counters.sent - last.sent, counters.segments_sent - last.segments_sent,
-            counters.data_sent - last.data_sent, counters.timestamps,
+            counters.sent - last.sent,
+            counters.segments_sent - last.segments_sent,
+            counters.data_sent - last.data_sent,
+            counters.timestamps,
         )
         received = _traffic(
-            counters.received - last.received, counters.segments_received - last.segments_received,
-            counters.data_received - last.data_received, counters.timestamps,
+            counters.received - last.received,
+            counters.segments_received - last.segments_received,
+            counters.data_received - last.data_received,
+            counters.timestamps,
         )
         ours = one.outbound
         flow = ConnectionFlow(
-            number, one.told_at, max(end, one.told_at),
-            one.local if ours else one.peer, one.peer if ours else one.local, ours, one.engine,
-            sent if ours else received, received if ours else sent,
-            reason, counters.again - last.again, counters.rtt_us,
+            number,
+            one.told_at,
+            max(end, one.told_at),
+            one.local if ours else one.peer,
+            one.peer if ours else one.local,
+            ours,
+            one.engine,
+            sent if ours else received,
+            received if ours else sent,
+            reason,
+            counters.again - last.again,
+            counters.rtt_us,
         )
         one.last = one.seen = counters
         one.told_at = flow.end
--- a/spoolbarrow/flows/sender.py
+++ b/spoolbarrow/flows/sender.py
@@ -132,8 +132,13 @@
     """Sends to one collector."""
 
     def __init__(
-        self, collector: Collector, table: FlowsTable, options: Callable[[], list[Record]],
-        statistics: Callable[[Stream, RecordQueue], Record], origin: float, tls: Any = None,
+        self,
+        collector: Collector,
+        table: FlowsTable,
+        options: Callable[[], list[Record]],
+        statistics: Callable[[Stream, RecordQueue], Record],
+        origin: float,
+        tls: Any = None,
     ) -> None:
         self.collector, self._table, self._options = collector, table, options
         self._statistics, self._tls = statistics, tls
--- a/spoolbarrow/flows/tables.py
+++ b/spoolbarrow/flows/tables.py
@@ -181,8 +181,8 @@
         if ours != theirs:
             yield f"{name} is {ours!r} in the flows, {theirs!r} in the log"
     for name, ours, theirs in (
-        ("whole_ms", row["whole_ms"], line["ms"]), ("first_ms", row["first_ms"], stream.get("first")),
+        ("whole_ms", row["whole_ms"], line["ms"]),
+        ("first_ms", row["first_ms"], stream.get("first")),
     ):
         if (ours is None) != (theirs is None) or (ours is not None and abs(ours - theirs) > TOLERANCE_MS):
             yield f"{name} is {ours} in the flows, {theirs} in the log"
-
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -276,7 +276,10 @@
         both = config.max_inbound + config.max_outbound + reserved(control)
         inbound, outbound = share_out(both // 2, control)
         return replace(
-            config, max_inbound=inbound, max_outbound=outbound, max_held=config.max_held // 2,
+            config,
+            max_inbound=inbound,
+            max_outbound=outbound,
+            max_held=config.max_held // 2,
         )
 
     def close(self) -> None:
--- a/spoolbarrow/lab/callers.py
+++ b/spoolbarrow/lab/callers.py
@@ -76,7 +76,6 @@
         self._last = min(self._most, 2.0 * self._last)
         return pause
 
-
     def hangs(self, full: bool) -> float:
         """No call beside another."""
         return inf
@@ -98,19 +97,19 @@
 
 Make = Callable[[int, int, float, Random], Way]  # routers, this one's number, true rate, chance
 WAYS: dict[str, Make] = {
-    "before: 40 ms a router, 3 s at most; back-off 1 to 8 s":
-        lambda n, me, rate, rng: Fixed(min(3000.0, 40.0 * n), rng),
-    "decorrelated jitter, 0.5 to 28 s":
-        lambda n, me, rate, rng: Fixed(min(3000.0, 40.0 * n), rng, most=28_000.0, decorrelated=True),
-    "a spread that suits 5 a second (15 calls in 3 s)":
-        lambda n, me, rate, rng: Fixed(n * TIMEOUT / 15.0, rng),
-    "a spread within the time for asking (6 s)":
-        lambda n, me, rate, rng: Fixed(min(6000.0, 200.0 * n), rng),
+    "before: 40 ms a router, 3 s at most; back-off 1 to 8 s": lambda n, me, rate, rng: Fixed(
+        min(3000.0, 40.0 * n), rng
+    ),
+    "decorrelated jitter, 0.5 to 28 s": lambda n, me, rate, rng: Fixed(
+        min(3000.0, 40.0 * n), rng, most=28_000.0, decorrelated=True
+    ),
+    "a spread that suits 5 a second (15 calls in 3 s)": lambda n, me, rate, rng: Fixed(
+        n * TIMEOUT / 15.0, rng
+    ),
+    "a spread within the time for asking (6 s)": lambda n, me, rate, rng: Fixed(min(6000.0, 200.0 * n), rng),
     "places at the rate told, no time for asking": lambda n, me, rate, rng: paced(n, me, 0.0, rate, rng),
-    "chosen, the rate told: within the clock":
-        lambda n, me, rate, rng: paced(n, me, MUST_ASK_MS, rate, rng),
-    "chosen, no rate told: within the clock":
-        lambda n, me, rate, rng: paced(n, me, MUST_ASK_MS, 0.0, rng),
+    "chosen, the rate told: within the clock": lambda n, me, rate, rng: paced(n, me, MUST_ASK_MS, rate, rng),
+    "chosen, no rate told: within the clock": lambda n, me, rate, rng: paced(n, me, MUST_ASK_MS, 0.0, rng),
 }
 
 
@@ -136,8 +135,14 @@
         found = Callers(ways, turn, rng, down * 1000.0, "refuses")
         found.run([way.broke() for way in ways])
     least, waits = routers * turn, found.told
-    return Result(found.calls / routers, found.failed / found.calls, found.longest / TIMEOUT,
-                  max(found.seconds.values()), median(waits) / least * 2.0, max(waits) / least)
+    return Result(
+        found.calls / routers,
+        found.failed / found.calls,
+        found.longest / TIMEOUT,
+        max(found.seconds.values()),
+        median(waits) / least * 2.0,
+        max(waits) / least,
+    )
 
 
 Fault = Literal["refuses", "hangs", "half"]  # calls fail at once; get no answer, ever; half an answer
--- a/spoolbarrow/lab/cluster.py
+++ b/spoolbarrow/lab/cluster.py
@@ -19,6 +19,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -65,6 +66,11 @@
     return parser.status, raw
 
 
+def _has_engine(router: Process) -> bool:
+    """Whether a router has logged a list with an engine in service."""
+    return any(event["serving"] for event in router.events("destinations"))
+
+
 class Cluster:
     """What is running: routers `0..`, each in a zone, and engines `0..`, by zone in `of_zone`.
 
@@ -76,11 +82,23 @@
     """
 
     def __init__(
-        self, folder: Path, zones: Mapping[str, int], routers: Sequence[str],
-        operator: str | Callable[[Cluster, int], str], *, gates: bool = True, control: bool = True,
-        at_once: bool = False, members: bool = False, known: str = "none", figures: Figures | None = None,
-        rate: float = 0.0, line_ms: float = 0.0, timeout_s: float = 3.0,
-        settings: Mapping[str, Any] | None = None, tree: Path | None = None,
+        self,
+        folder: Path,
+        zones: Mapping[str, int],
+        routers: Sequence[str],
+        operator: str | Callable[[Cluster, int], str],
+        *,
+        gates: bool = True,
+        control: bool = True,
+        at_once: bool = False,
+        members: bool = False,
+        known: str = "none",
+        figures: Figures | None = None,
+        rate: float = 0.0,
+        line_ms: float = 0.0,
+        timeout_s: float = 3.0,
+        settings: Mapping[str, Any] | None = None,
+        tree: Path | None = None,
     ) -> None:
         if known not in KNOWN:
             raise NotObeyed("known", f"one of {', '.join(KNOWN)}")
@@ -132,7 +150,7 @@
             gates += [f"{address(n)}:{told}" for n in range(count)]
             self.proxy = self._start("-m", "spoolbarrow.lab.proxy", str(LIFE_S), *gates, stdin=True)
             self.fronts = self.proxy.first_said().split()
-            self._discovery = [f"{HOST}:{port}" for port in self.fronts[count * len(self.names):]]
+            self._discovery = [f"{HOST}:{port}" for port in self.fronts[count * len(self.names) :]]
         else:
             self._discovery = [f"{address(n)}:{told}" for n in range(count)]
         if self._with_members:
@@ -163,9 +181,7 @@
         """Until each of these routers has an engine in service."""
         for number in numbers:
             router = self.routers[number]
-            router.wait_for(
-                lambda r=router: any(e["serving"] for e in r.events("destinations")), seconds  # type: ignore[misc]
-            )
+            router.wait_for(partial(_has_engine, router), seconds)
 
     def _start(
         self, *argv: str, stdin: bool = False, env: dict[str, str] | None = None, cwd: Path | None = None
@@ -178,28 +194,52 @@
         """A router's configuration; probes on, so that it hears of engines it sends little to."""
         chat = {"Name": "chat", "AimMs": 2000.0, "DeadlineMs": 5000.0, "Effect": "retryable", "Stream": True}
         settings = {
-            "Balancers": len(self.ports), "Me": number, "Classes": [chat], "Tenants": [{"Name": "acme"}],
-            "Zones": self.zones, "MyZone": self.zones.index(self.zone_of[number]),
-            "Skus": ["m"], "TickMs": 2.0, "Discovery": "subscribe", "Fees": {"CrossZone": 0.03},
+            "Balancers": len(self.ports),
+            "Me": number,
+            "Classes": [chat],
+            "Tenants": [{"Name": "acme"}],
+            "Zones": self.zones,
+            "MyZone": self.zones.index(self.zone_of[number]),
+            "Skus": ["m"],
+            "TickMs": 2.0,
+            "Discovery": "subscribe",
+            "Fees": {"CrossZone": 0.03},
             "Stats": {"Fields": ["x1", "load_share", "x0"], "Via": "on_probe"},
-            "Limits": {"MaxAttempts": 3, "RetryAfter": True, "Cancelling": True, "MaxRetryAfterMs": 2000.0,
-                       "Probing": True, "ConnectTimeoutMs": 300.0},
+            "Limits": {
+                "MaxAttempts": 3,
+                "RetryAfter": True,
+                "Cancelling": True,
+                "MaxRetryAfterMs": 2000.0,
+                "Probing": True,
+                "ConnectTimeoutMs": 300.0,
+            },
         }
         if (cold := self._figures) is not None:
             settings["Invariants"] = {
-                "ColdFrom": cold.cold_from, "ColdMs": cold.cold_ms, "OverloadFactor": cold.overload_factor,
+                "ColdFrom": cold.cold_from,
+                "ColdMs": cold.cold_ms,
+                "OverloadFactor": cold.overload_factor,
                 "TipAfterMs": cold.tip_after_ms,
             }
-        made = {"name": f"r{number}", "listen": f"{LISTEN}:{self.ports[number]}", "seed": f"8c1f{number}",
-                "discovery": self._discovery[number], "settings": settings | self._settings}
+        made = {
+            "name": f"r{number}",
+            "listen": f"{LISTEN}:{self.ports[number]}",
+            "seed": f"8c1f{number}",
+            "discovery": self._discovery[number],
+            "settings": settings | self._settings,
+        }
         if self._control:
             made["control"] = f"{LISTEN}:{self.controls[number]}"
         if self._known != "none":
             engines = range(len(self.names)) if self._known == "old" else []
-            made["known"] = {"index": 1, "snapshot": True, "endpoints": [
-                {**line, "address": self._address(number, n), "since_ms": 0.0}
-                for n, line in zip(engines, self._lines(engines), strict=True)
-            ]}
+            made["known"] = {
+                "index": 1,
+                "snapshot": True,
+                "endpoints": [
+                    {**line, "address": self._address(number, n), "since_ms": 0.0}
+                    for n, line in zip(engines, self._lines(engines), strict=True)
+                ],
+            }
         return made
 
     def _address(self, router: int, engine: int) -> str:
@@ -284,16 +324,24 @@
 
     def _lines(self, engines: Iterable[int]) -> list[dict[str, Any]]:
         zone = {n: name for name, found in self.of_zone.items() for n in found}
-        return [{"name": self.names[n], "zone": zone[n], "type": "m", "since_ms": self.since[n],
-                 **({"status": "terminating"} if n in self.draining else {})}
-                for n in engines]
+        return [
+            {
+                "name": self.names[n],
+                "zone": zone[n],
+                "type": "m",
+                "since_ms": self.since[n],
+                **({"status": "terminating"} if n in self.draining else {}),
+            }
+            for n in engines
+        ]
 
     def _tell(self, engines: Iterable[int]) -> None:
         self.listing += 1
         chosen = list(engines)
         lines = [
             {**line, "addresses": [self._address(router, n) for router in range(len(self.ports))]}
-            if self._gated else {**line, "address": f"@:{self._engine_ports[n]}"}
+            if self._gated
+            else {**line, "address": f"@:{self._engine_ports[n]}"}
             for n, line in zip(chosen, self._lines(chosen), strict=True)
         ]
         file = self.folder / "list.json"
@@ -372,8 +420,11 @@
 
 @contextmanager
 def cluster(
-    folder: Path, zones: Mapping[str, int], routers: Sequence[str],
-    operator: str | Callable[[Cluster, int], str] = "", **options: Any,
+    folder: Path,
+    zones: Mapping[str, int],
+    routers: Sequence[str],
+    operator: str | Callable[[Cluster, int], str] = "",
+    **options: Any,
 ) -> Iterator[Cluster]:
     """Engines by zone, and a router for each zone named, all of which serve; `options` as of `Cluster`."""
     made = Cluster(folder, zones, routers, operator, **options)
@@ -407,7 +458,8 @@
         self._pause_s, self._clients, self._routers = pause_s, clients, len(made.ports)
         self._threads = [
             threading.Thread(target=self._ask, args=(made.ports[n], n, client))
-            for n in range(len(made.ports)) for client in range(clients)
+            for n in range(len(made.ports))
+            for client in range(clients)
         ]
         for thread in self._threads:
             thread.start()
--- a/spoolbarrow/lab/followed.py
+++ b/spoolbarrow/lab/followed.py
@@ -25,8 +25,14 @@
     """
 
     def __init__(
-        self, folder: Path, engines: int, routers: int, operator: str, controls: Sequence[str],
-        bound_s: float, **options: Any,
+        self,
+        folder: Path,
+        engines: int,
+        routers: int,
+        operator: str,
+        controls: Sequence[str],
+        bound_s: float,
+        **options: Any,
     ) -> None:
         self.bound_s = bound_s
         super().__init__(folder, {"a": engines}, ["a"] * routers, self._told, **options)
@@ -39,7 +45,7 @@
     def _told(self, _: Cluster, number: int) -> str:
         """A router's file: it knows the members by gates of its own."""
         count = len(self._asked)
-        members = [f"{HOST}:{port}" for port in self.doors[count * number:count * (number + 1)]]
+        members = [f"{HOST}:{port}" for port in self.doors[count * number : count * (number + 1)]]
         return self._text + f"members = {json.dumps(members)}\n"
 
     def restart_router(self, number: int) -> None:
@@ -97,8 +103,13 @@
     def wait_called(self, names: Sequence[str], routers: Iterable[int] | None = None) -> None:
         """Until these routers act on one decision of the roll, which names these."""
         numbers, wanted = list(range(len(self.ports)) if routers is None else routers), list(names)
-        until(lambda: all(self.part(n)["routers"] == wanted for n in numbers)
-              and len({self.acts(n, "fleet/roll") for n in numbers}) == 1, self.bound_s)
+        until(
+            lambda: (
+                all(self.part(n)["routers"] == wanted for n in numbers)
+                and len({self.acts(n, "fleet/roll") for n in numbers}) == 1
+            ),
+            self.bound_s,
+        )
 
     def sent(self, engine: int, router: str = "") -> int:
         """Requests that an engine was sent by one router, or all."""
--- a/spoolbarrow/lab/listing.py
+++ b/spoolbarrow/lab/listing.py
@@ -152,8 +152,9 @@
         """The list is now this, in a higher version."""
         new = {line["name"]: line for line in lines}
         changed = {name: line for name, line in new.items() if self.lines.get(name) != line}
-        changed |= {name: {**line, "status": "terminated"}
-                    for name, line in self.lines.items() if name not in new}
+        changed |= {
+            name: {**line, "status": "terminated"} for name, line in self.lines.items() if name not in new
+        }
         if len(self._changes) == HISTORY:
             self._oldest = self._changes[0][0]
         if self.index == 0:
@@ -287,7 +288,7 @@
             return
         head = PLAIN % (b"200 OK", b"Content-Type: application/json\r\n", len(text), b"")
         if self.modes[router] in ("half", "stuck"):
-            sock.sendall(head + text[:len(text) // 2])
+            sock.sendall(head + text[: len(text) // 2])
             self._stop_there(router)
             return
         sock.sendall(head + text)
@@ -310,14 +311,17 @@
         if watch and index == self.versions.index > 0:
             return b"", index
         self.counts.count("lines", router, time.monotonic(), len(lines))
-        told = {"index": self.versions.index, "snapshot": whole,
-                "endpoints": [told_to(router, line) for line in lines]}
+        told = {
+            "index": self.versions.index,
+            "snapshot": whole,
+            "endpoints": [told_to(router, line) for line in lines],
+        }
         return json.dumps(told).encode(), self.versions.index
 
     def _watch(self, sock: Any, router: str, text: bytes, index: int) -> None:
         if self.modes[router] in ("half", "stuck"):
             part = text or b"{"
-            sock.sendall(WATCHED + b"%x\r\n" % len(part) + part[:len(part) // 2])
+            sock.sendall(WATCHED + b"%x\r\n" % len(part) + part[: len(part) // 2])
             self._stop_there(router)
         sock.sendall(WATCHED + chunk(text + b"\n"))
         self._heard(router)
@@ -360,10 +364,14 @@
         """The counts."""
         counts = self.counts
         return {
-            **counts.by_router, "seconds": counts.seconds | {"queue": counts.queues},
-            "first_s": counts.first_s, "reset": counts.reset,
+            **counts.by_router,
+            "seconds": counts.seconds | {"queue": counts.queues},
+            "first_s": counts.first_s,
+            "reset": counts.reset,
             "known": dict(self.watches.values()),
-            "index": self.versions.index, "queued": len(self.queue), "longest": self.queue.longest,
+            "index": self.versions.index,
+            "queued": len(self.queue),
+            "longest": self.queue.longest,
             "longest_s": self.queue.longest_s,
         }
 
--- a/spoolbarrow/lab/members.py
+++ b/spoolbarrow/lab/members.py
@@ -44,8 +44,8 @@
         targets += [self.controls[member] for _ in range(routers) for member in range(COUNT)]
         self.proxy = start("-m", "spoolbarrow.lab.proxy", str(life_s), *targets, stdin=True)
         gates = [f"127.0.0.1:{port}" for port in self.proxy.first_said().split()]
-        self._between, rest = gates[:len(self._pairs)], gates[len(self._pairs):]
-        self.fronts = [rest[COUNT * router:COUNT * (router + 1)] for router in range(routers)]
+        self._between, rest = gates[: len(self._pairs)], gates[len(self._pairs) :]
+        self.fronts = [rest[COUNT * router : COUNT * (router + 1)] for router in range(routers)]
         self.processes = [self.start(member) for member in range(COUNT)]
         for one in self.processes:
             one.wait_for(lambda one=one: bool(one.events("store_started")))  # type: ignore[misc]
@@ -58,9 +58,19 @@
             where = self.listens[member] if mine else self._between[self._pairs.index((member, other))]
             named += ["--member", f"m{other}={where}"]
         return self._start(
-            "-m", "spoolbarrow", "store", "serve", "--name", f"m{member}", *named,
-            "--listen", self.listens[member], "--control", self.controls[member],
-            "--directory", str(self.folder),
+            "-m",
+            "spoolbarrow",
+            "store",
+            "serve",
+            "--name",
+            f"m{member}",
+            *named,
+            "--listen",
+            self.listens[member],
+            "--control",
+            self.controls[member],
+            "--directory",
+            str(self.folder),
         )
 
     def kill(self, member: int) -> None:
--- a/spoolbarrow/lab/opened.py
+++ b/spoolbarrow/lab/opened.py
@@ -68,8 +68,12 @@
     rng, span = Random(seed), rule.tip_after_ms
     cls = RequestClass(aim_ms=1200.0, deadline_ms=4000.0, worth=1.0)
     settings = Settings(
-        nodes=nodes, classes=(cls,), cold_from=rule.cold_from, cold_ms=rule.cold_ms,
-        overload_factor=rule.overload_factor, tip_after_ms=span,
+        nodes=nodes,
+        classes=(cls,),
+        cold_from=rule.cold_from,
+        cold_ms=rule.cold_ms,
+        overload_factor=rule.overload_factor,
+        tip_after_ms=span,
     )
     names = [f"e{seed}-{n}" for n in range(engines)]
     before = ReplicaList(ListKind.WHOLE, tuple(ReplicaEntry(name) for name in names))
@@ -111,10 +115,8 @@
         if now >= told_at.get(number, now + 1.0):
             del told_at[number]
             pool.take(after, now)
-        work = exp(rng.gauss(-traffic.work_sigma**2 / 2.0, traffic.work_sigma))
-        asked = RequestArrived(
-            "q", 0, 4000.0, session=rng.getrandbits(60) + 1, prefix=key, resumed=moved
-        )
+        work = exp(rng.gauss(-(traffic.work_sigma**2) / 2.0, traffic.work_sigma))
+        asked = RequestArrived("q", 0, 4000.0, session=rng.getrandbits(60) + 1, prefix=key, resumed=moved)
         request = Request(asked, cls, now)
         request.tokens, request.draw = work * pool.mean_work, rng.getrandbits(63)
         homes = pool.homes(request, now)
@@ -127,7 +129,7 @@
             opened.sort(key=lambda name: name != homes[0].id)
         else:
             opened = [homes[0].id] if homes[0].id in taken else []
-        for name in opened[:traffic.attempts]:
+        for name in opened[: traffic.attempts]:
             sent[name] += 1
             work_sent[name] += work
             within = taken[name]
--- a/spoolbarrow/lab/process.py
+++ b/spoolbarrow/lab/process.py
@@ -62,9 +62,12 @@
         self, *argv: str, env: dict[str, str] | None = None, stdin: bool = False, cwd: Path | None = None
     ) -> None:
         self.popen = subprocess.Popen(
-            [sys.executable, *argv], env={**os.environ, **(env or {})}, cwd=cwd,
+            [sys.executable, *argv],
+            env={**os.environ, **(env or {})},
+            cwd=cwd,
             stdin=subprocess.PIPE if stdin else subprocess.DEVNULL,
-            stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
         )
         self.lines: list[str] = []  # of standard error: the log
         self.said: list[str] = []  # of standard output
--- a/spoolbarrow/lab/proxy.py
+++ b/spoolbarrow/lab/proxy.py
@@ -113,7 +113,7 @@
             gevent.sleep(self.value / 1000)
         if mode == "slow":
             for at in range(0, len(data), 64):
-                sink.sendall(data[at:at + 64])
+                sink.sendall(data[at : at + 64])
                 gevent.sleep(64 / self.value)
             return
         sink.sendall(data)
--- a/spoolbarrow/lab/quorum.py
+++ b/spoolbarrow/lab/quorum.py
@@ -89,7 +89,6 @@
         self.state: list[str] = []
         self.applied = 0
 
-
     def saved(self) -> Saved:
         """What the disk holds."""
         return Saved(self.hard, self.snapshot, tuple(self.entries), self.lives)
@@ -103,9 +102,7 @@
 class Play:
     """One history by its seed. `make` builds members: a mutant, to see that it is found."""
 
-    def __init__(
-        self, seed: int, size: int = 3, make: Callable[..., Raft] = Raft, aim: Aim = ANY
-    ) -> None:
+    def __init__(self, seed: int, size: int = 3, make: Callable[..., Raft] = Raft, aim: Aim = ANY) -> None:
         self.rng, self.make, self.aim = Random(seed), make, aim
         # Small batches, so that a log is mended in many steps.
         self.settings = Settings(batch=2, spread=SPREADS[seed % len(SPREADS)])
@@ -476,6 +473,16 @@
 
 
 MUTANTS = (
-    VoteForgotten, VotesTwice, VotesForStale, CommitsOldTerm, AppendsBlindly, KeepsConflicts, CommitsBeyond,
-    SmallQuorum, EntriesUnsaved, CountsLost, TrustsItsFile, SureTooSoon,
+    VoteForgotten,
+    VotesTwice,
+    VotesForStale,
+    CommitsOldTerm,
+    AppendsBlindly,
+    KeepsConflicts,
+    CommitsBeyond,
+    SmallQuorum,
+    EntriesUnsaved,
+    CountsLost,
+    TrustsItsFile,
+    SureTooSoon,
 )
--- a/spoolbarrow/lab/script.py
+++ b/spoolbarrow/lab/script.py
@@ -121,8 +121,9 @@
 }
 EVENTS: dict[str, Callable[[Cluster, Load], bool]] = {
     "known": lambda made, _: len(made.knowing()) == len(made.ports),
-    "served": lambda made, load: len({one.router for one in list(load.answers) if one.status == 200})
-    == len(made.ports),
+    "served": lambda made, load: (
+        len({one.router for one in list(load.answers) if one.status == 200}) == len(made.ports)
+    ),
     "reloaded": lambda made, _: all(router.events("reloaded") for router in made.routers),
     "asked": lambda made, _: len(made.served_lists()["calls"]) == len(made.ports),
     "queue": lambda made, _: made.served_lists()["queued"] >= FULL,
@@ -135,33 +136,45 @@
     "half-fail": Script(
         "half of the calls get 503 for 20 s", (Step("fail", BEFORE, 0.5), Step("fail", 20.0, 0.0)), "none"
     ),
-    "silent-watches": Script("all watches fall silent, and an engine leaves", (
-        Step("mute", event="known"), Step("leave", 0.2), Step("pass", 8.0),
-    )),
+    "silent-watches": Script(
+        "all watches fall silent, and an engine leaves",
+        (
+            Step("mute", event="known"),
+            Step("leave", 0.2),
+            Step("pass", 8.0),
+        ),
+    ),
     "half-answer": Script(
         "answers stop half-way for 10 s", (Step("half", BEFORE), Step("pass", 10.0)), "none"
     ),
     "crash-loop": Script("one router is killed every 2 s", tuple(Step("crash", 2.0) for _ in range(5))),
     "tenth-cut": Script(
         "a tenth of the routers is cut off from the service for 10 s",
-        (Step("cut", BEFORE, 0.1), Step("pass", 10.0)), "none",
+        (Step("cut", BEFORE, 0.1), Step("pass", 10.0)),
+        "none",
     ),
     "hang-up": Script(
         "SIGHUP to all routers at once, with another engine type: each must ask for the whole list anew",
-        (Step("hang-up", event="known"),), until=("reloaded", "asked", "known", "served"),
+        (Step("hang-up", event="known"),),
+        until=("reloaded", "asked", "known", "served"),
     ),
     "restart-full": Script(
         "the service is restarted while calls wait", (Step("restart", event="queue"),), "none"
     ),
     "third-gone": Script("a third of the known list is gone", (Step("lose-engines", BEFORE, 1 / 3),)),
     "all-cold": Script("routers and engines all begin at once", (Step("chill", BEFORE),), "none", cold=True),
-    "outage": Script("the service is down for 5 s, with all watches open", (
-        Step("down", event="known"), Step("up", 5.0),
-    )),
+    "outage": Script(
+        "the service is down for 5 s, with all watches open",
+        (
+            Step("down", event="known"),
+            Step("up", 5.0),
+        ),
+    ),
     "all-killed": Script("all routers are killed and begun anew", (Step("crash-all", event="known"),)),
     "no-leader": Script(
         "two of three members of the store stand still for the first 5 s, and the routers follow it",
-        (Step("stop-members", BEFORE, 2), Step("wake-members", 5.0, 2)), members=True,
+        (Step("stop-members", BEFORE, 2), Step("wake-members", 5.0, 2)),
+        members=True,
     ),
 }
 
@@ -176,15 +189,25 @@
 def shape(script: Script, engines: int, rate: float, routers: int, known: str = "") -> dict[str, Any]:
     """What a cluster needs for a script, as options of `Cluster`; a rate of 0: by WORK_S."""
     return {
-        "operator": follows, "gates": False, "control": False, "at_once": True,
-        "known": known or script.known, "members": script.members, "rate": rate or routers / WORK_S,
+        "operator": follows,
+        "gates": False,
+        "control": False,
+        "at_once": True,
+        "known": known or script.known,
+        "members": script.members,
+        "rate": rate or routers / WORK_S,
         "figures": Figures(per_s=max(4.0, 4.0 * routers / engines)) if script.cold else None,
     }
 
 
 def play(
-    made: Cluster, script: Script, pace: float = 1.0, pause_s: float = PAUSE_S, steady_s: int = 0,
-    least_s: float = 0.0, begin: bool = True,
+    made: Cluster,
+    script: Script,
+    pace: float = 1.0,
+    pause_s: float = PAUSE_S,
+    steady_s: int = 0,
+    least_s: float = 0.0,
+    begin: bool = True,
 ) -> dict[str, Any]:
     """Start the routers of a prepared cluster under load, play the script's faults, tell what each saw.
 
@@ -218,9 +241,13 @@
     finally:
         load.stop()
     return told(made, load, steady_s) | {
-        "about": script.about, "routers": len(made.ports), "rate": made.rate, "events_missed": missed,
+        "about": script.about,
+        "routers": len(made.ports),
+        "rate": made.rate,
+        "events_missed": missed,
         "unknowing": sorted(set(range(len(made.ports))) - set(known)),
-        "known_s": round(ended - made.begun, 2), "known_after_last_step_s": round(ended - last, 2),
+        "known_s": round(ended - made.begun, 2),
+        "known_after_last_step_s": round(ended - last, 2),
     }
 
 
@@ -248,22 +275,27 @@
         early = next((at for at, one in enumerate(answers) if one.status), len(answers))  # it did not listen
         answers, broken = answers[early:], process.events("watch_broken")
         routers[f"r{n}"] = {
-            "calls": service["calls"].get(f"r{n}", 0), "failed": service["failed"].get(f"r{n}", 0),
+            "calls": service["calls"].get(f"r{n}", 0),
+            "failed": service["failed"].get(f"r{n}", 0),
             "first_list_s": _rounded(service["first_s"].get(f"r{n}")),
-            "watches_broken": len(broken), "why": dict(Counter(one["why"] for one in broken)),
+            "watches_broken": len(broken),
+            "why": dict(Counter(one["why"] for one in broken)),
             "reloaded": len(process.events("reloaded")),
             "unexpected": len(process.events("unexpected")),
             "serving": max([0, *[one["serving"] for one in process.events("destinations")[-1:]]]),
             "first_served_s": _rounded(min(served, default=None)),
             "slowest_refused_ms": max([0, *(round(one.ms) for one in answers if one.status == 503)]),
-            "early": early, "answers": dict(Counter(str(one.status) for one in answers)),
+            "early": early,
+            "answers": dict(Counter(str(one.status) for one in answers)),
         }
     goodput: Counter[int] = Counter(int(one.at - begun) for one in list(load.answers) if one.status == 200)
     by_second = [goodput[second] for second in range(max(goodput, default=-1) + 1)]
     return {
-        "goodput": by_second, "retry_after_missing": load.retry_after_missing,
+        "goodput": by_second,
+        "retry_after_missing": load.retry_after_missing,
         "unexpected": sum(len(process.events("unexpected")) for process in made.started),
-        "service": of_service(service), "of_routers": routers,
+        "service": of_service(service),
+        "of_routers": routers,
         "of_engines": of_engines(made, steady_s),
     }
 
@@ -277,9 +309,13 @@
     calls, failed = sum(service["calls"].values()), sum(service["failed"].values())
     seconds = service["seconds"].get("calls", {})
     return {
-        "calls": calls, "failed": failed, "failed_share": round(failed / max(1, calls), 4),
-        "longest": service["longest"], "longest_s": round(service["longest_s"], 2),
-        "busiest_second": max(seconds.values(), default=0), "lines": sum(service["lines"].values()),
+        "calls": calls,
+        "failed": failed,
+        "failed_share": round(failed / max(1, calls), 4),
+        "longest": service["longest"],
+        "longest_s": round(service["longest_s"], 2),
+        "busiest_second": max(seconds.values(), default=0),
+        "lines": sum(service["lines"].values()),
         "reset": service["reset"],
         "last_list_s": _rounded(max(service["first_s"].values(), default=None)),
     }
@@ -294,7 +330,8 @@
         for kind in ("handshakes", "probes", "work"):
             its = one["seconds"].get(kind, {})
             found[name][kind] = {
-                "sum": round(sum(its.values()), 1), "busiest": round(max(its.values(), default=0.0), 1),
+                "sum": round(sum(its.values()), 1),
+                "busiest": round(max(its.values(), default=0.0), 1),
                 "routers": len(one["by_router"].get(kind, {})),
             }
             if steady_s:
@@ -306,7 +343,8 @@
 def well(found: dict[str, Any]) -> bool:
     """Whether all know, nothing fell, and nothing happened that nothing foresaw."""
     return (
-        not found["unknowing"] and not any(one["falls"] for one in found["of_engines"].values())
+        not found["unknowing"]
+        and not any(one["falls"] for one in found["of_engines"].values())
         and not found["unexpected"]
     )
 
@@ -316,9 +354,10 @@
     service = found["service"]
     lines = [
         f"{name}: {found['about']}; {found['routers']} routers, {found['rate']:g} calls a second",
-        f"NEVER KNEW: {found['unknowing']}" if found["unknowing"] else
-        f"all know the newest list {found['known_s']} s after the start, {found['known_after_last_step_s']} s"
-        " after the last step",
+        f"NEVER KNEW: {found['unknowing']}"
+        if found["unknowing"]
+        else f"all know the newest list {found['known_s']} s after the start, "
+        f"{found['known_after_last_step_s']} s after the last step",
         "service: " + ", ".join(f"{key} {value}" for key, value in service.items()),
         f"{'router':8}{'calls':>6}{'failed':>7}{'broken':>7}{'list s':>8}{'served s':>9}  answers",
     ]
@@ -330,8 +369,9 @@
         )
     lines.append(f"{'engine':8}{'falls':>6}{'refused':>8}   handshakes, probes, work: sum (busiest second)")
     for engine, one in found["of_engines"].items():
-        sums = ", ".join(f"{one[kind]['sum']:g} ({one[kind]['busiest']:g})"
-                         for kind in ("handshakes", "probes", "work"))
+        sums = ", ".join(
+            f"{one[kind]['sum']:g} ({one[kind]['busiest']:g})" for kind in ("handshakes", "probes", "work")
+        )
         lines.append(f"{engine:8}{one['falls']:6}{one['refused']:8}   {sums}")
     return "\n".join(lines)
 
@@ -355,8 +395,12 @@
         arguments.error("--routers and --pace must be positive, --engines and --rate not negative")
     engines = asked.engines or max(1, asked.routers // EACH)
     with tempfile.TemporaryDirectory() as folder:
-        made = Cluster(Path(folder), {"a": engines}, ["a"] * asked.routers,
-                       **shape(script, engines, asked.rate, asked.routers, asked.known))
+        made = Cluster(
+            Path(folder),
+            {"a": engines},
+            ["a"] * asked.routers,
+            **shape(script, engines, asked.rate, asked.routers, asked.known),
+        )
         try:
             made.prepare()
             found = play(made, script, asked.pace)
--- a/spoolbarrow/lab/standin.py
+++ b/spoolbarrow/lab/standin.py
@@ -146,9 +146,16 @@
     def told(self) -> dict[str, Any]:
         """What it was sent."""
         return {
-            "asked": self.asked, "probes": int(sum(self.by["probes"].values())), "by_router": self.by,
-            "seconds": self.seconds, "fallen": self.fallen, "falls": self.falls, "refused": self.refused,
-            "full": self.full, "incarnation": self.incarnation, "connections": len(self.door.open),
+            "asked": self.asked,
+            "probes": int(sum(self.by["probes"].values())),
+            "by_router": self.by,
+            "seconds": self.seconds,
+            "fallen": self.fallen,
+            "falls": self.falls,
+            "refused": self.refused,
+            "full": self.full,
+            "incarnation": self.incarnation,
+            "connections": len(self.door.open),
             "last": self.last,
         }
 
--- a/spoolbarrow/lab/told.py
+++ b/spoolbarrow/lab/told.py
@@ -44,6 +44,7 @@
     `groups`: the routers of each case; the service is away for `down_s`, the engine drains in the middle.
     Clients must be asking meanwhile. AssertionError where a router never hears of the drain.
     """
+
     def order(name: str, orders: Sequence[str]) -> None:
         for text in orders:
             made.service.tell(text.format(",".join(map(str, groups[name]))))
--- a/spoolbarrow/net/agreement.py
+++ b/spoolbarrow/net/agreement.py
@@ -131,8 +131,12 @@
         """What would be acted on with the files as they are now; ConfigError, and nothing is changed."""
         contents, revision = self._files.check()
         versions = {item.value: told for item, told in contents.items()}
-        return {"router": self._host.config.name, "revision": revision, "versions": versions,
-                "files": files(contents)}
+        return {
+            "router": self._host.config.name,
+            "revision": revision,
+            "versions": versions,
+            "files": files(contents),
+        }
 
     def adopt(self, wanted: str) -> None:
         """Act on the files as they are now, where their digest is this one; a Problem where that fails."""
@@ -161,7 +165,9 @@
         fleet = self._host.fleet
         return {
             **({} if fleet is None else {"fleet": fleet.tell()}),
-            "agree": "on", "router": self._host.config.name, "within_s": self._table.within_s,
+            "agree": "on",
+            "router": self._host.config.name,
+            "within_s": self._table.within_s,
             "now_ms": self._host.now(),
             "versions": {item.value: to_builtins(v) for item, v in self.ledger.versions.items()},
         }
@@ -177,4 +183,3 @@
                 self.look()
             except Exception as error:  # never into serving
                 unexpected("agreement", error)
-
--- a/spoolbarrow/net/asking.py
+++ b/spoolbarrow/net/asking.py
@@ -72,7 +72,11 @@
 
 
 def follow(
-    discovery: Address, options: Options, index: int, now: Callable[[], float], limit_ms: float,
+    discovery: Address,
+    options: Options,
+    index: int,
+    now: Callable[[], float],
+    limit_ms: float,
     headed: Callable[[], object] = lambda: None,
 ) -> Iterator[HostList | None]:
     """What a watch says from version `index` on, None for an empty line; ends where the watch does.
@@ -131,7 +135,9 @@
 
 
 def first_of(
-    call: Callable[[Callable[[], object]], T], pause_ms: Callable[[], float], now: Callable[[], float],
+    call: Callable[[Callable[[], object]], T],
+    pause_ms: Callable[[], float],
+    now: Callable[[], float],
     lost: Callable[[Exception], object],
 ) -> T:
     """What the first of several calls gives that is answered; the others are given up then.
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -37,7 +37,10 @@
     """Addresses and states by name; `tell` hears each piece of news as the decisions' event."""
 
     def __init__(
-        self, config: Config, tell: Callable[[i.ReplicaList], None], left: Callable[[str], None],
+        self,
+        config: Config,
+        tell: Callable[[i.ReplicaList], None],
+        left: Callable[[str], None],
         now: Callable[[], float],
     ) -> None:
         self._config, self._tell, self._left = config, tell, left
@@ -178,8 +181,9 @@
     ) -> None:
         """Failover's verdicts: zones `out` take no new work; those of `back` began anew then (ms)."""
         self.verdicts = verdicts
-        changed = (out ^ self._zones_out) | {z for z in back.keys() | self._zones_back.keys()
-                                            if back.get(z) != self._zones_back.get(z)}
+        changed = (out ^ self._zones_out) | {
+            z for z in back.keys() | self._zones_back.keys() if back.get(z) != self._zones_back.get(z)
+        }
         self._zones_out, self._zones_back = out, dict(back)
         for name, line in list(self._lines.items()):
             if line.zone not in changed:
--- a/spoolbarrow/net/failover.py
+++ b/spoolbarrow/net/failover.py
@@ -35,10 +35,17 @@
 def settings(table: FailoverTable, checks: bool) -> Settings:
     """The pure part's settings from the operator's table; `checks`: whether the platform allows probes."""
     return Settings(
-        checks=checks, check_ms=table.check_ms, check_most=table.check_most,
-        window_ms=table.window_ms, confirm_ms=table.confirm_ms, hold_ms=table.hold_ms,
-        hold_most_ms=table.hold_most_ms, ramp_ms=table.ramp_ms, ramp_start=table.ramp_start,
-        fail_share=table.fail_share, min_failing=table.min_failing,
+        checks=checks,
+        check_ms=table.check_ms,
+        check_most=table.check_most,
+        window_ms=table.window_ms,
+        confirm_ms=table.confirm_ms,
+        hold_ms=table.hold_ms,
+        hold_most_ms=table.hold_most_ms,
+        ramp_ms=table.ramp_ms,
+        ramp_start=table.ramp_start,
+        fail_share=table.fail_share,
+        min_failing=table.min_failing,
         regions={region: tuple(zones) for region, zones in table.regions.items()},
     )
 
--- a/spoolbarrow/net/follow.py
+++ b/spoolbarrow/net/follow.py
@@ -205,15 +205,22 @@
         """How it goes."""
         now = self._host.now()
         documents = {
-            key: {"revision": 0 if s.newest is None else s.newest.revision, "mode": s.mode(now).value,
-                  "garbage": s.garbage}
+            key: {
+                "revision": 0 if s.newest is None else s.newest.revision,
+                "mode": s.mode(now).value,
+                "garbage": s.garbage,
+            }
             for key, s in self._shared.items()
         }
         return {
-            "word_ms": round(now - self._word_at) if self._word_at > 0 else None, "upto": self._after,
-            "members": {self._table.members[n]: self._faults.get(where, "")
-                        for n, where in enumerate(self._members)},
-            "dropped": self.dropped, "documents": documents, "balancers": self._host.config.settings.nodes,
+            "word_ms": round(now - self._word_at) if self._word_at > 0 else None,
+            "upto": self._after,
+            "members": {
+                self._table.members[n]: self._faults.get(where, "") for n, where in enumerate(self._members)
+            },
+            "dropped": self.dropped,
+            "documents": documents,
+            "balancers": self._host.config.settings.nodes,
             "parts": {kind: self._tell_part(held) for kind, held in self._parts.items()},
         }
 
@@ -221,9 +228,12 @@
         seen, acts = held.claim.seen, held.acts
         standing = None if seen is None else seen.standing
         return {
-            "holder": "" if standing is None else standing.lease.holder, "holds": held.claim.holds(),
-            "epoch": None if acts is None else acts.epoch, "number": None if acts is None else acts.number,
-            "refused": held.acting.refused, "silent": held.silent_since > 0,
+            "holder": "" if standing is None else standing.lease.holder,
+            "holds": held.claim.holds(),
+            "epoch": None if acts is None else acts.epoch,
+            "number": None if acts is None else acts.number,
+            "refused": held.acting.refused,
+            "silent": held.silent_since > 0,
             **(held.part.tell() if isinstance(held.part, Telling) else {}),
         }
 
@@ -519,4 +529,3 @@
         if why.partition(":")[0] != self._faults.get(where, "").partition(":")[0]:
             log("fleet_member", member=self._table.members[member], why=why or "well")
         self._faults[where] = why
-
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -89,14 +89,21 @@
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._timer_order = count()
         self._do: dict[type, Callable[..., None]] = {
-            i.Send: self._send, i.Refuse: self._fail_fast, i.Fail: self._fail, i.Cancel: self._cancel,
-            i.Probe: self._probe, i.SetTimer: self._set_timer, i.Subscribe: self._subscribe,
+            i.Send: self._send,
+            i.Refuse: self._fail_fast,
+            i.Fail: self._fail,
+            i.Cancel: self._cancel,
+            i.Probe: self._probe,
+            i.SetTimer: self._set_timer,
+            i.Subscribe: self._subscribe,
         }
         self._loop: gevent.Greenlet[[], None] | None = None
         self.give: Callable[[Underway], bool] | None = None  # where streams go to another process
 
     def start(
-        self, known: HostList | None = None, resumed: dict[str, float] | None = None,
+        self,
+        known: HostList | None = None,
+        resumed: dict[str, float] | None = None,
         warm: Callable[[Router], None] | None = None,
     ) -> None:
         """Begin deciding, on the list as last held; `warm` has the decisions know what was passed with it."""
@@ -170,7 +177,12 @@
         return id in self._ids
 
     def submit(
-        self, id: str, message: Message, answer: Answer, deadline: float, facts: i.RequestArrived,
+        self,
+        id: str,
+        message: Message,
+        answer: Answer,
+        deadline: float,
+        facts: i.RequestArrived,
         connection: int = 0,
     ) -> Request:
         """Take a request; from here on it gets exactly one answer, before `deadline` if it is no stream."""
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -756,9 +756,7 @@
             listener = None if self.succeeded else self._listener
             self._leaving = gevent.spawn(self._let_go, listener, self._inherited, waiting)
 
-    def _let_go(
-        self, listener: socket.socket | None, inherited: bool, waiting: socket.socket | None
-    ) -> None:
+    def _let_go(self, listener: socket.socket | None, inherited: bool, waiting: socket.socket | None) -> None:
         """Guards requests on connections that the kernel has accepted: a listener's end resets them."""
         if waiting is not None:
             self._seat(waiting)
--- a/spoolbarrow/net/passing.py
+++ b/spoolbarrow/net/passing.py
@@ -62,10 +62,19 @@
     if not isinstance(exchange, Exchange) or request.over or not exchange.client.pause():
         return False
     stream = Stream(
-        VERSION, request.id, request.cls, request.tenant, request.taken_at, request.deadline,
-        attempt.endpoint, attempt.sent_at, attempt.first_at,
+        VERSION,
+        request.id,
+        request.cls,
+        request.tenant,
+        request.taken_at,
+        request.deadline,
+        attempt.endpoint,
+        attempt.sent_at,
+        attempt.first_at,
         [(name.decode("latin-1"), value.decode("latin-1")) for name, value in underway.parser.fields.items()],
-        underway.tail.decode("latin-1"), exchange.message.chunks, exchange.closes(),
+        underway.tail.decode("latin-1"),
+        exchange.message.chunks,
+        exchange.closes(),
     )
     text = msgspec.json.encode(stream)
     underway.passing = True  # closed meanwhile, its descriptors' numbers could be others'
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -47,8 +47,15 @@
     """A client's request until it is answered and its last attempt has ended."""
 
     def __init__(
-        self, key: str, id: str, message: Message, answer: Answer, facts: i.RequestArrived,
-        now: float, deadline: float, connection: int = 0,
+        self,
+        key: str,
+        id: str,
+        message: Message,
+        answer: Answer,
+        facts: i.RequestArrived,
+        now: float,
+        deadline: float,
+        connection: int = 0,
     ) -> None:
         self.key, self.id, self.message, self.answer = key, id, message, answer
         self.cls, self.tenant = facts.cls, facts.tenant
--- a/spoolbarrow/net/tcpinfo.py
+++ b/spoolbarrow/net/tcpinfo.py
@@ -63,7 +63,15 @@
     rtt_us, options = _RTT.unpack_from(raw)[0], _OPTIONS.unpack_from(raw)[0]
     received -= raw[0] in _FIN_TAKEN  # the kernel counts a FIN as a byte
     return Counters(
-        sent, received, out, into, data_out, data_in, again, bytes_again, rtt_us,
+        sent,
+        received,
+        out,
+        into,
+        data_out,
+        data_in,
+        again,
+        bytes_again,
+        rtt_us,
         bool(options & OPT_TIMESTAMPS),
     )
 
--- a/spoolbarrow/operator.py
+++ b/spoolbarrow/operator.py
@@ -285,7 +285,9 @@
     """What `[failover]` names that the platform's settings do not have: one fault a zone, with its key."""
     return [
         ConfigError(f"failover.regions.{region}", f"{zone} is no zone of the settings")
-        for region, members in table.regions.items() for zone in members if zone not in zones
+        for region, members in table.regions.items()
+        for zone in members
+        if zone not in zones
     ]
 
 
--- a/spoolbarrow/pools/evidence.py
+++ b/spoolbarrow/pools/evidence.py
@@ -231,8 +231,12 @@
     return all(isfinite(value) and 0.0 <= value <= sketch.MOST for value in values)
 
 
-def _cell(answered: float, late: float, flat: Sequence[Sequence[int]],
-          spans: Mapping[int, tuple[float, float, float]]) -> Cell | None:
+def _cell(
+    answered: float,
+    late: float,
+    flat: Sequence[Sequence[int]],
+    spans: Mapping[int, tuple[float, float, float]],
+) -> Cell | None:
     histograms = [counts for counts in map(sketch.heard, flat) if counts is not None]
     if len(histograms) != 4 or not _sane(answered, late) or late > answered + 0.01:
         return None
--- a/spoolbarrow/pools/part.py
+++ b/spoolbarrow/pools/part.py
@@ -38,7 +38,10 @@
     kind = "pools"
 
     def __init__(
-        self, now: float, classes: Sequence[RequestClass], portions: Sequence[float] = (),
+        self,
+        now: float,
+        classes: Sequence[RequestClass],
+        portions: Sequence[float] = (),
         between: Callable[[], None] = lambda: None,
     ) -> None:
         self.classes = classes
@@ -278,4 +281,3 @@
     return (one.readers, one.reads_from, one.rest_until_ms, one.wanted, one.why) == (
         other.readers, other.reads_from, other.rest_until_ms, other.wanted, other.why,
     )  # fmt: skip
-
--- a/spoolbarrow/pools/split.py
+++ b/spoolbarrow/pools/split.py
@@ -239,9 +239,7 @@
         return [traffic.lost(readers, self.engines, self.rates) for traffic in self.traffics]
 
 
-def judged(
-    found: Sequence[Atom], reads: Sequence[bool], engines: int, rates: Rates, weight: float
-) -> Judged:
+def judged(found: Sequence[Atom], reads: Sequence[bool], engines: int, rates: Rates, weight: float) -> Judged:
     """With these requests reading, of evidence of so many requests; one side's noise against the other's."""
     sides = [[a for a, r in zip(found, reads, strict=True) if r is side] for side in (True, False)]
     share = [sum(a.rate for a in side) / (sum(a.rate for a in found) or 1.0) for side in sides]
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -18,12 +18,8 @@
 from struct import unpack
 from typing import Any
 
+from spoolbarrow import interface as i
 from spoolbarrow.fleet.pacing import Pacing
-from spoolbarrow.interface import (
-    NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, Group, ListKind, Outcome, Probe,
-    ProbeAnswered, Refuse, ReplicaEntry, ReplicaList, ReplicaState, Report, RequestArrived, RequestClass,
-    RequestGone, Send, SetTimer, Settings, StreamStarted, Subscribe, TimerFired,
-)
 
 # Priority (paper 3.3, equation 1; section 4.3)
 CLASS_WEIGHTS = (1000.0, 100.0, 1.0, 0.1)  # by worth rank: guaranteed, elastic, spot, preemptible
@@ -95,7 +91,7 @@
 class Replica:
     """What this node knows of a replica."""
 
-    def __init__(self, entry: ReplicaEntry) -> None:
+    def __init__(self, entry: i.ReplicaEntry) -> None:
         self.id = entry.replica
         digests = [blake2b(self.id.encode(), salt=b"%d" % n).digest() for n in range(POINTS // 8)]
         self.points = unpack(f">{POINTS}Q", b"".join(digests))
@@ -108,10 +104,10 @@
         self.running, self.started_at = 0, 0.0
         self.update(entry)
 
-    def update(self, entry: ReplicaEntry) -> None:
+    def update(self, entry: i.ReplicaEntry) -> None:
         """Take over a line of the list."""
         self.zone, self.kind, self.cell = entry.zone, entry.kind, entry.cell
-        self.serving = entry.state is ReplicaState.SERVING
+        self.serving = entry.state is i.ReplicaState.SERVING
 
     def quiet_ms(self, now: float) -> float:
         """How long a prompt waits here without any sign of life."""
@@ -123,18 +119,18 @@
 
     def __init__(self, request: Request, replica: Replica, now: float, read: float, rank: int) -> None:
         self.request, self.replica, self.sent_at, self.read, self.rank = request, replica, now, read, rank
-        self.outcome: Outcome | None = None
+        self.outcome: i.Outcome | None = None
         self.predicted, self.first_ms, self.lost = 0.0, -1.0, False
 
     def may_have_run(self) -> bool:
         """Whether it ran or may yet run."""
-        return self.outcome not in NEVER_RAN
+        return self.outcome not in i.NEVER_RAN
 
 
 class Request:
     """A client's request until its answer is given and its last attempt has ended."""
 
-    def __init__(self, event: RequestArrived, cls: RequestClass, now: float) -> None:
+    def __init__(self, event: i.RequestArrived, cls: i.RequestClass, now: float) -> None:
         self.id, self.cls, self.kind, self.tenant = event.request, cls, event.cls, event.tenant
         self.arrived_at, self.deadline = now, now + event.budget_ms
         self.aim = cls.aim(event.prompt_tokens)
@@ -151,23 +147,25 @@
         """Whether an attempt still has no outcome."""
         return any(a.outcome is None for a in self.attempts)
 
-    def may_send(self, settings: Settings, replica: Replica, now: float) -> bool:
+    def may_send(self, settings: i.Settings, replica: Replica, now: float) -> bool:
         """Rule 2: whether one more attempt, on this replica, cannot cause a second effect."""
         if len(self.attempts) >= settings.max_attempts or (self.out() and not settings.second_copies):
             return False
         ran = [a for a in self.attempts if a.may_have_run()]
-        if not ran or self.cls.effect is Effect.SAFE:
+        if not ran or self.cls.effect is i.Effect.SAFE:
             return True
-        if self.cls.effect is Effect.UNSAFE or now + settings.tick_ms >= ran[0].sent_at + self.cls.window_ms:
+        if self.cls.effect is i.Effect.UNSAFE:
             return False
-        if self.cls.group is Group.CELL and any(a.replica.cell != replica.cell for a in ran):
+        if now + settings.tick_ms >= ran[0].sent_at + self.cls.window_ms:
             return False
-        return self.cls.group is Group.ALL or all(a.replica.zone == replica.zone for a in ran)
+        if self.cls.group is i.Group.CELL and any(a.replica.cell != replica.cell for a in ran):
+            return False
+        return self.cls.group is i.Group.ALL or all(a.replica.zone == replica.zone for a in ran)
 
     def may_refuse(self) -> bool:
         """Rule 2: whether the client may be told that trying again is harmless."""
-        keyed_to_all = self.cls.effect is Effect.KEYED and self.cls.group is Group.ALL
-        harmless = self.cls.effect is Effect.SAFE or keyed_to_all
+        keyed_to_all = self.cls.effect is i.Effect.KEYED and self.cls.group is i.Group.ALL
+        harmless = self.cls.effect is i.Effect.SAFE or keyed_to_all
         return harmless or not any(a.may_have_run() for a in self.attempts)
 
 
@@ -202,7 +200,7 @@
 class ReplicaPool:
     """The list, the pool of fresh probe answers, and what placing a request on a replica would cost."""
 
-    def __init__(self, settings: Settings, rng: Random) -> None:
+    def __init__(self, settings: i.Settings, rng: Random) -> None:
         self.rng = rng
         self.replicas: dict[str, Replica] = {}
         self.serving: list[Replica] = []
@@ -225,7 +223,7 @@
         self.missed: list[list[float]] = [[], [], []]  # share of the prefix read, by rank
         self.configure(settings)
 
-    def configure(self, settings: Settings) -> None:
+    def configure(self, settings: i.Settings) -> None:
         """Go by these settings; tables by zone and class never shrink: open requests still name them."""
         self.settings = settings
         for table in (self.zone_load, self.zone_memory, self.zone_at):
@@ -235,11 +233,11 @@
         for table, share in zip(self.missed, (0.5, 0.5, 0.9), strict=True):
             table += [share] * more
 
-    def take(self, event: ReplicaList, now: float) -> None:
+    def take(self, event: i.ReplicaList, now: float) -> None:
         """Follow the list (rule 3: what drains or is gone is out of `serving` from here on)."""
         before = set(self.serving)
         named = {entry.replica for entry in event.entries}
-        for name in list(self.replicas) if event.kind is not ListKind.CHANGES else ():
+        for name in list(self.replicas) if event.kind is not i.ListKind.CHANGES else ():
             if name not in named:
                 self.replicas.pop(name).serving = False
         for entry in event.entries:
@@ -251,7 +249,7 @@
                 replica.started_at = entry.started_at_ms
                 replica.report_at = replica.suspect_until = -1e12  # nothing known of the old process holds
                 replica.strikes, replica.slow, replica.pace = 0, 1.0, 1.0
-            if entry.state is ReplicaState.GONE:
+            if entry.state is i.ReplicaState.GONE:
                 del self.replicas[entry.replica]
         self.serving = [r for r in self.replicas.values() if r.serving]
         self.local = [r for r in self.serving if r.zone == self.settings.zone]
@@ -346,7 +344,7 @@
         share = (at_home if home else others) * (COLD_MOVED if request.resumed else 1.0) / work**2
         return _mix(request.draw, replica.points[0]) < share * _M64
 
-    def answered(self, replica: Replica, report: Report | None, lag: float, now: float) -> None:
+    def answered(self, replica: Replica, report: i.Report | None, lag: float, now: float) -> None:
         """A probe (or outcome) brought news; one that timed out says that the wait is longer than that."""
         replica.report_at, load = now, lag
         if report is not None:
@@ -388,8 +386,7 @@
         """What a served attempt shows of kept prompts."""
         read = max(1.0, float(request.prompt - kept))
         if attempt.rank == 0:
-            mean = self.home_read[request.kind]
-            self.home_read[request.kind] = mean + LEARN * (read - mean)
+            self.home_read[request.kind] += LEARN * (read - self.home_read[request.kind])
         if request.shared > 0:
             missed = min(1.0, max(0.0, (read - (request.prompt - request.shared)) / request.shared))
             means = self.missed[attempt.rank]
@@ -402,25 +399,29 @@
 class Router:
     """One node's decisions: `handle` takes what happened and returns what to do, in order."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: i.Settings, seed: int) -> None:
         self.settings = settings
         self.rng, self.draws = Random(seed), Random(~seed)
         self.pool, self.pacing = ReplicaPool(settings, self.rng), Pacing(settings, self.rng)
         self.requests: dict[str, Request] = {}
         self.entitlements: dict[int, Entitlement] = {}
-        self.actions: list[Action] = []
+        self.actions: list[i.Action] = []
         self.now, self.hedges, self.begun = 0.0, 1.0, False
         self.answer_ms: list[float] = []  # streaming time, learnt
         self.configure(settings)
         self.subscribed, self.asking, self.asked_at = not settings.subscribe, False, 0.0
         self.awaited: dict[str, list[Request]] = {}  # requests held, by the replica asked
         self.on: dict[type, Callable[[Any], None]] = {
-            RequestArrived: self._arrived, ProbeAnswered: self._probed, TimerFired: self._fired,
-            AttemptEnded: self._ended, StreamStarted: self._started, ReplicaList: self._list,
-            RequestGone: self._gone,
+            i.RequestArrived: self._arrived,
+            i.ProbeAnswered: self._probed,
+            i.TimerFired: self._fired,
+            i.AttemptEnded: self._ended,
+            i.StreamStarted: self._started,
+            i.ReplicaList: self._list,
+            i.RequestGone: self._gone,
         }
 
-    def configure(self, settings: Settings) -> None:
+    def configure(self, settings: i.Settings) -> None:
         """Decide by these settings from here on; what was learnt of replicas and tenants stays."""
         if settings.tenants != self.settings.tenants:
             self.entitlements.clear()
@@ -428,8 +429,7 @@
         self.pool.configure(settings)
         self.answer_ms += [60.0 * DECODE_MS] * (len(settings.classes) - len(self.answer_ms))
         worths = sorted({c.worth for c in settings.classes}, reverse=True)
-        steps = max(1, len(worths) - 1)
-        self.tiers = [round(3.0 * worths.index(c.worth) / steps) for c in settings.classes]
+        self.tiers = [round(3.0 * worths.index(c.worth) / max(1, len(worths) - 1)) for c in settings.classes]
         self.mean_aim = sum(c.aim_ms for c in settings.classes) / len(settings.classes)
         pace = [FULL_STEPS * c.token_aim_ms for c in settings.classes if c.token_aim_ms > 0]
         self.full_ms = self.pool.full_ms = sum(pace) / len(pace) if pace else FULL_SHARE * self.mean_aim
@@ -439,7 +439,7 @@
         ]
         self.hedge_ratio = min(HEDGE_RATIO, HEDGE_COST / max(settings.waste_fee, 1e-9))
 
-    def handle(self, now_ms: float, events: list[Event]) -> list[Action]:
+    def handle(self, now_ms: float, events: list[i.Event]) -> list[i.Action]:
         """Decide on a batch of events that happened at `now_ms`."""
         self.now, self.actions = now_ms, []
         if not self.begun:
@@ -452,26 +452,26 @@
         return self.actions
 
     def _timer(self, token: str, in_ms: float) -> None:
-        self.actions.append(SetTimer(token, max(in_ms, 0.0)))
+        self.actions.append(i.SetTimer(token, max(in_ms, 0.0)))
 
-    def _list(self, event: ReplicaList) -> None:
-        if event.kind is ListKind.FAILED:
+    def _list(self, event: i.ReplicaList) -> None:
+        if event.kind is i.ListKind.FAILED:
             pause = self.pacing.failed(self.now - self.asked_at) if self.asking else self.pacing.broke()
             self.subscribed = self.asking = False
             return self._timer("list", pause)
-        if event.kind is not ListKind.RESTORED:
+        if event.kind is not i.ListKind.RESTORED:
             self.subscribed, self.asking = True, False
             self.pacing.answered()
         self.pool.take(event, self.now)
 
-    def _fired(self, event: TimerFired) -> None:
+    def _fired(self, event: i.TimerFired) -> None:
         token = event.token
         if token == "sweep":
             self._sweep()
         elif token == "list":
             if not self.subscribed and not self.asking:
                 self.asking, self.asked_at = True, self.now
-                self.actions.append(Subscribe())
+                self.actions.append(i.Subscribe())
         elif token[:2] == "h:":
             if token[2:] in self.requests and self.requests[token[2:]].held:
                 self._decide(self.requests[token[2:]])
@@ -485,7 +485,7 @@
         self._timer("sweep", SWEEP_MS * (0.75 + 0.5 * self.rng.random()))
         if self.asking and self.now - self.asked_at > ASK_LOST_MS:
             self.asking = False  # a call whose answer never came must not end the asking
-            self._fired(TimerFired("list"))
+            self._fired(i.TimerFired("list"))
         spent = 0
         for replica in self.pool.serving:
             # Suspicion ends early where an answer shows life, and begins where a waiting prompt is the only
@@ -494,8 +494,8 @@
             quiet = replica.strikes or lost or replica.quiet_ms(self.now) >= SILENCE_MS
             if replica.failing >= 0.5:
                 # It may swallow the next ones too, and with nothing sent after them none is overtaken.
-                late = [a for a in replica.unstarted if self.now - a.sent_at > LOST_FACTOR * a.predicted]
-                self._rescue(late)
+                now = self.now
+                self._rescue([a for a in replica.unstarted if now - a.sent_at > LOST_FACTOR * a.predicted])
             if quiet and self.now - replica.probed_at > SUSPECT_MS and spent < 2:
                 spent += self._probe(replica)
 
@@ -503,27 +503,27 @@
         if not self.settings.probing or replica.probe_out:
             return False
         replica.probe_out, replica.probed_at = True, self.now
-        self.actions.append(Probe(replica.id))
+        self.actions.append(i.Probe(replica.id))
         return True
 
-    def _probed(self, event: ProbeAnswered) -> None:
+    def _probed(self, event: i.ProbeAnswered) -> None:
         replica, waiting = self.pool.replicas.get(event.replica), self.awaited.pop(event.replica, ())
         if replica is None:
             return
         replica.probe_out = False
-        if event.outcome is Outcome.SERVED:
+        if event.outcome is i.Outcome.SERVED:
             self.pool.heard(replica, self.now)
             if event.report is not None or not replica.reports:
                 # A report that can't be read is no news; where none ever come, the lag is the news.
                 self.pool.answered(replica, event.report, event.lag_ms, self.now)
             if event.report is not None and 0.0 <= event.report.unread_tokens < IDLE_TOKENS:
                 self._swallowed(replica, self.now - REPORT_LAG_MS - event.lag_ms)
-        elif event.outcome is not Outcome.MOOT:
+        elif event.outcome is not i.Outcome.MOOT:
             # A probe that is served like a request times out in overload: that is load, and must not
             # blind the node. Only where the zone's others answer is it taken for silence.
             usual = self.pool.zone_load[replica.zone]
             self.pool.answered(replica, None, max(2.0 * event.lag_ms, self.full_ms), self.now)
-            if event.outcome is not Outcome.FULL and usual < self.full_ms:
+            if event.outcome is not i.Outcome.FULL and usual < self.full_ms:
                 # Probes wait behind prompts being read: silence is that nothing at all comes for long.
                 replica.silent = replica.silent or replica.quiet_ms(self.now) >= SILENCE_MS
                 self.pool.suspect(replica, self.now)
@@ -533,13 +533,12 @@
             if request.held:
                 self._decide(request)
 
-
-    def _arrived(self, event: RequestArrived) -> None:
+    def _arrived(self, event: i.RequestArrived) -> None:
         settings, pool = self.settings, self.pool
         if event.request in self.requests:
             return
         if not 0 <= event.cls < len(settings.classes):  # a class never told: nothing may be assumed of it
-            return self.actions.append(Refuse(event.request))
+            return self.actions.append(i.Refuse(event.request))
         request = Request(event, settings.classes[event.cls], self.now)
         request.weight, request.tier = self.weights[event.cls], self.tiers[event.cls]
         self.requests[event.request] = request
@@ -674,7 +673,7 @@
         attempt.predicted = predicted = pool.first(wait, read)
         request.attempts.append(attempt)
         replica.unstarted.append(attempt)
-        self.actions.append(Send(request.id, replica.id))
+        self.actions.append(i.Send(request.id, replica.id))
         late = max(HEDGE_MIN_MS, min(HEDGE_FACTOR * predicted, max(HEDGE_AIM * request.aim, predicted)))
         if now + late < request.deadline and len(request.attempts) < self.settings.max_attempts:
             self._timer(f"s:{len(request.attempts) - 1}:{request.id}", late)
@@ -700,7 +699,7 @@
                 self._send(request, *choice)
         elif not self.settings.second_copies and self.settings.cancelling and request.may_refuse():
             self.hedges -= 1.0
-            self.actions.append(Cancel(request.id, number))  # its outcome brings the next attempt
+            self.actions.append(i.Cancel(request.id, number))  # its outcome brings the next attempt
 
     def _failing(self, replica: Replica) -> None:
         """One that fails fast looks idle and would draw ever more: that counts as waiting, for a while."""
@@ -729,7 +728,7 @@
                 if choice is not None and choice[0].suspect_until <= self.now:
                     self._send(request, *choice)
 
-    def _started(self, event: StreamStarted) -> None:
+    def _started(self, event: i.StreamStarted) -> None:
         request = self.requests.get(event.request)
         if request is None or not 0 <= event.attempt < len(request.attempts):
             return
@@ -737,8 +736,7 @@
         self.pool.heard(attempt.replica, self.now)
         if attempt in attempt.replica.unstarted:
             attempt.replica.unstarted.remove(attempt)
-        if attempt.first_ms < 0.0:
-            attempt.replica.running += 1
+        attempt.replica.running += attempt.first_ms < 0.0
         attempt.first_ms = self.now - attempt.sent_at
         self._swallowed(attempt.replica, attempt.sent_at - OVERTAKEN_MS)
         self.pool.slower(attempt.replica, attempt.first_ms / max(attempt.predicted, 100.0), self.now)
@@ -748,20 +746,21 @@
     def _cancel_others(self, request: Request, keep: int) -> None:
         for number, attempt in enumerate(request.attempts):
             if number != keep and attempt.outcome is None and self.settings.cancelling:
-                self.actions.append(Cancel(request.id, number))
+                self.actions.append(i.Cancel(request.id, number))
 
-    def _ended(self, event: AttemptEnded) -> None:
+    def _ended(self, event: i.AttemptEnded) -> None:
         request = self.requests.get(event.request)
         if request is None or not 0 <= event.attempt < len(request.attempts):
             return
         attempt = request.attempts[event.attempt]
         if attempt.outcome is not None:
             return
-        attempt.outcome, replica, now = event.outcome, attempt.replica, self.now
+        outcome, replica, now = event.outcome, attempt.replica, self.now
+        attempt.outcome = outcome
         if attempt in replica.unstarted:
             replica.unstarted.remove(attempt)
         replica.running -= attempt.first_ms >= 0.0
-        if event.outcome is Outcome.SERVED:
+        if outcome is i.Outcome.SERVED:
             self.pool.heard(replica, now)
             if attempt.first_ms >= 0.0:
                 spent, usual = now - attempt.sent_at - attempt.first_ms, self.answer_ms[request.kind]
@@ -769,31 +768,31 @@
                 self.answer_ms[request.kind] += LEARN * (spent - usual)
             self.pool.learn(request, attempt, event.kept_tokens)
             replica.failing *= 0.7
-        elif event.outcome is Outcome.REJECTED:
+        elif outcome is i.Outcome.REJECTED:
             # A client's fault says nothing against the replica, and sent again it would spoil the next one's
             # standing: a few bad clients made all replicas look failing, and usual requests were refused.
             self.pool.heard(replica, now)
             if not (request.closed or request.started or event.closed):
-                self.actions.append(Fail(request.id))
+                self.actions.append(i.Fail(request.id))
             return self._close(request)
-        elif event.outcome is Outcome.FULL:
+        elif outcome is i.Outcome.FULL:
             self.pool.heard(replica, now)
             self.pool.answered(replica, None, 2.0 * self.full_ms, now)
-        elif event.outcome is Outcome.ERROR:
+        elif outcome is i.Outcome.ERROR:
             self._failing(replica)
-        elif event.outcome is Outcome.UNREADABLE:
+        elif outcome is i.Outcome.UNREADABLE:
             # Such answers come from any replica equally: left out for one, it only sends its work to others.
             self.pool.heard(replica, now)
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT) and replica.heard_at < attempt.sent_at:
+        elif outcome not in (i.Outcome.CANCELLED, i.Outcome.MOOT) and replica.heard_at < attempt.sent_at:
             self.pool.suspect(replica, now)
         if event.report is not None:
             self.pool.answered(replica, event.report, 0.0, now)
-        if event.closed or request.closed or event.outcome is Outcome.SERVED:
+        if event.closed or request.closed or outcome is i.Outcome.SERVED:
             self._close(request)
         elif not request.out():
             self._again(request)
 
-    def _gone(self, event: RequestGone) -> None:
+    def _gone(self, event: i.RequestGone) -> None:
         if event.request in self.requests:
             self._close(self.requests[event.request])
 
@@ -809,9 +808,9 @@
         """The final answer (rule 1): refused where that promise may be given (rule 2), failed otherwise."""
         if request.may_refuse() and self.now < request.deadline:
             pause = max(wait, 100.0) * (0.75 + 0.75 * self.rng.random()) * self.settings.retry_after
-            self.actions.append(Refuse(request.id, min(pause, self.settings.max_retry_after_ms)))
+            self.actions.append(i.Refuse(request.id, min(pause, self.settings.max_retry_after_ms)))
         else:
-            self.actions.append(Fail(request.id))
+            self.actions.append(i.Fail(request.id))
         self._close(request)
 
     def _close(self, request: Request) -> None:
--- a/spoolbarrow/shadow/compare.py
+++ b/spoolbarrow/shadow/compare.py
@@ -154,11 +154,16 @@
 
     texts = [
         (a["text"][:EDIT_MOST], b["text"][:EDIT_MOST])
-        for a, b in zip(*sides, strict=True) if "text" in a and "text" in b
+        for a, b in zip(*sides, strict=True)
+        if "text" in a and "text" in b
     ]
     both = list(zip(*sides, strict=True))
     return Figures(
-        name, len(pairs), len(compared), _side(pairs, compared, "live"), _side(pairs, compared, "copy"),
+        name,
+        len(pairs),
+        len(compared),
+        _side(pairs, compared, "live"),
+        _side(pairs, compared, "copy"),
         interval([first_ms(a) for a in sides[0]], [first_ms(b) for b in sides[1]]),
         interval([token_ms(a) for a in sides[0]], [token_ms(b) for b in sides[1]]),
         mean([float(a["words"] == b["words"] and a["length"] == b["length"]) for a, b in both]),
@@ -180,7 +185,9 @@
     found += [figures(name, some) for name, some in sorted(groups.items())]
     failures = Counter(
         f"{side}: {pair[side].get('why') or pair[side]['outcome']}"
-        for pair in pairs for side in ("live", "copy") if pair[side]["outcome"] != "served"
+        for pair in pairs
+        for side in ("live", "copy")
+        if pair[side]["outcome"] != "served"
     )
     verdict, reasons = judge(found, bounds, len(pairs), not_copied or {})
     return Report(found, dict(failures.most_common()), verdict, reasons, not_copied or {})
--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -95,16 +95,26 @@
         of = [number_of(config.tenants, told.tenant, f"{key}.tenant")] if told.tenant else everyone
         shares |= {(cls, tenant): told.share for cls in classes for tenant in of}
     return decide.Limits(
-        share=table.share, shares=shares, classes=frozenset(allowed - denied),
+        share=table.share,
+        shares=shares,
+        classes=frozenset(allowed - denied),
         tenants=frozenset(everyone - refused),
         begin_ms=table.begin.timestamp() * 1000 if table.begin else 0.0,
         end_ms=table.end.timestamp() * 1000 if table.end else float("inf"),
-        salt=table.salt.encode(), in_flight=table.in_flight, engine_in_flight=table.engine_in_flight,
-        requests_per_s=table.requests_per_s, prompt_tokens_per_s=table.prompt_tokens_per_s,
-        answer_tokens_per_s=table.answer_tokens_per_s, held_bytes=table.held_bytes,
-        deadline_ms=table.deadline_ms, slow_first_ms=table.slow_first_ms, bad_copies=table.bad_copies,
-        open_ms=table.open_ms, most_open_ms=table.most_open_ms,
-        cold_from=config.settings.cold_from, cold_ms=config.settings.cold_ms,
+        salt=table.salt.encode(),
+        in_flight=table.in_flight,
+        engine_in_flight=table.engine_in_flight,
+        requests_per_s=table.requests_per_s,
+        prompt_tokens_per_s=table.prompt_tokens_per_s,
+        answer_tokens_per_s=table.answer_tokens_per_s,
+        held_bytes=table.held_bytes,
+        deadline_ms=table.deadline_ms,
+        slow_first_ms=table.slow_first_ms,
+        bad_copies=table.bad_copies,
+        open_ms=table.open_ms,
+        most_open_ms=table.most_open_ms,
+        cold_from=config.settings.cold_from,
+        cold_ms=config.settings.cold_ms,
     )
 
 
@@ -181,8 +191,14 @@
         """Whether it is copied, and then its copy."""
         message, now = request.message, self._host.now()
         event = decide.Taken(
-            request.key, request.cls, request.tenant, facts.session, facts.prompt_tokens,
-            facts.max_answer_tokens, len(message.body), b"x-repeat" in message.fields,
+            request.key,
+            request.cls,
+            request.tenant,
+            facts.session,
+            facts.prompt_tokens,
+            facts.max_answer_tokens,
+            len(message.body),
+            b"x-repeat" in message.fields,
         )
         if len(self._pairs) >= MOST_PAIRS and self._decider.wanted(now, event):
             self._decider.dropped["pairs waiting"] += 1
@@ -270,7 +286,9 @@
         connect_s = self._host.config.connect_timeout_ms / 1000
         with http1.connect(where, connect_s) as sock:
             marked = http1.Message(
-                method=message.method, target=message.target, body=body,
+                method=message.method,
+                target=message.target,
+                body=body,
                 headers=[*message.headers, (table.header.encode(), CHAT.encode())],
             )
             http1.send_pieces(sock, http1.request_pieces(marked, where, int(deadline_ms)))
@@ -342,7 +360,9 @@
         classes = {n: name for name, n in config.classes.items()}
         tenants = {n: name for name, n in config.tenants.items()}
         line = {
-            "time": round(time.time(), 3), "router": config.name, "request": key,
+            "time": round(time.time(), 3),
+            "router": config.name,
+            "request": key,
             "class": classes.get(pair.cls, str(pair.cls)),
             "tenant": tenants.get(pair.tenant, str(pair.tenant)),
             "prompt_tokens": pair.prompt_tokens,
@@ -402,9 +422,14 @@
         dropped = self._decider.dropped - self._said
         self._said = Counter(self._decider.dropped)
         log(
-            "shadow_counts", copied=self._decider.copied, pairs=self.pairs, pairs_dropped=self.pairs_dropped,
-            out=len(self._greenlets), allowance=round(self._decider.allowance.value, 3),
-            breaker=self._decider.breaker.state.name.lower(), dropped=dict(dropped),
+            "shadow_counts",
+            copied=self._decider.copied,
+            pairs=self.pairs,
+            pairs_dropped=self.pairs_dropped,
+            out=len(self._greenlets),
+            allowance=round(self._decider.allowance.value, 3),
+            breaker=self._decider.breaker.state.name.lower(),
+            dropped=dict(dropped),
         )
 
 
--- a/spoolbarrow/shadow/decide.py
+++ b/spoolbarrow/shadow/decide.py
@@ -231,8 +231,14 @@
         if limits.tenants is not None and event.tenant not in limits.tenants:
             return False
         share = limits.shares.get((event.cls, event.tenant), limits.share)
-        key = b"%s|%d" % (limits.salt, event.session) if event.session else b"%s|%s" % (
-            limits.salt, event.request.encode(),
+        key = (
+            b"%s|%d" % (limits.salt, event.session)
+            if event.session
+            else b"%s|%s"
+            % (
+                limits.salt,
+                event.request.encode(),
+            )
         )
         return bool(xxhash.xxh3_64_intdigest(key) < share * 2.0**64)
 
--- a/spoolbarrow/shadow/page.py
+++ b/spoolbarrow/shadow/page.py
@@ -56,14 +56,16 @@
     parts.append(f"<h1>Shadow report: <span class={mark}>{said(report.verdict)}</span></h1>")
     parts += [f"<p>{said(reason)}</p>" for reason in report.reasons]
     columns: tuple[tuple[str, Callable[[Figures], str]], ...] = (
-        ("pairs", lambda g: str(g.pairs)), ("whole", lambda g: str(g.compared)),
+        ("pairs", lambda g: str(g.pairs)),
+        ("whole", lambda g: str(g.compared)),
         ("first event, live p50 / p99", lambda g: _two(g.live.first_ms)),
         ("copy", lambda g: _two(g.copy.first_ms)),
         ("difference (95%)", lambda g: _range(g.first_difference)),
         ("ms a token, live p50 / p99", lambda g: _two(g.live.token_ms)),
         ("copy", lambda g: _two(g.copy.token_ms)),
         ("difference (95%)", lambda g: _range(g.pace_difference)),
-        ("same", lambda g: f"{g.same:.1%}"), ("common opening", lambda g: f"{g.opening:.1%}"),
+        ("same", lambda g: f"{g.same:.1%}"),
+        ("common opening", lambda g: f"{g.opening:.1%}"),
         ("edit distance", lambda g: "" if g.edit is None else f"{g.edit:.3f}"),
         ("same finish", lambda g: f"{g.finish_agree:.1%}"),
         ("length, copy / live", lambda g: f"{g.length_ratio:.2f}"),
--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -70,8 +70,14 @@
     """A running member; DiskError or LogError where its file can't be used, CannotListen."""
 
     def __init__(
-        self, name: str, members: Mapping[str, Address], listen: Address, control: Address, path: Path,
-        settings: Settings, most_pages: int = 0,
+        self,
+        name: str,
+        members: Mapping[str, Address],
+        listen: Address,
+        control: Address,
+        path: Path,
+        settings: Settings,
+        most_pages: int = 0,
     ) -> None:
         self.name = name
         self._disk = Disk(path, name)
@@ -233,7 +239,8 @@
         told: list[dict[str, Any]] = []
         size, upto = 0, self._applied
         newer = [
-            (found.revision, key) for key, found in self._state.documents.items()
+            (found.revision, key)
+            for key, found in self._state.documents.items()
             if found.revision > int(after) and key.startswith(prefixes)
         ]
         for _, key in sorted(newer):
@@ -271,9 +278,16 @@
         raft = self._raft
         role = "stopped" if self.fault else raft.role.value
         return {
-            "member": self.name, "role": role, "leader": raft.leader, "term": raft.term,
-            "commit": raft.commit, "applied": self._applied, "kept": len(raft.log),
-            "keys": len(self._state.documents), "dropped": self.dropped, "fault": self.fault,
+            "member": self.name,
+            "role": role,
+            "leader": raft.leader,
+            "term": raft.term,
+            "commit": raft.commit,
+            "applied": self._applied,
+            "kept": len(raft.log),
+            "keys": len(self._state.documents),
+            "dropped": self.dropped,
+            "fault": self.fault,
             "behind": raft.behind,
         }
 
--- a/spoolbarrow/store/raft.py
+++ b/spoolbarrow/store/raft.py
@@ -299,10 +299,16 @@
         self._votes = {self.me}
         self._wait_anew()
         for name in self.others:
-            self._out.append(Ask(
-                src=self.me, dst=name, term=self.term + pre, pre=pre, last_index=self.last_index,
-                last_term=self._last_term(),
-            ))
+            self._out.append(
+                Ask(
+                    src=self.me,
+                    dst=name,
+                    term=self.term + pre,
+                    pre=pre,
+                    last_index=self.last_index,
+                    last_term=self._last_term(),
+                )
+            )
         self._count()
 
     def _count(self) -> None:
@@ -344,9 +350,16 @@
             if granted:
                 self.vote = ask.src
                 self._wait_anew()
-        self._out.append(Vote(
-            src=self.me, dst=ask.src, term=term, granted=granted, pre=ask.pre, life=self._life(),
-        ))
+        self._out.append(
+            Vote(
+                src=self.me,
+                dst=ask.src,
+                term=term,
+                granted=granted,
+                pre=ask.pre,
+                life=self._life(),
+            )
+        )
 
     def _voted(self, vote: Vote) -> None:
         wanted = Role.ASKING if vote.pre else Role.CANDIDATE
@@ -370,9 +383,16 @@
             return
         self._said_at = self.now
         for name in unheard:
-            self._out.append(Hello(
-                src=self.me, dst=name, term=self.term, life=life, mark=self._mark, sure=self.sure,
-            ))
+            self._out.append(
+                Hello(
+                    src=self.me,
+                    dst=name,
+                    term=self.term,
+                    life=life,
+                    mark=self._mark,
+                    sure=self.sure,
+                )
+            )
 
     def _hello(self, hello: Hello) -> None:
         last = self.lives.get(hello.src, 0)
@@ -381,10 +401,18 @@
         elif hello.life < last and self._found.get(hello.src) != hello.mark and self.role is Role.LEADER:
             self._found[hello.src] = hello.mark
             self._behind.append(hello.src)
-        self._out.append(Known(
-            src=self.me, dst=hello.src, term=self.term, life=self.lives.get(hello.src, 0), mark=hello.mark,
-            last_index=self.last_index, leads=self.role is Role.LEADER, sure=self.sure,
-        ))
+        self._out.append(
+            Known(
+                src=self.me,
+                dst=hello.src,
+                term=self.term,
+                life=self.lives.get(hello.src, 0),
+                mark=hello.mark,
+                last_index=self.last_index,
+                leads=self.role is Role.LEADER,
+                sure=self.sure,
+            )
+        )
 
     def _lives(self, name: str, life: int) -> bool:
         """Keep a member's life, if one is told; False for one that has ended."""
@@ -514,9 +542,16 @@
         if ok:
             self._same = (self.term, max(index, self._same[1] if self._same[0] == self.term else 0))
             self._be_sure()
-        self._out.append(Appended(
-            src=self.me, dst=dst, term=self.term, index=index, ok=ok, life=self._life(),
-        ))
+        self._out.append(
+            Appended(
+                src=self.me,
+                dst=dst,
+                term=self.term,
+                index=index,
+                ok=ok,
+                life=self._life(),
+            )
+        )
 
     def _send_entries(self, name: str, peer: Peer) -> None:
         peer.sent_at, peer.waiting = self.now, True
@@ -526,10 +561,17 @@
         first = peer.next - self.snapshot.index - 1
         term = self.term_at(peer.next - 1)
         assert term is not None, "what comes before the next entry is kept, or the snapshot's"
-        self._out.append(Append(
-            src=self.me, dst=name, term=self.term, prev_index=peer.next - 1, prev_term=term,
-            commit=self.commit, entries=tuple(self.log[first : first + self.settings.batch]),
-        ))
+        self._out.append(
+            Append(
+                src=self.me,
+                dst=name,
+                term=self.term,
+                prev_index=peer.next - 1,
+                prev_term=term,
+                commit=self.commit,
+                entries=tuple(self.log[first : first + self.settings.batch]),
+            )
+        )
 
     def _appended(self, answer: Appended) -> None:
         peer = self.peers[answer.src]
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -96,7 +96,10 @@
         "Skus": ["m"],
         "TickMs": 1.0,
         "Limits": {
-            "MaxAttempts": 3, "RetryAfter": True, "Cancelling": True, "MaxRetryAfterMs": 2000.0,
+            "MaxAttempts": 3,
+            "RetryAfter": True,
+            "Cancelling": True,
+            "MaxRetryAfterMs": 2000.0,
             "ConnectTimeoutMs": 10_000.0,  # a busy machine must not pass for an endpoint that is cut off
         },
     }
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -98,9 +98,7 @@
                 gevent.sleep(self.stays)
 
 
-def flood(
-    port: int, count: int, says: bytes = b"", stays: float = 0.0, again: bool = False
-) -> list[Idler]:
+def flood(port: int, count: int, says: bytes = b"", stays: float = 0.0, again: bool = False) -> list[Idler]:
     return [Idler(port, says, stays, again) for _ in range(count)]
 
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -88,7 +88,9 @@
         self.log_file = folder / "log"
         with open(self.log_file, "wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "spoolbarrow"], cwd=ROOT, stderr=log,
+                [sys.executable, "-m", "spoolbarrow"],
+                cwd=ROOT,
+                stderr=log,
                 env={**os.environ, "NODE_CONFIG": str(folder / "config.json")},
             )
         until(self.listens)
@@ -132,8 +134,12 @@
 
 @contextmanager
 def router(
-    folder: Path, times: dict[str, float] = TIMES, resume: bool = True, deadline: float = 5000.0,
-    full: socket.socket | None = None, **changes: Any
+    folder: Path,
+    times: dict[str, float] = TIMES,
+    resume: bool = True,
+    deadline: float = 5000.0,
+    full: socket.socket | None = None,
+    **changes: Any,
 ) -> Iterator[Router]:
     """The program before an engine, or before a machine (`full`) that takes no connection up."""
     engine, port = Engine(), 0
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -33,8 +33,12 @@
 """
 FAMILIES: tuple[tuple[type[Problem], str, str, str], ...] = (
     (Trouble, "In the log", "event | level", "Lines of a request's attempts do not carry the remedy."),
-    (CallFault, "Answers of the control listener", "error | HTTP",
-     "Besides: 409 where files can't be used or adopted, 503 `NoRoom`, 500 `Defect`, all below."),
+    (
+        CallFault,
+        "Answers of the control listener",
+        "error | HTTP",
+        "Besides: 409 where files can't be used or adopted, 503 `NoRoom`, 500 `Defect`, all below.",
+    ),
     (StoreFault, "Answers of store members", "error | HTTP", ""),
     (Problem, "Commands and configurations", "error | exit status", "2: faulty, 1: failed."),
 )
@@ -96,8 +100,10 @@
         f"{path.relative_to(ROOT)}: {node.exc.func.id}"
         for path in ROOT.rglob("*.py")
         for node in ast.walk(ast.parse(path.read_text()))
-        if isinstance(node, ast.Raise) and isinstance(node.exc, ast.Call)
-        and isinstance(node.exc.func, ast.Name) and node.exc.func.id in BARE
+        if isinstance(node, ast.Raise)
+        and isinstance(node.exc, ast.Call)
+        and isinstance(node.exc.func, ast.Name)
+        and node.exc.func.id in BARE
     ]
     assert bare == []
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -29,12 +29,20 @@
     """Every endpoint heard from at `now`; the first `failing[zone]` of a zone fail."""
     return tuple(
         Heard(f"{z}{n}", now, n >= failing.get(z, 0), 10 * wait if z == slow else wait)
-        for z, count in ZONES.items() for n in range(count)
+        for z, count in ZONES.items()
+        for n in range(count)
     )
 
 
-def play(verdicts: Verdicts, until: float, failing: dict[str, int], gone: frozenset[str] = frozenset(),
-         start: float = 0.0, step: float = 100.0, slow: str = "") -> list[dict[str, State]]:
+def play(
+    verdicts: Verdicts,
+    until: float,
+    failing: dict[str, int],
+    gone: frozenset[str] = frozenset(),
+    start: float = 0.0,
+    step: float = 100.0,
+    slow: str = "",
+) -> list[dict[str, State]]:
     seen = []
     now = start
     while now < until:
@@ -104,9 +112,9 @@
 def doubts(now: float) -> Evidence:
     """Probes of zone a come to nothing in their short time; the others answer."""
     heard = outcomes(now, {})
-    return Evidence(listed(), tuple(
-        msgspec.structs.replace(h, ok=None) if h.endpoint[0] == "a" else h for h in heard
-    ))
+    return Evidence(
+        listed(), tuple(msgspec.structs.replace(h, ok=None) if h.endpoint[0] == "a" else h for h in heard)
+    )
 
 
 @pytest.mark.parametrize("answers", [False, True])
@@ -295,7 +303,11 @@
 
 
 DAY: dict[str, Any] = {
-    "name": "zones", "length_s": 16.0, "zones": 3, "routers": 9, "engines": 24,
+    "name": "zones",
+    "length_s": 16.0,
+    "zones": 3,
+    "routers": 9,
+    "engines": 24,
     "classes": {"ask": {"aim_ms": 1500.0, "deadline_ms": 5000.0}},
 }
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -86,10 +86,20 @@
     assert made.bodies(40.0, AGE) == [] and made.dropped == 1
 
 
-@pytest.mark.parametrize("text", [
-    b"", b"\xff", b"[" * 100_000, b'{"router":"a"}', told("", "x", 1, b""), told("a", "x", -1, b""),
-    told("a", "x", 10**18 * 9, b""), told("a", "x" * 200, 1, b""), told("a", "x", 1, bytes(d.MOST_BODY + 1)),
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"",
+        b"\xff",
+        b"[" * 100_000,
+        b'{"router":"a"}',
+        told("", "x", 1, b""),
+        told("a", "x", -1, b""),
+        told("a", "x", 10**18 * 9, b""),
+        told("a", "x" * 200, 1, b""),
+        told("a", "x", 1, bytes(d.MOST_BODY + 1)),
+    ],
+)
 def test_a_hostile_summary_is_dropped_and_counted(text: bytes) -> None:
     made = table([(f"{d.EVIDENCE}k/a", 1, told("a", "x", 1, b"good")), (f"{d.EVIDENCE}k/a", 2, text)])
     assert made.bodies(0.0, AGE) == [] and made.dropped == 1
@@ -100,10 +110,18 @@
     return d.Standing(epoch, d.Lease("r0", "x", 0, ttl), made)
 
 
-@pytest.mark.parametrize("text", [
-    b"{}", d.write(standing(7)), d.write(standing(2, at=3)), d.write(standing(2, ttl=-1.0)),
-    d.write(standing(-1)), d.write(standing(2, ttl=float("nan"))), d.write(standing(2, number=-4)),
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"{}",
+        d.write(standing(7)),
+        d.write(standing(2, at=3)),
+        d.write(standing(2, ttl=-1.0)),
+        d.write(standing(-1)),
+        d.write(standing(2, ttl=float("nan"))),
+        d.write(standing(2, number=-4)),
+    ],
+)
 def test_a_hostile_standing_is_garbage(text: bytes) -> None:
     with pytest.raises(d.Garbage, match="fleet/standing/k") as error:
         lease.seen("fleet/standing/k", 7, text.decode())
@@ -195,15 +213,18 @@
     assert roll.decide(0.0, [], made) is None and roll.adopt(0.0, None)
 
 
-@pytest.mark.parametrize(("text", "fault"), [
-    ("parts = []", "fleet.members: missing"),
-    ("members = []", "fleet.members: "),
-    ('members = ["x"]', "fleet.members[0]: 'x' is not HOST:PORT"),
-    ('members = ["h:1", "h:1"]', "fleet.members[1]: h:1 is named twice"),
-    ('members = ["h:1"]\nparts = ["rolls"]', "fleet.parts[0]: 'rolls' is none of roll"),
-    ('members = ["h:1"]\nttl_s = 1.0', "fleet.ttl_s: less than eight times"),
-    ('members = ["h:1"]\nperiod_ms = 1', "fleet.period_ms: "),
-])
+@pytest.mark.parametrize(
+    ("text", "fault"),
+    [
+        ("parts = []", "fleet.members: missing"),
+        ("members = []", "fleet.members: "),
+        ('members = ["x"]', "fleet.members[0]: 'x' is not HOST:PORT"),
+        ('members = ["h:1", "h:1"]', "fleet.members[1]: h:1 is named twice"),
+        ('members = ["h:1"]\nparts = ["rolls"]', "fleet.parts[0]: 'rolls' is none of roll"),
+        ('members = ["h:1"]\nttl_s = 1.0', "fleet.ttl_s: less than eight times"),
+        ('members = ["h:1"]\nperiod_ms = 1', "fleet.period_ms: "),
+    ],
+)
 def test_a_faulty_table_names_its_key(text: str, fault: str, tmp_path: Any) -> None:
     (tmp_path / "operator.toml").write_text(f"[fleet]\n{text}\n")
     _, faults = operator.read({operator.VARIABLE: str(tmp_path / "operator.toml")})
@@ -233,8 +254,11 @@
             status = 200 if int(asked["expect"][0]) == at else 409
             told = {"revision": self.write(key, message.body.decode()) if status == 200 else at}
         elif path == "/v1/changes":
-            found = [{"key": k, "revision": r, "value": v} for k, (r, v) in self.documents.items()
-                     if r > int(asked["after"][0]) and k.startswith(tuple(asked["prefix"]))]
+            found = [
+                {"key": k, "revision": r, "value": v}
+                for k, (r, v) in self.documents.items()
+                if r > int(asked["after"][0]) and k.startswith(tuple(asked["prefix"]))
+            ]
             status = 200
             told = {"applied": self.revision, "upto": self.revision, "leader": "m0", "documents": found}
         body = self.says or json.dumps(told).encode()
@@ -275,11 +299,17 @@
         until(lambda: host.config.settings.tenants == (Tenant(0.7), Tenant(3.0)))
 
 
-@pytest.mark.parametrize("says", [
-    b"null", b"[" * 50_000, b'{"applied":1e9,"upto":0,"leader":"x","documents":[]}', b" " * (9 << 20),
-    b'{"applied":5,"upto":5,"leader":"m0","documents":[]}',
-    b'{"applied":99,"upto":99,"leader":"","documents":[]}',
-])
+@pytest.mark.parametrize(
+    "says",
+    [
+        b"null",
+        b"[" * 50_000,
+        b'{"applied":1e9,"upto":0,"leader":"x","documents":[]}',
+        b" " * (9 << 20),
+        b'{"applied":5,"upto":5,"leader":"m0","documents":[]}',
+        b'{"applied":99,"upto":99,"leader":"","documents":[]}',
+    ],
+)
 def test_a_member_that_says_what_can_not_be_is_passed_over(says: bytes) -> None:
     with following(members=2) as (host, _, stores):
         for turn in (0, 1, 0):  # well at first, then whichever it asks first
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -54,9 +54,7 @@
     return told
 
 
-def test_a_change_is_taken_by_all_or_by_none(
-    tmp_path: Path, capsys: pytest.CaptureFixture[str]
-) -> None:
+def test_a_change_is_taken_by_all_or_by_none(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     with loaded(tmp_path) as made:
         until(lambda: agree(made, "status", capsys)[0] == 0)  # lists come one after the other
         before = [versions(made, n) for n in ALL]
--- a/tests/test_fleet_cold.py
+++ b/tests/test_fleet_cold.py
@@ -88,11 +88,15 @@
     Words come every 2 s, and 2.5 s without one are a silence: a busy machine can hold them up so long.
     `before`: the account of a script that the same processes played before, with silences of its own.
     """
+
     def silences(account: dict[str, Any] | None, name: str) -> int:
         return account["of_routers"][name]["why"].get("silent", 0) if account else 0
 
-    return [one["calls"] - silences(found, name) + silences(before, name)
-            for name, one in found["of_routers"].items() if int(name[1:]) not in but]
+    return [
+        one["calls"] - silences(found, name) + silences(before, name)
+        for name, one in found["of_routers"].items()
+        if int(name[1:]) not in but
+    ]
 
 
 class TestDownAtStart:
@@ -244,5 +248,6 @@
                 lambda router=router: any(  # type: ignore[misc]
                     one["key"] == SUSPENSIONS and one["mode"] == "committed"
                     for one in router.events("fleet_shared")
-                ), KNOWN_S,
+                ),
+                KNOWN_S,
             )
--- a/tests/test_fleet_failover.py
+++ b/tests/test_fleet_failover.py
@@ -80,8 +80,10 @@
         made.wait_state([0], "a", "failed")
         before = made.counts()
         more_requests(made, 15)
-        sent = [after["asked"].get("r1", 0) - past["asked"].get("r1", 0)
-                for after, past in zip(made.counts(), before, strict=True)]
+        sent = [
+            after["asked"].get("r1", 0) - past["asked"].get("r1", 0)
+            for after, past in zip(made.counts(), before, strict=True)
+        ]
         near = sum(sent[n] for n in made.of_zone["a"])
         assert near >= 0.9 * sum(sent), sent  # the other router of the zone keeps its traffic there
         assert made.control(0, "zones")["zones"]["a"]["state"] in ("failed", "returning")
@@ -110,8 +112,11 @@
             more_requests(made, 6)
         made.wait_state([0, 1], "a", "returning")
         for n in (0, 1):
-            failed = [e for e in made.routers[n].events("failover")
-                      if e["place"] == "a" and e["state"] in ("failed", "returning")]
+            failed = [
+                e
+                for e in made.routers[n].events("failover")
+                if e["place"] == "a" and e["state"] in ("failed", "returning")
+            ]
             times: list[float] = [e["time"] for e in failed if e["state"] == "failed"]
             back: list[float] = [e["time"] for e in failed if e["state"] == "returning"]
             for nth, (out, again) in enumerate(zip(times, back, strict=False)):
@@ -133,8 +138,10 @@
         made.wait_state(ALL, "west", "failed")
         before = made.counts()
         more_requests(made, 10)
-        sent = [sum(after["asked"].values()) - sum(past["asked"].values())
-                for after, past in zip(made.counts(), before, strict=True)]
+        sent = [
+            sum(after["asked"].values()) - sum(past["asked"].values())
+            for after, past in zip(made.counts(), before, strict=True)
+        ]
         assert sum(sent[n] for n in made.of_zone["c"]) >= 50 and not any(sent[n] for n in west)
         made.fault("pass", made.gates(west))
         made.wait_state(ALL, "west", "healthy")
--- a/tests/test_fleet_harness.py
+++ b/tests/test_fleet_harness.py
@@ -33,7 +33,9 @@
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(
     st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(0, 5)), min_size=1, max_size=40),
-    st.floats(1.0, 20.0), st.floats(0.0, 0.05), st.booleans(),
+    st.floats(1.0, 20.0),
+    st.floats(0.0, 0.05),
+    st.booleans(),
 )
 def test_calls_are_worked_off_in_turn_at_the_rate_and_fail_at_the_time_out(
     asked: list[tuple[float, int]], rate: float, line_s: float, looked_at_often: bool
--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -131,6 +131,7 @@
 
         `split`: whether there must be one; `without`: an engine that it does not name.
         """
+
         def one() -> list[dict[str, Any]] | None:
             told = [self.told(n) for n in routers]
             first = told[0]
@@ -138,7 +139,8 @@
                        for t in told)  # fmt: skip
             readers = first["split"]["readers"] if first["split"] is not None else []
             right = (
-                first["acts"] is not None and first["epoch"] >= wanted.get("epoch", 0)
+                first["acts"] is not None
+                and first["epoch"] >= wanted.get("epoch", 0)
                 and wanted.get("split", bool(readers)) is bool(readers)
                 and wanted.get("without", "") not in readers
             )
@@ -158,8 +160,12 @@
     def say(self, router: str, sequence: int, body: bytes) -> None:
         """Write a summary by hand."""
         text = write(Summary(router, "by-hand", sequence, time.time() * 1000.0, body))
-        until(lambda: any(ask(member, "PUT", at_key(f"{EVIDENCE}{KIND}/{router}"), text)[0] == 200
-                          for member in self.store.controls))
+        until(
+            lambda: any(
+                ask(member, "PUT", at_key(f"{EVIDENCE}{KIND}/{router}"), text)[0] == 200
+                for member in self.store.controls
+            )
+        )
 
     def list(self, *out: int) -> None:
         """Have the service list all engines but these."""
@@ -324,9 +330,11 @@
     classes = (i.RequestClass(1000.0, 5000.0, 1.0, token_aim_ms=40.0),)
     lines = [ListEntry("e0", "", "z", "big")]
     host: Any = SimpleNamespace(
-        now=lambda: 9000.0, taps=Taps(),
+        now=lambda: 9000.0,
+        taps=Taps(),
         config=SimpleNamespace(
-            settings=i.Settings(nodes=1, classes=classes), classes={}, tenants={}, zones={}),
+            settings=i.Settings(nodes=1, classes=classes), classes={}, tenants={}, zones={}
+        ),
         destinations=SimpleNamespace(listing=dict, seen=lambda: (1, lines), serving=lambda name: True),
     )
     part = pools.Split("r0")
@@ -342,8 +350,10 @@
         one.stream = Attempt(one, 0, "e0", 5100.0)
         one.stream.first_at = 5900.0
         host.taps.passed_on(one, [b"data: {}\n\n", b"data: {}\n\n"])
-    host.taps.passed_on(served, [b'data: {"usage":{"completion_tokens":63,'
-                                 b'"prompt_tokens_details":{"cached_tokens":400}}}\n\n'])
+    host.taps.passed_on(
+        served,
+        [b'data: {"usage":{"completion_tokens":63,"prompt_tokens_details":{"cached_tokens":400}}}\n\n'],
+    )
     for one, how in ((served, "served"), (left, "left"), (refused, "fail_fast"), (beyond, "served")):
         one.end(how)
         host.taps.request_answered(one)
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -25,9 +25,13 @@
         free = free_ports(6)
         self.listens, self.controls = free[:3], [f"{LISTEN}:{port}" for port in free[3:]]
         self.pairs = [(a, b) for a in range(3) for b in range(3) if a != b]
-        self.proxy = Process("-m", "spoolbarrow.lab.proxy", str(LIFE_S), *(
-            f"{LISTEN}:{self.listens[b]}" for _, b in self.pairs
-        ), stdin=True)
+        self.proxy = Process(
+            "-m",
+            "spoolbarrow.lab.proxy",
+            str(LIFE_S),
+            *(f"{LISTEN}:{self.listens[b]}" for _, b in self.pairs),
+            stdin=True,
+        )
         self.fronts = self.proxy.first_said().split()
         self.processes = [self.start(n) for n in range(3)]
         for one in self.processes:
@@ -41,9 +45,21 @@
                 where = f"127.0.0.1:{self.fronts[self.pairs.index((number, other))]}"
             named += ["--member", f"m{other}={where}"]
         return Process(
-            "-m", "spoolbarrow", "store", "serve", "--name", f"m{number}", *named,
-            "--listen", f"{LISTEN}:{self.listens[number]}", "--control", self.controls[number],
-            "--directory", str(self.folder), "--most-pages", str(self.pages.get(number, 0)),
+            "-m",
+            "spoolbarrow",
+            "store",
+            "serve",
+            "--name",
+            f"m{number}",
+            *named,
+            "--listen",
+            f"{LISTEN}:{self.listens[number]}",
+            "--control",
+            self.controls[number],
+            "--directory",
+            str(self.folder),
+            "--most-pages",
+            str(self.pages.get(number, 0)),
         )
 
     def kill(self, number: int) -> None:
@@ -63,8 +79,12 @@
 
         def found() -> list[int]:
             told = {n: self.status(n) for n in among}
-            return [n for n in told if told[n].get("role") == "leader"
-                    and sum(one.get("leader") == f"m{n}" for one in told.values()) >= 2]
+            return [
+                n
+                for n in told
+                if told[n].get("role") == "leader"
+                and sum(one.get("leader") == f"m{n}" for one in told.values()) >= 2
+            ]
 
         return until(found)[0] if not (at := found()) else at[0]
 
@@ -254,8 +274,20 @@
     (tmp_path / "m0.store").write_bytes(b"something else entirely" * 400)
     listen, control = (f"{LISTEN}:{port}" for port in free_ports(2))
     made = Process(
-        "-m", "spoolbarrow", "store", "serve", "--name", "m0", "--member", f"m0={listen}",
-        "--listen", listen, "--control", control, "--directory", str(tmp_path),
+        "-m",
+        "spoolbarrow",
+        "store",
+        "serve",
+        "--name",
+        "m0",
+        "--member",
+        f"m0={listen}",
+        "--listen",
+        listen,
+        "--control",
+        control,
+        "--directory",
+        str(tmp_path),
     )
     try:
         made.wait_for(lambda: any("m0.store" in line and "not a database" in line for line in made.lines))
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -441,7 +441,8 @@
 
 def test_two_collectors_the_slow_one_loses_the_other_does_not() -> None:
     with (
-        stage(serve_all) as (scene, _), collecting("tcp") as (heard, listener),
+        stage(serve_all) as (scene, _),
+        collecting("tcp") as (heard, listener),
         socket.create_server(("127.0.0.1", 0)) as deaf,
     ):
         where = [f"tcp://127.0.0.1:{port}" for port in (deaf.getsockname()[1], listener.port)]
@@ -484,7 +485,8 @@
         sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
 
     with (
-        stage(slowly) as (scene, _), collecting("tcp") as (heard, listener),
+        stage(slowly) as (scene, _),
+        collecting("tcp") as (heard, listener),
         collecting("tcp") as (more, other),
     ):
         client = scene.client().send(ask())
@@ -506,6 +508,7 @@
             client.sock.close()
             scene.host._endpoints._pool.forget("e0")
             until(lambda: len(taps.counters) == 2)
+
         def told(number: int) -> list[int]:
             ours = [r for r in heard.of(256) + more.of(256) if r["flowId"] == number]
             return [r["transportOctetDeltaCount"] + r["reverseTransportOctetDeltaCount"] for r in ours]
@@ -576,7 +579,8 @@
     context = fc.server_context(*(str(tmp_path / n) for n in ("ca.pem", "server.pem", "server.key")))
     told = operator.TlsTable(*(str(tmp_path / n) for n in ("ca.pem", "client.pem", "client.key")))
     with (
-        stage(serve_all) as (scene, _), collecting("tls", tls=context) as (heard, listener),
+        stage(serve_all) as (scene, _),
+        collecting("tls", tls=context) as (heard, listener),
         exporting(scene, table(f"tls://127.0.0.1:{listener.port}", tls=told)) as exporter,
     ):
         sink: Any = exporter._sinks[f"tls://127.0.0.1:{listener.port}"]
@@ -694,7 +698,7 @@
 @pytest.mark.parametrize(
     ("text", "key"),
     [
-        ('collectors = []', "flows.collectors"),
+        ("collectors = []", "flows.collectors"),
         ('collectors = ["udp://host:1"]', "flows.collectors[0]"),
         ('collectors = ["udp://127.0.0.1:1", "udp://127.0.0.1:1"]', "flows.collectors[1]"),
         ('collectors = ["tls://127.0.0.1:1"]', "flows.tls"),
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -196,14 +196,21 @@
         file.write_bytes(msgspec.json.encode({**self.raw, "control": f"{LISTEN}:{control}"}))
         descriptor = self.listener.fileno()
         environment = {
-            **os.environ, "NODE_CONFIG": str(file), "TMPDIR": str(self.folder),
+            **os.environ,
+            "NODE_CONFIG": str(file),
+            "TMPDIR": str(self.folder),
             INHERITED: str(descriptor),
         }
         with open(self.folder / f"log-{number}", "wb") as log:
-            self.processes.append(subprocess.Popen(
-                [sys.executable, "-m", "spoolbarrow"], cwd=ROOT, env=environment, stderr=log,
-                pass_fds=[descriptor],
-            ))
+            self.processes.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "spoolbarrow"],
+                    cwd=ROOT,
+                    env=environment,
+                    stderr=log,
+                    pass_fds=[descriptor],
+                )
+            )
         self.calls.append(control)
         if ready:
             until(lambda: self.call(number, "readyz", "GET") == 200)
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -63,10 +63,13 @@
 
 @settings(derandomize=True, max_examples=200, deadline=None)
 @given(
-    some.lists(some.one_of(
-        some.none(),
-        some.dictionaries(some.text(max_size=6), some.one_of(some.text(), some.lists(some.integers()))),
-    ), max_size=5),
+    some.lists(
+        some.one_of(
+            some.none(),
+            some.dictionaries(some.text(max_size=6), some.one_of(some.text(), some.lists(some.integers()))),
+        ),
+        max_size=5,
+    ),
     some.integers(0, 3),
     some.lists(some.integers(1, 9), min_size=1, max_size=20),
 )
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -43,8 +43,8 @@
     log.configure(format="text")
     log.write("reset", {"why": "two words\nand a line", "endpoint": "e0", "status": 500})
     text = os.read(pipe[0], 4096).decode()
-    assert text.endswith(' endpoint=e0 status=500\n') and text.count("\n") == 1
-    assert 'reset' in text and '"two words\\nand a line"' in text and " warning " in text
+    assert text.endswith(" endpoint=e0 status=500\n") and text.count("\n") == 1
+    assert "reset" in text and '"two words\\nand a line"' in text and " warning " in text
 
 
 def test_a_reader_that_stops_costs_lines_and_is_told_how_many(pipe: tuple[int, int]) -> None:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -32,8 +32,11 @@
 
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(
-    some.integers(1, 500), some.integers(0, 499), some.sampled_from([0.0, 4_000.0, 10_000.0]),
-    some.sampled_from([0.0, 5.0, 50.0]), some.lists(some.sampled_from([0.0, 3_000.0]), max_size=30),
+    some.integers(1, 500),
+    some.integers(0, 499),
+    some.sampled_from([0.0, 4_000.0, 10_000.0]),
+    some.sampled_from([0.0, 5.0, 50.0]),
+    some.lists(some.sampled_from([0.0, 3_000.0]), max_size=30),
     some.integers(0, 999),
 )
 def test_no_call_is_later_than_the_settings_allow(
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -30,8 +30,17 @@
 BUSY_STEP_MS = 31.0  # of streams that share their engines with so much reading
 
 
-def notes(reads: float, writes: float, seed: int = 1, now: float = NOW, tenant: int = 0, span_s: float = 60.0,
-          tokens: float = 7300.0, read_us: float = 81.0, late: float = 0.15) -> Notes:
+def notes(
+    reads: float,
+    writes: float,
+    seed: int = 1,
+    now: float = NOW,
+    tenant: int = 0,
+    span_s: float = 60.0,
+    tokens: float = 7300.0,
+    read_us: float = 81.0,
+    late: float = 0.15,
+) -> Notes:
     """What a router has seen of so many requests a second that read, and that write, until now."""
     rng, found = Random(seed), Notes(now - span_s * 1000.0)
     for step in range(round(span_s * (reads + writes))):
@@ -106,8 +115,12 @@
 
 
 @settings(derandomize=True, max_examples=50)
-@given(st.lists(st.tuples(st.integers(-5, 10**19), st.integers(-5, 10**19), st.integers(-5, 10**19),
-                          st.floats()), max_size=300))
+@given(
+    st.lists(
+        st.tuples(st.integers(-5, 10**19), st.integers(-5, 10**19), st.integers(-5, 10**19), st.floats()),
+        max_size=300,
+    )
+)
 def test_a_flood_of_tenants_and_odd_figures_stays_bounded(flood: list[tuple[int, int, int, float]]) -> None:
     found = Notes(0.0)
     for n, (cls, tenant, prompt, unread) in enumerate(flood * 3):
@@ -339,8 +352,9 @@
 
 @settings(derandomize=True, max_examples=100)
 @given(st.floats(0.0, 2.0), st.floats(0.01, 2.0), st.integers(2, 200), st.integers(1, 199))
-def test_the_model_tells_shares_and_more_load_is_never_better(reads: float, writes: float, engines: int,
-                                                             readers: int) -> None:
+def test_the_model_tells_shares_and_more_load_is_never_better(
+    reads: float, writes: float, engines: int, readers: int
+) -> None:
     rates = Rates(0.081, 15.0, 0.1, 64.0, 100_000.0)
 
     def traffic(factor: float) -> Traffic:
--- a/tests/test_shadow.py
+++ b/tests/test_shadow.py
@@ -45,8 +45,14 @@
 copier_module.CLOSE_S = 20.0  # a busy disk must not pass for one that fails
 ROOT = Path(__file__).resolve().parent.parent
 PLENTY: dict[str, Any] = {
-    "in_flight": 40, "engine_in_flight": 40, "requests_per_s": 1e5, "prompt_tokens_per_s": 1e9,
-    "answer_tokens_per_s": 1e9, "deadline_ms": 20_000.0, "slow_first_ms": 20_000.0, "bad_copies": 1000,
+    "in_flight": 40,
+    "engine_in_flight": 40,
+    "requests_per_s": 1e5,
+    "prompt_tokens_per_s": 1e9,
+    "answer_tokens_per_s": 1e9,
+    "deadline_ms": 20_000.0,
+    "slow_first_ms": 20_000.0,
+    "bad_copies": 1000,
 }
 
 
@@ -341,9 +347,7 @@
                 live(scene)
             until(lambda: not copier._pairs)
             assert len(parties[0].requests) == 8 == len(parties[1].requests)
-            draining = [
-                entry("new", parties[1].port, type="candidate", group=7, status="terminating")
-            ]
+            draining = [entry("new", parties[1].port, type="candidate", group=7, status="terminating")]
             news = config.HostList(8, False, msgspec.convert(draining, list[config.ListEntry]))
             scene.host.destinations._take(news, i.ListKind.CHANGES)
             live(scene)
--- a/tests/test_shadow_decide.py
+++ b/tests/test_shadow_decide.py
@@ -14,9 +14,19 @@
 from spoolbarrow.shadow.limits import Allowance, Breaker, Circuit, Gcra, room
 
 ALL = d.Limits(
-    share=1.0, classes=frozenset({0, 1}), in_flight=4, engine_in_flight=3, requests_per_s=40.0,
-    prompt_tokens_per_s=4000.0, answer_tokens_per_s=2000.0, held_bytes=5000, deadline_ms=3000.0,
-    slow_first_ms=1000.0, bad_copies=3, open_ms=500.0, most_open_ms=4000.0,
+    share=1.0,
+    classes=frozenset({0, 1}),
+    in_flight=4,
+    engine_in_flight=3,
+    requests_per_s=40.0,
+    prompt_tokens_per_s=4000.0,
+    answer_tokens_per_s=2000.0,
+    held_bytes=5000,
+    deadline_ms=3000.0,
+    slow_first_ms=1000.0,
+    bad_copies=3,
+    open_ms=500.0,
+    most_open_ms=4000.0,
 )
 
 
@@ -26,7 +36,11 @@
 
 def taken(request: str, **changes: Any) -> d.Taken:
     plain: dict[str, Any] = {
-        "cls": 0, "tenant": 0, "session": int(request), "prompt_tokens": 10, "answer_tokens": 10,
+        "cls": 0,
+        "tenant": 0,
+        "session": int(request),
+        "prompt_tokens": 10,
+        "answer_tokens": 10,
     }
     return d.Taken(request, **{**plain, "held_bytes": 100, **changes})
 
--- a/tests/test_shadow_report.py
+++ b/tests/test_shadow_report.py
@@ -22,9 +22,19 @@
 def answer(first: float, pace: float, text: str = "one two three", **changes: Any) -> dict[str, Any]:
     times = [first + pace * n for n in range(4)]
     return {
-        "outcome": "served", "engine": "e", "times": times, "events": 4, "tokens": 4, "prompt_tokens": 9,
-        "finish": "stop", "whole": True, "octets": 50, "length": len(text), "cut": False,
-        "words": chain(KEY, text), **changes,
+        "outcome": "served",
+        "engine": "e",
+        "times": times,
+        "events": 4,
+        "tokens": 4,
+        "prompt_tokens": 9,
+        "finish": "stop",
+        "whole": True,
+        "octets": 50,
+        "length": len(text),
+        "cut": False,
+        "words": chain(KEY, text),
+        **changes,
     }
 
 
@@ -32,11 +42,18 @@
     luck, found = random.Random(3), []
     for n in range(number):
         first, pace = luck.gauss(100, 10), luck.gauss(10, 1)
-        found.append({
-            "time": n, "router": "n0", "request": str(n), "class": ("a", "b")[n % 2], "tenant": "acme",
-            "prompt_tokens": 500 if n % 4 else 5000, "live": answer(first, pace),
-            "copy": answer(first * (1 + slower) + luck.gauss(0, 1), pace, **copy),
-        })
+        found.append(
+            {
+                "time": n,
+                "router": "n0",
+                "request": str(n),
+                "class": ("a", "b")[n % 2],
+                "tenant": "acme",
+                "prompt_tokens": 500 if n % 4 else 5000,
+                "live": answer(first, pace),
+                "copy": answer(first * (1 + slower) + luck.gauss(0, 1), pace, **copy),
+            }
+        )
     return found
 
 
@@ -48,7 +65,12 @@
     assert abs(everyone.first_difference[1]) < 0.01
     assert everyone.live.first_ms["p50"] == pytest.approx(100, rel=0.02)
     assert {g.name for g in good.groups} == {
-        "all", "class a", "class b", "tenant acme", "under 1000 tokens", "under 8000 tokens",
+        "all",
+        "class a",
+        "class b",
+        "tenant acme",
+        "under 1000 tokens",
+        "under 8000 tokens",
     }
     slow = c.report(made(400, slower=0.2), c.Bounds())
     assert slow.verdict == "hold" and any("first event" in reason for reason in slow.reasons)
@@ -98,10 +120,21 @@
             spool.append(orjson.dumps(pair) + b"\n")
         spool.complete()
     log = tmp_path / "log"
-    log.write_bytes(orjson.dumps({
-        "event": "shadow_counts", "copied": 300, "pairs": 300, "pairs_dropped": 0, "out": 0, "allowance": 1.0,
-        "breaker": "closed", "dropped": {"requests a second": 7},
-    }) + b'\n{"event":"shadow_counts"')
+    log.write_bytes(
+        orjson.dumps(
+            {
+                "event": "shadow_counts",
+                "copied": 300,
+                "pairs": 300,
+                "pairs_dropped": 0,
+                "out": 0,
+                "allowance": 1.0,
+                "breaker": "closed",
+                "dropped": {"requests a second": 7},
+            }
+        )
+        + b'\n{"event":"shadow_counts"'
+    )
     words = ["shadow", "report", str(tmp_path / "a"), str(tmp_path / "b"), "--log", str(log)]
     words += ["--html", str(tmp_path / "page.html"), "--csv", str(tmp_path / "table.csv")]
     done = CliRunner().invoke(main, words, standalone_mode=False)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -46,7 +46,10 @@
 
 @settings(derandomize=True, max_examples=25, deadline=None)
 @given(
-    st.floats(0.0, COLD_MS), st.floats(0.0, COLD_MS), st.booleans(), st.floats(0.1, 20.0),
+    st.floats(0.0, COLD_MS),
+    st.floats(0.0, COLD_MS),
+    st.booleans(),
+    st.floats(0.1, 20.0),
     st.sampled_from([1, 20, 30, 200]),
 )
 def test_an_engine_once_open_to_a_request_stays_so_whoever_asks(
@@ -74,21 +77,33 @@
     assert router.pool.mean_work == pytest.approx(8000.0, rel=0.1)
 
 
-@pytest.mark.parametrize("traffic", [
-    Traffic(work_sigma=1.2), Traffic(moved_ms=3000.0), Traffic(churn=0.5, busiest=8.0, lead_ms=0.0),
-    Traffic(zipf=1.3, hot=0.3), Traffic(attempts=3), Traffic(told_ms=1500.0),
-])
+@pytest.mark.parametrize(
+    "traffic",
+    [
+        Traffic(work_sigma=1.2),
+        Traffic(moved_ms=3000.0),
+        Traffic(churn=0.5, busiest=8.0, lead_ms=0.0),
+        Traffic(zipf=1.3, hot=0.3),
+        Traffic(attempts=3),
+        Traffic(told_ms=1500.0),
+    ],
+)
 def test_what_all_routers_may_send_makes_hardly_an_engine_fall(traffic: Traffic) -> None:
     """Of 144 starts two at most: at a chance of 0.002 (`benchmarks/cold_engines.py`) more are one in 300."""
-    started = [one for rule in (FIRST, SECOND, SMALL) for nodes in (1, 20, 30, 200)
-               for one in play(nodes, rule, 1, traffic, engines=30, cold=12)]
+    started = [
+        one
+        for rule in (FIRST, SECOND, SMALL)
+        for nodes in (1, 20, 30, 200)
+        for one in play(nodes, rule, 1, traffic, engines=30, cold=12)
+    ]
     assert sum(one.broke for one in started) <= 2, max(one.worst for one in started)
 
 
 @pytest.mark.parametrize("rule", [FIRST, SECOND, SMALL])
 def test_an_engine_is_open_to_half_of_its_budget(rule: Rule) -> None:
-    started = [one for seed in range(6)
-               for one in play(20, rule, seed, Traffic(attempts=30), engines=30, cold=6)]
+    started = [
+        one for seed in range(6) for one in play(20, rule, seed, Traffic(attempts=30), engines=30, cold=6)
+    ]
     assert sum(one.used for one in started) / len(started) > 0.46
 
 
@@ -98,7 +113,11 @@
     They bear so little that their reports alone, late as they are, do not keep enough from them.
     """
     figures = Figures(
-        per_s=PER_S, cold_from=0.02, cold_ms=4 * COLD_MS, overload_factor=1.0, tip_after_ms=4000.0,
+        per_s=PER_S,
+        cold_from=0.02,
+        cold_ms=4 * COLD_MS,
+        overload_factor=1.0,
+        tip_after_ms=4000.0,
     )
     with cluster(
         tmp_path, {"a": ENGINES}, ["a"] * ROUTERS, gates=False, control=False, figures=figures
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -50,7 +50,10 @@
 def known(hello: Any, life: int, **told: Any) -> Known:
     """What a member answers to one that begins."""
     return Known(
-        src=hello.dst, dst="m0", life=life, mark=hello.mark,
+        src=hello.dst,
+        dst="m0",
+        life=life,
+        mark=hello.mark,
         **{"term": 0, "last_index": 0, "leads": False, "sure": True, **told},
     )
 
@@ -183,10 +186,16 @@
 
 
 DIALOGUES = [
-    a_vote_outlives_its_process, one_vote_a_term, no_vote_for_a_log_that_lacks_entries,
-    an_older_terms_entry_is_committed_only_behind_one_of_its_own, what_is_not_compared_is_not_committed,
-    entries_follow_what_the_leader_has, what_another_leader_wrote_gives_way, a_majority_is_more_than_half,
-    what_is_answered_for_is_saved, what_a_member_had_before_it_began_with_an_older_file_is_not_counted,
+    a_vote_outlives_its_process,
+    one_vote_a_term,
+    no_vote_for_a_log_that_lacks_entries,
+    an_older_terms_entry_is_committed_only_behind_one_of_its_own,
+    what_is_not_compared_is_not_committed,
+    entries_follow_what_the_leader_has,
+    what_another_leader_wrote_gives_way,
+    a_majority_is_more_than_half,
+    what_is_answered_for_is_saved,
+    what_a_member_had_before_it_began_with_an_older_file_is_not_counted,
     who_began_with_an_older_file_takes_no_part_until_it_has_all,
 ]
 
@@ -340,8 +349,13 @@
     later = sqlite3.connect(tmp_path / "m0")
     later.execute("pragma user_version=2")
     later.close()
-    found = {"torn": "damaged|malformed", "flipped": "damaged|malformed", "other": "not a database",
-             "foreign": "not a file of", "m0": "version 2"}
+    found = {
+        "torn": "damaged|malformed",
+        "flipped": "damaged|malformed",
+        "other": "not a database",
+        "foreign": "not a file of",
+        "m0": "version 2",
+    }
     for name, why in found.items():
         with pytest.raises(DiskError, match=why):
             Disk(tmp_path / name, "m0").load()
--- a/tests/test_taps.py
+++ b/tests/test_taps.py
@@ -63,8 +63,13 @@
         assert passed == sum(map(len, EVENTS)) and name == "e0" and theirs > ours
         told = [t for t in listener.heard if t[0] != "passed"]
         assert told == [
-            ("opened", Side.CLIENT, ours, ""), ("taken", ours), ("opened", Side.ENDPOINT, theirs, "e0"),
-            ("sent", theirs), ("started", theirs), ("ended", i.Outcome.SERVED), ("over", "served"),
+            ("opened", Side.CLIENT, ours, ""),
+            ("taken", ours),
+            ("opened", Side.ENDPOINT, theirs, "e0"),
+            ("sent", theirs),
+            ("started", theirs),
+            ("ended", i.Outcome.SERVED),
+            ("over", "served"),
             ("closing", Why.DONE, ours),
         ]
         counted = listener.counters[ours]
