Split the client's and the engines' side of the request path into modules of one job

Now net/client.py (a client's connection and its answers), net/request_facts.py, net/inbound.py (listener, drain), net/endpoint.py (attempts, probes), net/connection_pool.py, net/engine_answer.py and net/load_report.py; what a connection asks of its listener and what the pool asks of the list of endpoints are Protocols.

--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -21,10 +21,11 @@
 from spoolbarrow.config import Config
 from spoolbarrow.handover import Handover, Torn
 from spoolbarrow.net import passing
-from spoolbarrow.net.endpoint import Underway
+from spoolbarrow.net.client import Client
+from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.grace import grace
 from spoolbarrow.net.host import Host
-from spoolbarrow.net.inbound import Client, Inbound
+from spoolbarrow.net.inbound import Inbound
 from spoolbarrow.net.log import log
 
 
--- /dev/null
+++ b/spoolbarrow/net/client.py
@@ -0,0 +1,452 @@
+"""A client's connection: requests read from it, their answers written to it."""
+
+from __future__ import annotations
+
+import select
+from typing import Protocol
+
+import gevent
+import orjson
+from gevent import socket
+from gevent.event import Event
+
+from spoolbarrow.config import Config
+from spoolbarrow.net import http1, tcpinfo
+from spoolbarrow.net.host import Host
+from spoolbarrow.net.http1 import Fault, Message
+from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.request import Request
+from spoolbarrow.net.request_facts import read_facts
+from spoolbarrow.net.taps import Side, Why
+
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what poll tells of a peer's end
+CHAT, UP = b"/v1/chat/completions", b"/up"
+AHEAD = 4  # requests read ahead of the one that is served; then the client must wait
+DISCARD_PAUSE_S = 0.001  # between reads of what a client still sends after its error
+GONE_S = 0.05  # between looks for a client's end while it is not read: half of what it may go unseen
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
+
+
+class Owner(Protocol):
+    """What a connection asks of the listener that accepted it."""
+
+    config: Config
+    host: Host
+    buffer: bytearray
+    held: int
+    closing: bool
+    refusing_ms: float | None
+    sent_away: bool
+
+    def ready(self) -> bool:
+        """Whether clients may be sent here."""
+
+    def gone(self, client: Client) -> None:
+        """A client's connection is closed."""
+
+
+def _retry_after(ms: float) -> bytes:
+    return b"Retry-After: %.3f" % (ms / 1000) if ms > 0 else b"Retry-After: 0"
+
+
+class Exchange:
+    """One request and its answer on a client's connection: the host's Answer."""
+
+    def __init__(self, client: Client, message: Message) -> None:
+        self.client, self.message = client, message
+        self.request: Request | None = None
+        self._begun = False
+        # An answer late in a drain tells the client to come back by another connection.
+        self._close = not message.keep_alive
+
+    def peer(self) -> str:
+        """The client's address; empty where it has gone."""
+        try:
+            address: str = self.client.sock.getpeername()[0]
+        except OSError:
+            return ""
+        return address
+
+    def gone(self) -> bool:
+        """Whether its client has closed, reset or half-closed the connection."""
+        return self.client.gone()
+
+    def fail_fast(self, retry_after_ms: float, header: bytes = b"") -> None:
+        """Declined: 503, with when to come back."""
+        after = _retry_after(retry_after_ms)
+        self.whole(503, "fail-fast: try again later", *((after, header) if header else (after,)))
+
+    def fail(self, late: bool) -> None:
+        """Failed: 504 at the deadline, else 502."""
+        self.whole(504 if late else 502, "failed")
+
+    def reject(self) -> None:
+        """The endpoint can't use it: 400."""
+        self._close = True
+        self.whole(400, "no endpoint can use this request")
+
+    def refuse(self, fault: Fault) -> None:
+        """The message is not taken: its client is told why, and its connection ends."""
+        # Guards the CPU: a client that repeats what is turned away must come back through the listener.
+        self._close = True
+        log("bad_request", status=fault.status, why=fault.reason)
+        self.whole(fault.status, fault.reason, *fault.headers)
+
+    def whole(self, status: int, reason: str, *headers: bytes) -> None:
+        """A whole answer, written by a greenlet of its own: the caller must not wait for a slow client."""
+        body = orjson.dumps({"error": {"message": reason, "code": status}}) if status != 200 else b"{}"
+        closing = self._closing()
+        pieces = http1.answer_pieces(status, body, closing, *headers)
+        gevent.spawn(self._write_whole, pieces, closing)
+
+    def pass_on(self, parts: list[bytes]) -> None:
+        """Events of the stream, as they come; blocks while the client is slow."""
+        pieces = []
+        if not self._begun:
+            self._begun = True
+            self.message.body = b""  # nothing more is sent for it, and a stream may be long
+            self.client.count()
+            pieces.append(STREAM_HEAD)
+            if self._closing() or not self.message.chunks:
+                self._close = True
+                pieces.append(b"Connection: close\r\n")
+            pieces.append(b"Transfer-Encoding: chunked\r\n\r\n" if self.message.chunks else b"\r\n")
+        for part in parts:
+            pieces += (b"%x\r\n" % len(part), part, b"\r\n") if self.message.chunks else (part,)
+        try:
+            self.client.write(pieces)
+        except OSError:
+            self.client.lost()
+            raise
+
+    def end(self) -> None:
+        """The last chunk."""
+        pieces = [b"0\r\n\r\n"] if self.message.chunks else []
+        gevent.spawn(self._write_whole, pieces, self._close)
+
+    def closes(self) -> bool:
+        """Whether its client was told that the connection ends with this answer."""
+        return self._close
+
+    def begun(self) -> None:
+        """Another process of this router has written its head already."""
+        self._begun = True
+
+    def abort(self) -> None:
+        """No last chunk: the connection's end tells the client that the stream broke."""
+        self.client.break_off()
+
+    def _closing(self) -> bool:
+        """Whether the connection ends with this answer: never before what was sent behind it is answered."""
+        going = self.client.inbound.closing or self.client.inbound.sent_away
+        return self._close or (going and not self.client.asked_more())
+
+    def _write_whole(self, pieces: list[bytes], closing: bool) -> None:
+        try:
+            self.client.write(pieces)
+        except OSError:
+            return self.client.lost()
+        except Exception as error:
+            unexpected("answer", error)
+            return self.client.lost()
+        self.client.served(closing)
+
+
+class Client:
+    """A client's connection: its greenlet reads all the time, so that a client that leaves is noticed."""
+
+    def __init__(self, inbound: Owner, sock: socket.socket) -> None:
+        self.inbound, self.sock = inbound, sock
+        self.exchange: Exchange | None = None
+        self.number = inbound.host.taps.opened(Side.CLIENT, sock, inbound.host.now())
+        self.since = inbound.host.now()  # it was opened or became idle, or a later request began
+        self.fresh = True  # nothing was answered on it yet
+        self.writing_since = 0.0  # when a write began that the client has not taken yet
+        self._first_byte = 0.0
+        self._arrived: list[float] = []
+        options = inbound.config.options
+        self._parser = http1.RequestParser(options.max_head, options.max_body)
+        self._room = Event()
+        self._held = 0
+        self._closed = False
+        self._paused = False  # its reader is to end without the connection
+        self.reader: gevent.Greenlet[[], None] | None = None
+        self.ending = False  # its last answer is written; only the client's end is waited for
+
+    def idle(self) -> bool:
+        """Whether nothing is under way on it, as far as was read; not while another process may take it."""
+        gone = self._closed or self._paused
+        return not (gone or self.exchange or self._parser.reading or self._parser.whole)
+
+    def unread(self) -> bool:
+        """Whether the kernel holds something that its client sent."""
+        return not self._closed and http1.polled(self.sock, select.POLLIN) != 0
+
+    def gone(self) -> bool:
+        """Whether its client has closed, reset or half-closed it, whatever stands unread before that end.
+
+        Never waits. Where the system does not tell, the client counts as there: its reader comes to the end.
+        """
+        if self._closed:
+            return True
+        told = http1.polled(self.sock, select.POLLIN | select.POLLRDHUP)
+        if not told or told & ENDED:
+            return told != 0
+        # Guards against a system that tells of no half-close: the end is then what is read next.
+        self.sock.settimeout(0.0)
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self.sock.settimeout(None)
+
+    def answered(self) -> bool:
+        """Whether its client's machine has all that was written to it."""
+        return not tcpinfo.awaits_peer(self.sock)
+
+    def asked_more(self) -> bool:
+        """Whether its client sent something behind the request that is served."""
+        return bool(self._parser.reading or self._parser.whole) or self.unread()
+
+    def hurry(self, retry_after_ms: float) -> None:
+        """Refuse a request that is still half read: there is no time left for the rest of it."""
+        if self._parser.reading and self.exchange is None and not (self.ending or self.unread()):
+            self._parser.fault = Fault(503, "no time for the rest", _retry_after(retry_after_ms))
+            self._advance()
+
+    def run(self) -> None:
+        """Read until the client goes."""
+        view = memoryview(self.inbound.buffer)
+        try:
+            while not self.ending:
+                size = self.sock.recv_into(view)
+                if not size:
+                    break
+                try:
+                    self._fed(view[:size])
+                except OSError:
+                    raise
+                except Exception as error:
+                    unexpected("client", error)
+                    self._parser.fault = Fault(500, "internal error")  # its client is told all the same
+                    self._distrust()
+                    self._advance()
+                parser = self._parser
+                while (parser.fault is not None or len(parser.whole) > AHEAD) and not self.ending:
+                    self._room.clear()  # bounded: what follows a fault, or comes far ahead, is not read
+                    if not self._room.wait(GONE_S) and parser.fault is None and self.gone():
+                        return  # its end stands behind what is not read
+                gevent.sleep(0)  # guards the others: a client that sends at full speed is always readable
+            if self.ending:
+                self._linger(view)
+        except OSError:
+            pass  # reset by the client, or closed by this side
+        except Exception as error:
+            unexpected("client", error)
+        finally:
+            if not self._paused:
+                self.lost()
+
+    def go_on(self) -> None:
+        """Begin, or begin again, to read what the client sends."""
+        self._paused = False
+        self.reader = gevent.spawn(self.run)
+
+    def pause(self) -> bool:
+        """Stop reading, if the client has sent nothing that is not read and answered; whether it did."""
+        parser = self._parser
+        busy = self.ending or parser.reading or parser.whole or parser.fault is not None
+        if busy or self.unread() or self.reader is None:
+            return False
+        self._paused = True
+        self.reader.kill()
+        return not self._closed
+
+    def paused(self) -> bool:
+        """Whether nobody reads: it is on its way to another process of this router."""
+        return self._paused
+
+    def detach(self) -> None:
+        """The connection is another process's now: only this one's descriptor is closed."""
+        self.exchange = None
+        self.close(Why.DONE)
+        self.count()
+
+    def write(self, pieces: list[bytes]) -> None:
+        """Write some of an answer; blocks while the client is slow."""
+        self.writing_since = self.inbound.host.now()
+        http1.send_pieces(self.sock, pieces)
+        self.writing_since = 0.0
+
+    def served(self, closing: bool) -> None:
+        """The answer under way is written: go on to the next request."""
+        self.exchange, self.fresh = None, False
+        self.count()
+        self.since = self.inbound.host.now()
+        if closing:
+            self._finish()
+        else:
+            self._advance()
+
+    def break_off(self) -> None:
+        """End the connection with what was written as the last.
+
+        Guards events that its client has not had: closed over bytes that it sent meanwhile, the kernel would
+        reset the connection, and what it still holds would go with it.
+        """
+        if self._closed or not (self.unread() or tcpinfo.awaits_peer(self.sock)):
+            self.close()
+        else:
+            self._finish()
+
+    def lost(self) -> None:
+        """The client has gone, or must go: nothing more is read or written."""
+        self.close()
+        exchange, self.exchange = self.exchange, None
+        self.count()
+        if exchange is not None and exchange.request is not None:
+            self.inbound.host.client_left(exchange.request)
+
+    def close(self, why: Why | None = None) -> None:
+        """End the connection; its reader, woken by that, does the rest."""
+        if not self._closed:
+            self._closed = self.ending = True
+            if why is None:
+                why = Why.DONE if self.exchange is None and not self._parser.reading else Why.BROKEN
+            self.inbound.host.taps.closing(self.number, why)
+            self._room.set()
+            self.sock.close()
+            self.inbound.gone(self)
+
+    def overdue(self) -> None:
+        """Its request did not become whole in time, or it asked nothing: tell it, and go on to its end.
+
+        One that was answered before is closed without a word: that could pass for its next request's answer.
+        """
+        if self.fresh or self._parser.reading:
+            self._parser.fault = Fault(408, "no whole request in time")
+            self._advance()
+        else:
+            self.close(Why.IDLE)
+
+    def _fed(self, data: memoryview) -> None:
+        parser, now = self._parser, self.inbound.host.now()
+        was_reading, had = parser.reading, len(parser.whole)
+        parser.feed(data)
+        self.count()
+        if not was_reading:
+            # What the kernel held while nobody read it has waited already: its client counts from sending.
+            self._first_byte = now - tcpinfo.last_received_ms(self.sock)
+        for _ in range(len(parser.whole) - had):
+            self._arrived.append(self._first_byte)
+            self._first_byte = now
+        if parser.reading and self.inbound.held > self.inbound.config.max_held:
+            # Guards the memory: bodies that never become whole count as well.
+            parser.fault = parser.fault or Fault(503, "no room", b"Retry-After: 1")
+        if parser.fault is not None:
+            self._distrust()
+        if self.exchange is None:
+            if parser.awaits_continue:
+                parser.awaits_continue = False
+                http1.send_pieces(self.sock, [b"HTTP/1.1 100 Continue\r\n\r\n"])
+            if parser.reading and not was_reading and not self.fresh:
+                self.since = now
+            self._advance()
+
+    def _distrust(self) -> None:
+        """What follows a request can't be read: its length was wrong, and it is not what its client meant.
+
+        Guards against passing on a part of a request, or one hidden in another's body.
+        """
+        self._parser.whole.clear()
+        request = self.exchange.request if self.exchange is not None else None
+        if request is not None and not request.over and request.stream is None:
+            self.exchange = None
+            self.inbound.host.client_left(request)
+
+    def _advance(self) -> None:
+        """Serve the next request that is whole, or tell what is wrong with what came."""
+        parser = self._parser
+        if self.exchange is not None or self.ending:
+            return
+        if parser.whole:
+            message = parser.whole.popleft()
+            self._room.set()
+            self.exchange = Exchange(self, message)
+            try:
+                self._serve(self.exchange, message, self._arrived.pop(0))
+            except Fault as error:
+                self._turned_away(message, "failed")
+                self.exchange.refuse(error)
+            except Exception as error:
+                unexpected("inbound", error)
+                self._turned_away(message, "failed")
+                self.exchange.whole(500, "internal error")
+        elif parser.fault is not None:
+            self.exchange = Exchange(self, Message(keep_alive=False))
+            self.exchange.refuse(parser.fault)
+
+    def _serve(self, exchange: Exchange, message: Message, arrived: float) -> None:
+        inbound, path = self.inbound, message.path()
+        wanted = {CHAT: b"POST", UP: b"GET"}.get(path)
+        if wanted is None:
+            raise Fault(404, "no such path")
+        if message.method != wanted:
+            raise Fault(405, f"{path.decode()} takes {wanted.decode()}", b"Allow: " + wanted)
+        if path == UP:
+            return exchange.whole(200 if inbound.ready() else 503, "not ready")
+        facts, budget = read_facts(message, inbound.config)
+        name = message.fields[b"x-correlation-id"].decode("latin-1")
+        if inbound.host.is_open(name):
+            # Guards the request of that name: an endpoint could not tell the two apart.
+            raise Fault(409, "X-Correlation-Id: a request of this name is open")
+        settings, options = inbound.config.settings, inbound.config.options
+        if inbound.refusing_ms is not None:
+            self._turned_away(message, "fail_fast")
+            return exchange.fail_fast(inbound.refusing_ms)
+        # Guards against running out of memory or over what the platform allows to be open at once.
+        if inbound.held > inbound.config.max_held or inbound.host.open_requests() >= settings.max_open:
+            log("no_room", held=inbound.held, open=inbound.host.open_requests())
+            self._turned_away(message, "fail_fast")
+            return exchange.fail_fast(settings.max_retry_after_ms)
+        deadline = arrived + budget - options.answer_margin_ms
+        if deadline <= inbound.host.now():
+            self._turned_away(message, "failed")
+            return exchange.fail(True)
+        if self.gone():  # also where its end came while the connection waited to be accepted
+            self._turned_away(message, "left")
+            return self.lost()
+        exchange.request = inbound.host.submit(name, message, exchange, deadline, facts, self.number)
+
+    def _turned_away(self, message: Message, how: str) -> None:
+        """Tell whoever watches, where the request names a class."""
+        taps, config = self.inbound.host.taps, self.inbound.config
+        name = message.fields.get(b"x-service-class", b"").decode("latin-1")
+        if taps.active and message.path() == CHAT and name in config.classes:
+            taps.turned_away(config.classes[name], how)
+
+    def count(self) -> None:
+        """Keep the account of the bodies that this connection holds in memory."""
+        held = self._parser.held() + (len(self.exchange.message.body) if self.exchange else 0)
+        if self._closed:
+            held = 0
+        self.inbound.held += held - self._held
+        self._held = held
+
+    def _finish(self) -> None:
+        """Say that nothing more comes, then let the reader see the client's end."""
+        self.ending, self.since = True, self.inbound.host.now()
+        self._room.set()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+
+    def _linger(self, view: memoryview) -> None:
+        """Guards the answer: closed with bytes unread, the kernel would reset the connection under it."""
+        with gevent.Timeout(self.inbound.config.options.linger_ms / 1000, False):  # type: ignore[arg-type]
+            while self.sock.recv_into(view):
+                gevent.sleep(DISCARD_PAUSE_S)
--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -1,55 +1,28 @@
-"""Endpoints: the connections to them, attempts at requests, probes."""
+"""Attempts at requests, and probes: each carried out by a greenlet of its own."""
 
 from __future__ import annotations
 
-import time
-from collections import deque
-from select import POLLIN
 from typing import Protocol
 
 import gevent
-import msgspec
-from gevent.socket import MSG_PEEK, socket
+from gevent.socket import socket
 
 from spoolbarrow import interface as i
-from spoolbarrow.config import Address, Config, Options
-from spoolbarrow.net import http1, tcpinfo
+from spoolbarrow.config import Config
+from spoolbarrow.net import http1
+from spoolbarrow.net.connection_pool import Connection, ConnectionPool
 from spoolbarrow.net.destinations import DestinationSet
+from spoolbarrow.net.engine_answer import TAIL, AnswerReader, Underway
+from spoolbarrow.net.load_report import LOAD, kept_tokens, parse_load, tail_report
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.request import Attempt
-from spoolbarrow.net.taps import Side, Taps, Why
-from spoolbarrow.wire import load_report
+from spoolbarrow.net.taps import Taps, Why
 
 RECV = 65536  # bytes read at once
-SETTLE_MS = 5.0  # a connection rests so long: a second answer straight after must not pass for the next
-LONGEST_SETTLE_MS = 1000.0  # where an endpoint's unasked bytes came later, its connections rest longer
-SETTLE_FACTOR = 4.0  # so many times as late as they came
-TAIL = 4096  # bytes kept of a stream's end, where it tells its usage
 DONE = b"\ndata: [DONE]"  # a stream's last event
-LAST_CHUNK, END = b"\r\n0\r\n", b"0\r\n\r\n"  # with what is before it; to the end, without trailers
-MOST_UNREAD = 1 << 20  # bytes in the kernel that are searched for a stream's end
 NOT_RUN = b"x-unprocessed"
-LOAD = b"x-backend-load"
 KIND, STREAM = b"content-type", b"text/event-stream"
 CLIENTS_FAULT = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # others would say the same
-SHORT_LOG_MS = 5000.0  # between lines of the log about a lack of connections
-MAX_LOAD = 1e6  # nothing that is reported is larger
-SHORT_NAMES = {"util": "load_share", "queue": "depth"}  # as sockets name them: the settings' names
-
-
-class _Details(msgspec.Struct):
-    cached_tokens: int = 0
-
-
-class _Usage(msgspec.Struct):
-    prompt_tokens_details: _Details | None = None
-
-
-class _Event(msgspec.Struct):
-    usage: _Usage | None = None
-
-
-_event = msgspec.json.Decoder(_Event)
 
 
 class NotSent(Exception):
@@ -82,210 +55,12 @@
         """Between two chunks of a stream: whether it has just gone to another process of this router."""
 
 
-class Connection:
-    """One connection to an endpoint; one request at a time goes over it."""
-
-    def __init__(self, endpoint: str, address: Address, sock: socket, number: int) -> None:
-        self.endpoint, self.address, self.sock, self.number = endpoint, address, sock, number
-        self.idle_since = 0.0
-
-    def stale(self) -> bool:
-        """Whether the other side closed it or said something unasked while it was idle."""
-        return http1.polled(self.sock, POLLIN) != 0
-
-    def unasked_ms(self, now: float) -> float:
-        """How long after it became idle unasked bytes came, ms; 0 where none did."""
-        try:
-            spoke = bool(self.sock.recv(1, MSG_PEEK))  # else it is its end that was noticed
-            return now - tcpinfo.last_received_ms(self.sock) - self.idle_since if spoke else 0.0
-        except OSError:
-            return 0.0
-
-
-class Underway:
-    """An attempt that was written, and its answer as far as it has come."""
-
-    def __init__(self, attempt: Attempt, connection: Connection, parser: http1.ResponseParser) -> None:
-        self.attempt, self.connection, self.parser = attempt, connection, parser
-        self.tail = b""  # the last of what was passed on
-        self.claimed = False  # its stream is the client's
-        self.passing = False  # on its way to another process of this router
-
-    def stays(self) -> bool:
-        """Whether it must not be broken off: its endpoint has finished it, or another process may have it.
-
-        Guards streams whose clients read slowly: their ends stand unread in the kernel. One whose last event
-        has come ends at once; a silent endpoint is noticed as ever.
-        """
-        if self.passing or self.parser.whole or DONE in b"\n" + self.tail:
-            return True
-        try:
-            unread = self.connection.sock.recv(MOST_UNREAD, MSG_PEEK) if self.connection.stale() else b""
-        except OSError:
-            return False
-        # The last chunk, perhaps with trailers; of one that is half read the rest.
-        last = LAST_CHUNK in b"\r\n" + unread[-TAIL:] and unread.endswith(b"\r\n\r\n")
-        return last or (bool(unread) and END.endswith(unread))
-
-
-class AnswerReader:
-    """Reads an answer, each of its pieces in good time.
-
-    Guards against spoilt answers whose connection stays open: nothing else would end them. An endpoint that
-    writes a head or a chunk has the whole of it, so what has begun ends soon; time is needed between them.
-    """
-
-    def __init__(
-        self, parser: http1.ResponseParser, sock: socket, buffer: bytearray, options: Options
-    ) -> None:
-        self._parser, self._sock, self._buffer, self._options = parser, sock, buffer, options
-        self._piece, self._left_s = -1, 0.0  # the piece that has begun, and how long it may still take
-
-    def read(self) -> None:
-        """Parse what comes next; Fault where a piece does not end, TimeoutError where a stream stops."""
-        parser = self._parser
-        begun = parser.in_chunk or parser.in_size or (parser.begun and not parser.headed)
-        if begun:
-            if self._piece != parser.pieces:
-                self._piece, self._left_s = parser.pieces, self._options.piece_ms / 1000
-            # The time that its client needs to take it does not count: only that spent here.
-            before = time.monotonic()
-            try:
-                self._sock.settimeout(max(self._left_s, 0.001))
-                parser.read(self._sock, self._buffer)
-            except TimeoutError:
-                raise http1.Fault(502, "no end of a head or a chunk") from None
-            self._left_s -= time.monotonic() - before
-            if self._left_s <= 0 and self._piece == parser.pieces:
-                raise http1.Fault(502, "no end of a head or a chunk")
-        else:
-            self._sock.settimeout(self._options.stream_silence_ms / 1000 if parser.headed else None)
-            parser.read(self._sock, self._buffer)
-
-
-class Pool:
-    """Connections to all endpoints, within the machine's limit."""
-
-    def __init__(self, config: Config, destinations: DestinationSet, host: Caller) -> None:
-        self._destinations, self._host = destinations, host
-        # By endpoint, not by address: another one may come to listen where one has gone.
-        self._idle: dict[str, deque[Connection]] = {}
-        self._settle: dict[str, float] = {}  # ms that connections rest, where it is not SETTLE_MS
-        self._open = 0
-        # For lack of connections, since the last line of the log about it: how many, why, and its time.
-        self._unsent, self._short_of, self._logged_at = 0, "", -SHORT_LOG_MS
-        self.apply(config)
-
-    def apply(self, config: Config) -> None:
-        """Go by a new configuration."""
-        self._config = config
-        # Guards against writing to a connection just as the endpoint closes it for idleness.
-        self._idle_ms = config.idle_ms - min(2000.0, 0.2 * config.idle_ms)
-
-    def take(self, endpoint: str) -> Connection:
-        """An idle connection, else a new one; OSError where none comes up, Shortage where none can be had."""
-        address = self._destinations.address(endpoint)
-        if address is None:
-            raise OSError("no address")
-        idle = self._idle.get(endpoint)
-        settled = self._host.now() - self._settle.get(endpoint, SETTLE_MS)
-        while idle and idle[0].idle_since <= settled:
-            # The warmest that is settled: the others grow old and are dropped.
-            place = max(n for n, connection in enumerate(idle) if connection.idle_since <= settled)
-            connection = idle[place]
-            del idle[place]
-            if self._host.now() - connection.idle_since < self._idle_ms and not connection.stale():
-                return connection
-            self._learn_settle(connection)
-            self.drop(connection)
-        if self._open >= self._config.max_outbound and not self._make_room():
-            raise self._short(http1.Shortage("all places for connections to endpoints are taken"))
-        self._open += 1
-        try:
-            sock = http1.connect(address, self._config.connect_timeout_ms / 1000)
-            number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
-            return Connection(endpoint, address, sock, number)
-        except BaseException as error:  # a cancelled attempt's GreenletExit too: the count must stay true
-            self._open -= 1
-            if isinstance(error, http1.Shortage):
-                self._short(error)
-            raise
-
-    def _short(self, error: http1.Shortage) -> http1.Shortage:
-        """Kept for the log: one line for many, since a shortage meets all that is sent."""
-        self._unsent, self._short_of = self._unsent + 1, str(error)
-        return error
-
-    def adopt(self, endpoint: str, sock: socket) -> Connection:
-        """A connection that another process of this router opened; OSError where it has ended."""
-        address = self._destinations.address(endpoint) or sock.getpeername()
-        number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
-        self._open += 1
-        return Connection(endpoint, address, sock, number)
-
-    def _learn_settle(self, connection: Connection) -> None:
-        """Guards against a second answer that comes so late that it passes for the next request's."""
-        late = SETTLE_FACTOR * connection.unasked_ms(self._host.now())
-        settle = min(late, LONGEST_SETTLE_MS)
-        if settle > self._settle.get(connection.endpoint, SETTLE_MS):
-            self._settle[connection.endpoint] = settle
-            log("unasked", endpoint=connection.endpoint, settle_ms=round(settle))
-
-    def give_back(self, connection: Connection) -> None:
-        """Keep a connection for the next request, if its endpoint is still the one that it leads to."""
-        endpoint = connection.endpoint
-        current = self._destinations.address(endpoint) == connection.address
-        if not (current and self._destinations.serving(endpoint)):
-            return self.drop(connection)
-        connection.sock.settimeout(None)
-        connection.idle_since = self._host.now()
-        self._idle.setdefault(endpoint, deque()).append(connection)
-
-    def drop(self, connection: Connection, why: Why = Why.DONE) -> None:
-        """Close a connection."""
-        self._open -= 1
-        self._host.taps.closing(connection.number, why)
-        connection.sock.close()
-
-    def forget(self, endpoint: str) -> None:
-        """Drop the idle connections to an endpoint that is gone, drains, or is no longer what it was."""
-        self._settle.pop(endpoint, None)
-        for connection in self._idle.pop(endpoint, ()):
-            self.drop(connection)
-
-    def sweep(self) -> None:
-        """Drop what has stood idle too long, and tell the log of a lack of connections."""
-        oldest = self._host.now() - self._idle_ms
-        for endpoint, idle in list(self._idle.items()):
-            while idle and idle[0].idle_since <= oldest:
-                self.drop(idle.popleft(), Why.IDLE)
-            if not idle:
-                del self._idle[endpoint]
-        if self._unsent and self._host.now() - self._logged_at >= SHORT_LOG_MS:
-            log("no_room_for_attempts", unsent=self._unsent, why=self._short_of)
-            self._unsent, self._logged_at = 0, self._host.now()
-
-    def close(self) -> None:
-        """Drop all idle connections."""
-        for idle in self._idle.values():
-            while idle:
-                self.drop(idle.pop(), Why.ENDED)
-
-    def _make_room(self) -> bool:
-        """Drop the connection that has stood idle longest."""
-        waiting = [idle for idle in self._idle.values() if idle]
-        if not waiting:
-            return False
-        self.drop(min(waiting, key=lambda idle: idle[0].idle_since).popleft(), Why.ROOM)
-        return True
-
-
 class Endpoints:
     """Carries out attempts and probes, each in a greenlet of its own."""
 
     def __init__(self, config: Config, destinations: DestinationSet, host: Caller) -> None:
         self._config, self._destinations, self._host = config, destinations, host
-        self._pool = Pool(config, destinations, host)
+        self._pool = ConnectionPool(config, destinations, host)
         self._buffer = bytearray(RECV)  # one for all: what is read is parsed before another greenlet runs
         self._sweeper = gevent.spawn(self._sweep)
 
@@ -393,8 +168,8 @@
                         whole = True  # for this process: only its descriptor is closed
                         return i.Outcome.CANCELLED, 0, None
             whole, reusable = True, parser.reusable
-            report = parse_load(parser.fields.get(LOAD, b"")) or _tail_report(underway.tail)
-            return self._outcome(attempt, parser), _kept_tokens(underway.tail), report
+            report = parse_load(parser.fields.get(LOAD, b"")) or tail_report(underway.tail)
+            return self._outcome(attempt, parser), kept_tokens(underway.tail), report
         finally:
             attempt.running = None
             if reusable:
@@ -498,39 +273,3 @@
     if parser.status == 503:
         return i.Outcome.FULL if parser.fields.get(NOT_RUN) == b"1" else i.Outcome.TIMEOUT
     return i.Outcome.ERROR
-
-
-def parse_load(text: bytes) -> i.Report | None:
-    """A load report, `x1=3.2,util=0.4`; what can't be read of it is left out."""
-    stats: dict[str, float] = {}
-    for pair in text.decode("latin-1").split(","):
-        name, _, value = pair.partition("=")
-        name = name.strip()
-        try:
-            number = float(value)
-        except ValueError:
-            continue
-        if 0.0 <= number < MAX_LOAD:  # nor is a number of no size: it would spoil the means it goes into
-            stats[SHORT_NAMES.get(name, name)] = number
-    return load_report(stats)
-
-
-def _kept_tokens(tail: bytes) -> int:
-    """How much of the prompt the endpoint found kept, as the last events of a stream tell."""
-    at = tail.rfind(b'"usage"')
-    start = tail.rfind(b"data:", 0, at) if at >= 0 else -1
-    if start < 0:
-        return 0
-    try:
-        event = _event.decode(tail[start + 5 :].partition(b"\n")[0])
-    except msgspec.DecodeError:
-        return 0
-    details = event.usage and event.usage.prompt_tokens_details
-    return details.cached_tokens if details else 0
-
-
-def _tail_report(tail: bytes) -> i.Report | None:
-    """The load report at the end of a stream, a comment line."""
-    mark = b": X-Backend-Load:"
-    at = tail.rfind(mark)
-    return parse_load(tail[at + len(mark) :].partition(b"\n")[0]) if at >= 0 else None
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -20,7 +20,8 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config, HostList
 from spoolbarrow.net.destinations import DestinationSet
-from spoolbarrow.net.endpoint import Endpoints, Underway
+from spoolbarrow.net.endpoint import Endpoints
+from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.request import Answer, Attempt, Request
--- a/spoolbarrow/net/passing.py
+++ b/spoolbarrow/net/passing.py
@@ -14,9 +14,10 @@
 from msgspec import Struct
 
 from spoolbarrow.handover import Torn
-from spoolbarrow.net.endpoint import Underway
+from spoolbarrow.net.client import Client, Exchange
+from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.host import Host
-from spoolbarrow.net.inbound import Client, Exchange, Inbound
+from spoolbarrow.net.inbound import Inbound
 from spoolbarrow.net.log import log
 
 VERSION = 1
--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -22,8 +22,9 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, CannotWrite, Config, ConfigError, address
 from spoolbarrow.net import http1
-from spoolbarrow.net.endpoint import LOAD, NOT_RUN, STREAM, parse_load
+from spoolbarrow.net.endpoint import NOT_RUN, STREAM
 from spoolbarrow.net.host import Host
+from spoolbarrow.net.load_report import LOAD, parse_load
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.request import Attempt, Request
 from spoolbarrow.net.taps import Observer
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -20,7 +20,7 @@
 from spoolbarrow.handover import Handover
 from spoolbarrow.lab.cluster import LISTEN, Process
 from spoolbarrow.lab.loopback import most_files
-from spoolbarrow.net import endpoint, http1
+from spoolbarrow.net import connection_pool, http1
 from spoolbarrow.net.failover import ZoneWatch
 from spoolbarrow.operator import FailoverTable
 from tests.stage import HEAD, Client, Party, ask, chunk, entry, make_config, serve_all, stage, until
@@ -291,7 +291,9 @@
     lack: str, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
     """Each request has its one answer at once, no engine is left out, one line of the log tells of it."""
-    monkeypatch.setattr(endpoint, "SHORT_LOG_MS", 1e9)  # a busy machine must not pass for a second period
+    monkeypatch.setattr(
+        connection_pool, "SHORT_LOG_MS", 1e9
+    )  # a busy machine must not pass for a second period
     with stage(serve_all, serve_all) as (scene, *engines):
         pool, replicas = scene.host._endpoints._pool, scene.host._router.pool.replicas.values()
         with monkeypatch.context() as lacking:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -28,7 +28,8 @@
 
 from spoolbarrow.config import parse
 from spoolbarrow.net import inbound, passing
-from spoolbarrow.net.endpoint import Connection, Underway
+from spoolbarrow.net.connection_pool import Connection
+from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.grace import grace
 from spoolbarrow.net.http1 import Message, ResponseParser
 from spoolbarrow.net.request import Attempt
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -22,12 +22,14 @@
 from gevent import socket
 
 from spoolbarrow import interface as i
-from spoolbarrow.net import http1, inbound
+from spoolbarrow.net import client as client_connection
+from spoolbarrow.net import http1
+from spoolbarrow.net.client import AHEAD
 from spoolbarrow.net.http1 import Message
 from tests.stage import LISTEN, TURNED_AWAY, Client, Stage, ask, entry, make_config, serve_all, stage, until
 from tests.test_drain import asked, router
 
-READ_AHEAD = inbound.AHEAD + 4  # so many requests at once that some are never read
+READ_AHEAD = AHEAD + 4  # so many requests at once that some are never read
 NOW = i.TimerFired("test")
 LONG_S = 0.25  # a stop of the process, over twice what a client's end may go unseen
 
@@ -53,14 +55,14 @@
 ENDS = pytest.mark.parametrize("go", [close, reset, half_close, with_more_unread])
 
 
-def await_in_kernel(inside: inbound.Client, what: int) -> None:
+def await_in_kernel(inside: client_connection.Client, what: int) -> None:
     """Until it is there; no greenlet runs meanwhile."""
     watched = select.poll()
     watched.register(inside.sock.fileno(), what)
     assert watched.poll(20_000)
 
 
-def leave(inside: inbound.Client, client: Any, go: Callable[[Any], None]) -> None:
+def leave(inside: client_connection.Client, client: Any, go: Callable[[Any], None]) -> None:
     """Go, and let no greenlet run until the end is in the kernel."""
     go(client)
     await_in_kernel(inside, select.POLLRDHUP)
@@ -143,7 +145,7 @@
             client = scene.client().send(b"".join(ask(X_Correlation_Id=str(n)) for n in range(READ_AHEAD)))
             inside = until(lambda: next(iter(scene.inbound._clients), None))
             assert inside is not None
-            until(lambda: len(inside._parser.whole) > inbound.AHEAD and scene.heard(i.RequestArrived))
+            until(lambda: len(inside._parser.whole) > AHEAD and scene.heard(i.RequestArrived))
             close(client)
             until(lambda: scene.heard(i.RequestGone) and scene.host.open_requests() == 0)
             assert len(scene.heard(i.RequestArrived)) == 1 and inside not in scene.inbound._clients
@@ -156,17 +158,17 @@
 def test_the_decisions_never_hear_of_a_client_that_went_before_it_was_accepted(
     go: Callable[[Any], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    go_on = inbound.Client.go_on
-    seen: list[inbound.Client] = []
+    go_on = client_connection.Client.go_on
+    seen: list[client_connection.Client] = []
 
-    def first_sees_it_go(inside: inbound.Client) -> None:
+    def first_sees_it_go(inside: client_connection.Client) -> None:
         if not seen:
             seen.append(inside)
             leave(inside, late, go)
         go_on(inside)
 
     with stage(serve_all) as (scene, engine):
-        monkeypatch.setattr(inbound.Client, "go_on", first_sees_it_go)
+        monkeypatch.setattr(client_connection.Client, "go_on", first_sees_it_go)
         late = Client.__new__(Client)
         late.sock = plain.create_connection((LISTEN, scene.config.listen[1]))
         late.send(ask(X_Correlation_Id="late"))
@@ -178,7 +180,7 @@
 def test_where_the_system_tells_of_no_half_close_the_end_is_found_by_looking(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(inbound, "ENDED", 0)
+    monkeypatch.setattr(client_connection, "ENDED", 0)
     with stage(serve_all) as (scene, _):
         client = scene.client()
         inside = until(lambda: next(iter(scene.inbound._clients), None))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -17,9 +17,9 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import parse
-from spoolbarrow.net.endpoint import parse_load
+from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.http1 import Message
-from spoolbarrow.net.inbound import Client as InboundClient
+from spoolbarrow.net.load_report import parse_load
 from spoolbarrow.router import Router
 from tests.stage import (
     EVENTS,
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -18,10 +18,11 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.net import http1
-from spoolbarrow.net.endpoint import parse_load, probe_outcome
+from spoolbarrow.net.client import AHEAD
+from spoolbarrow.net.client import Client as InboundClient
+from spoolbarrow.net.endpoint import probe_outcome
 from spoolbarrow.net.http1 import Message, ResponseParser
-from spoolbarrow.net.inbound import AHEAD
-from spoolbarrow.net.inbound import Client as InboundClient
+from spoolbarrow.net.load_report import parse_load
 from tests import stage as st
 from tests.stage import (
     EVENTS,
