Do not write the rest of a request that is over, or whose client has gone

Endpoints._write asked Host.may_send once, before the first byte. A request longer than the endpoint's window then waits in send_pieces, for as long as its deadline, and was written whole when the endpoint read on: also after its client had left, and after Host.answer_all had answered 503 ("no endpoint can have run it": Attempt.never_ran counts an attempt as never run until its last byte is written). Where the settings allow no cancelling nothing else ended the write; where they do, it could go on before the cancel.

http1.send_while asks again after each wait for the endpoint's window. A request that is not written whole has not run, so the attempt ends as moot and its connection is closed. The usual request is taken by the kernel in one call, and pays nothing.

Ruled out: a write that fails after its last byte was taken by the kernel. sendmsg fails only where it took nothing, so that "not sent" is never said of a whole request.

--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -38,7 +38,7 @@
         """The decisions' clock, ms."""
 
     def may_send(self, attempt: Attempt) -> bool:
-        """Whether an attempt may still be written, asked just before its first byte."""
+        """Whether an attempt may still be written: asked just before its first byte, and after each wait."""
 
     def claim(self, attempt: Attempt) -> bool:
         """An attempt's first event has come: whether it is the client's."""
@@ -203,8 +203,10 @@
                 raise NotSent("withdrawn")
             left = max(1, int(request.deadline - self._host.now()))
             pieces = http1.request_pieces(request.message, connection.address, left)
-            http1.send_pieces(connection.sock, pieces)
-            written = True
+            # A long request may wait for its endpoint half written; as long as it is not whole, it can't run.
+            written = http1.send_while(connection.sock, pieces, lambda: self._host.may_send(attempt))
+            if not written:
+                return None, i.Outcome.MOOT
             attempt.connection = connection.number
             if self._host.taps.active:
                 self._host.taps.attempt_sent(attempt)
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -237,8 +237,9 @@
         self._endpoints.forget(endpoint)
 
     def may_send(self, attempt: Attempt) -> bool:
-        """Whether an attempt may still be written to its endpoint, asked just before the first byte.
+        """Whether an attempt may still be written to its endpoint.
 
+        Asked just before the first byte, and again after each wait for the endpoint to take in more.
         Guards against work for nobody: a client's end stands in the kernel until its reader's turn comes,
         perhaps long after a full batch of decisions. One that has gone is settled here, as its reader would.
         And against a second effect: a connection may have come up after the time for repeats.
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -4,10 +4,20 @@
 
 import select
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import httptools
-from gevent.socket import AF_INET, IPPROTO_TCP, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, TCP_NODELAY, socket
+from gevent.socket import (
+    AF_INET,
+    IPPROTO_TCP,
+    MSG_DONTWAIT,
+    SO_REUSEADDR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TCP_NODELAY,
+    socket,
+    wait_write,
+)
 from msgspec import Struct
 
 from spoolbarrow.config import Address
@@ -353,11 +363,29 @@
     """Write all pieces in as few calls as the kernel takes; blocks its greenlet, raises OSError."""
     rest: list[bytes | memoryview] = [piece for piece in pieces if piece]
     while rest:
-        sent = sock.sendmsg(rest[:IOV_MAX])
-        done = 0
-        while done < len(rest) and sent >= len(rest[done]):
-            sent -= len(rest[done])
-            done += 1
-        del rest[:done]
-        if sent:
-            rest[0] = memoryview(rest[0])[sent:]
+        _remove_sent(rest, sock.sendmsg(rest[:IOV_MAX]))
+
+
+def send_while(sock: socket, pieces: Sequence[bytes], may_go_on: Callable[[], bool]) -> bool:
+    """Like `send_pieces`, but asks after each wait for the other side; whether all was written."""
+    rest: list[bytes | memoryview] = [piece for piece in pieces if piece]
+    while rest:
+        try:
+            sent = sock.sendmsg(rest[:IOV_MAX], [], MSG_DONTWAIT)
+        except BlockingIOError:
+            wait_write(sock.fileno())
+            if not may_go_on():
+                return False
+        else:
+            _remove_sent(rest, sent)
+    return True
+
+
+def _remove_sent(rest: list[bytes | memoryview], sent: int) -> None:
+    done = 0
+    while done < len(rest) and sent >= len(rest[done]):
+        sent -= len(rest[done])
+        done += 1
+    del rest[:done]
+    if sent:
+        rest[0] = memoryview(rest[0])[sent:]
