Keep no connection to the process that an endpoint was before

ConnectionPool.take read the endpoint's address, then waited in connect; give_back compared the address alone. A list that came in between left three ways to reach the process before: - moved while the connection came up: the request was written to the old address; - restarted in place while a connection was in use or came up: it was kept, or used, for the new one, since forget drops idle connections only; - adopt took the listed address for where a handed-over connection leads, so that one to the old address was kept as one to the new.

A connection now remembers the start time that was listed when it was opened. take gives up one whose endpoint was replaced meanwhile (nothing was written: "could not connect"), give_back compares both, and adopt asks the socket for its peer. DestinationSet.started is added for that.

Ruled out: a new name at an old address (the pool is kept by name, and a name that is gone is not given back to).

Tests: the list is told inside connect, and while an attempt or a probe is with its endpoint.

--- a/spoolbarrow/net/connection_pool.py
+++ b/spoolbarrow/net/connection_pool.py
@@ -29,6 +29,9 @@
     def serving(self, name: str) -> bool:
         """Whether the endpoint takes new work."""
 
+    def started(self, name: str) -> float | None:
+        """When the endpoint's process started, as listed."""
+
 
 class Observed(Protocol):
     """Who owns the clock and the observers."""
@@ -42,8 +45,11 @@
 class Connection:
     """One connection to an endpoint; one request at a time goes over it."""
 
-    def __init__(self, endpoint: str, address: Address, sock: socket, number: int) -> None:
+    def __init__(
+        self, endpoint: str, address: Address, sock: socket, number: int, started: float | None = None
+    ) -> None:
         self.endpoint, self.address, self.sock, self.number = endpoint, address, sock, number
+        self.started = started  # of the process that was listed when it was opened
         self.idle_since = 0.0
 
     def stale(self) -> bool:
@@ -80,7 +86,7 @@
 
     def take(self, endpoint: str) -> Connection:
         """An idle connection, else a new one; OSError where none comes up, Shortage where none can be had."""
-        address = self._destinations.address(endpoint)
+        address, started = self._destinations.address(endpoint), self._destinations.started(endpoint)
         if address is None:
             raise OSError("no address")
         idle = self._idle.get(endpoint)
@@ -99,8 +105,11 @@
         self._open += 1
         try:
             sock = http1.connect(address, self._config.connect_timeout_ms / 1000)
+            if not self._is_listed(endpoint, address, started):
+                sock.close()
+                raise OSError("its endpoint was replaced while it came up")
             number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
-            return Connection(endpoint, address, sock, number)
+            return Connection(endpoint, address, sock, number, started)
         except BaseException as error:  # a cancelled attempt's GreenletExit too: the count must stay true
             self._open -= 1
             if isinstance(error, http1.Shortage):
@@ -114,10 +123,15 @@
 
     def adopt(self, endpoint: str, sock: socket) -> Connection:
         """A connection that another process of this router opened; OSError where it has ended."""
-        address = self._destinations.address(endpoint) or sock.getpeername()
+        address: Address = sock.getpeername()[:2]  # where the list has it now may be another process
         number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
         self._open += 1
-        return Connection(endpoint, address, sock, number)
+        return Connection(endpoint, address, sock, number, self._destinations.started(endpoint))
+
+    def _is_listed(self, endpoint: str, address: Address, started: float | None) -> bool:
+        """Whether an endpoint's name still stands for the process that started then and listens there."""
+        destinations = self._destinations
+        return (destinations.address(endpoint), destinations.started(endpoint)) == (address, started)
 
     def _learn_settle(self, connection: Connection) -> None:
         """Guards against a second answer that comes so late that it passes for the next request's."""
@@ -130,7 +144,7 @@
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for the next request, if its endpoint is still the one that it leads to."""
         endpoint = connection.endpoint
-        current = self._destinations.address(endpoint) == connection.address
+        current = self._is_listed(endpoint, connection.address, connection.started)
         if not (current and self._destinations.serving(endpoint)):
             return self.drop(connection)
         connection.sock.settimeout(None)
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -138,6 +138,10 @@
         """Where an endpoint listens."""
         return self._addresses.get(name)
 
+    def started(self, name: str) -> float | None:
+        """When an endpoint's process started, as discovery tells it."""
+        return self._started.get(name)
+
     def serving(self, name: str) -> bool:
         """Whether the endpoint takes new work, as far as this router was told."""
         return name in self._serving
--- a/tests/test_answer_races.py
+++ b/tests/test_answer_races.py
@@ -11,10 +11,12 @@
 
 import pytest
 from gevent import socket
+from gevent.event import Event
 
 from spoolbarrow import interface as i
+from spoolbarrow.config import HostList, ListEntry
 from spoolbarrow.net import http1
-from spoolbarrow.net.http1 import RequestParser
+from spoolbarrow.net.http1 import Message, RequestParser
 from tests.stage import (
     EVENTS,
     HEAD,
@@ -23,6 +25,8 @@
     chunk,
     entry,
     make_config,
+    serve_all,
+    stage,
     until,
 )
 from tests.test_gone import ENDS
@@ -125,3 +129,70 @@
         assert parser.whole[0].body == LONG
         engine.sendall(WHOLE)
         assert client.answer().status == 200
+
+
+def news(scene: Any, *lines: ListEntry) -> None:
+    """Discovery says this now."""
+    scene.host.destinations._news(HostList(100, False, list(lines)))
+
+
+def line(name: str, port: int, since_ms: float = 0.0) -> ListEntry:
+    return ListEntry(name, f"127.0.0.1:{port}", "a", "m", since_ms=since_ms)
+
+
+@pytest.mark.parametrize("probe", [False, True])
+def test_a_connection_is_not_kept_where_its_engine_was_restarted_in_place(probe: bool) -> None:
+    """The list tells of the restart while the connection is in use: it leads to the process before."""
+    go = Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        serve_all(sock, message)
+
+    with stage(wait) as (scene, engine):
+        if probe:
+            scene.host.endpoints().probe("e0")
+        else:
+            client = scene.client().send(ask())
+        until(lambda: engine.requests)
+        news(scene, line("e0", engine.port, since_ms=RESTARTED))
+        go.set()
+        if not probe:
+            assert client.answer().status == 200
+        until(lambda: engine.ends == 1)  # it was closed
+        assert scene.client().send(ask(X_Correlation_Id="next")).answer().status == 200
+        assert engine.connections == 2
+
+
+@pytest.mark.parametrize("moved", [True, False])
+def test_nothing_is_written_to_an_engine_that_was_replaced_while_its_connection_came_up(
+    moved: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its name now stands for another process, at another address or at the same one."""
+    connect = http1.connect
+
+    def late(address: Any, timeout_s: float) -> socket.socket:
+        sock = connect(address, timeout_s)
+        if address[1] == old.port and not told:
+            told.append(True)
+            news(scene, line("e0", new.port if moved else old.port, since_ms=RESTARTED))
+        return sock
+
+    told: list[bool] = []
+    with stage(serve_all, serve_all) as (scene, old, new):
+        news(scene, ListEntry("e1", f"127.0.0.1:{new.port}", "a", "m", status="terminated"))
+        monkeypatch.setattr(http1, "connect", late)
+        scene.client().send(ask()).answer()
+        until(lambda: old.ends == 1)
+        assert told and not old.requests and outcomes(scene)[0] is i.Outcome.UNREACHABLE
+
+
+def test_a_stream_that_was_taken_over_does_not_keep_a_connection_to_where_its_engine_was() -> None:
+    """The endpoint moved before the stream came to this process: its connection leads to the old address."""
+    with stage(serve_all, serve_all) as (scene, old, new):
+        news(scene, line("e0", new.port))
+        sock = socket.create_connection(("127.0.0.1", old.port))
+        pool = scene.host.endpoints()._pool
+        pool.give_back(pool.adopt("e0", sock))
+        until(lambda: old.ends == 1)
+        assert not pool._idle.get("e0")
