Let a late event of a broken-off stream not reset its client's connection

Host.move_streams breaks a stream off: Client.break_off ends this side's sending and waits for the client's end, since closed over unread bytes the kernel would reset the connection and what it still holds would be lost. The attempt's greenlet is only killed in a later turn of the event loop. Where an event of the engine, or room at the client, was noticed in the same turn, the greenlet went on first: its write failed with EPIPE, Exchange.pass_on took that for the client's end, and Client.lost closed the connection after all.

pass_on now leaves a connection alone that abort has broken off.

Ruled out: a late end of the stream (Host.ended ignores it) and a late claim (Host.claim asks whether the attempt has ended).

Test: the engine's next event is read after the stream was broken off, with the kill kept back.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -56,6 +56,7 @@
         self.client, self.message = client, message
         self.request: Request | None = None
         self._begun = False
+        self._broken_off = False
         # An answer late in a drain tells the client to come back by another connection.
         self._close = not message.keep_alive
 
@@ -116,7 +117,8 @@
         try:
             self.client.write(pieces)
         except OSError:
-            self.client.lost()
+            if not self._broken_off:  # else it says nothing of the client, which may still take in the rest
+                self.client.lost()
             raise
 
     def end(self) -> None:
@@ -134,6 +136,7 @@
 
     def abort(self) -> None:
         """No last chunk: the connection's end tells the client that the stream broke."""
+        self._broken_off = True
         self.client.break_off()
 
     def _closing(self) -> bool:
