Refuse a request for lack of room without dropping those before it

Client._fed sets a 503 "no room" where a request is half read and the bodies in memory are over their limit, and then called _distrust, which is meant for bytes that can't be read. So the request before it, which an engine had, was given up, those that were whole and waited were dropped, and the one 503 passed for the answer of the first: a client that was told "trying again is harmless" of a request that may have run, and others whose connection ended with no answer. It takes a client that sends requests behind each other and a router short of memory.

_distrust is now called for the parser's own faults only; the 503 waits until those before it are answered. A client that waits so is looked after: its end is seen behind what is not read (Client._waits).

Tests: half a large request behind one that its engine holds and one that is whole; the same, and its client goes.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -240,7 +240,7 @@
                 parser = self._parser
                 while (parser.fault is not None or len(parser.whole) > AHEAD) and not self.ending:
                     self._room.clear()  # bounded: what follows a fault, or comes far ahead, is not read
-                    if not self._room.wait(GONE_S) and parser.fault is None and self.gone():
+                    if not self._room.wait(GONE_S) and self._waits() and self.gone():
                         return  # its end stands behind what is not read
                 gevent.sleep(0)  # guards the others: a client that sends at full speed is always readable
             if self.ending:
@@ -253,6 +253,11 @@
             if not self._paused:
                 self.lost()
 
+    def _waits(self) -> bool:
+        """Whether it waits for an endpoint: one that is only told what was wrong may have said its end."""
+        request = self.exchange.request if self.exchange is not None else None
+        return self._parser.fault is None or (request is not None and not request.over)
+
     def go_on(self) -> None:
         """Begin, or begin again, to read what the client sends."""
         self._paused = False
@@ -346,11 +351,12 @@
         for _ in range(len(parser.whole) - had):
             self._arrived.append(self._first_byte)
             self._first_byte = now
-        if parser.reading and self.inbound.held > self.inbound.config.max_held:
-            # Guards the memory: bodies that never become whole count as well.
-            parser.fault = parser.fault or Fault(503, "no room", b"Retry-After: 1")
         if parser.fault is not None:
             self._distrust()
+        elif parser.reading and self.inbound.held > self.inbound.config.max_held:
+            # Guards the memory: bodies that never become whole count as well. The requests before it are
+            # as good as ever: refused in their place, one that may have run would be sent again.
+            parser.fault = Fault(503, "no room", b"Retry-After: 1")
         if self.exchange is None:
             if parser.awaits_continue:
                 parser.awaits_continue = False
--- a/tests/test_client_races.py
+++ b/tests/test_client_races.py
@@ -16,7 +16,8 @@
 from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.request import Attempt
-from tests.stage import EVENTS, HEAD, Client, ask, chunk, stage, until
+from tests.stage import EVENTS, HEAD, Client, ask, chunk, serve_all, stage, until
+from tests.test_gone import ENDS
 
 END = b"0\r\n\r\n"
 
@@ -71,3 +72,48 @@
         assert not inside._closed
         got = all_of(client)
         assert EVENTS[0] in got and b"late" not in got and not got.endswith(END)
+
+
+def test_no_room_for_a_request_leaves_those_before_it_their_own_answers() -> None:
+    """Half a request is read behind one that an engine has and one that is whole, as memory runs out.
+
+    Refused in their place, a client would take a 503 for the answer of a request that may have run.
+    """
+    go = Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        serve_all(sock, message)
+
+    with stage(wait, limits={"memory_mb": 0.01}) as (scene, engine):
+        client = scene.client().send(ask(X_Correlation_Id="first"))
+        until(lambda: engine.requests)
+        inside = the_client(scene)
+        client.send(ask(X_Correlation_Id="second"))
+        until(lambda: inside._parser.whole)
+        client.send(ask(b"x" * 60_000, X_Correlation_Id="third")[:-1])
+        until(lambda: inside._parser.fault)
+        assert not scene.heard(i.RequestGone)
+        go.set()
+        assert client.answer().status == 200
+        answer = client.answer()
+        assert answer.status == 503 and float(answer.fields[b"retry-after"]) > 0
+        assert [m.fields[b"x-correlation-id"] for m in engine.requests] == [b"first"]
+
+
+@ENDS
+def test_a_client_that_goes_behind_a_request_without_room_is_noticed(go: Any) -> None:
+    """What follows a fault is not read, its end neither; the request before it still waits for its engine."""
+
+    def silent(sock: socket.socket, message: Message) -> None:
+        """Say nothing."""
+
+    with stage(silent, limits={"memory_mb": 0.01}) as (scene, engine):
+        client = scene.client().send(ask(X_Correlation_Id="first"))
+        until(lambda: engine.requests)
+        inside = the_client(scene)
+        client.send(ask(b"x" * 60_000, X_Correlation_Id="second")[:-1])
+        until(lambda: inside._parser.fault)
+        go(client)
+        until(lambda: scene.heard(i.RequestGone) and scene.host.open_requests() == 0)
+        until(lambda: not scene.inbound._clients)
