Hand no connection over whose client's request was read meanwhile

Client.pause looks whether its client has sent anything, then ends its reader, which takes a turn of the event loop. gevent runs such callbacks for a few milliseconds only before it polls again, so on a busy process the reader could read a request after the look and before its end. The connection was then handed to the next process without it: the request, or the half of it that was read, got no answer.

pause looks again when the reader has ended, and reads on where it has read something or a request began.

Tests: the reader's end is kept back until it has read a request, or half of one, on an idle connection and behind a stream.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -265,13 +265,22 @@
 
     def pause(self) -> bool:
         """Stop reading, if the client has sent nothing that is not read and answered; whether it did."""
-        parser = self._parser
-        busy = self.ending or parser.reading or parser.whole or parser.fault is not None
-        if busy or self.unread() or self.reader is None:
+        if self._read_more() or self.unread() or self.reader is None:
             return False
-        self._paused = True
+        exchange, self._paused = self.exchange, True
         self.reader.kill()
-        return not self._closed
+        if self._closed:
+            return False
+        # The event loop may poll before it ends the reader, which then reads what has come meanwhile.
+        if self._read_more() or self.exchange is not exchange:
+            self.go_on()
+            return False
+        return True
+
+    def _read_more(self) -> bool:
+        """Whether something was read that is not served yet, or it is to be closed."""
+        parser = self._parser
+        return self.ending or parser.reading or bool(parser.whole) or parser.fault is not None
 
     def paused(self) -> bool:
         """Whether nobody reads: it is on its way to another process of this router."""
--- a/tests/test_client_races.py
+++ b/tests/test_client_races.py
@@ -12,6 +12,7 @@
 from gevent.event import Event
 
 from spoolbarrow import interface as i
+from spoolbarrow.net import passing
 from spoolbarrow.net.client import AHEAD
 from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.http1 import Message
@@ -117,3 +118,78 @@
         go(client)
         until(lambda: scene.heard(i.RequestGone) and scene.host.open_requests() == 0)
         until(lambda: not scene.inbound._clients)
+
+
+def read_as_its_reader_ends(inside: InboundClient, client: Client, raw: bytes, read: Any) -> Event:
+    """Have the reader read these bytes after it was looked whether there are any, before it is ended.
+
+    What is returned tells that it was ended.
+    """
+    reader, ended = inside.reader, Event()
+    assert reader is not None
+    kill = reader.kill
+
+    def late(*given: Any, **named: Any) -> None:
+        client.send(raw)
+        until(read)
+        kill(*given, **named)
+        ended.set()
+
+    reader.kill = late  # type: ignore[method-assign]
+    return ended
+
+
+class Newer:
+    """Another process that takes whatever it is given."""
+
+    def __init__(self) -> None:
+        self.taken: list[bytes] = []
+
+    def take(self, text: bytes, descriptors: Any) -> bool:
+        self.taken.append(text)
+        return True
+
+
+def test_a_request_that_is_read_as_its_idle_connection_is_passed_on_is_answered_here() -> None:
+    """Its reader is ended by a callback of the event loop, which may poll, and so read, before that."""
+    go, newer = Event(), Newer()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        serve_all(sock, message)
+
+    with stage(wait) as (scene, engine):
+        client = scene.client().send(b"GET /up HTTP/1.1\r\n\r\n")
+        assert client.answer().status == 200
+        inside = the_client(scene)
+        until(inside.idle)
+        read_as_its_reader_ends(inside, client, ask(), lambda: engine.requests)
+        assert not passing.give_idle(inside, newer.take)
+        go.set()
+        assert not newer.taken and client.answer().status == 200
+        assert client.send(ask(X_Correlation_Id="next")).answer().status == 200  # it is read again
+
+
+@pytest.mark.parametrize("raw", [ask(X_Correlation_Id="next"), ask(X_Correlation_Id="next")[:40]])
+def test_what_is_read_as_a_stream_is_passed_on_is_not_lost(raw: bytes) -> None:
+    go, newer = Event(), Newer()
+
+    def in_three(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        go.wait()
+        sock.sendall(chunk(EVENTS[1]))
+        ended.wait()
+        sock.sendall(END)
+
+    with stage(in_three) as (scene, _):
+        client = scene.client().send(ask())
+        inside = the_client(scene)
+        until(lambda: scene.heard(i.StreamStarted))
+        read = inside._parser
+        ended = read_as_its_reader_ends(inside, client, raw, lambda: read.whole or read.reading)
+        scene.host.give = lambda underway: passing.give(scene.host, underway, newer.take)
+        go.set()
+        assert client.answer().status == 200 and not newer.taken
+        scene.host.give = None
+        client.send(ask(X_Correlation_Id="next")[len(raw) :])
+        assert client.answer().status == 200
