Give a go-ahead (100) in its turn, and with no other write beside it

Client._fed wrote "100 Continue" where a head that asks for it was read and no answer was under way. So - a head that was read while an answer was under way never got one: its client waited with its body, to the 408; - a head read together with a whole request before it got its go-ahead before that one's answer; - a head that was read after this side's last answer had it written to a connection whose sending has ended: EPIPE, and the connection closed while that answer may still be on its way; - while it waited for a client that takes nothing in, Client.overdue and hurry could begin another write on the same socket.

Client._advance now gives it, after the requests before it, and does nothing else until it is written.

Tests: for each of the four the order is forced by a gate in the engine or in the write.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -24,6 +24,7 @@
 AHEAD = 4  # requests read ahead of the one that is served; then the client must wait
 DISCARD_PAUSE_S = 0.001  # between reads of what a client still sends after its error
 GONE_S = 0.05  # between looks for a client's end while it is not read: half of what it may go unseen
+GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
 
 
@@ -172,6 +173,7 @@
         self._room = Event()
         self._held = 0
         self._closed = False
+        self._going_ahead = False  # the word to send a body is being written
         self._paused = False  # its reader is to end without the connection
         self.reader: gevent.Greenlet[[], None] | None = None
         self.ending = False  # its last answer is written; only the client's end is waited for
@@ -367,9 +369,6 @@
             # as good as ever: refused in their place, one that may have run would be sent again.
             parser.fault = Fault(503, "no room", b"Retry-After: 1")
         if self.exchange is None:
-            if parser.awaits_continue:
-                parser.awaits_continue = False
-                http1.send_pieces(self.sock, [b"HTTP/1.1 100 Continue\r\n\r\n"])
             if parser.reading and not was_reading and not self.fresh:
                 self.since = now
             self._advance()
@@ -388,7 +387,7 @@
     def _advance(self) -> None:
         """Serve the next request that is whole, or tell what is wrong with what came."""
         parser = self._parser
-        if self.exchange is not None or self.ending:
+        if self.exchange is not None or self.ending or self._going_ahead:
             return
         if parser.whole:
             message = parser.whole.popleft()
@@ -406,6 +405,20 @@
         elif parser.fault is not None:
             self.exchange = Exchange(self, Message(keep_alive=False))
             self.exchange.refuse(parser.fault)
+        elif parser.awaits_continue:
+            self._go_ahead()
+
+    def _go_ahead(self) -> None:
+        """Tell a client that waits for this word to send the body, with no other write beside it."""
+        self._parser.awaits_continue = False
+        self._going_ahead = True
+        try:
+            self.write([GO_AHEAD])
+        except OSError:
+            return self.lost()
+        finally:
+            self._going_ahead = False
+        self._advance()
 
     def _serve(self, exchange: Exchange, message: Message, arrived: float) -> None:
         inbound, path = self.inbound, message.path()
--- a/tests/test_client_races.py
+++ b/tests/test_client_races.py
@@ -7,12 +7,13 @@
 
 from typing import Any
 
+import gevent
 import pytest
 from gevent import socket
 from gevent.event import Event
 
 from spoolbarrow import interface as i
-from spoolbarrow.net import passing
+from spoolbarrow.net import http1, passing
 from spoolbarrow.net.client import AHEAD
 from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.http1 import Message
@@ -120,6 +121,71 @@
         until(lambda: not scene.inbound._clients)
 
 
+def test_a_request_that_asks_for_a_go_ahead_after_the_last_answer_does_not_reset_it() -> None:
+    """Its head is read after this side's end: a go-ahead can't be written, the answer may be on its way."""
+
+    def reject(sock: socket.socket, message: Message) -> None:
+        sock.sendall(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+
+    with stage(reject) as (scene, engine):
+        client = scene.client().send(ask())
+        inside = the_client(scene)
+        until(lambda: inside.ending)
+        client.send(ask(Expect="100-continue").removesuffix(b'{"model":"chat"}'))
+        until(lambda: not inside.unread())
+        assert inside._parser.reading and not inside._closed
+        client.send(b'{"model":"chat"}')
+        assert client.answer().status == 400 and client.ended()
+        client.sock.close()
+        until(lambda: not scene.inbound._clients)
+        assert len(engine.requests) == 1
+
+
+@pytest.mark.parametrize("pieces", [1, 2])
+def test_a_go_ahead_that_was_asked_for_while_an_answer_was_under_way_is_given_after_it(pieces: int) -> None:
+    """Its head came behind a request, or behind two, and its sender waits for the word before the body."""
+    go = Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        serve_all(sock, message)
+
+    with stage(wait) as (scene, engine):
+        client = scene.client()
+        for n in range(pieces):
+            client.send(ask(X_Correlation_Id=str(n)))
+        client.send(ask(Expect="100-continue").removesuffix(b'{"model":"chat"}'))
+        inside = the_client(scene)
+        until(lambda: engine.requests and inside._parser.reading)
+        go.set()
+        assert [client.answer().status for _ in range(pieces)] == [200] * pieces
+        assert client.sock.recv(25, socket.MSG_WAITALL) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        assert client.send(b'{"model":"chat"}').answer().status == 200
+
+
+def test_nothing_else_is_written_while_a_go_ahead_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its client takes in nothing, so that it waits, and its request's time to become whole runs out."""
+    go, waits = Event(), Event()
+    send = http1.send_pieces
+
+    def late(sock: socket.socket, pieces: Any) -> None:
+        if b"100 Continue" in b"".join(pieces):
+            waits.set()
+            go.wait()
+        send(sock, pieces)
+
+    monkeypatch.setattr(http1, "send_pieces", late)
+    with stage(serve_all) as (scene, _):
+        client = scene.client().send(ask(Expect="100-continue").removesuffix(b'{"model":"chat"}'))
+        waits.wait()
+        inside = the_client(scene)
+        inside.overdue()
+        gevent.idle()  # whoever would write has had a turn
+        go.set()
+        assert client.sock.recv(25, socket.MSG_WAITALL) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        assert client.answer().status == 408 and client.ended()
+
+
 def read_as_its_reader_ends(inside: InboundClient, client: Client, raw: bytes, read: Any) -> Event:
     """Have the reader read these bytes after it was looked whether there are any, before it is ended.
 
