Pin what was read as dangerous on an answer's way and holds

Without a change to the program: an answer that comes whole with its connection's close or reset, or lacks its last byte; interim answers (100, 103); an early 413 with a reset; an answer that says close; what an engine does on an idle connection between take and the first byte (closed: may have run; reset: never ran; a 408: no answer of the request); the deadline, Refuse, Fail, Cancel and a drain's answer in the tick of a first event, both ways round; what came while the process stood still past the time for it (time-outs run after reads); an engine's answer to a request that was given up because what followed it can't be read.

--- a/tests/test_answer_races.py
+++ b/tests/test_answer_races.py
@@ -5,10 +5,13 @@
 
 from __future__ import annotations
 
+import select
+import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
 
+import gevent
 import pytest
 from gevent import socket
 from gevent.event import Event
@@ -42,6 +45,10 @@
     return [event.outcome for event in scene.heard(i.AttemptEnded)]
 
 
+def silent(sock: socket.socket, message: Message) -> None:
+    """Say nothing."""
+
+
 @contextmanager
 def unread_engine(monkeypatch: pytest.MonkeyPatch, cancelling: bool) -> Iterator[tuple[Any, socket.socket]]:
     """A router before an engine whose window is full after some of a long request."""
@@ -196,3 +203,231 @@
         pool.give_back(pool.adopt("e0", sock))
         until(lambda: old.ends == 1)
         assert not pool._idle.get("e0")
+
+
+def hold(seconds: float) -> None:
+    """Let no greenlet run for so long: the process is stopped, or short of processor time."""
+    select.poll().poll(seconds * 1000)
+
+
+@pytest.mark.parametrize("at", [len(HEAD) // 2, len(HEAD + chunk(EVENTS[0]))])
+def test_what_came_while_this_process_stood_still_is_read_before_its_time_counts_as_over(at: int) -> None:
+    """The rest of the answer stands in the kernel, and the time for it is over, when it next has a turn.
+
+    Holds without a change: the event loop runs time-outs after what can be read.
+    """
+    limit_ms = 1000.0
+    parts: list[socket.socket] = []
+
+    def begin(sock: socket.socket, message: Message) -> None:
+        sock.sendall(WHOLE[:at])
+        parts.append(sock)
+
+    options = {"stream_silence_ms": limit_ms, "piece_ms": limit_ms}
+    with stage(begin, options=options) as (scene, _):
+        client = scene.client().send(ask())
+        until(lambda: parts and scene.host._requests)
+        (request,) = scene.host._requests.values()
+        attempt = request.attempts[0]
+        until(lambda: attempt.running is not None and not attempt.running.connection.stale())
+        gevent.sleep(0)  # its reader waits for the rest
+        parts[0].sendall(WHOLE[at:])
+        hold(1.2 * limit_ms / 1000)
+        assert client.answer().status == 200
+        assert outcomes(scene) == [i.Outcome.SERVED]
+
+
+def reset(sock: socket.socket) -> None:
+    """End a connection so that its peer hears of a reset, behind what was written to it."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+@pytest.mark.parametrize("begun", [0, len(HEAD + chunk(EVENTS[0]))])
+def test_an_answer_that_comes_whole_with_its_connections_end_is_whole(begun: int, end: Any) -> None:
+    """The kernel keeps what came before a reset, and tells of the end behind it. Holds without a change."""
+    go = Event()
+
+    def whole_and_end(sock: socket.socket, message: Message) -> bool:
+        sock.sendall(WHOLE[:begun])
+        if begun:
+            go.wait()
+        sock.sendall(WHOLE[begun:])
+        end(sock)
+        return True
+
+    with stage(whole_and_end) as (scene, engine):
+        for name in ("first", "next"):
+            client = scene.client().send(ask(X_Correlation_Id=name))
+            if begun:
+                until(lambda: scene.heard(i.StreamStarted))
+            go.set()
+            answer = client.answer()
+            assert answer.status == 200 and b"".join(answer.take_body()) == b"".join(EVENTS)
+        until(lambda: len(outcomes(scene)) == 2)
+        assert outcomes(scene) == [i.Outcome.SERVED] * 2 and engine.connections == 2
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+@pytest.mark.parametrize("missing", [1, len(END), len(END) + 1])
+def test_an_answer_without_its_last_byte_is_broken(missing: int, end: Any) -> None:
+    """What came is passed on, and never a last chunk. Holds without a change."""
+
+    def cut(sock: socket.socket, message: Message) -> bool:
+        sock.sendall(WHOLE[:-missing])
+        end(sock)
+        return True
+
+    with stage(cut) as (scene, _):
+        client, got = scene.client().send(ask()), b""
+        while data := client.sock.recv(65536):
+            got += data
+        assert EVENTS[0] in got and not got.endswith(END)
+        until(lambda: outcomes(scene) == [i.Outcome.RESET])
+
+
+@pytest.mark.parametrize("cut", [0, 8, 25, 40, 60])
+def test_interim_answers_are_none(cut: int) -> None:
+    """Of an engine that says so before, in one read or two. Holds without a change."""
+    interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+    def script(sock: socket.socket, message: Message) -> None:
+        sock.sendall((interim + WHOLE)[:cut])
+        gevent.idle()
+        sock.sendall((interim + WHOLE)[cut:])
+
+    with stage(script) as (scene, _):
+        client = scene.client().send(ask())
+        answer = client.answer()
+        assert answer.status == 200 and b"".join(answer.take_body()) == b"".join(EVENTS)
+        assert client.send(ask(X_Correlation_Id="next")).answer().status == 200
+
+
+def test_an_interim_answer_and_the_end_are_a_reset() -> None:
+    def script(sock: socket.socket, message: Message) -> bool:
+        sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return True
+
+    with stage(script) as (scene, _):
+        scene.client().send(ask()).answer()
+        until(lambda: outcomes(scene))
+        assert outcomes(scene)[0] is i.Outcome.RESET
+
+
+def test_an_early_answer_to_a_long_request_counts_though_its_connection_is_reset() -> None:
+    """The engine reads the head alone, says that the body is too long, and closes. Holds without a change.
+
+    The kernel takes the whole request in; where it does not, the rest can't be written, and it never ran.
+    """
+    with socket.socket() as machine:
+        machine.bind(("127.0.0.1", 0))
+        machine.listen(1)
+        scene = Stage(make_config([entry("e0", machine.getsockname()[1])]))
+        try:
+            client = scene.client().send(ask(LONG))
+            engine, _ = machine.accept()
+            until(lambda: stuck(engine))
+            engine.sendall(b"HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\r\n")
+            engine.close()  # over unread bytes: reset
+            assert client.answer().status == 400
+            assert outcomes(scene) == [i.Outcome.REJECTED]
+        finally:
+            scene.inbound.close()
+            scene.host.stop()
+
+
+def test_an_answer_that_says_close_is_not_followed_by_another_request() -> None:
+    closing = WHOLE.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
+
+    def script(sock: socket.socket, message: Message) -> None:
+        sock.sendall(closing)
+
+    with stage(script) as (scene, engine):
+        for name in ("first", "next"):
+            assert scene.client().send(ask(X_Correlation_Id=name)).answer().status == 200
+            until(lambda: scene.host.open_requests() == 0)
+        assert engine.connections == 2
+
+
+@pytest.mark.parametrize("how", ["closed", "reset", "spoke"])
+def test_what_an_engine_does_as_its_idle_connection_is_taken_is_no_answer(how: str) -> None:
+    """Between the look at the connection and the request's first byte. Holds without a change.
+
+    Closed, the bytes are written whole, so that it may have run; reset, none is, so that it never did. What
+    it said unasked is no stream of events.
+    """
+    with stage(serve_all) as (scene, engine):
+        socks: list[socket.socket] = []
+
+        def keep(sock: socket.socket, message: Message) -> None:
+            socks.append(sock)
+            serve_all(sock, message)
+
+        engine.script = keep
+        pool = scene.host.endpoints()._pool
+        assert scene.client().send(ask()).answer().status == 200
+        until(lambda: scene.host.open_requests() == 0 and pool._idle)
+        take = pool.take
+
+        def taken(endpoint: str) -> Any:
+            pool.take = take
+            pool._idle["e0"][0].idle_since -= 1000.0  # it has settled
+            connection = take(endpoint)
+            if how == "spoke":
+                socks[0].sendall(b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n")
+            if how == "reset":
+                socks[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            engine.greenlets[1].kill()  # it closes its connection
+            assert connection.stale()
+            return connection
+
+        pool.take = taken
+        scene.client().send(ask(X_Correlation_Id="next")).answer()
+        until(lambda: len(outcomes(scene)) > 1)
+        expected = {"closed": i.Outcome.RESET, "reset": i.Outcome.UNREACHABLE, "spoke": i.Outcome.ERROR}
+        assert outcomes(scene)[1] is expected[how]
+
+
+@pytest.mark.parametrize("order", ["deadline first", "overdue", "refused first", "event first"])
+def test_a_first_event_and_a_final_answer_in_one_tick_give_one_answer(order: str) -> None:
+    """Whichever comes first stands, and the other finds it so. Holds without a change."""
+    go = Event()
+
+    def late(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        sock.sendall(WHOLE)
+
+    with stage(late) as (scene, engine):
+        client = scene.client().send(ask())
+        until(lambda: engine.requests)
+        host = scene.host
+        (key,) = host._requests
+        claim = host.claim
+        claims: list[bool] = []
+
+        def claimed(attempt: Any) -> bool:
+            if order in ("deadline first", "overdue"):
+                host._deadline(key)
+            if order == "overdue":
+                host._overdue(key)
+            if order == "refused first":
+                host._fail_fast(i.Refuse(key, 100.0))
+            claims.append(claim(attempt))
+            host._deadline(key)
+            host._overdue(key)
+            host._fail(i.Fail(key))
+            host._fail_fast(i.Refuse(key, 100.0))
+            host._cancel(i.Cancel(key, 0))
+            host.answer_all(100.0)
+            return claims[-1]
+
+        host.claim = claimed
+        go.set()
+        status = {"deadline first": 504, "overdue": 504, "refused first": 503, "event first": 200}[order]
+        assert client.answer().status == status
+        assert claims == [status == 200]
+        until(lambda: host.open_requests() == 0)
+        assert len(outcomes(scene)) == 1
+        # Nothing more came behind it, and the connection goes on.
+        assert client.send(b"GET /up HTTP/1.1\r\n\r\n").answer().status == 200
--- a/tests/test_client_races.py
+++ b/tests/test_client_races.py
@@ -18,7 +18,7 @@
 from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.request import Attempt
-from tests.stage import EVENTS, HEAD, Client, ask, chunk, serve_all, stage, until
+from tests.stage import EVENTS, HEAD, Client, ask, chunk, make_config, serve_all, stage, until
 from tests.test_gone import ENDS
 
 END = b"0\r\n\r\n"
@@ -259,3 +259,25 @@
         scene.host.give = None
         client.send(ask(X_Correlation_Id="next")[len(raw) :])
         assert client.answer().status == 200
+
+
+@pytest.mark.parametrize("behind", [b"\x00nonsense\r\n\r\n", b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n"])
+def test_an_engines_answer_to_a_request_that_was_given_up_is_told_to_nobody(behind: bytes) -> None:
+    """What follows the request can't be read, and its client is told so. Holds without a change."""
+    go = Event()
+
+    def late(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        serve_all(sock, message)
+
+    settings = make_config([])["settings"]
+    settings["Limits"]["Cancelling"] = False  # the engine's answer is read
+    with stage(late, settings=settings) as (scene, engine):
+        client = scene.client().send(ask())
+        until(lambda: engine.requests)
+        client.send(behind)
+        until(lambda: scene.heard(i.RequestGone))
+        go.set()
+        until(lambda: scene.heard(i.AttemptEnded))
+        got = all_of(client)
+        assert got.startswith(b"HTTP/1.1 400 ") and got.count(b"HTTP/1.1 ") == 1 and b"data:" not in got
