Begin an answer only when an engine's first event is whole

Endpoints._read claimed a stream for its client with the first bytes of a body. Where the engine's connection was reset, or its answer spoilt, inside its first event, the client had a head and half an event: its connection was ended with no event at all, and no other attempt could serve the request any more, though nothing that can be used had been passed on.

Underway.passable keeps the bytes back until the first event is whole (its empty line has come), the stream is, or 64 KiB have come. Till then the attempt is one like any other without an event: its reset is an outcome that the decisions hear of, and a deadline, a refusal or another attempt may still answer.

Test: an engine that stops inside its first event, in one chunk or in chunks of a byte, closes or resets the connection once that was read; the second attempt serves the request.

--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -154,7 +154,7 @@
                 if parser.status == 200 and not parser.fields.get(KIND, b"").lower().startswith(STREAM):
                     # Guards against what an endpoint says unasked passing for the answer to this request.
                     raise http1.Fault(502, "a 200 that is no stream of events")
-                parts = parser.take_body()
+                parts = underway.passable(parser.take_body())
                 if parser.status == 200 and (parts or (parser.whole and not underway.claimed)):
                     if not underway.claimed:
                         if not self._host.claim(attempt):
--- a/spoolbarrow/net/engine_answer.py
+++ b/spoolbarrow/net/engine_answer.py
@@ -14,6 +14,8 @@
 TAIL = 4096  # bytes kept of a stream's end, where it tells its usage
 DONE = b"\ndata: [DONE]"  # a stream's last event
 LAST_CHUNK, END = b"\r\n0\r\n", b"0\r\n\r\n"  # with what is before it; to the end, without trailers
+EVENT_ENDS = b"\n\n", b"\r\n\r\n", b"\r\r"
+MOST_HELD = 65536  # bytes of a stream's beginning that are kept back until its first event is whole
 MOST_UNREAD = 1 << 20  # bytes in the kernel that are searched for a stream's end
 
 
@@ -25,6 +27,22 @@
         self.tail = b""  # the last of what was passed on
         self.claimed = False  # its stream is the client's
         self.passing = False  # on its way to another process of this router
+        self._held: list[bytes] = []  # of a first event that is not whole yet
+
+    def passable(self, parts: list[bytes]) -> list[bytes]:
+        """What may be passed on, now that these bytes have come: nothing until the first event is whole.
+
+        Guards an answer: an attempt that breaks inside its first event has given its client nothing, so that
+        another one may still serve the request, or its client be told that it failed.
+        """
+        if self.claimed:
+            return parts
+        self._held += parts
+        begun = b"".join(self._held)
+        if self.parser.whole or len(begun) >= MOST_HELD or any(end in begun for end in EVENT_ENDS):
+            parts, self._held = self._held, []
+            return parts
+        return []
 
     def stays(self) -> bool:
         """Whether it must not be broken off: its endpoint has finished it, or another process may have it.
--- a/tests/test_answer_races.py
+++ b/tests/test_answer_races.py
@@ -431,3 +431,35 @@
         assert len(outcomes(scene)) == 1
         # Nothing more came behind it, and the connection goes on.
         assert client.send(b"GET /up HTTP/1.1\r\n\r\n").answer().status == 200
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, reset])
+@pytest.mark.parametrize("cut", [len(HEAD), len(HEAD) + 1, len(HEAD) + 9, len(HEAD + chunk(EVENTS[0])) - 3])
+@pytest.mark.parametrize(
+    "framing", [chunk, lambda event: b"".join(chunk(event[n : n + 1]) for n in range(len(event)))]
+)
+def test_a_stream_that_breaks_inside_its_first_event_is_nobodys_yet(framing: Any, cut: int, end: Any) -> None:
+    """Half an event is none: another attempt may serve the request, and its client hears of that alone."""
+    go = Event()
+
+    def breaks(sock: socket.socket, message: Message) -> bool:
+        scripts.remove(breaks)
+        for engine in engines:
+            engine.script = serve_all
+        sock.sendall((HEAD + framing(EVENTS[0]))[:cut])
+        go.wait()
+        end(sock)
+        return True
+
+    scripts = [breaks]
+    with stage(breaks, breaks) as (scene, *engines):
+        client = scene.client().send(ask())
+        until(lambda: not scripts)
+        (request,) = scene.host._requests.values()
+        until(lambda: request.attempts[0].running and not request.attempts[0].running.connection.stale())
+        assert not scene.heard(i.StreamStarted)
+        go.set()
+        answer = client.answer()
+        assert answer.status == 200 and b"".join(answer.take_body()) == b"".join(EVENTS)
+        until(lambda: len(outcomes(scene)) == 2)
+        assert outcomes(scene) == [i.Outcome.RESET, i.Outcome.SERVED]
