--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -24,6 +24,7 @@
 AHEAD = 4  # requests read ahead of the one that is served; then the client must wait
 DISCARD_PAUSE_S = 0.001  # between reads of what a client still sends after its error
 GONE_S = 0.05  # between looks for a client's end while it is not read: half of what it may go unseen
+GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
 
 
@@ -56,6 +57,7 @@
         self.client, self.message = client, message
         self.request: Request | None = None
         self._begun = False
+        self._broken_off = False
         # An answer late in a drain tells the client to come back by another connection.
         self._close = not message.keep_alive
 
@@ -116,7 +118,8 @@
         try:
             self.client.write(pieces)
         except OSError:
-            self.client.lost()
+            if not self._broken_off:  # else it says nothing of the client, which may still take in the rest
+                self.client.lost()
             raise
 
     def end(self) -> None:
@@ -134,6 +137,7 @@
 
     def abort(self) -> None:
         """No last chunk: the connection's end tells the client that the stream broke."""
+        self._broken_off = True
         self.client.break_off()
 
     def _closing(self) -> bool:
@@ -169,6 +173,7 @@
         self._room = Event()
         self._held = 0
         self._closed = False
+        self._going_ahead = False  # the word to send a body is being written
         self._paused = False  # its reader is to end without the connection
         self.reader: gevent.Greenlet[[], None] | None = None
         self.ending = False  # its last answer is written; only the client's end is waited for
@@ -237,7 +242,7 @@
                 parser = self._parser
                 while (parser.fault is not None or len(parser.whole) > AHEAD) and not self.ending:
                     self._room.clear()  # bounded: what follows a fault, or comes far ahead, is not read
-                    if not self._room.wait(GONE_S) and parser.fault is None and self.gone():
+                    if not self._room.wait(GONE_S) and self._waits() and self.gone():
                         return  # its end stands behind what is not read
                 gevent.sleep(0)  # guards the others: a client that sends at full speed is always readable
             if self.ending:
@@ -250,6 +255,11 @@
             if not self._paused:
                 self.lost()
 
+    def _waits(self) -> bool:
+        """Whether it waits for an endpoint: one that is only told what was wrong may have said its end."""
+        request = self.exchange.request if self.exchange is not None else None
+        return self._parser.fault is None or (request is not None and not request.over)
+
     def go_on(self) -> None:
         """Begin, or begin again, to read what the client sends."""
         self._paused = False
@@ -257,13 +267,22 @@
 
     def pause(self) -> bool:
         """Stop reading, if the client has sent nothing that is not read and answered; whether it did."""
-        parser = self._parser
-        busy = self.ending or parser.reading or parser.whole or parser.fault is not None
-        if busy or self.unread() or self.reader is None:
+        if self._read_more() or self.unread() or self.reader is None:
             return False
-        self._paused = True
+        exchange, self._paused = self.exchange, True
         self.reader.kill()
-        return not self._closed
+        if self._closed:
+            return False
+        # The event loop may poll before it ends the reader, which then reads what has come meanwhile.
+        if self._read_more() or self.exchange is not exchange:
+            self.go_on()
+            return False
+        return True
+
+    def _read_more(self) -> bool:
+        """Whether something was read that is not served yet, or it is to be closed."""
+        parser = self._parser
+        return self.ending or parser.reading or bool(parser.whole) or parser.fault is not None
 
     def paused(self) -> bool:
         """Whether nobody reads: it is on its way to another process of this router."""
@@ -343,15 +362,13 @@
         for _ in range(len(parser.whole) - had):
             self._arrived.append(self._first_byte)
             self._first_byte = now
-        if parser.reading and self.inbound.held > self.inbound.config.max_held:
-            # Guards the memory: bodies that never become whole count as well.
-            parser.fault = parser.fault or Fault(503, "no room", b"Retry-After: 1")
         if parser.fault is not None:
             self._distrust()
+        elif parser.reading and self.inbound.held > self.inbound.config.max_held:
+            # Guards the memory: bodies that never become whole count as well. The requests before it are
+            # as good as ever: refused in their place, one that may have run would be sent again.
+            parser.fault = Fault(503, "no room", b"Retry-After: 1")
         if self.exchange is None:
-            if parser.awaits_continue:
-                parser.awaits_continue = False
-                http1.send_pieces(self.sock, [b"HTTP/1.1 100 Continue\r\n\r\n"])
             if parser.reading and not was_reading and not self.fresh:
                 self.since = now
             self._advance()
@@ -370,7 +387,7 @@
     def _advance(self) -> None:
         """Serve the next request that is whole, or tell what is wrong with what came."""
         parser = self._parser
-        if self.exchange is not None or self.ending:
+        if self.exchange is not None or self.ending or self._going_ahead:
             return
         if parser.whole:
             message = parser.whole.popleft()
@@ -388,6 +405,20 @@
         elif parser.fault is not None:
             self.exchange = Exchange(self, Message(keep_alive=False))
             self.exchange.refuse(parser.fault)
+        elif parser.awaits_continue:
+            self._go_ahead()
+
+    def _go_ahead(self) -> None:
+        """Tell a client that waits for this word to send the body, with no other write beside it."""
+        self._parser.awaits_continue = False
+        self._going_ahead = True
+        try:
+            self.write([GO_AHEAD])
+        except OSError:
+            return self.lost()
+        finally:
+            self._going_ahead = False
+        self._advance()
 
     def _serve(self, exchange: Exchange, message: Message, arrived: float) -> None:
         inbound, path = self.inbound, message.path()
