Give other greenlets their turn between reads of an engine that floods

What was seen: beside one engine that wrote events of 60 bytes as fast as it could, to a client that read as fast, no other greenlet ran for the six seconds of the trial: no event of another stream, no timer, no request. With events of 4,000 bytes the longest pause was 1.06 s.

The cause: ResponseParser.read (net/http1.py) receives without a look at others. gevent's recv_into switches only where it must wait, and so does sendmsg in Exchange.pass_on; where an engine's bytes are always there before the next read, the loop of Endpoints._read never leaves its greenlet. The same holds for lists and watches (net/asking.py), which are read by the same function.

The change: after READS_A_TURN reads of an answer, or one long read, the others run first. Before the next read, so that what came of the last one is passed on by then.

Ruled out: a client that sends at full speed (bounded by its body's limit and by AHEAD), a connection that lingers (it pauses after each read), refusals (READS), the log's writer (bounded by its buffer).

tests/test_event_delay.py: the engine's next bytes are written while the last are passed on, so that they are there before each read, for 300 short and 30 long rounds; another engine writes one event at the first of them, which has to leave within two turns. Both fail without the turn, and with `gevent.sleep(0)` in its place.

--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 
 from spoolbarrow.config import Address
+from spoolbarrow.net.fairness import give_way
 
 # Fields that speak of one connection only, or that are written anew for each one.
 NOT_PASSED_ON = frozenset(
@@ -23,6 +24,8 @@
     b" x-time-left-ms x-facts x-repeat".split()
 )
 IOV_MAX = 512  # pieces in one gathered write; POSIX promises 16, Linux takes 1,024
+READS_A_TURN = 8  # of one answer; then other greenlets have their turn,
+LONG_READ = 1 << 14  # and after one read of so many bytes: it may hold a thousand events
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -181,6 +184,7 @@
         self.in_size = False  # the line that announces a chunk has begun
         self.pieces = 0  # heads, chunks and lines before them that have begun
         self._last = b""  # the last two bytes fed
+        self._reads = 0  # since other greenlets had their turn for certain
         self._chunk = 0
         self._body: list[bytes] = []
         self._head = 0
@@ -207,8 +211,15 @@
         self.pieces += self.in_size and not had
 
     def read(self, sock: socket, buffer: bytearray) -> None:
-        """Parse what comes next on a connection; blocks, raises OSError or Fault."""
+        """Parse what comes next on a connection; blocks, raises OSError or Fault.
+
+        Guards the other streams: of a peer that sends faster than this side reads, no read ever waits.
+        """
+        if self._reads >= READS_A_TURN:
+            self._reads = 0
+            give_way()  # before the read: what came of the last one has been passed on
         size = sock.recv_into(buffer)
+        self._reads += READS_A_TURN if size >= LONG_READ else 1
         if size:
             self.feed(memoryview(buffer)[:size])
         else:
--- /dev/null
+++ b/tests/test_event_delay.py
@@ -0,0 +1,171 @@
+"""Events leave as they come: whatever else the router does, and in whatever pieces they were written.
+
+The order is the program's own, never a clock's: an engine writes its next event once the last has arrived.
+"""
+
+from __future__ import annotations
+
+import itertools
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+
+from spoolbarrow.net import http1
+from spoolbarrow.net.http1 import READS_A_TURN, Message, ResponseParser
+from spoolbarrow.net.request import Attempt, Request
+from spoolbarrow.net.taps import Observer, Opened
+from tests.stage import HEAD, Client, ask, chunk, stage, until
+
+
+class Engines:
+    """An engine whose streams a test writes: by the client's name of the request, its connection."""
+
+    def __init__(self, head: bytes = HEAD) -> None:
+        self.socks: dict[str, socket.socket] = {}
+        self._head = head
+
+    def __call__(self, sock: socket.socket, message: Message) -> None:
+        sock.sendall(self._head)
+        self.socks[message.fields[b"x-correlation-id"].decode()] = sock
+
+    def write(self, name: str, data: bytes) -> None:
+        self.socks[name].sendall(data)
+
+
+class Reader:
+    """A client that reads a stream, and counts the chunks in which it comes."""
+
+    def __init__(self, client: Client) -> None:
+        self._sock, self._parser = client.sock, ResponseParser(16384)
+
+    def read(self, size: int) -> bytes:
+        """The next bytes of the stream: no more, and they need nothing else to come."""
+        got = b""
+        while len(got) < size:
+            self._parser.feed(memoryview(self._sock.recv(65536)))
+            got += b"".join(self._parser.take_body())
+        return got
+
+    def pieces(self) -> int:
+        return self._parser.pieces
+
+
+class Order(Observer):
+    """The order in which parts of streams were passed on, beside whatever else a test notes in it."""
+
+    def __init__(self) -> None:
+        self.noted: list[Any] = []
+
+    def passed_on(self, request: Request, parts: list[bytes]) -> None:
+        self.noted.append(request.id)
+
+
+def event(text: str) -> bytes:
+    return b'data: {"choices":[{"index":0,"delta":{"content":"%s"}}]}\n\n' % text.encode()
+
+
+def test_each_event_of_twenty_streams_leaves_alone_beside_a_client_that_does_not_read() -> None:
+    engines, many = Engines(), 20
+    with stage(engines) as (scene, _):
+        readers = {
+            f"s{n}": Reader(scene.client().send(ask(X_Correlation_Id=f"s{n}", X_Session_Key=f"{n + 1:x}")))
+            for n in range(many)
+        }
+        scene.client().send(ask(X_Correlation_Id="slow", X_Session_Key="ff"))
+        until(lambda: len(engines.socks) == many + 1)
+        flood = gevent.spawn(engines.write, "slow", chunk(event("x" * 60_000)) * 1000)  # 60 MB
+        # All buffers on the way are full: the router waits for the client, and so does the engine.
+        until(lambda: any(client.writing_since for client in scene.inbound._clients) and not flood.ready())
+        for k, name in itertools.product(range(10), readers):
+            told = event(f"{name}-{k}")
+            engines.write(name, chunk(told))  # the last event of every other stream has arrived
+            assert readers[name].read(len(told)) == told
+        for name, reader in readers.items():
+            assert reader.pieces() == 11, f"{name}: the head, and a chunk for each event"
+        assert not flood.ready() and scene.host.is_open("slow")
+        flood.kill()
+
+
+@pytest.mark.parametrize(("size", "rounds"), [(60, 300), (2 * http1.LONG_READ, 30)])
+def test_an_engine_that_floods_does_not_hold_up_the_events_of_others(size: int, rounds: int) -> None:
+    """Of an engine whose next bytes are there before they are asked for, no read ever waits."""
+    engines = Engines()
+
+    class Flood(Order):
+        def passed_on(self, request: Request, parts: list[bytes]) -> None:
+            super().passed_on(request, parts)
+            if request.id == "flood" and self.noted.count("flood") <= rounds:
+                engines.write("flood", chunk(b"x" * size))  # there before the router reads again
+                if self.noted.count("flood") == 1:
+                    engines.write("other", chunk(event("a")))
+
+    with stage(engines) as (scene, _):
+        order = Flood()
+        readers = {
+            name: Reader(scene.client().send(ask(X_Correlation_Id=name, X_Session_Key=name.encode().hex())))
+            for name in ("flood", "other")
+        }
+        until(lambda: len(engines.socks) == 2)
+        scene.host.taps.add(order)
+        engines.write("flood", chunk(b"x" * size))
+        assert readers["other"].read(len(event("a"))) == event("a")
+        until(lambda: order.noted.count("flood") > rounds)
+        assert order.noted.index("other") <= 2 * READS_A_TURN
+
+
+LENGTH = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 5000\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "pieces"),
+    [
+        # An event whole inside a chunk that is not, then one over two chunks, and line ends that come late.
+        (HEAD, [(b"20\r\ndata: one\n\n", b"data: one\n\n"), (b"data: two\n\n", b"data: two\n\n")]),
+        (HEAD, [(b"5\r\ndata:", b"data:"), (b"\r\n6\r\n one\n\n", b" one\n\n")]),
+        (HEAD, [(b"b\r\ndata: one\n\n\r", b"data: one\n\n"), (b"\nb\r\ndata: two\n\n", b"data: two\n\n")]),
+        (HEAD, [(b"b;x=y\r\ndata: one\n\n\r\nb", b"data: one\n\n"), (b"\r\nd", b"d")]),
+        (LENGTH, [(b"data: one\n\n", b"data: one\n\n"), (b"data: tw", b"data: tw"), (b"o\n\n", b"o\n\n")]),
+    ],
+)
+def test_events_leave_in_whatever_pieces_they_come(head: bytes, pieces: list[tuple[bytes, bytes]]) -> None:
+    """Ruled out: no byte of a body waits for the end of its chunk, nor for the line end after it."""
+    engines = Engines(head)
+    with stage(engines) as (scene, _):
+        reader = Reader(scene.client().send(ask(X_Correlation_Id="s")))
+        until(lambda: engines.socks)
+        for written, told in pieces:
+            engines.write("s", written)
+            assert reader.read(len(told)) == told
+
+
+def test_no_connection_holds_small_writes_back() -> None:
+    """Ruled out: TCP_NODELAY is set on what is opened and accepted, also where nobody sets it after that.
+
+    What another process hands over is the same connection in the kernel, with the options that it had.
+    """
+
+    class Delays(Observer):
+        def __init__(self) -> None:
+            self.options: list[int] = []
+            self.socks: list[Any] = []
+
+        def connection_opened(self, opened: Opened) -> None:
+            self.socks.append(opened.sock)
+
+        def attempt_sent(self, attempt: Attempt) -> None:
+            self.options += [sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) for sock in self.socks]
+
+    engines = Engines()
+    with stage(engines) as (scene, _):
+        delays = Delays()
+        scene.host.taps.add(delays)
+        scene.client().send(ask())
+        until(lambda: delays.options)
+        assert len(delays.options) == 2 and all(delays.options)
+    listener = http1.listen(("127.0.0.1", 0), 8)
+    with listener, socket.create_connection(listener.getsockname()):
+        accepted, _ = listener.accept()
+        with accepted:
+            assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
