Decide on hundreds of events some at a time, so that streams go on in between

What was measured: deciding on 500 requests that come in one tick and beginning their attempts took 41 ms of processor time, on 1,000 of them 91 ms (100 endpoints, the endpoints' side left out). With a tenth of a core that is 0.4 s and 0.9 s in which no event of a stream leaves.

The cause: Host._run (net/host.py) gives the whole inbox to Router.handle, carries out all the actions and runs all the timers that are due without a switch to another greenlet.

The change: AT_ONCE events, or timers, at a time, and a turn for the others in between. Timers run between the parts as well, since deadlines do not wait, and each part has its own time. Router.handle takes its events one by one and in order, so that it decides as before.

Read for what may come in the turn, and ruled out: a client that leaves (its RequestGone follows in the next tick, and a Send for it is for a request unknown, as it was within one batch); a new configuration (as between two batches); a door put before the decisions (it learns of later events, as between two batches); a deadline (its TIMEOUT waits in the inbox and the host answers 504 after two ticks, which is what the decisions would say after the deadline).

tests/test_event_delay.py: the decisions are held until 256 requests wait; an engine writes an event as the first part is decided on, which has to leave before the fourth. Likewise for 256 timers due at once.

--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -1,8 +1,9 @@
 """The decision module's interface on the sockets: clock, timers, open requests, each action carried out.
 
-One greenlet alone calls `Router.handle`, on what has come in within a tick. Nothing that it does for an
-action waits: attempts, probes and answers go on in greenlets of their own and come back as events. The
-host knows no protocol: whoever takes requests in hands over an `Answer` to give, and a message to send on.
+One greenlet alone calls `Router.handle`, on what has come in within a tick; where that is much, in several
+calls, between which other greenlets run. Nothing that it does for an action waits: attempts, probes and
+answers go on in greenlets of their own and come back as events. The host knows no protocol: whoever takes
+requests in hands over an `Answer` to give, and a message to send on.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.endpoint import Endpoints
 from spoolbarrow.net.engine_answer import Underway
+from spoolbarrow.net.fairness import give_way
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.request import Answer, Attempt, Request
@@ -31,6 +33,7 @@
 if TYPE_CHECKING:
     from spoolbarrow.fleet.documents import InCommon
 
+AT_ONCE = 32  # events decided on, or timers run, before other greenlets have their turn: some ms of a core
 OVERDUE_TICKS = 2.0  # past its deadline: a request that the decisions then leave open is answered by the host
 
 
@@ -349,15 +352,36 @@
             early = last + self.config.settings.tick_ms - self.now()
             if early > 0:
                 gevent.sleep(early / 1000)
-            now = last = self.now()
-            while self._timers and self._timers[0][0] <= now:
-                try:
-                    heappop(self._timers)[2]()
-                except Exception as error:  # the loop must outlive whatever one request runs into
-                    unexpected("timer", error)
+            last = self.now()
+            self._run_timers(last)
             events, self._inbox = self._inbox, []
-            if events:
-                self._decide(now, [self._dated(event, now) for event in events])
+            self._decide_in_turns(events)
+
+    def _run_timers(self, now: float) -> None:
+        """Run those that are due; hundreds of them must not hold the events of streams up."""
+        run = 0
+        while self._timers and self._timers[0][0] <= now:
+            if run == AT_ONCE:
+                run = 0
+                give_way()
+            run += 1
+            try:
+                heappop(self._timers)[2]()
+            except Exception as error:  # the loop must outlive whatever one request runs into
+                unexpected("timer", error)
+
+    def _decide_in_turns(self, events: list[i.Event]) -> None:
+        """Decide on what has come in, some events at a time.
+
+        Guards the events of streams: deciding on hundreds of requests and beginning their attempts takes a
+        good part of what an event may be late. Timers run in between, for deadlines do not wait either.
+        """
+        for first in range(0, len(events), AT_ONCE):
+            if first:
+                give_way()
+                self._run_timers(self.now())
+            now = self.now()
+            self._decide(now, [self._dated(event, now) for event in events[first : first + AT_ONCE]])
 
     def _dated(self, event: i.Event, now: float) -> i.Event:
         """A request's budget counts from the clock of its batch: else the decisions' deadline is too late."""
--- a/tests/test_event_delay.py
+++ b/tests/test_event_delay.py
@@ -11,8 +11,11 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 
+from spoolbarrow import interface as i
 from spoolbarrow.net import http1
+from spoolbarrow.net.host import AT_ONCE
 from spoolbarrow.net.http1 import READS_A_TURN, Message, ResponseParser
 from spoolbarrow.net.request import Attempt, Request
 from spoolbarrow.net.taps import Observer, Opened
@@ -115,6 +118,61 @@
         assert order.noted.index("other") <= 2 * READS_A_TURN
 
 
+def test_events_leave_between_hundreds_of_decisions() -> None:
+    """All requests wait for the decisions when an event comes, which leaves before they are through."""
+    engines, many = Engines(), 8 * AT_ONCE
+    with stage(engines) as (scene, _):
+        order, held, through = Order(), Event(), Event()
+        reader = Reader(scene.client().send(ask(X_Correlation_Id="stream")))
+        until(lambda: "stream" in engines.socks)
+        scene.host.taps.add(order)
+        handle = scene.host._router.handle
+
+        def deciding(now: float, events: list[i.Event]) -> list[i.Action]:
+            if not through.is_set():  # an event that is set may let others run, too
+                held.set()
+                through.wait()
+            arrived = sum(isinstance(one, i.RequestArrived) for one in events)
+            if arrived > 1 and "decided" not in order.noted:
+                engines.write("stream", chunk(event("a")))
+            order.noted += ["decided"] * (arrived > 1)
+            assert len(events) <= AT_ONCE
+            return handle(now, events)  # type: ignore[no-any-return]
+
+        scene.host._router.handle = deciding
+        scene.client().send(ask(X_Correlation_Id="first"))
+        held.wait()
+        for n in range(many):
+            scene.client().send(ask(X_Correlation_Id=f"r{n}"))
+        until(lambda: sum(isinstance(one, i.RequestArrived) for one in scene.host._inbox) == many)
+        through.set()
+        assert reader.read(len(event("a"))) == event("a")
+        until(lambda: order.noted.count("decided") >= many // AT_ONCE)
+        assert order.noted.index("stream") <= 3
+
+
+def test_events_leave_between_hundreds_of_timers() -> None:
+    """Hundreds of requests reach their time in one tick; an event that comes then leaves in between."""
+    engines, many = Engines(), 8 * AT_ONCE
+    with stage(engines) as (scene, _):
+        order = Order()
+        reader = Reader(scene.client().send(ask(X_Correlation_Id="stream")))
+        until(lambda: "stream" in engines.socks)
+        scene.host.taps.add(order)
+
+        def fire() -> None:
+            if "timer" not in order.noted:
+                engines.write("stream", chunk(event("a")))
+            order.noted.append("timer")
+
+        for _ in range(many):
+            scene.host._at(scene.host.now(), fire)
+        scene.host._wake.set()
+        assert reader.read(len(event("a"))) == event("a")
+        until(lambda: order.noted.count("timer") == many)
+        assert order.noted.index("stream") <= 3 * AT_ONCE
+
+
 LENGTH = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 5000\r\n\r\n"
 
 
