--- a/spoolbarrow/admin/control.py
+++ b/spoolbarrow/admin/control.py
@@ -52,7 +52,7 @@
 
     def request_answered(self, request: Request) -> None:
         """A request has its answer."""
-        self._figures.answered(self._name(request.cls), request.answered)
+        self._figures.answered(request.class_name, request.answered)
 
     def turned_away(self, cls: int, how: str) -> None:
         """A request was answered without being taken."""
--- a/spoolbarrow/admin/state.py
+++ b/spoolbarrow/admin/state.py
@@ -15,22 +15,18 @@
 from spoolbarrow.handover import Torn
 from spoolbarrow.router import Entitlement, Router
 
-VERSION = 1
+VERSION = 2  # 1 told what was learnt by positions of classes, tenants and zones
 MOST_HEAT = 2000  # prefixes whose counts are passed on, the most used ones
-OF_ROUTER = ("answer_ms", "hedges")
+OF_ROUTER = ("hedges",)
 OF_POOL = (
     "heat_sum",
     "heat_at",
     "seen",
     "once",
     "request_tokens",
-    "zone_load",
-    "zone_memory",
-    "zone_at",
     "lateness",
-    "home_read",
-    "missed",
 )
+OF_CLASS = ("answer_ms", "home_read", "missed")
 OF_REPLICA = (
     "report_at",
     "heard_at",
@@ -59,6 +55,9 @@
     pool: dict[str, Any]
     heat: dict[str, float]
     replicas: dict[str, dict[str, Any]]
+    # By name; by position where there is none.
+    classes: dict[str, dict[str, Any]]
+    zones: dict[str, tuple[float, float, float]]  # load, memory, when last heard of
     entitlements: dict[str, dict[str, float]]
 
 
@@ -80,6 +79,11 @@
             _of(pool, OF_POOL),
             {str(prefix): heat for prefix, heat in hottest},
             {replica.id: _of(replica, OF_REPLICA) for replica in pool.replicas.values()},
+            {str(cls): _of(learnt, OF_CLASS) for cls, learnt in router.learnt.items()},
+            {
+                str(zone): (pool.zone_load[n], pool.zone_memory[n], pool.zone_at[n])
+                for n, zone in enumerate(pool.zones)
+            },
             {str(tenant): _of(e, OF_ENTITLEMENT) for tenant, e in router.entitlements.items()},
         )
     )
@@ -97,7 +101,7 @@
 
 
 def install(state: State, router: Router) -> None:
-    """Have the decisions know it, once they have the list; it must fit their settings, or is left out."""
+    """Have the decisions know it, once they have the list; names that they do not have are left out."""
     pool = router.pool
     _put(router, OF_ROUTER, state.router)
     _put(pool, OF_POOL, state.pool)
@@ -106,10 +110,15 @@
         replica = pool.replicas.get(id)
         if replica is not None:
             _put(replica, OF_REPLICA, told)
-    for tenant, account in state.entitlements.items():
-        if int(tenant) < max(1, len(router.settings.tenants)):
-            entitlement = router.entitlements.setdefault(int(tenant), Entitlement())
-            _put(entitlement, OF_ENTITLEMENT, account)
+    for cls, learnt in router.learnt.items():
+        _put(learnt, OF_CLASS, state.classes.get(str(cls), {}))
+    for n, zone in enumerate(pool.zones):
+        if str(zone) in state.zones:
+            pool.zone_load[n], pool.zone_memory[n], pool.zone_at[n] = state.zones[str(zone)]
+    for tenant in router.settings.tenant_keys():
+        if str(tenant) in state.entitlements:
+            entitlement = router.entitlements.setdefault(tenant, Entitlement())
+            _put(entitlement, OF_ENTITLEMENT, state.entitlements[str(tenant)])
 
 
 def _put(thing: object, names: tuple[str, ...], told: dict[str, Any]) -> None:
--- a/spoolbarrow/door/gate.py
+++ b/spoolbarrow/door/gate.py
@@ -197,7 +197,7 @@
 
     def _arrived(self, event: i.RequestArrived) -> d.Arrived:
         caller = self._who(event)
-        classes, aim = self.router.settings.classes, 1.0
+        classes, aim = (event.settings or self.router.settings).classes, 1.0
         if 0 <= event.cls < len(classes):  # a class never told is refused by the decisions
             aim = classes[event.cls].aim(event.prompt_tokens)
         return d.Arrived(
--- a/spoolbarrow/fleet/safer.py
+++ b/spoolbarrow/fleet/safer.py
@@ -18,6 +18,7 @@
 
 import msgspec
 from msgspec import Meta, Struct
+from msgspec.structs import replace
 
 from spoolbarrow.fleet.documents import SHARES, SUSPENSIONS, Garbage
 from spoolbarrow.interface import Tenant
@@ -80,7 +81,7 @@
         if not widen:
             portion = min(portion, laid[at].portion)
             quota = _smaller_quota(quota, laid[at].quota_per_s) or 0.0
-        laid[at] = Tenant(portion, quota)
+        laid[at] = replace(laid[at], portion=portion, quota_per_s=quota)
     return tuple(laid)
 
 
--- a/spoolbarrow/interface.py
+++ b/spoolbarrow/interface.py
@@ -1,6 +1,7 @@
 """Settings, events and actions of the decision module: everything a node tells it and hears back.
 
-All times are milliseconds on the caller's clock; zones, kinds, classes and tenants are indices.
+All times are milliseconds on the caller's clock; zones, kinds, classes and tenants are indices. Settings give
+them names: what goes from one Settings to another (a reload, the next process) goes by these.
 """
 
 from __future__ import annotations
@@ -71,6 +72,9 @@
     FAILED = 3  # a call failed or the subscription broke; the old list stays
 
 
+Key = str | int  # a name; a position where there is none
+
+
 class RequestClass(Struct, frozen=True):
     """One class of requests."""
 
@@ -84,6 +88,7 @@
     stream: bool = True
     aim_ms_per_token: float = 0.0
     token_aim_ms: float = 0.0
+    name: str = ""  # without one, its position tells it from the others
 
     def aim(self, prompt_tokens: int) -> float:
         """When the first token is wanted, ms after the request came."""
@@ -95,6 +100,7 @@
 
     portion: float = 1.0
     quota_per_s: float = 0.0
+    name: str = ""  # without one, its position tells it from the others
 
 
 class Settings(Struct, frozen=True, kw_only=True):
@@ -106,6 +112,7 @@
     node: int = 0
     zone: int = 0
     zones: int = 1
+    zone_names: tuple[str, ...] = ()  # without them, positions tell zones from each other
     subscribe: bool = False  # the list must be asked for
     probing: bool = True
     cancelling: bool = True
@@ -143,6 +150,41 @@
         if any(t.quota_per_s < 0 or t.portion < 0 for t in self.tenants):
             raise SettingsError("quotas and portions of tenants must not be negative")
 
+    def class_keys(self) -> list[Key]:
+        """What each class is known by under any settings."""
+        return [cls.name or n for n, cls in enumerate(self.classes)]
+
+    def tenant_keys(self) -> list[Key]:
+        """What each tenant is known by under any settings; with none told, all requests are the first's."""
+        return [tenant.name or n for n, tenant in enumerate(self.tenants)] or [0]
+
+    def zone_keys(self) -> list[Key]:
+        """What each zone is known by under any settings."""
+        names = dict(zip(self.zone_names, range(self.zones), strict=False))
+        by_position = {n: name for name, n in names.items()}
+        return [by_position.get(n, n) for n in range(self.zones)]
+
+    def tenant_name(self, tenant: int) -> str:
+        """Empty where it has none, or was never told."""
+        return self.tenants[tenant].name if 0 <= tenant < len(self.tenants) else ""
+
+    def account(self, tenant: int) -> tuple[Key, float]:
+        """What a tenant is known by under any settings, and its quota; one never told has none."""
+        if not 0 <= tenant < len(self.tenants):
+            return tenant, 0.0
+        told = self.tenants[tenant]
+        return told.name or tenant, told.quota_per_s
+
+    def mean_aim(self) -> float:
+        """Of the classes, ms."""
+        return sum(cls.aim_ms for cls in self.classes) / len(self.classes)
+
+    def ranks(self, ranks: int) -> list[int]:
+        """Each class's rank by worth, 0 the highest, spread over so many."""
+        worths = sorted({cls.worth for cls in self.classes}, reverse=True)
+        steps = max(1, len(worths) - 1)
+        return [round((ranks - 1) * worths.index(cls.worth) / steps) for cls in self.classes]
+
 
 class Report(Struct, frozen=True):
     """A replica's account of its load; what it does not tell is negative."""
@@ -187,6 +229,7 @@
     resumed: bool = False
     promised: bool = False  # it comes at the time that it was told, and capacity was set aside for it
     standing: float = 1.0  # of who asks, as the door sees it: below 1 beyond their share, above within
+    settings: Settings | None = None  # it was taken under, and keeps; None: those that the decisions go by
 
 
 class StreamStarted(Struct, frozen=True):
--- a/spoolbarrow/lab/opened.py
+++ b/spoolbarrow/lab/opened.py
@@ -15,9 +15,10 @@
 from spoolbarrow.interface import ListKind, ReplicaEntry, ReplicaList, RequestArrived, RequestClass, Settings
 from spoolbarrow.lab.cold import bears
 from spoolbarrow.lab.scenario import ScenarioError
-from spoolbarrow.router import ReplicaPool, Request
+from spoolbarrow.router import Learnt, ReplicaPool, Request
 
 START = 10_000.0  # when the cold engines start
+NO_TERMS = (1.0, 0, Learnt())  # the only class: nothing here depends on them
 TOLD = 2.0 / 3.0  # a fall breaks the rule where more than this share came from routers told of the start
 
 
@@ -95,7 +96,7 @@
     popular = [1.0 / (n + 1) ** traffic.zipf for n in range(traffic.openings)]
     popular.append(sum(popular) * traffic.hot / (1.0 - traffic.hot))
     keys = [7919 * n + 1 for n in range(traffic.openings)]
-    keys.append(_at_home(pools[0], set(names[:cold]), cls))
+    keys.append(_at_home(pools[0], set(names[:cold]), settings))
     taken: dict[str, deque[tuple[float, float, bool]]] = {name: deque() for name in names[:cold]}
     sums, told = dict.fromkeys(taken, 0.0), dict.fromkeys(taken, 0.0)
     worst, sent, work_sent = dict.fromkeys(taken, 0.0), dict.fromkeys(taken, 0), dict.fromkeys(taken, 0.0)
@@ -117,7 +118,7 @@
             pool.take(after, now)
         work = exp(rng.gauss(-(traffic.work_sigma**2) / 2.0, traffic.work_sigma))
         asked = RequestArrived("q", 0, 4000.0, session=rng.getrandbits(60) + 1, prefix=key, resumed=moved)
-        request = Request(asked, cls, now)
+        request = Request(asked, settings, NO_TERMS, now)
         request.tokens, request.draw = work * pool.mean_work, rng.getrandbits(63)
         homes = pool.homes(request, now)
         if now < START:
@@ -153,10 +154,10 @@
     ]
 
 
-def _at_home(pool: ReplicaPool, cold: set[str], cls: RequestClass) -> int:
+def _at_home(pool: ReplicaPool, cold: set[str], settings: Settings) -> int:
     """An opening whose first home is a cold engine."""
     for key in range(10**9, 10**9 + 1000):
-        request = Request(RequestArrived("q", 0, 4000.0, session=1, prefix=key), cls, START)
+        request = Request(RequestArrived("q", 0, 4000.0, session=1, prefix=key), settings, NO_TERMS, START)
         if pool._walk(pool.near, key, 1)[0].id in cold and request.prefix:
             return key
     raise ScenarioError("engines", "none of them is cold")
--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -398,7 +398,7 @@
             raise Fault(405, f"{path.decode()} takes {wanted.decode()}", b"Allow: " + wanted)
         if path == UP:
             return exchange.whole(200 if inbound.ready() else 503, "not ready")
-        facts, budget = read_facts(message, inbound.config)
+        facts, budget = read_facts(message, inbound.host.config)
         name = message.fields[b"x-correlation-id"].decode("latin-1")
         if inbound.host.is_open(name):
             # Guards the request of that name: an endpoint could not tell the two apart.
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -52,8 +52,6 @@
     """What another process of this router tells of a stream; times as on the host's clock."""
 
     id: str
-    cls: int
-    tenant: int
     taken_at: float
     deadline: float
     endpoint: str
@@ -122,7 +120,7 @@
         return self._loop is not None
 
     def apply(self, config: Config) -> None:
-        """Go by a new configuration; requests under way are not touched."""
+        """Go by a new configuration; requests under way keep the settings that they were taken under."""
         self.config = config
         self._router.configure(config.settings)
         self._endpoints.apply(config)
@@ -188,11 +186,12 @@
     ) -> Request:
         """Take a request; from here on it gets exactly one answer, before `deadline` if it is no stream."""
         key = str(next(self._keys))
-        facts = replace(facts, request=key)
+        settings = facts.settings or self.config.settings
+        facts = replace(facts, request=key, settings=settings)
         request = Request(key, id, message, answer, facts, self.now(), deadline, connection)
-        cls = self.config.settings.classes[facts.cls]
+        cls, request.max_attempts = settings.classes[facts.cls], settings.max_attempts
         if cls.effect is i.Effect.KEYED:
-            request.repeat_ms = cls.window_ms - self.config.settings.tick_ms  # as the decisions count it
+            request.repeat_ms = cls.window_ms - settings.tick_ms  # as the decisions count it
         self._enter(request, facts)
         self._post(facts)
         self._at(deadline, lambda: self._deadline(key))
@@ -301,10 +300,15 @@
             self._settle(attempt.request, "given")
         self.ended(attempt, i.Outcome.CANCELLED)
 
-    def take_over(self, stream: Taken, answer: Answer, connection: int) -> tuple[Request, Attempt]:
-        """A stream that another process took and began; the decisions never hear of it."""
+    def take_over(
+        self, stream: Taken, facts: i.RequestArrived, answer: Answer, connection: int
+    ) -> tuple[Request, Attempt]:
+        """A stream that another process took and began; the decisions never hear of it.
+
+        `facts` have its class and tenant, under this process's settings.
+        """
         key = str(next(self._keys))
-        facts = i.RequestArrived(key, stream.cls, 0.0, stream.tenant)
+        facts = replace(facts, request=key)
         request = Request(
             key, stream.id, Message(), answer, facts, stream.taken_at, stream.deadline, connection
         )
@@ -412,7 +416,7 @@
             return log("send_for_unknown", request=action.request)
         attempt = Attempt(request, len(request.attempts), action.replica, self.now())
         request.attempts.append(attempt)
-        if len(request.attempts) > self.config.settings.max_attempts or not self.may_send(attempt):
+        if len(request.attempts) > request.max_attempts or not self.may_send(attempt):
             return self.ended(attempt, i.Outcome.MOOT)
         if action.max_wait_ms > 0:
             self._at(attempt.sent_at + action.max_wait_ms, lambda: self._expire(attempt))
--- a/spoolbarrow/net/passing.py
+++ b/spoolbarrow/net/passing.py
@@ -18,9 +18,10 @@
 from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
-from spoolbarrow.net.log import log
+from spoolbarrow.net.log import log, refused
+from spoolbarrow.net.request_facts import UnknownName, passed_facts
 
-VERSION = 1
+VERSION = 2  # 1 told class and tenant by their positions
 Send = Callable[[bytes, Sequence[int]], bool | None]  # taken, not taken, or not known
 
 
@@ -29,8 +30,8 @@
 
     v: int
     id: str
-    cls: int
-    tenant: int
+    cls: str  # names: the next process may have them at other positions
+    tenant: str
     taken_at: float
     deadline: float
     endpoint: str
@@ -65,8 +66,8 @@
     stream = Stream(
         VERSION,
         request.id,
-        request.cls,
-        request.tenant,
+        request.class_name,
+        request.tenant_name,
         request.taken_at,
         request.deadline,
         attempt.endpoint,
@@ -84,8 +85,7 @@
     if taken is None:
         # Perhaps it was taken: two processes must never read one connection, so that nobody does.
         for sock in (underway.connection.sock, exchange.client.sock):
-            with suppress(OSError):  # it was reset meanwhile
-                sock.shutdown(socket.SHUT_RDWR)
+            _end(sock)
         raise ConnectionResetError("lost on its way to the next process")
     if not taken:
         exchange.client.go_on()
@@ -96,6 +96,12 @@
     return True
 
 
+def _end(sock: socket.socket) -> None:
+    """End a connection for whoever else holds it, too."""
+    with suppress(OSError):  # it was reset meanwhile
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def give_idle(client: Client, send: Send) -> bool:
     """Hand over a connection on which nothing is under way; whether it is no longer this process's."""
     if not client.idle() or not client.pause():
@@ -112,7 +118,8 @@
 def take(host: Host, inbound: Inbound, text: bytes, descriptors: Sequence[int]) -> Callable[[], None]:
     """Take a stream up; what is returned sets it going. Torn or OSError: it is not taken.
 
-    The descriptors are this process's either way.
+    One whose class or tenant this process does not have is taken and broken off: it is the last to serve
+    clients, and must not go by another's rules. The descriptors are this process's either way.
     """
     socks = [socket.socket(fileno=number) for number in descriptors]
     if text == IDLE and len(socks) == 1:
@@ -126,12 +133,19 @@
             raise Torn("", "a request of this name is open")
         client.getpeername()
         engine.getpeername()
+        facts = passed_facts(stream.cls, stream.tenant, host.config)
+    except UnknownName as error:
+        refused("stream_lost", error, id=stream.id)
+        for sock in socks:
+            _end(sock)
+            sock.close()
+        return lambda: None
     except BaseException:
         for sock in socks:
             sock.close()
         raise
     exchange = inbound.take_over(client, stream.chunks, stream.closing)
-    request, attempt = host.take_over(stream, exchange, exchange.client.number)
+    request, attempt = host.take_over(stream, facts, exchange, exchange.client.number)
     exchange.request = request
     head = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in stream.head]
     underway = host.endpoints().take_over(attempt, engine, head, stream.tail.encode("latin-1"))
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -58,10 +58,15 @@
         connection: int = 0,
     ) -> None:
         self.key, self.id, self.message, self.answer = key, id, message, answer
-        self.cls, self.tenant = facts.cls, facts.tenant
+        self.cls, self.tenant = facts.cls, facts.tenant  # their positions in the settings it was taken under
+        self.class_name = self.tenant_name = ""  # what they are called in any
+        if facts.settings is not None:
+            self.class_name = facts.settings.classes[facts.cls].name
+            self.tenant_name = facts.settings.tenant_name(facts.tenant)
         self.connection = connection  # its client's, by the taps' number; 0: told by none
         self.taken_at, self.deadline = now, deadline
         self.repeat_ms = inf  # a further attempt is written whole so long after the first that may have run
+        self.max_attempts = 1  # unless the host says more
         self.attempts: list[Attempt] = []
         self.stream: Attempt | None = None  # the attempt that is the client's
         self.over = False  # answered, or the client has gone
@@ -77,8 +82,8 @@
         return {
             "request": self.key,
             "id": self.id,
-            "class": self.cls,
-            "tenant": self.tenant,
+            "class": self.class_name or self.cls,
+            "tenant": self.tenant_name or self.tenant,
             "answer": self.answered,
             "budget_ms": round(self.deadline - since),
             "ms": round(now - since),
--- a/spoolbarrow/net/request_facts.py
+++ b/spoolbarrow/net/request_facts.py
@@ -4,8 +4,17 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config
+from spoolbarrow.errors import Problem
 from spoolbarrow.net.http1 import Fault, Message
 
+
+class UnknownName(Problem):
+    """What another process of this router passed on names a class or a tenant that this one does not have."""
+
+    where = "the key whose names lack it"
+    remedy = "Keep the names that requests use until the process that took them has ended."
+
+
 MAX_PATIENCE = 2.0  # of the class's deadline: nobody waits longer
 REPEATS_STREAM = b"again"
 
@@ -41,10 +50,23 @@
         session=_number(fields.get(b"x-session-key", b"0"), 16, "X-Session-Key"),
         prefix=_number(told.get(b"prefix", b"0"), 16, "X-Facts: prefix"),
         resumed=fields.get(b"x-repeat") == REPEATS_STREAM,
+        settings=config.settings,
     )
     return facts, budget
 
 
+def passed_facts(cls: str, tenant: str, config: Config) -> i.RequestArrived:
+    """Those of a request that another process of this router took; UnknownName: not with these settings."""
+    if cls not in config.classes:
+        raise UnknownName("settings.Classes", f"a stream of the class {cls!r} was passed on")
+    if tenant not in config.tenants and (tenant or config.tenants):
+        raise UnknownName("settings.Tenants", f"a stream of the tenant {tenant!r} was passed on")
+    number = config.tenants.get(tenant, 0)
+    return i.RequestArrived(
+        request="", cls=config.classes[cls], budget_ms=0.0, tenant=number, settings=config.settings
+    )
+
+
 def _named(fields: dict[bytes, bytes], header: bytes, names: dict[str, int]) -> int:
     name = fields.get(header, b"").decode("latin-1")
     if name not in names:
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -127,28 +127,42 @@
         return self.outcome not in i.NEVER_RAN
 
 
+class Learnt:
+    """What served requests of a class have taught, from a first guess on."""
+
+    def __init__(self) -> None:
+        self.answer_ms, self.home_read = 60.0 * DECODE_MS, 600.0  # streaming; tokens read at a session's home
+        self.missed = [0.5, 0.5, 0.9]  # share of the prefix read, by rank
+
+
+Terms = tuple[float, int, Learnt]  # of a class: its weight, its tier among the others, what it taught
+
+
 class Request:
-    """A client's request until its answer is given and its last attempt has ended."""
+    """A client's request until its last attempt has ended, under the settings that it was taken under."""
 
-    def __init__(self, event: i.RequestArrived, cls: i.RequestClass, now: float) -> None:
-        self.id, self.cls, self.kind, self.tenant = event.request, cls, event.cls, event.tenant
+    def __init__(self, event: i.RequestArrived, settings: i.Settings, terms: Terms, now: float) -> None:
+        self.id, self.settings, self.cls = event.request, settings, settings.classes[event.cls]
+        self.tenant, self.quota_per_s = settings.account(event.tenant)
+        self.weight, self.tier, self.learnt = terms
         self.arrived_at, self.deadline = now, now + event.budget_ms
-        self.aim = cls.aim(event.prompt_tokens)
+        self.aim = self.cls.aim(event.prompt_tokens)
         self.prompt, self.shared = event.prompt_tokens, min(event.shared_tokens, event.prompt_tokens)
         self.session, self.prefix = event.session, event.prefix
         self.resumed, self.promised, self.standing = event.resumed, event.promised, event.standing
         self.attempts: list[Attempt] = []
         self.homes: list[Replica] = []
         self.held = self.closed = self.started = False
-        self.priority, self.tokens, self.weight, self.tier, self.draw = 0.0, 0.0, 0.0, 0, 0
+        self.priority, self.tokens, self.draw = 0.0, 0.0, 0
         self.entitlement: Entitlement | None = None
 
     def out(self) -> bool:
         """Whether an attempt still has no outcome."""
         return any(a.outcome is None for a in self.attempts)
 
-    def may_send(self, settings: i.Settings, replica: Replica, now: float) -> bool:
+    def may_send(self, replica: Replica, now: float) -> bool:
         """Rule 2: whether one more attempt, on this replica, cannot cause a second effect."""
+        settings = self.settings
         if len(self.attempts) >= settings.max_attempts or (self.out() and not settings.second_copies):
             return False
         ran = [a for a in self.attempts if a.may_have_run()]
@@ -203,35 +217,31 @@
     def __init__(self, settings: i.Settings, rng: Random) -> None:
         self.rng = rng
         self.replicas: dict[str, Replica] = {}
-        self.serving: list[Replica] = []
-        self.local: list[Replica] = []
-        self.remote: list[Replica] = []
+        self.serving, self.local, self.remote, self.cold = (list[Replica]() for _ in range(4))
         self.fresh: deque[tuple[float, Replica]] = deque(maxlen=POOL_SIZE)
         self.near: list[tuple[int, str, Replica]] = []  # hashed points of own zone's replicas, sorted
         self.far: list[tuple[int, str, Replica]] = []
         self.walks: dict[tuple[int, int], dict[Replica, None]] = {}
         self.heat: dict[int, float] = {}
         self.heat_sum, self.heat_at, self.seen, self.once = 0.0, 0.0, 0.0, 0  # all, of prefixes, of ones
-        self.cold: list[Replica] = []
         self.request_tokens = 2000.0  # mean tokens of a request, learnt
         self.mean_work, self.arrived = 2000.0, count(1)  # as request_tokens, but from the first request on
-        self.zone_load: list[float] = []
-        self.zone_memory: list[float] = []
-        self.zone_at: list[float] = []
-        self.lateness, self.full_ms = 1.0, 0.0
-        self.home_read: list[float] = []  # tokens read at a session's home; a first guess, then learnt
-        self.missed: list[list[float]] = [[], [], []]  # share of the prefix read, by rank
-        self.configure(settings)
-
-    def configure(self, settings: i.Settings) -> None:
-        """Go by these settings; tables by zone and class never shrink: open requests still name them."""
-        self.settings = settings
+        self.zone_load, self.zone_memory, self.zone_at = list[float](), list[float](), list[float]()
+        self.zones, self.lateness, self.full_ms = list[i.Key](), 1.0, 0.0  # zones by their numbers here
+        self.configure(settings, set(), 0.0)
+
+    def configure(self, settings: i.Settings, sent: set[Replica], now: float) -> None:
+        """Go by these settings; zones that they name or that replicas known or `sent` to are in are kept."""
+        self.settings, before, known = settings, self.zones, sent.union(self.replicas.values())
+        used = [before[replica.zone] for replica in known]
+        self.zones = list(dict.fromkeys(settings.zone_keys() + used))
+        for replica, key in zip(known, used, strict=True):
+            replica.zone = self.zones.index(key)
+        old = [before.index(key) if key in before else -1 for key in self.zones]
         for table in (self.zone_load, self.zone_memory, self.zone_at):
-            table += [0.0] * (settings.zones - len(table))
-        more = len(settings.classes) - len(self.home_read)
-        self.home_read += [600.0] * more
-        for table, share in zip(self.missed, (0.5, 0.5, 0.9), strict=True):
-            table += [share] * more
+            table[:] = [table[n] if n >= 0 else 0.0 for n in old]
+        self.serving, self.near, self.far = [], [], []
+        self.take(i.ReplicaList(i.ListKind.CHANGES), now)
 
     def take(self, event: i.ReplicaList, now: float) -> None:
         """Follow the list (rule 3: what drains or is gone is out of `serving` from here on)."""
@@ -252,9 +262,9 @@
             if entry.state is i.ReplicaState.GONE:
                 del self.replicas[entry.replica]
         self.serving = [r for r in self.replicas.values() if r.serving]
+        self.cold = [r for r in self.serving if r.started_at > max(0.0, now - self.settings.cold_ms)]
         self.local = [r for r in self.serving if r.zone == self.settings.zone]
         self.remote = [r for r in self.serving if r.zone != self.settings.zone]
-        self.cold = [r for r in self.serving if r.started_at > max(0.0, now - self.settings.cold_ms)]
         after = set(self.serving)
         for ring, members in ((self.near, self.local), (self.far, self.remote)):
             if before - after:
@@ -325,8 +335,8 @@
 
     def reading(self, request: Request, rank: int) -> float:
         """Tokens of the prompt that a replica must still read: at its home, at a prefix home, elsewhere."""
-        elsewhere = request.prompt - request.shared * (1.0 - self.missed[rank][request.kind])
-        return min(elsewhere, self.home_read[request.kind]) if rank == 0 else elsewhere
+        elsewhere = request.prompt - request.shared * (1.0 - request.learnt.missed[rank])
+        return min(elsewhere, request.learnt.home_read) if rank == 0 else elsewhere
 
     def first(self, wait: float, read: float) -> float:
         """Predicted time to the first token, ms: so long before reading begins, so many tokens to read."""
@@ -353,8 +363,7 @@
             replica.memory = max(report.memory_share, report.busy_share, 0.0)
             self.zone_memory[replica.zone] += ZONE_LEARN * (replica.memory - self.zone_memory[replica.zone])
             self.fresh.append((now, replica))
-        replica.load = load
-        self.zone_at[replica.zone] = now
+        replica.load, self.zone_at[replica.zone] = load, now
         # A few deep queues say nothing of those that are chosen: one counts as twice the mean at most.
         mean = self.zone_load[replica.zone]
         self.zone_load[replica.zone] += ZONE_LEARN * (min(load, 2.0 * max(mean, QUEUED_MS)) - mean)
@@ -386,11 +395,10 @@
         """What a served attempt shows of kept prompts."""
         read = max(1.0, float(request.prompt - kept))
         if attempt.rank == 0:
-            self.home_read[request.kind] += LEARN * (read - self.home_read[request.kind])
+            request.learnt.home_read += LEARN * (read - request.learnt.home_read)
         if request.shared > 0:
             missed = min(1.0, max(0.0, (read - (request.prompt - request.shared)) / request.shared))
-            means = self.missed[attempt.rank]
-            means[request.kind] += LEARN * (missed - means[request.kind])
+            request.learnt.missed[attempt.rank] += LEARN * (missed - request.learnt.missed[attempt.rank])
 
 
 Choice = tuple[Replica, int, float, float]  # replica, rank among homes, predicted wait, tokens to read
@@ -404,10 +412,9 @@
         self.rng, self.draws = Random(seed), Random(~seed)
         self.pool, self.pacing = ReplicaPool(settings, self.rng), Pacing(settings, self.rng)
         self.requests: dict[str, Request] = {}
-        self.entitlements: dict[int, Entitlement] = {}
+        self.entitlements, self.learnt = dict[i.Key, Entitlement](), dict[i.Key, Learnt]()
         self.actions: list[i.Action] = []
         self.now, self.hedges, self.begun = 0.0, 1.0, False
-        self.answer_ms: list[float] = []  # streaming time, learnt
         self.configure(settings)
         self.subscribed, self.asking, self.asked_at = not settings.subscribe, False, 0.0
         self.awaited: dict[str, list[Request]] = {}  # requests held, by the replica asked
@@ -422,23 +429,27 @@
         }
 
     def configure(self, settings: i.Settings) -> None:
-        """Decide by these settings from here on; what was learnt of replicas and tenants stays."""
-        if settings.tenants != self.settings.tenants:
-            self.entitlements.clear()
+        """Decide by these settings from here on; what was learnt stays where its name does."""
+        tenants = set(settings.tenant_keys())
+        self.entitlements = {key: e for key, e in self.entitlements.items() if key in tenants}
         self.settings = self.pacing.settings = settings
-        self.pool.configure(settings)
-        self.answer_ms += [60.0 * DECODE_MS] * (len(settings.classes) - len(self.answer_ms))
-        worths = sorted({c.worth for c in settings.classes}, reverse=True)
-        self.tiers = [round(3.0 * worths.index(c.worth) / max(1, len(worths) - 1)) for c in settings.classes]
-        self.mean_aim = sum(c.aim_ms for c in settings.classes) / len(settings.classes)
+        sent = {attempt.replica for request in self.requests.values() for attempt in request.attempts}
+        self.pool.configure(settings, sent, self.now)
+        self.mean_aim = settings.mean_aim()
+        self.terms = self._terms(settings)
+        self.learnt = {key: of[2] for key, of in zip(settings.class_keys(), self.terms, strict=True)}
         pace = [FULL_STEPS * c.token_aim_ms for c in settings.classes if c.token_aim_ms > 0]
         self.full_ms = self.pool.full_ms = sum(pace) / len(pace) if pace else FULL_SHARE * self.mean_aim
-        self.weights = [
-            CLASS_WEIGHTS[tier] / (1.0 + ALPHA_SLO * c.aim_ms / self.mean_aim)
-            for tier, c in zip(self.tiers, settings.classes, strict=True)
-        ]
         self.hedge_ratio = min(HEDGE_RATIO, HEDGE_COST / max(settings.waste_fee, 1e-9))
 
+    def _terms(self, settings: i.Settings) -> list[Terms]:
+        """Of each class of these settings; what it has taught goes by its name, and is new where that is."""
+        aims = [cls.aim_ms / settings.mean_aim() for cls in settings.classes]
+        tiers = settings.ranks(len(CLASS_WEIGHTS))
+        weights = [CLASS_WEIGHTS[t] / (1.0 + ALPHA_SLO * aim) for t, aim in zip(tiers, aims, strict=True)]
+        learnt = [self.learnt.get(key) or Learnt() for key in settings.class_keys()]
+        return list(zip(weights, tiers, learnt, strict=True))
+
     def handle(self, now_ms: float, events: list[i.Event]) -> list[i.Action]:
         """Decide on a batch of events that happened at `now_ms`."""
         self.now, self.actions = now_ms, []
@@ -477,9 +488,8 @@
                 self._decide(self.requests[token[2:]])
         elif token[:2] == "s:":
             number, _, name = token[2:].partition(":")
-            late = self.requests.get(name)
-            if late is not None and number.isdigit():
-                self._late(late, int(number))
+            if name in self.requests and number.isdigit():
+                self._late(self.requests[name], int(number))
 
     def _sweep(self) -> None:
         self._timer("sweep", SWEEP_MS * (0.75 + 0.5 * self.rng.random()))
@@ -529,26 +539,24 @@
                 self.pool.suspect(replica, self.now)
                 if replica.silent:
                     self._rescue(list(replica.unstarted))
-        for request in waiting:
-            if request.held:
-                self._decide(request)
+        for request in (r for r in waiting if r.held):
+            self._decide(request)
 
     def _arrived(self, event: i.RequestArrived) -> None:
-        settings, pool = self.settings, self.pool
+        settings, pool = event.settings or self.settings, self.pool
         if event.request in self.requests:
             return
         if not 0 <= event.cls < len(settings.classes):  # a class never told: nothing may be assumed of it
             return self.actions.append(i.Refuse(event.request))
-        request = Request(event, settings.classes[event.cls], self.now)
-        request.weight, request.tier = self.weights[event.cls], self.tiers[event.cls]
-        self.requests[event.request] = request
-        answer = self.answer_ms[event.cls] / DECODE_MS
+        terms = self.terms if settings is self.settings else self._terms(settings)
+        self.requests[event.request] = request = Request(event, settings, terms[event.cls], self.now)
+        answer = request.learnt.answer_ms / DECODE_MS
         request.tokens, request.draw = request.prompt + answer, self.draws.getrandbits(63)
         pool.request_tokens += LEARN * (request.tokens - pool.request_tokens)
         pool.mean_work += max(LEARN, 1.0 / next(pool.arrived)) * (request.tokens - pool.mean_work)
         self.hedges = min(HEDGE_DEPTH, self.hedges + self.hedge_ratio)
         request.homes = pool.homes(request, self.now)
-        if settings.probing:
+        if self.settings.probing:
             far = pool.remote and (not pool.local or self.rng.random() < FAR_PROBES)
             members = pool.remote if far else pool.local
             if members:
@@ -558,7 +566,7 @@
             home = next((r for r in request.homes if r.serving and self.now >= r.suspect_until), None)
             if home is not None and self.now - home.report_at > FRESH_MS:
                 self._probe(home)
-                if home.zone == settings.zone or not pool.local:
+                if home.zone == self.settings.zone or not pool.local:
                     # Departure 2: a home not heard of lately is asked first. At full size a node hears of
                     # one replica every many seconds; older news says nothing of the home's load.
                     request.held = True
@@ -567,12 +575,10 @@
                     return self._timer("h:" + request.id, hold)
         self._decide(request)
 
-    def _baseline(self, tenant: int) -> float:
-        """A tenant's baseline over all nodes, tokens a millisecond."""
-        tenants = self.settings.tenants
-        quota = tenants[tenant].quota_per_s if 0 <= tenant < len(tenants) else 0.0
-        if quota > 0.0:
-            return quota * self.pool.request_tokens / 1000.0
+    def _baseline(self, request: Request) -> float:
+        """The baseline of a request's tenant over all nodes, tokens a millisecond."""
+        if request.quota_per_s > 0.0:
+            return request.quota_per_s * self.pool.request_tokens / 1000.0
         # Not told: an equal share of the capacity that usage and probed fullness suggest.
         pool, zone = self.pool, self.settings.zone
         fullness = max(0.1, min(1.0, max(pool.zone_load[zone] / self.full_ms, pool.zone_memory[zone])))
@@ -598,7 +604,7 @@
         if choice is None or soonest is None:  # with no list yet, all must not come back in one wave
             return self._finish(request, 0.0 if pool.serving else settings.max_retry_after_ms / 1.5)
         wait, read = soonest[2:]
-        slice_rate = self._baseline(request.tenant) / settings.nodes
+        slice_rate = self._baseline(request) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
         request.priority = request.weight * standing * request.standing
         first = pool.first(wait, read)
@@ -607,7 +613,7 @@
             saved = entitlement.save(now, slice_rate, pool.request_tokens)
             refused = False
             if wait > self.full_ms and not request.promised:
-                seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / pool.request_tokens
+                seconds = (request.learnt.answer_ms + self.mean_aim) * slice_rate / pool.request_tokens
                 refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved < request.tokens
                 # Departure 3: the lowest of many is beaten by nearly all; the fuller, the higher the cut.
                 newest = (r.priority for r in reversed(self.requests.values()) if r.entitlement)
@@ -662,7 +668,7 @@
                 cost += cross
             elif wait * pool.lateness > self.full_ms and pool.remote:
                 cost += request.aim  # a full zone must not refuse what another has room for
-            allowed = not request.attempts or request.may_send(self.settings, replica, now)
+            allowed = not request.attempts or request.may_send(replica, now)
             if cost < least and allowed and pool.cold_allows(replica, request, now, rank == 0):
                 best, least = (replica, rank, wait, read), cost
         return best
@@ -675,7 +681,7 @@
         replica.unstarted.append(attempt)
         self.actions.append(i.Send(request.id, replica.id))
         late = max(HEDGE_MIN_MS, min(HEDGE_FACTOR * predicted, max(HEDGE_AIM * request.aim, predicted)))
-        if now + late < request.deadline and len(request.attempts) < self.settings.max_attempts:
+        if now + late < request.deadline and len(request.attempts) < request.settings.max_attempts:
             self._timer(f"s:{len(request.attempts) - 1}:{request.id}", late)
 
     def _late(self, request: Request, number: int) -> None:
@@ -691,13 +697,13 @@
                 self.pool.suspect(replica, self.now)
         if number != len(request.attempts) - 1 or self.hedges < 1.0 or len(self.pool.serving) <= number + 1:
             return  # no retry storm: few requests are tried twice; with nowhere else to go, late is better
-        choice = self._choose(request) if self.settings.second_copies else None
+        choice = self._choose(request) if request.settings.second_copies else None
         if choice is not None:
             left = request.arrived_at + request.aim - self.now
             if choice[2] * self.pool.lateness < self.full_ms and self.pool.first(*choice[2:]) < left:
                 self.hedges -= 1.0
                 self._send(request, *choice)
-        elif not self.settings.second_copies and self.settings.cancelling and request.may_refuse():
+        elif not request.settings.second_copies and request.settings.cancelling and request.may_refuse():
             self.hedges -= 1.0
             self.actions.append(i.Cancel(request.id, number))  # its outcome brings the next attempt
 
@@ -723,7 +729,7 @@
         for attempt in lost:
             request = attempt.request
             last = request.attempts[-1] is attempt and not request.closed and not request.started
-            if last and self.now - attempt.sent_at >= HEDGE_MIN_MS and self.settings.second_copies:
+            if last and self.now - attempt.sent_at >= HEDGE_MIN_MS and request.settings.second_copies:
                 choice = self._choose(request)
                 if choice is not None and choice[0].suspect_until <= self.now:
                     self._send(request, *choice)
@@ -745,7 +751,7 @@
 
     def _cancel_others(self, request: Request, keep: int) -> None:
         for number, attempt in enumerate(request.attempts):
-            if number != keep and attempt.outcome is None and self.settings.cancelling:
+            if number != keep and attempt.outcome is None and request.settings.cancelling:
                 self.actions.append(i.Cancel(request.id, number))
 
     def _ended(self, event: i.AttemptEnded) -> None:
@@ -763,9 +769,9 @@
         if outcome is i.Outcome.SERVED:
             self.pool.heard(replica, now)
             if attempt.first_ms >= 0.0:
-                spent, usual = now - attempt.sent_at - attempt.first_ms, self.answer_ms[request.kind]
+                spent, usual = now - attempt.sent_at - attempt.first_ms, request.learnt.answer_ms
                 replica.pace += 2.0 * LEARN * (min(spent / usual, 4.0) - replica.pace)
-                self.answer_ms[request.kind] += LEARN * (spent - usual)
+                request.learnt.answer_ms += LEARN * (spent - usual)
             self.pool.learn(request, attempt, event.kept_tokens)
             replica.failing *= 0.7
         elif outcome is i.Outcome.REJECTED:
@@ -807,8 +813,8 @@
     def _finish(self, request: Request, wait: float = 0.0) -> None:
         """The final answer (rule 1): refused where that promise may be given (rule 2), failed otherwise."""
         if request.may_refuse() and self.now < request.deadline:
-            pause = max(wait, 100.0) * (0.75 + 0.75 * self.rng.random()) * self.settings.retry_after
-            self.actions.append(i.Refuse(request.id, min(pause, self.settings.max_retry_after_ms)))
+            pause = max(wait, 100.0) * (0.75 + 0.75 * self.rng.random()) * request.settings.retry_after
+            self.actions.append(i.Refuse(request.id, min(pause, request.settings.max_retry_after_ms)))
         else:
             self.actions.append(i.Fail(request.id))
         self._close(request)
@@ -821,8 +827,8 @@
             entitlement, request.entitlement = request.entitlement, None
             if entitlement is not None:
                 entitlement.in_flight -= 1
-                slice_rate, pool = self._baseline(request.tenant) / self.settings.nodes, self.pool
-                seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / pool.request_tokens
+                slice_rate, pool = self._baseline(request) / self.settings.nodes, self.pool
+                seconds = (request.learnt.answer_ms + self.mean_aim) * slice_rate / pool.request_tokens
                 entitlement.completed(self.now, slice_rate, seconds, request.tier < 2)
         if not request.out():
             self.requests.pop(request.id, None)
--- a/spoolbarrow/wire.py
+++ b/spoolbarrow/wire.py
@@ -285,11 +285,13 @@
     RepeatWindowMs: float = 0.0
     LateShare: float = 0.0
     Stream: bool = False
+    Name: str = ""
 
 
 class _Tenant(Struct):
     Portion: float = 1.0
     QuotaPerS: float = 0.0
+    Name: str = ""
 
 
 class _Limits(Struct):
@@ -366,16 +368,18 @@
             stream=c.Stream,
             aim_ms_per_token=stretch[n] * US_PER_1000_TO_MS_PER_TOKEN if n < len(stretch) else 0.0,
             token_aim_ms=paces[n] if n < len(paces) else 0.0,
+            name=c.Name,
         )
         for n, c in enumerate(p.Classes)
     )
     return i.Settings(
         nodes=p.Balancers,
         classes=classes,
-        tenants=tuple(i.Tenant(t.Portion, t.QuotaPerS) for t in p.Tenants),
+        tenants=tuple(i.Tenant(t.Portion, t.QuotaPerS, t.Name) for t in p.Tenants),
         node=p.Me,
         zone=p.MyZone,
         zones=max(1, len(p.Zones)),
+        zone_names=tuple(p.Zones),
         subscribe=p.Discovery != "automatic",
         probing=p.Limits.Probing,
         cancelling=p.Limits.Cancelling,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -130,15 +130,19 @@
         first = first or router.requests["q"].attempts[0].predicted
 
 
+def weights(router: Router) -> list[float]:
+    return [weight for weight, _, _ in router.terms]
+
+
 def test_class_weights_follow_worth_and_aims() -> None:
     classes = tuple(
         RequestClass(aim_ms=1000.0, deadline_ms=4000.0, worth=w) for w in (5.0, 3.0, 2.0, 1.0, 5.0)
     )
     router = Router(make_settings(classes=classes), 1)
-    assert router.weights == pytest.approx([1000 / 3, 100 / 3, 1 / 3, 0.1 / 3, 1000 / 3])
+    assert weights(router) == pytest.approx([1000 / 3, 100 / 3, 1 / 3, 0.1 / 3, 1000 / 3])
     two = (RequestClass(500.0, 4000.0, 2.0), RequestClass(1500.0, 4000.0, 1.0))
     # mean aim 1000: 1000 / (1 + 2 * 0.5) = 500 and 0.1 / (1 + 2 * 1.5) = 0.025
-    assert Router(make_settings(classes=two), 1).weights == pytest.approx([500.0, 0.025])
+    assert weights(Router(make_settings(classes=two), 1)) == pytest.approx([500.0, 0.025])
 
 
 def test_debt_and_burst_by_hand() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -100,11 +100,15 @@
 
 def test_state_that_does_not_fit_is_left_out() -> None:
     read = state.read(state.write("n0", HostList(), {}, learned()), "n0")
-    read.pool |= {"zone_load": [1.0, 2.0, 3.0], "heat_sum": "much"}
+    read.pool |= {"heat_sum": "much"}
+    read.zones = {"9": (1.0, 2.0, 3.0)}
+    read.classes = {"0": {"answer_ms": "much", "missed": [0.1]}, "9": {"answer_ms": 7.0}}
     read.entitlements["9"] = {"debt": 1.0}
     other = Router(SETTINGS, 2)
+    guess = vars(Router(SETTINGS, 2).learnt[0])
     state.install(read, other)
-    assert other.pool.zone_load == [0.0] and other.pool.heat_sum == 0.0 and 9 not in other.entitlements
+    assert other.pool.zone_load == [0.0] and other.pool.heat_sum == 0.0 and list(other.learnt) == [0]
+    assert vars(other.learnt[0]) == guess and list(other.entitlements) == [0]
     for text in (b"", b'{"v":1', state.write("n1", HostList(), {}, learned())):
         with pytest.raises(ValueError):
             state.read(text, "n0")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -30,6 +30,12 @@
 from tests.world import make_settings, serving
 
 
+def know_homes(router: Router) -> None:
+    """Have the decisions take a session's home to read little of a prompt, whatever its class."""
+    for learnt in router.learnt.values():
+        learnt.home_read = 60.0
+
+
 def sends(actions: list[Action]) -> list[Send]:
     return [a for a in actions if isinstance(a, Send)]
 
@@ -160,7 +166,7 @@
 def test_a_home_that_keeps_prompts_waiting_is_no_reason_to_refuse() -> None:
     """Guards against judging the fleet by one busy home: requests were refused while others had room."""
     router, home, other = homed(prompt_tokens=6000)
-    router.pool.home_read = [60.0, 60.0]
+    know_homes(router)
     router.handle(
         3.0,
         [
@@ -184,7 +190,7 @@
 ) -> None:
     """Guards against reading a beginning anew all over a busy fleet: that is what made it full."""
     router, home, other = homed(prompt_tokens=6000)
-    router.pool.home_read = [60.0, 60.0]
+    know_homes(router)
     tokens = 12.0 * router.full_ms / 0.6  # a report is believed to 0.6
     reports = ((home, at_home), (other, elsewhere))
     router.handle(
@@ -204,7 +210,7 @@
     waits = []
     for load in (0.0, 0.05, 0.25, 0.5, 0.75, 1.0, 4.0):
         router, home, other = homed(prompt_tokens=6000)
-        router.pool.home_read = [60.0, 60.0]
+        know_homes(router)
         tokens = {home: 12.0 * 4.0 * router.full_ms, other: 0.0}
         reports: list[Event] = [
             ProbeAnswered(name, Outcome.SERVED, 1.0, Report(0.0, unread)) for name, unread in tokens.items()
--- /dev/null
+++ b/tests/test_reload_races.py
@@ -0,0 +1,349 @@
+"""New settings between two lines of a request's way: it keeps the class, tenant, windows and limits it has.
+
+Each test forces the bad order: settings are applied, or a signal sent, at the place where a greenlet yields.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import msgspec
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from spoolbarrow import config
+from spoolbarrow import interface as i
+from spoolbarrow.admin import state
+from spoolbarrow.admin.control import Counting
+from spoolbarrow.admin.figures import Figures
+from spoolbarrow.config import HostList
+from spoolbarrow.handover import Torn
+from spoolbarrow.net import passing
+from spoolbarrow.net.http1 import Message
+from spoolbarrow.net.log import standard
+from spoolbarrow.router import Router
+from tests.stage import (
+    EVENTS,
+    HEAD,
+    LISTEN,
+    ask,
+    chunk,
+    entry,
+    make_config,
+    serve_all,
+    stage,
+    until,
+)
+
+# Many times, else not a second time.
+CHAT = {"Name": "chat", "AimMs": 60e3, "DeadlineMs": 20e3, "Effect": "retryable", "Stream": True}
+ONCE = {"Name": "once", "AimMs": 60e3, "DeadlineMs": 20e3, "Effect": "fragile", "Stream": True}
+ACME, OTHER = {"Name": "acme", "Portion": 0.7}, {"Name": "other", "Portion": 0.3}
+FIRST: dict[str, Any] = {"Classes": [CHAT, ONCE], "Tenants": [ACME, OTHER]}
+TURNED: dict[str, Any] = {"Classes": [ONCE, CHAT], "Tenants": [OTHER, ACME]}
+
+
+def settings(changes: dict[str, Any], **limits: Any) -> dict[str, Any]:
+    base = make_config([])["settings"]
+    return {**base, **changes, "Limits": {**base["Limits"], **limits}}
+
+
+def apply(scene: Any, changes: dict[str, Any], **limits: Any) -> None:
+    """As SIGHUP does, once the file is read; discovery says nothing new."""
+    raw = make_config([], settings=settings(changes, **limits))
+    made = config.parse(msgspec.json.encode({**raw, "listen": f"{LISTEN}:{scene.config.listen[1]}"}))
+    made = msgspec.structs.replace(made, discovery=scene.config.discovery)
+    scene.inbound.apply(made)
+    scene.host.apply(made)
+
+
+def at_submit(scene: Any, changes: dict[str, Any], **limits: Any) -> None:
+    """Have new settings come after the next request was read, and before its batch."""
+    take = scene.host.submit
+
+    def submit(*args: Any, **named: Any) -> Any:
+        scene.host.submit = take
+        request = take(*args, **named)
+        apply(scene, changes, **limits)
+        return request
+
+    scene.host.submit = submit
+
+
+def hang_up(sock: socket.socket, message: Message) -> bool:
+    return True
+
+
+# A request and the settings that it was taken under
+
+
+def test_a_request_that_must_not_run_twice_does_not_where_classes_change_places_before_its_batch() -> None:
+    with stage(hang_up, hang_up, settings=settings(FIRST)) as (scene, *engines):
+        at_submit(scene, TURNED)
+        assert scene.client().send(ask(X_Service_Class="once")).answer().status == 502
+        assert scene.host.config.classes == {"once": 0, "chat": 1}  # they did
+        assert sum(len(engine.requests) for engine in engines) == 1
+        again = scene.client().send(ask(X_Service_Class="chat", X_Correlation_Id="2"))
+        assert again.answer().status == 503 and sum(len(engine.requests) for engine in engines) == 3
+
+
+def test_a_request_of_a_class_that_is_gone_before_its_batch_is_served_under_it() -> None:
+    with stage(serve_all, settings=settings(FIRST)) as (scene, _):
+        at_submit(scene, {"Classes": [CHAT], "Tenants": [ACME]})
+        asked = scene.client().send(ask(X_Service_Class="once", X_Account="other"))
+        assert asked.answer().status == 200
+        until(lambda: scene.host.open_requests() == 0 and not scene.host.router().requests)
+        assert list(scene.host.router().learnt) == ["chat"]
+        assert scene.client().send(ask(X_Service_Class="once")).answer().status == 400
+
+
+def test_a_request_keeps_its_limits_where_others_come_while_it_is_held_for_a_probe() -> None:
+    """The probe's answer is held back until the new limits are there."""
+    seen = Event()
+
+    def held(sock: socket.socket, message: Message) -> bool:
+        if message.method == b"POST":
+            return True
+        seen.wait()
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        return False
+
+    few = settings(FIRST, Probing=True)
+    with stage(held, held, settings=few) as (scene, *engines):
+        handle = scene.host.router().handle
+
+        def then(now: float, events: list[i.Event]) -> list[i.Action]:
+            actions: list[i.Action] = handle(now, events)
+            if any(isinstance(event, i.RequestArrived) for event in events):
+                (request,) = scene.host.router().requests.values()
+                assert request.held
+                apply(scene, FIRST, Probing=True, MaxAttempts=1)
+                seen.set()
+            return actions
+
+        scene.host.router().handle = then
+        assert scene.client().send(ask()).answer().status == 503
+        asked = [m for engine in engines for m in engine.requests if m.method == b"POST"]
+        assert len(asked) == 2  # both engines: the new limit would have left it at one
+        scene.host.router().handle = handle
+        assert scene.client().send(ask(X_Correlation_Id="2")).answer().status == 503
+        asked = [m for engine in engines for m in engine.requests if m.method == b"POST"]
+        assert len(asked) == 3
+
+
+def test_what_operators_read_of_a_request_has_its_own_names(capsys: pytest.CaptureFixture[str]) -> None:
+    seen = Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        seen.wait()
+        serve_all(sock, message)
+
+    with stage(wait, settings=settings(FIRST)) as (scene, engine):
+        figures = Figures(scene.config.classes)
+        scene.host.taps.add(Counting(figures, lambda number: list(scene.host.config.classes)[number]))
+        asked = scene.client().send(ask(X_Service_Class="once", X_Account="other"))
+        until(lambda: engine.requests)
+        apply(scene, TURNED)
+        (request,) = scene.host._requests.values()
+        seen.set()
+        assert asked.answer().status == 200
+        told = request.account(scene.host.now())
+        assert (told["class"], told["tenant"]) == ("once", "other")
+        counts = {cls: sum(by_fate.values()) for cls, by_fate in figures._counts.items()}
+        assert counts == {"chat": 0, "once": 1}
+
+
+# What was learnt
+
+
+def test_what_a_class_taught_stays_its_own_and_a_new_one_begins_with_the_first_guess() -> None:
+    """Also what a request teaches whose class moved while it was out."""
+    seen = Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        seen.wait()
+        sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
+
+    with stage(wait, settings=settings(FIRST)) as (scene, _):
+        router, guess = scene.host.router(), Router(scene.config.settings, 1).learnt["chat"].answer_ms
+        asked = scene.client().send(ask(X_Service_Class="once"))
+        until(lambda: scene.heard(i.StreamStarted))
+        router.learnt["chat"].home_read = 77.0
+        apply(scene, {"Classes": [{**CHAT, "Name": "new"}, ONCE, CHAT], "Tenants": [ACME]})
+        seen.set()
+        assert asked.answer().status == 200
+        until(lambda: not router.requests)
+        learnt = [of for _, _, of in router.terms]
+        assert [of.home_read == 77.0 for of in learnt] == [False, False, True]
+        assert [of.answer_ms == guess for of in learnt] == [True, False, True]
+        assert [router.learnt[name] for name in ("new", "once", "chat")] == learnt
+
+
+def test_a_tenants_account_goes_by_its_name_while_its_request_is_out() -> None:
+    seen = Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        seen.wait()
+        serve_all(sock, message)
+
+    with stage(wait, settings=settings(FIRST)) as (scene, engine):
+        router = scene.host.router()
+        asked = scene.client().send(ask(X_Account="other"))
+        until(lambda: engine.requests)
+        router.entitlements["other"].debt = 0.4
+        apply(scene, TURNED)
+        assert list(router.entitlements) == ["other"]
+        account = router.entitlements["other"]
+        assert (account.in_flight, account.debt) == (1, 0.4)
+        seen.set()
+        assert asked.answer().status == 200
+        until(lambda: not router.requests)
+        assert account.in_flight == 0 and router.entitlements == {"other": account}
+        apply(scene, {"Classes": [CHAT], "Tenants": [ACME]})
+        assert not router.entitlements  # a tenant that is gone owes nothing
+
+
+def test_zones_go_by_their_names_from_the_signal_on_and_not_from_the_next_list() -> None:
+    """Discovery says nothing more: the list that is held must be read by the new numbers at once."""
+    zones = {"Zones": ["a", "b"], "MyZone": 0}
+    with stage(serve_all, serve_all, settings=settings(FIRST | zones)) as (scene, *engines):
+        listed = [entry("near", engines[0].port), entry("far", engines[1].port, zone="b")]
+        known = config.parse(msgspec.json.encode(make_config(listed, settings=settings(zones)))).known
+        scene.host.destinations._take(known, i.ListKind.WHOLE)
+        pool = scene.host.router().pool
+        until(lambda: [replica.id for replica in pool.local] == ["near"])
+        far = pool.replicas["far"]
+        pool.zone_load[:], pool.zone_at[:] = [5.0, 9.0], [scene.host.now()] * 2
+        apply(scene, FIRST | {"Zones": ["b", "a"], "MyZone": 1})
+        assert [replica.id for replica in pool.local] == ["near"] and pool.remote == [far]
+        assert {place[1] for place in pool.near} == {"near"} and {place[1] for place in pool.far} == {"far"}
+        assert pool.zone_load == [9.0, 5.0]
+        apply(scene, FIRST | {"Zones": ["a"], "MyZone": 0})  # its zone is gone, and it is not local by that
+        assert [replica.id for replica in pool.local] == ["near"] and pool.remote == [far]
+        assert pool.zone_load == [5.0, 9.0]
+        apply(scene, FIRST | {"Zones": ["c", "b"], "MyZone": 1})
+        assert pool.local == [far] and pool.zone_load[:2] == [0.0, 9.0]
+
+
+def test_an_answer_that_comes_after_its_engines_zone_is_gone_is_taken() -> None:
+    """Its engine has left the list as well: only the attempt still names it."""
+    seen = Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        seen.wait()
+        sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
+
+    zones = {"Zones": ["a", "b"], "MyZone": 1}
+    with stage(wait, settings=settings(FIRST | zones)) as (scene, engine):
+        router = scene.host.router()
+        asked = scene.client().send(ask())
+        until(lambda: engine.requests)
+        scene.host.destinations._take(HostList(9, True, []), i.ListKind.WHOLE)
+        until(lambda: not router.pool.replicas)
+        apply(scene, FIRST | {"Zones": ["b"], "MyZone": 0})
+        seen.set()
+        assert asked.answer().status == 503
+        until(lambda: not router.requests)
+        assert router.pool.zones[0] == "b" and router.pool.zone_load[0] == 0.0
+
+
+# The next process
+
+
+@contextmanager
+def next_process(script: Any, changes: dict[str, Any]) -> Iterator[tuple[Any, Any, Any]]:
+    """Two routers of which the first passes its streams to the second, which has other settings."""
+    with (
+        stage(script, settings=settings(FIRST)) as (old, engine),
+        stage(settings=settings(changes)) as (new,),
+    ):
+
+        def send(text: bytes, descriptors: Any) -> bool:
+            passing.take(new.host, new.inbound, text, [os.dup(number) for number in descriptors])()
+            return True
+
+        old.host.give = lambda underway: passing.give(old.host, underway, send)
+        yield old, new, engine
+
+
+def test_a_stream_has_its_class_and_tenant_in_a_process_that_has_them_elsewhere() -> None:
+    step = Event()
+
+    def in_steps(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        step.wait()
+        sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
+
+    with next_process(in_steps, TURNED) as (old, new, _):
+        client = old.client().send(ask(X_Service_Class="once", X_Account="other"))
+        until(lambda: new.host.in_progress() == 1 and old.host.open_requests() == 0)
+        (request,) = new.host._requests.values()
+        assert (request.class_name, request.tenant_name) == ("once", "other")
+        assert (request.cls, request.tenant) == (0, 0)
+        step.set()
+        assert b"".join(client.answer().take_body()) == b"".join(EVENTS)
+
+
+@pytest.mark.parametrize(
+    "changes, key",
+    [
+        ({"Classes": [CHAT], "Tenants": [ACME, OTHER]}, "settings.Classes"),
+        ({"Classes": [ONCE, CHAT], "Tenants": [ACME]}, "settings.Tenants"),
+        ({"Classes": [ONCE, CHAT], "Tenants": []}, "settings.Tenants"),
+    ],
+    ids=["class", "tenant", "no tenants"],
+)
+def test_a_stream_whose_names_the_next_process_lacks_is_broken_off_there(
+    changes: dict[str, Any], key: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    written: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(standard, "write", lambda event, fields: written.append((event, fields)))
+
+    def begin(sock: socket.socket, message: Message) -> None:
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+
+    with next_process(begin, changes) as (old, new, engine):
+        client = old.client().send(ask(X_Service_Class="once", X_Account="other"))
+        with pytest.raises(ConnectionResetError):
+            client.answer()
+        until(lambda: engine.ends == 1 and old.host.open_requests() == 0 and not old.inbound._clients)
+        assert new.host.open_requests() == 0 and not new.inbound._clients
+        (told,) = [fields for event, fields in written if event == "stream_lost"]
+        assert str(told["error"]).startswith(f"{key}: ") and told["remedy"]
+
+
+def test_a_message_that_tells_positions_is_not_taken() -> None:
+    """It is of an older version of the program, which goes on with its stream itself."""
+    with next_process(serve_all, TURNED) as (_, new, _):
+        one, other = socket.socketpair()
+        now = new.host.now()
+        stream = passing.Stream(1, "x", "once", "other", now, now, "e0", now, now, [], "", True, False)
+        with pytest.raises(Torn):
+            passing.take(new.host, new.inbound, msgspec.json.encode(stream), [one.detach(), other.detach()])
+        assert not new.inbound._clients
+
+
+def test_the_next_process_learns_by_names() -> None:
+    def of(changes: dict[str, Any]) -> Router:
+        zones = {"Zones": changes["Zones"]}
+        return Router(
+            config.parse(msgspec.json.encode(make_config([], settings=settings(changes | zones)))).settings, 1
+        )
+
+    old, new = of(FIRST | {"Zones": ["a", "b"]}), of(TURNED | {"Zones": ["b", "c"]})
+    old.learnt["once"].answer_ms, old.learnt["once"].missed = 5.0, [0.1, 0.2, 0.3]
+    old.learnt["chat"].home_read = 77.0
+    old.pool.zone_load[:] = [3.0, 4.0]
+    old.handle(1.0, [i.ReplicaList(i.ListKind.WHOLE, (i.ReplicaEntry("e0"),))])
+    old.handle(2.0, [i.RequestArrived("q", 0, 4000.0, tenant=1)])
+    old.entitlements["other"].debt = 0.4
+    state.install(state.read(state.write("n0", HostList(), {}, old), "n0"), new)
+    assert new.learnt["once"].answer_ms == 5.0 and new.terms[0][2].missed == [0.1, 0.2, 0.3]
+    assert new.terms[1][2].home_read == 77.0
+    assert new.pool.zone_load == [4.0, 0.0]
+    assert list(new.entitlements) == ["other"] and new.entitlements["other"].debt == 0.4
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -18,7 +18,7 @@
 from spoolbarrow.lab.cluster import Load, cluster
 from spoolbarrow.lab.cold import Figures
 from spoolbarrow.lab.opened import Rule, Traffic, play
-from spoolbarrow.router import ReplicaPool, Request, Router
+from spoolbarrow.router import Learnt, ReplicaPool, Request, Router
 from tests.world import make_settings, serving
 
 STARTED, COLD_MS = 5000.0, 10_000.0
@@ -36,7 +36,7 @@
     entries = [ReplicaEntry(f"e{n}", started_at_ms=STARTED * (n == 0)) for n in range(10)]
     pool.take(ReplicaList(ListKind.WHOLE, tuple(entries)), STARTED)
     (cold,) = pool.cold
-    request = Request(RequestArrived("q", 0, 4000.0, resumed=moved), cfg.classes[0], STARTED)
+    request = Request(RequestArrived("q", 0, 4000.0, resumed=moved), cfg, (1.0, 0, Learnt()), STARTED)
     request.tokens, found = work * pool.mean_work, set()
     for number, request.draw in enumerate(DRAWS):
         if pool.cold_allows(cold, request, STARTED + age, home):
