Refuse settings in which two classes, tenants or zones have one name

config.parse took them, and the last of a name stood for all: requests of the one went by the other's rules, and with accounts, what is learnt and messages to the next process going by names they could not be told apart. It is refused at the start and at SIGHUP now, with the key (`settings.Classes[1].Name`), and nothing changes. Classes, tenants or zones that are missing need no refusal: requests that are open go on under the settings they were taken under.

The test sends SIGHUP to a real process while a request is out: with the faulty file a later request goes by the old rules; with classes that changed places the open one still has its own.

--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -227,6 +227,15 @@
     return {name: number for number, name in enumerate(names)}
 
 
+def _unlike(names: dict[str, str]) -> None:
+    """Guards what goes by names, each told with its key: two of one name could not be told apart."""
+    told: set[str] = set()
+    for key, name in names.items():
+        if name in told:
+            raise ConfigError(f"{key}: {name!r} is another's name already")
+        told.add(name)
+
+
 def parse(text: bytes) -> Config:
     """The checked configuration of a file's text."""
     try:
@@ -251,6 +260,9 @@
         raise ConfigError(f"seed: {file.seed!r} is not hex") from None
     if isfinite(file.options.list_calls_per_s):
         settings = replace(settings, list_rate=file.options.list_calls_per_s)
+    _unlike({f"settings.Classes[{n}].Name": one.Name for n, one in enumerate(names.Classes)})
+    _unlike({f"settings.Tenants[{n}].Name": one.Name for n, one in enumerate(names.Tenants)})
+    _unlike({f"settings.Zones[{n}]": name for n, name in enumerate(names.Zones)})
     inbound, outbound = share_out(file.limits.sockets, bool(file.control))
     return Config(
         name=file.name,
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -6,8 +6,12 @@
 from __future__ import annotations
 
 import os
+import signal
+import subprocess
+import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -20,7 +24,7 @@
 from spoolbarrow.admin import state
 from spoolbarrow.admin.control import Counting
 from spoolbarrow.admin.figures import Figures
-from spoolbarrow.config import HostList
+from spoolbarrow.config import ConfigError, HostList
 from spoolbarrow.handover import Torn
 from spoolbarrow.net import passing
 from spoolbarrow.net.http1 import Message
@@ -30,6 +34,8 @@
     EVENTS,
     HEAD,
     LISTEN,
+    Client,
+    Party,
     ask,
     chunk,
     entry,
@@ -39,6 +45,7 @@
     until,
 )
 
+ROOT = Path(__file__).resolve().parent.parent
 # Many times, else not a second time.
 CHAT = {"Name": "chat", "AimMs": 60e3, "DeadlineMs": 20e3, "Effect": "retryable", "Stream": True}
 ONCE = {"Name": "once", "AimMs": 60e3, "DeadlineMs": 20e3, "Effect": "fragile", "Stream": True}
@@ -347,3 +354,71 @@
     assert new.terms[1][2].home_read == 77.0
     assert new.pool.zone_load == [4.0, 0.0]
     assert list(new.entitlements) == ["other"] and new.entitlements["other"].debt == 0.4
+
+
+# The signal
+
+
+@pytest.mark.parametrize(
+    "changes, key",
+    [
+        ({"Classes": [CHAT, CHAT]}, "settings.Classes[1].Name"),
+        ({"Tenants": [ACME, OTHER, ACME]}, "settings.Tenants[2].Name"),
+        ({"Zones": ["a", "b", "b"]}, "settings.Zones[2]"),
+    ],
+)
+def test_names_that_stand_twice_are_refused_with_their_key(changes: dict[str, Any], key: str) -> None:
+    with pytest.raises(ConfigError) as refused:
+        config.parse(msgspec.json.encode(make_config([], settings=settings(changes))))
+    assert refused.value.place == key
+
+
+def test_sighup_is_refused_whole_or_leaves_what_is_open_its_own_rules(tmp_path: Path) -> None:
+    seen, file = Event(), tmp_path / "config.json"
+
+    def wait(sock: socket.socket, message: Message) -> bool:
+        if b"first" in message.body:
+            seen.wait()
+        return True
+
+    engines = [Party(wait), Party(wait)]
+    listed = [entry(f"e{n}", engine.port) for n, engine in enumerate(engines)]
+    raw = make_config(listed, settings=settings(FIRST))
+    file.write_bytes(msgspec.json.encode(raw))
+    port = int(raw["listen"].rpartition(":")[2])
+    environment = {**os.environ, "NODE_CONFIG": str(file)}
+    run = [sys.executable, "-m", "spoolbarrow"]
+
+    def asked() -> int:
+        return sum(len(engine.requests) for engine in engines)
+
+    with subprocess.Popen(run, cwd=ROOT, env=environment, stderr=subprocess.PIPE) as router:
+        try:
+            assert router.stderr is not None
+
+            def reload(changes: dict[str, Any], word: bytes) -> bytes:
+                file.write_bytes(msgspec.json.encode({**raw, "settings": settings(changes)}))
+                router.send_signal(signal.SIGHUP)
+                line = b""
+                while b'"reload' not in line:
+                    line = router.stderr.readline()  # type: ignore[union-attr]
+                assert word in line
+                return line
+
+            until(lambda: not socket.socket().connect_ex((LISTEN, port)))
+            waiting = Client(port).send(ask(b"first", X_Service_Class="once"))
+            until(asked)
+            line = reload({"Classes": [ONCE, CHAT, CHAT]}, b"reload_failed")
+            assert b"settings.Classes[2].Name" in line
+            twice = Client(port).send(ask(X_Service_Class="chat", X_Correlation_Id="2"))
+            assert twice.answer().status == 503 and asked() == 3  # nothing was changed
+            reload(TURNED, b'"reloaded"')
+            seen.set()
+            assert waiting.answer().status == 502 and asked() == 3  # under its own rules to the end
+            reload({"Classes": [CHAT], "Tenants": [ACME]}, b'"reloaded"')
+            gone = Client(port).send(ask(X_Service_Class="once", X_Correlation_Id="3"))
+            assert gone.answer().status == 400
+        finally:
+            router.kill()
+            for party in engines:
+                party.close()
