Follow a signal that comes within a reload after it

Subsystems.reload waits where a listener moves (Inbound._stop_listening kills the greenlet that accepts). A second SIGHUP, or `agree apply`, then read its files and ran through while the first stood there: with the same new address it was refused as taken by itself, and the newer files were lost; with another one the older files were applied last. Reloads are one after the other now, and each reads the files when its turn comes, also whether the router drains. A return that could not be reached is gone.

The test sends the second at that place: it was refused with CannotListen, and is followed now.

--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -14,6 +14,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 
 from spoolbarrow import config
 from spoolbarrow.errors import Problem
@@ -99,6 +100,7 @@
         self._agreement: Agreement | None = None
         self._fleet: Follower | None = None
         self._operator: Operator | None = None
+        self._reloading = BoundedSemaphore()
 
     def prepare(self, operator: Operator | None, settings: config.Config) -> Prepared:
         """Everything about new settings that can fail; ConfigError where it does, and nothing is changed."""
@@ -227,6 +229,11 @@
 
         A faulty or late one changes nothing: why is logged and returned.
         """
+        # It waits for listeners' ends: a signal that comes then is for the files as they are after it.
+        with self._reloading:
+            return self._reload(wanted)
+
+    def _reload(self, wanted: str) -> Problem | None:
         if self._inbound.draining:
             log("reload_ignored", why="draining")
             return Draining("", "draining")
@@ -254,7 +261,6 @@
         self.apply(operator, prepared)
         log("reloaded", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
         return None
-        return ""
 
     def drain(self) -> None:
         """The router begins to end: copies do at once, so that live requests have the whole grace."""
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+import gevent
 import msgspec
 import pytest
 from gevent import socket
@@ -30,6 +31,7 @@
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import standard
 from spoolbarrow.router import Router
+from spoolbarrow.serve import Descriptors, Subsystems
 from tests.stage import (
     EVENTS,
     HEAD,
@@ -39,6 +41,7 @@
     ask,
     chunk,
     entry,
+    free_port,
     make_config,
     serve_all,
     stage,
@@ -422,3 +425,34 @@
             router.kill()
             for party in engines:
                 party.close()
+
+
+def test_a_signal_within_a_reload_is_followed_after_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first has a new address, and waits for its old listener's end; the second is sent at that place."""
+    file = tmp_path / "config.json"
+    monkeypatch.setenv("NODE_CONFIG", str(file))
+    with stage(serve_all, settings=settings(FIRST)) as (scene, _):
+        subsystems = Subsystems(scene.host, scene.inbound, None, Descriptors())
+        stop, second = scene.inbound._stop_listening, []
+        listen = f"{LISTEN}:{free_port()}"
+
+        def write(changes: dict[str, Any]) -> None:
+            raw = make_config([], scene.config.discovery[1], settings=settings(changes))
+            file.write_bytes(msgspec.json.encode({**raw, "listen": listen}))
+
+        def between() -> None:
+            scene.inbound._stop_listening = stop
+            write(TURNED)
+            second.append(gevent.spawn(subsystems.reload))
+            gevent.sleep(0)  # it runs as far as it can
+            stop()
+
+        scene.inbound._stop_listening = between
+        write({"Classes": [ONCE], "Tenants": [OTHER]})
+        assert subsystems.reload() is None
+        assert second[0].get(timeout=20) is None
+        for settled in (scene.host.config, scene.inbound.config):
+            assert settled.classes == {"once": 0, "chat": 1} and settled.tenants == {"other": 0, "acme": 1}
+        assert Client(int(listen.rpartition(":")[2])).send(ask()).answer().status == 200
