Have noting by class number leave out requests whose numbers are others by now

Split.request_answered looked up `classes[facts.cls]` of the settings of the moment: after a reload with fewer classes an answer to a request taken before it raised IndexError, and the taps dropped the observer for good; with classes that changed places it was noted as another's, also in the time until the list next changed, which alone had the part look at new settings. It looks when the configuration is another, and leaves out what was taken under other numbers.

The test reloads with fewer classes while a request is out: it failed with the IndexError.

--- a/spoolbarrow/interface.py
+++ b/spoolbarrow/interface.py
@@ -158,6 +158,11 @@
         """What each tenant is known by under any settings; with none told, all requests are the first's."""
         return [tenant.name or n for n, tenant in enumerate(self.tenants)] or [0]
 
+    def numbers_alike(self, other: Settings) -> bool:
+        """Whether numbers of classes and tenants stand for the same under both."""
+        mine, its = (self.class_keys(), self.tenant_keys()), (other.class_keys(), other.tenant_keys())
+        return mine == its
+
     def zone_keys(self) -> list[Key]:
         """What each zone is known by under any settings."""
         names = dict(zip(self.zone_names, range(self.zones), strict=False))
--- a/spoolbarrow/net/pools.py
+++ b/spoolbarrow/net/pools.py
@@ -88,6 +88,7 @@
         self._host: Host | None = None
         self._only: dict[str, str] = {}  # by engine type
         self._named: object = None  # classes and tenants by which the notes count
+        self._config: object = None  # as it was last looked at
         self._listing: object = None  # of which the engines are
         self._open: dict[str, _Open] = {}
         self._decided_at = -1e18
@@ -179,6 +180,7 @@
     def _look(self, host: Host) -> None:
         """The host's settings and list as they are now."""
         config, pools = host.config, self._pools
+        self._config = config
         named = (config.settings.classes, config.classes, config.tenants)
         if named != self._named:  # numbers stand for others now: what was noted by them says nothing
             self._named, pools.notes = named, Notes(host.now())
@@ -223,10 +225,15 @@
             one.tail = (one.tail + b"".join(parts)[-TAIL:])[-TAIL:]
 
     def request_answered(self, request: Request) -> None:
-        """Noted, whatever became of it."""
+        """Noted, whatever became of it; not where its numbers stand for other classes or tenants by now."""
         one = self._open.pop(request.key, None)
         if one is None or self._host is None:
             return
+        if self._host.config is not self._config:
+            self._look(self._host)
+        taken, settings = one.facts.settings, self._host.config.settings
+        if taken is not None and taken is not settings and not taken.numbers_alike(settings):
+            return
         now, stream = self._host.now(), request.stream
         if request.answered == "served" and stream is not None:
             self._served(now, request, one, stream)
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -27,9 +27,10 @@
 from spoolbarrow.admin.figures import Figures
 from spoolbarrow.config import ConfigError, HostList
 from spoolbarrow.handover import Torn
-from spoolbarrow.net import passing
+from spoolbarrow.net import passing, pools
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import standard
+from spoolbarrow.operator import FleetTable
 from spoolbarrow.router import Router
 from spoolbarrow.serve import Descriptors, Subsystems
 from tests.stage import (
@@ -167,6 +168,29 @@
         assert counts == {"chat": 0, "once": 1}
 
 
+def test_who_notes_requests_by_number_leaves_out_those_whose_numbers_are_others() -> None:
+    """And hears on: a class that is gone must not be looked for, which would end the noting for good."""
+    seen = Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        if message.body == b"waits":
+            seen.wait()
+        serve_all(sock, message)
+
+    with stage(wait, settings=settings(FIRST)) as (scene, engine):
+        part = pools.Split("n0")
+        part.watch(scene.host, FleetTable(["m"]))
+        asked = scene.client().send(ask(b"waits", X_Service_Class="once"))
+        until(lambda: engine.requests)
+        apply(scene, {"Classes": [CHAT], "Tenants": [ACME]})
+        part.watch(scene.host, FleetTable(["m"]))  # as each look of the fleet's does
+        seen.set()
+        assert asked.answer().status == 200
+        assert not part._pools.notes.seen.cells
+        assert scene.client().send(ask(X_Correlation_Id="2")).answer().status == 200
+        assert [cell.answered for cell in part._pools.notes.seen.cells.values()] == [1.0]
+
+
 # What was learnt
 
 
