Tell the list again where a reload gives zones other numbers

News of the list that was told and not decided on yet has zones by the numbers of before (DestinationSet._masked); where Host.apply came in between, the decisions read them by the new ones: own engines counted as another zone's till discovery's next whole list. Where only the router's own zone changed no list was asked for at all, and lines without a known zone stayed in the old one. The list that is held is told again behind that news, as RESTORED: it is no word of discovery's.

--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -79,6 +79,11 @@
         Until its list has come, the endpoints stay as they are. Its versions need not be the old one's.
         """
         old, self._config = self._config, config
+        if (config.zones, config.kinds, config.settings.zone) != (old.zones, old.kinds, old.settings.zone):
+            # Guards against numbers of before in news that is told and not decided on yet. It is the list as
+            # last held: not news, which would count as an answer of discovery's.
+            lines = tuple(self._masked(line) for line in self._lines.values())
+            self._tell(i.ReplicaList(i.ListKind.RESTORED, lines))
         moved = config.discovery != old.discovery
         if moved or (config.zones, config.kinds) != (old.zones, old.kinds):
             self._index = None
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -264,6 +264,20 @@
         assert pool.local == [far] and pool.zone_load[:2] == [0.0, 9.0]
 
 
+def test_news_of_the_list_that_is_not_decided_on_yet_is_not_read_by_new_numbers() -> None:
+    zones = {"Zones": ["a", "b"], "MyZone": 0}
+    with stage(serve_all, settings=settings(FIRST | zones)) as (scene, engine):
+        pool, destinations = scene.host.router().pool, scene.host.destinations
+        listed = [entry("near", engine.port), entry("far", engine.port, zone="b")]
+        known = config.parse(msgspec.json.encode(make_config(listed, settings=settings(zones)))).known
+        destinations._take(known, i.ListKind.WHOLE)
+        assert "near" not in pool.replicas  # it is told, and no batch was since
+        apply(scene, FIRST | {"Zones": ["b", "a"], "MyZone": 1})
+        until(lambda: "near" in pool.replicas)
+        assert [replica.id for replica in pool.local] == ["near"]
+        assert [replica.id for replica in pool.remote] == ["far"]
+
+
 def test_an_answer_that_comes_after_its_engines_zone_is_gone_is_taken() -> None:
     """Its engine has left the list as well: only the attempt still names it."""
     seen = Event()
