Take news only from the watch in force, and ask nothing after the close

Cause: `DestinationSet.watch` kills the watch before it without waiting. A kill goes by way of the loop, and a watch that a queue, an event or a read has already made ready runs before it. `apply` and `set_aside` have cleared the index by then, so the old service's list or line was applied, its index was kept, the new service was watched from it instead of being asked for the whole list, and the old watch's end was told as FAILED of the new one. `hear_first` counted the old agent's list as the first one when a reload came meanwhile.

Further: `watch` after `close` began anew (the host's loop may hold an order to watch while it stops), and each reload drew the pause before the first call anew, so that two of them could put the new service off beyond the term of the first.

Change: the greenlet in `_watch` is the generation; after each wait a watch ends unless it is that one (`_take_part`). A closed set does not watch. A watch that replaces one that still pauses begins no later than that one would have.

Ruled out: a watch that was not begun yet (gevent cancels its start at once); the calls of `first_of` (they hand over to the watch that began them, and check an index, but change nothing).

--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -51,7 +51,10 @@
         self._listing: dict[str, tuple[str, bool]] | None = None  # of both; None: to be made anew
         self._resumed: dict[str, float] = {}  # when, of those listed: they may have been restarted meanwhile
         self._index: int | None = config.known.index  # None: the whole list must be asked for
+        # The one whose news counts: another that still runs was ready to when it was killed (`_take_part`).
         self._watch: gevent.Greenlet[[], None] | None = None
+        self._begins_at: float | None = None  # while the watch pauses before its first call
+        self._closed = False
         self._rng = Random(config.seed)
         self._spoke = False  # this watch has said something
         self._asking: object = None  # the watch, while its calls are on their way and none has answered
@@ -275,13 +278,30 @@
         """Hear of changes from now on, or after a pause.
 
         Where discovery is asked, this ends in exactly one FAILED, unless another watch takes its place; one
-        that falls silent is opened anew before that. Where lists are pushed it does not end.
+        that falls silent is opened anew before that. Where lists are pushed it does not end. A watch
+        that takes the place of one that still pauses begins no later than that one would have.
         """
+        if self._closed:
+            return
         if self._watch is not None:
             self._watch.kill(block=False)
         self._count_silence()
+        now = self._now()
+        begins = now + pause_ms
+        if self._begins_at is not None:
+            begins = min(begins, max(now, self._begins_at))
+        self._begins_at = begins
         asked = self._config.settings.subscribe
-        self._watch = gevent.spawn_later(pause_ms / 1000, self._follow if asked else self._follow_agent)
+        follow = self._follow if asked else self._follow_agent
+        self._watch = gevent.spawn_later((begins - now) / 1000, follow)
+
+    def _take_part(self) -> None:
+        """End the greenlet that calls this unless it is the watch in force; asked after each of its waits.
+
+        A kill reaches a greenlet by way of the loop, and one that was ready to run by then runs before it.
+        """
+        if gevent.getcurrent() is not self._watch:
+            raise gevent.GreenletExit
 
     def ask(self) -> None:
         """Watch, unless calls are on their way: the decisions may have given up one that is not lost."""
@@ -294,12 +314,15 @@
         self._agent_heard.wait(asking.AGENT_ANSWER_MS / 1000)
 
     def close(self) -> None:
-        """Stop watching."""
+        """Stop watching, for good: an order to watch may still be on its way."""
+        self._closed = True
         for one in (self._watch, self._doubt):
             if one is not None:
                 one.kill(block=False)
+        self._watch = self._doubt = None
 
     def _follow(self) -> None:
+        self._begins_at = None
         mute = 0  # watches in a row that never said a word
         while True:
             self._spoke = False
@@ -313,6 +336,7 @@
             gevent.sleep(silent_ms(mute, self._rng) / 1000)
 
     def _follow_agent(self) -> None:
+        self._begins_at = None
         last = ""
         while True:
             self._spoke = False
@@ -326,9 +350,12 @@
         """Why a watch ended."""
         try:
             read()
-            return "ended"
+            why = "ended"
         except Exception as error:
-            return self._why(error)
+            self._take_part()
+            why = self._why(error)
+        self._take_part()
+        return why
 
     def _why(self, error: Exception) -> str:
         if isinstance(error, (asking.Silent, TimeoutError)):
@@ -372,6 +399,7 @@
             self._full = refused and self._now() - begun >= WAITED_MS
 
         def lost(error: Exception) -> None:
+            self._take_part()
             note(error)
             log("watch_broken", why=self._why(error), index=self._index)
 
@@ -380,9 +408,11 @@
 
         try:
             found = asking.first_of(call, pause_ms, self._now, lost)
+            self._take_part()
             self._full = False
             return found
         except Exception as error:
+            self._take_part()
             note(error)
             raise
         finally:
@@ -390,7 +420,9 @@
                 self._asking = None
 
     def _read_agent(self) -> None:
-        self._news(asking.ask_agent(self._config.discovery, self._config.options))
+        news = asking.ask_agent(self._config.discovery, self._config.options)
+        self._take_part()
+        self._news(news)
         self._agent_heard.set()
         self._read_words(self._words(asking.AGENT_ANSWER_MS))
 
@@ -402,6 +434,7 @@
 
     def _read_words(self, words: Iterator[HostList | None]) -> None:
         for word in words:
+            self._take_part()
             self._take_word(word)
 
     def _take_word(self, word: HostList | None) -> None:
--- /dev/null
+++ b/tests/test_watch_races.py
@@ -0,0 +1,248 @@
+"""Discovery's list and the watch on it, where news, an order or an end comes between two steps of the other.
+
+The order is forced: a hook where an answer is decoded starts what is to run before the answer is taken, and
+a timer and a read that fall due in one turn of the loop are handled in that order.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+
+from spoolbarrow import config
+from spoolbarrow import interface as i
+from spoolbarrow.config import Config
+from spoolbarrow.fleet.pacing import spread_ms
+from spoolbarrow.lab.wire import PLAIN
+from spoolbarrow.net import asking
+from spoolbarrow.net.destinations import DestinationSet
+from spoolbarrow.net.host import Host
+from spoolbarrow.net.http1 import Message
+from tests.stage import HEAD, Party, chunk, entry, make_config, now_unix_ms, until
+
+KNOWN = 7  # the version in the configuration
+WHOLE_TARGET = b"/discovery/hosts"
+Sock = socket.socket
+
+
+def listing(index: int, *entries: dict[str, Any], whole: bool = False) -> bytes:
+    """A list on one line."""
+    return msgspec.json.encode({"index": index, "snapshot": whole, "endpoints": list(entries)}) + b"\n"
+
+
+class Service:
+    """A discovery that answers whole lists with `news` and keeps the watches on it open."""
+
+    def __init__(self, index: int, *entries: dict[str, Any]) -> None:
+        self.news = listing(index, *entries, whole=True)
+        self.watch_begins = HEAD + chunk(b"\n")
+        self.targets: list[bytes] = []
+        self.watches: list[Sock] = []
+        self.party = Party(self._answer)
+
+    def _answer(self, sock: Sock, message: Message) -> object:
+        self.targets.append(message.target)
+        if b"stream=1" in message.target:
+            self.watches.append(sock)
+            sock.sendall(self.watch_begins)
+        elif self.news:
+            sock.sendall(PLAIN % (b"200 OK", b"", len(self.news), self.news))
+        return None
+
+    def watched_from(self) -> list[bytes]:
+        """The versions from which watches were opened."""
+        return [target.rpartition(b"=")[2] for target in self.targets if b"stream=1" in target]
+
+    def config(self, mode: str = "subscribe", **options: Any) -> Config:
+        raw = make_config([entry("e0", 1), entry("e1", 2)], self.party.port, options=options)
+        raw["settings"]["Discovery"] = mode
+        return config.parse(msgspec.json.encode(raw))
+
+
+class Listed:
+    """The destination set of a router that follows a service, and what it told the decisions."""
+
+    def __init__(self, settings: Config, now: Callable[[], float] = now_unix_ms) -> None:
+        self.told: list[i.ReplicaList] = []
+        self.left: list[str] = []
+        self.set = DestinationSet(settings, self.told.append, self.left.append, now)
+        self.set.restore()
+
+    def kinds(self) -> list[i.ListKind]:
+        return [event.kind for event in self.told]
+
+    def states(self, name: str) -> list[i.ReplicaState]:
+        """What the decisions heard of an endpoint, in order."""
+        return [e.state for event in self.told for e in event.entries if e.replica == name]
+
+
+@contextmanager
+def following(*services: Service, mode: str = "subscribe", **options: Any) -> Iterator[Listed]:
+    """A destination set that is told of the first service; all is closed in the end."""
+    made = Listed(services[0].config(mode, **options))
+    try:
+        yield made
+    finally:
+        made.set.close()
+        for service in services:
+            service.party.close()
+
+
+def in_one_turn(order: Callable[[], object], comes: Callable[[], object]) -> None:
+    """Let `order` run and then, before the loop turns again, who waits for the bytes that `comes` writes.
+
+    Of a timer and a read that are due in the same turn the loop handles the timer first.
+    """
+    done: list[object] = []
+    comes()
+    gevent.spawn_later(0.001, lambda: done.append(order()))
+    due = time.monotonic() + 0.002
+    while time.monotonic() < due:
+        pass  # nothing else may run before both are due
+    until(lambda: done)
+
+
+def before_it_is_taken(monkeypatch: pytest.MonkeyPatch, index: int, order: Callable[[], object]) -> None:
+    """Run `order` after the list of this version was decoded by a call, and before the watch has it."""
+    decode = asking._decode
+
+    def decoded(text: bytes) -> config.HostList:
+        found = decode(text)
+        if found.index == index:
+            gevent.spawn(order)  # waits in the loop before whoever the call's end wakes
+        return found
+
+    monkeypatch.setattr(asking, "_decode", decoded)
+
+
+# A watch that outlives its order
+
+
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_an_old_services_list_that_was_read_before_a_move_is_not_taken(
+    mode: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The old service's answer is in the watch's queue when SIGHUP names another service."""
+    old, new = Service(50, entry("e0", 1, status="terminating")), Service(3, entry("e1", 2))
+    old.watch_begins = HEAD + chunk(old.news)
+    with following(old, new, mode=mode) as one:
+        moved: list[int] = []
+
+        def move() -> None:
+            one.set.apply(new.config(mode))
+            moved.append(len(one.told))
+
+        before_it_is_taken(monkeypatch, 50, move)
+        one.set.watch()
+        until(lambda: new.watches)
+        assert len(moved) == 1 and i.ReplicaState.DRAINING not in one.states("e0")
+        assert new.targets[0] == WHOLE_TARGET and new.watched_from() == [b"3"]
+        assert one.kinds()[:2] == [i.ListKind.RESTORED, i.ListKind.WHOLE] and one.set.seen()[0] == 3
+
+
+def test_an_old_services_line_that_is_there_with_a_move_is_not_taken() -> None:
+    """The old watch is about to read a line when SIGHUP names another service."""
+    old, new = Service(50), Service(3, entry("e1", 2))
+    with following(old, new) as one:
+        one.set.watch()
+        until(lambda: len(one.told) == 2)  # the watch has said its first word
+        line = chunk(listing(50, entry("e0", 1, status="terminating")))
+        in_one_turn(lambda: one.set.apply(new.config()), lambda: old.watches[0].sendall(line))
+        until(lambda: new.watches)
+        assert i.ReplicaState.DRAINING not in one.states("e0")
+        assert new.targets[0] == WHOLE_TARGET and new.watched_from() == [b"3"]
+
+
+def test_the_whole_list_is_asked_for_though_a_line_comes_as_endpoints_are_set_aside() -> None:
+    """Otherwise endpoints that were set aside before would stay out of service."""
+    service = Service(9, entry("e0", 1), entry("e1", 2))
+    with following(service) as one:
+        one.set.watch()
+        until(lambda: len(one.told) == 2)
+        line = chunk(listing(8, entry("e0", 1, status="terminating")))
+        in_one_turn(
+            lambda: one.set.set_aside("shadow", -1, lambda entries: None),
+            lambda: service.watches[0].sendall(line),
+        )
+        until(lambda: len(service.watches) == 2)
+        assert service.targets[1] == WHOLE_TARGET and service.watched_from() == [b"7", b"9"]
+
+
+def test_the_end_of_an_old_watch_is_not_told_for_the_new_one() -> None:
+    """Both come in one turn: the decisions would back off though a new watch is on its way."""
+    old, new = Service(50), Service(3, entry("e1", 2))
+    with following(old, new) as one:
+        one.set.watch()
+        until(lambda: len(one.told) == 2)
+        in_one_turn(lambda: one.set.apply(new.config()), lambda: old.watches[0].shutdown(socket.SHUT_RDWR))
+        until(lambda: new.watches and len(one.told) >= 4)
+        assert i.ListKind.FAILED not in one.kinds()
+
+
+def test_a_reload_while_the_first_list_is_awaited_waits_for_the_new_agents(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The old agent's list is read as SIGHUP names another agent: nothing is decided on the old one's."""
+    old, new = Service(50, entry("e0", 1, status="terminating")), Service(3, entry("e1", 2))
+    host = Host(old.config("automatic"))
+    try:
+        before_it_is_taken(monkeypatch, 50, lambda: host.apply(new.config("automatic")))
+        gevent.spawn(host.start)
+        until(host.decides)
+        assert host.destinations.seen()[0] == 3 and host.destinations.names() == ["e1"]
+    finally:
+        host.stop()
+        old.party.close()
+        new.party.close()
+
+
+def test_nothing_is_asked_after_the_close() -> None:
+    """The decisions may have an order to watch in hand while the router stops."""
+    service = Service(9)
+    with following(service) as one:
+        one.set.watch()
+        until(lambda: service.watches)
+        one.set.close()
+        one.set.ask()
+        one.set.apply(service.config("automatic"))
+        asked = len(service.targets)
+        barrier = socket.create_connection(("127.0.0.1", service.party.port))
+        barrier.sendall(b"GET /barrier HTTP/1.1\r\n\r\n")  # whatever was begun by then is there before it
+        until(lambda: b"/barrier" in service.targets)
+        barrier.close()
+        assert service.targets[asked:] == [b"/barrier"]
+
+
+def test_a_second_reload_does_not_put_the_new_service_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What the new service has counts from the first SIGHUP: the pause drawn then is not drawn anew."""
+    old, new = Service(50), Service(3, entry("e1", 2))
+    one = Listed(old.config(), lambda: 1_000_000.0)  # the clock stands: no time passes between the two
+    pauses: list[float] = []
+    spawn_later = gevent.spawn_later
+
+    def noted(seconds: float, call: Callable[..., Any]) -> object:
+        if call == one.set._follow:
+            pauses.append(seconds)
+        return spawn_later(seconds, call)
+
+    monkeypatch.setattr(gevent, "spawn_later", noted)
+    try:
+        draws = iter([0.25, 0.75, 0.125])
+        one.set._rng.random = lambda: next(draws, 0.5)  # type: ignore[method-assign]
+        settings = new.config()
+        fleet = msgspec.structs.replace(settings.settings, nodes=200)
+        for kind in ("first", "second", "third"):
+            one.set.apply(msgspec.structs.replace(settings, settings=fleet, kinds={kind: 1}))
+        spread = spread_ms(fleet) / 1000
+        assert pauses == [0.25 * spread, 0.25 * spread, 0.125 * spread]  # sooner is fine, later is not
+    finally:
+        one.set.close()
+        old.party.close()
+        new.party.close()
