Ask for the whole list where only older lists come, and take it

Cause: `DestinationSet._check` refused every list with an index below the known one, and the next watch began from the known version again. A service that began its versions anew was never heard again, though it had told its changes. Empty lines on the next watch (it has nothing to tell from a version that it has not reached) even counted as words.

One service works through all calls in turn, so a whole list asked for after the refusal is its present state, and an older list that comes late (on a connection that hung) is not.

Change: an older list is still refused (`OldList`) and the next watch goes on from the known version. Where no list was taken 1.5 s later, and up to 2 s of chance, the known version is dropped, the whole list is asked for and taken. An agent is asked at once, since what it has counts at once.

Test: tests/test_watch_races.py.

--- a/spoolbarrow/fleet/pacing.py
+++ b/spoolbarrow/fleet/pacing.py
@@ -20,6 +20,7 @@
 HANGS_MS = 2000.0  # between calls while none has an answer: in a queue that fits the clock most have by then
 FULL_MS = 3400.0  # the same where a call has been refused after a wait: it has ended by then
 WAITED_MS = 800.0  # a call that failed after so long stood in a queue, or hung
+REFUSED_MS, REFUSED_SPREAD_MS = 1500.0, 2000.0  # from an older list to the call for the whole one; and chance
 USED, MEAN = 0.8, 0.75  # of a rate that was told; of a span, the mean pause drawn from it
 PATIENCE = 0.7  # of the time for asking that the settings name, up to the first call: it may wait as well
 
@@ -57,6 +58,17 @@
     return min(MUTE_MS, SILENT_SPREAD_MS * 2.0 ** min(max(0, mute - 1), 8)) * rng.random()
 
 
+def refused_ms(settings: Settings, rng: Random) -> float:
+    """From a list that was refused as older than the known one to the call for a whole list.
+
+    Newer news may come meanwhile, and then none is called for. All routers may have refused it at once.
+    """
+    spread = spread_ms(settings)
+    if not _spared(settings):
+        spread = min(spread, REFUSED_SPREAD_MS)
+    return REFUSED_MS + spread * rng.random()
+
+
 class Pacing:
     """One router's calls: when the first is due, and the next after a watch ended or a call failed."""
 
--- a/spoolbarrow/net/asking.py
+++ b/spoolbarrow/net/asking.py
@@ -31,7 +31,11 @@
 
 
 class BadList(Exception):
-    """An answer that is no list: torn, too long, of the wrong type, or of an older version than is known."""
+    """An answer that is no list: torn, too long, of the wrong type, or older (`OldList`)."""
+
+
+class OldList(BadList):
+    """A list of an older version than is known."""
 
 
 FAULTS = (OSError, http1.Fault, BadList)  # what a call may end in
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -17,7 +17,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
 from spoolbarrow.errors import Problem
-from spoolbarrow.fleet.pacing import CLOCK_MS, WAITED_MS, hangs_ms, silent_ms, spread_ms
+from spoolbarrow.fleet.pacing import CLOCK_MS, WAITED_MS, hangs_ms, refused_ms, silent_ms, spread_ms
 from spoolbarrow.net import asking
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import STATES
@@ -64,6 +64,7 @@
         self._heard_at = now()
         self._doubt: gevent.Greenlet[[], None] | None = None  # until the clock for silence runs out
         self._unconfirmed = False
+        self._refused: gevent.Greenlet[[], None] | None = None  # a list was, as older; its end: `_ask_whole`
         self._addresses: dict[str, Address] = {}
         self._started: dict[str, float] = {}
         self._types: dict[str, tuple[str, int]] = {}  # and groups
@@ -84,7 +85,7 @@
         old, self._config = self._config, config
         moved = config.discovery != old.discovery
         if moved or (config.zones, config.kinds) != (old.zones, old.kinds):
-            self._index = None
+            self._drop_version()
             # All are told at once, mostly: an agent is asked now, one service for all by and by.
             self.watch(self._rng.random() * spread_ms(config.settings) * config.settings.subscribe)
         elif config.settings.subscribe != old.settings.subscribe:
@@ -111,7 +112,7 @@
                 gone = [i.ReplicaEntry(name, state=i.ReplicaState.GONE) for name in leaving]
                 self._tell(i.ReplicaList(i.ListKind.CHANGES, tuple(gone)))
             if self._watch is not None:
-                self._index = None
+                self._drop_version()
                 self.watch()
         tell(list(self._aside.values()))
 
@@ -316,10 +317,10 @@
     def close(self) -> None:
         """Stop watching, for good: an order to watch may still be on its way."""
         self._closed = True
-        for one in (self._watch, self._doubt):
+        for one in (self._watch, self._doubt, self._refused):
             if one is not None:
                 one.kill(block=False)
-        self._watch = self._doubt = None
+        self._watch = self._doubt = self._refused = None
 
     def _follow(self) -> None:
         self._begins_at = None
@@ -365,6 +366,8 @@
         if not isinstance(error, asking.FAULTS):
             unexpected("watch", error)
             return "unexpected"
+        if isinstance(error, asking.OldList):
+            self._refuse_older()
         if isinstance(error, asking.BadList) and str(error) != self._bad:  # an agent is asked for ever
             self._bad = str(error)
             log("bad_list", why=str(error), index=self._index)
@@ -472,15 +475,43 @@
         log("list_unconfirmed", index=self._index, silent_ms=round(self._now() - self._heard_at))
 
     def _check(self, news: HostList) -> None:
-        """BadList for a version older than what is known, be it whole: engines that drain may serve in it."""
+        """OldList for a version older than what is known, be it whole: engines that drain may serve in it."""
         if self._index is not None and news.index < self._index:
-            raise asking.BadList(f"its index went back from {self._index} to {news.index}")
+            raise asking.OldList(f"its index went back from {self._index} to {news.index}")
+
+    def _refuse_older(self) -> None:
+        """An older list may be one that is late, or discovery has begun its versions anew.
+
+        What tells them apart is a whole list that is asked for from now on. An agent is asked for it at once;
+        the service after a pause, in which a watch that goes on from the known version may bring newer news.
+        """
+        if not self._config.settings.subscribe:
+            self._drop_version()
+        elif self._refused is None:
+            pause = refused_ms(self._config.settings, self._rng)
+            self._refused = gevent.spawn_later(pause / 1000, self._ask_whole)
+
+    def _ask_whole(self) -> None:
+        self._refused = None
+        self._drop_version()
+        self.watch()
+
+    def _drop_version(self) -> None:
+        """The next list that is taken is a whole one, asked for from now on, whatever its version."""
+        self._index = None
+        self._end_refusal()
+
+    def _end_refusal(self) -> None:
+        if self._refused is not None:
+            self._refused.kill(block=False)
+            self._refused = None
 
     def _news(self, news: HostList) -> None:
         self._check(news)
         kind = i.ListKind.WHOLE if news.snapshot else i.ListKind.CHANGES
         self._take(news, kind)
         self._index = news.index
+        self._end_refusal()
         self._heard()
 
     def _take(self, news: HostList, kind: i.ListKind) -> None:
--- a/tests/test_watch_races.py
+++ b/tests/test_watch_races.py
@@ -246,3 +246,67 @@
         one.set.close()
         old.party.close()
         new.party.close()
+
+
+# Versions that go back
+
+
+def test_a_service_that_began_its_versions_anew_is_heard() -> None:
+    """Each watch from the known version is answered with the whole list, of a lower version."""
+    service = Service(3, entry("e0", 1, status="terminating"), entry("e1", 2))
+    service.watch_begins = HEAD + chunk(service.news)
+    with following(service) as one:
+        one.set.watch()
+        until(lambda: i.ReplicaState.DRAINING in one.states("e0"))
+        assert service.targets[0] != WHOLE_TARGET and WHOLE_TARGET in service.targets
+        until(lambda: service.watched_from()[-1] == b"3")
+
+
+def test_a_change_that_was_refused_is_asked_for_though_empty_lines_follow() -> None:
+    """A service that counts anew has nothing to tell from a version that it has not reached yet."""
+    service = Service(4, entry("e0", 1, status="terminating"), entry("e1", 2))
+    with following(service) as one:
+        one.set.watch()
+        until(lambda: len(one.told) == 2)
+        service.watches[0].sendall(chunk(listing(4, entry("e0", 1, status="terminating"))))
+        until(lambda: i.ListKind.FAILED in one.kinds())
+        assert i.ReplicaState.DRAINING not in one.states("e0")
+        one.set.watch()  # as the decisions order
+        until(lambda: i.ReplicaState.DRAINING in one.states("e0"))
+        assert service.watched_from()[:2] == [b"7", b"7"] and WHOLE_TARGET in service.targets
+
+
+def test_an_agent_that_began_its_versions_anew_is_heard_at_the_next_call() -> None:
+    agent = Service(3, entry("e0", 1, status="terminating"), entry("e1", 2))
+    with following(agent, mode="automatic") as one:
+        one.set.watch()
+        until(lambda: one.set.seen()[0] == 3)
+        assert agent.targets[:2] == [WHOLE_TARGET] * 2 and one.states("e0")[-1] is i.ReplicaState.DRAINING
+
+
+def test_a_late_old_list_does_not_undo_a_newer_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The next watch brings newer news: the list in which e0 still served is not asked for, nor taken."""
+    service = Service(9, entry("e0", 1), entry("e1", 2))
+    held: list[Any] = []
+    spawn_later = gevent.spawn_later
+    with following(service) as one:
+
+        def hold(seconds: float, call: Callable[..., Any]) -> Any:
+            made = spawn_later(3600.0 if call == one.set._ask_whole else seconds, call)
+            if call == one.set._ask_whole:
+                held.append(made)
+            return made
+
+        monkeypatch.setattr(gevent, "spawn_later", hold)
+        one.set.watch()
+        until(lambda: len(one.told) == 2)
+        service.watches[0].sendall(chunk(listing(9, entry("e0", 1, status="terminating"))))
+        until(lambda: one.set.seen()[0] == 9)
+        service.watches[0].sendall(chunk(listing(8, entry("e0", 1), whole=True)))
+        until(lambda: i.ListKind.FAILED in one.kinds())
+        assert len(held) == 1 and not held[0].dead
+        service.watch_begins = HEAD + chunk(listing(10, entry("e1", 2, weight=2.0)))
+        one.set.watch()
+        until(lambda: one.set.seen()[0] == 10)
+        until(lambda: held[0].dead)
+        assert WHOLE_TARGET not in service.targets and one.states("e0")[-1] is i.ReplicaState.DRAINING
