Of answers that are there together take the newest list

Cause: `asking.first_of` gave the first answer in its queue and closed the other calls, and `ask_agent` kept the last one set, be it older or no list. Where a call that hung is answered in the same turn of the loop as the one beside it, the newer list, which counts as told once it is written, was dropped; the drain in it was heard of only at the next change or call.

Change: `first_of` takes what further answers are there by then and gives the one of the highest version; `ask_agent` keeps the highest, and a fault only where no list came.

Test: tests/test_watch_races.py, both orders in which the loop may handle the two reads.

--- a/spoolbarrow/net/asking.py
+++ b/spoolbarrow/net/asking.py
@@ -143,12 +143,14 @@
     pause_ms: Callable[[], float],
     now: Callable[[], float],
     lost: Callable[[Exception], object],
+    version: Callable[[T], int] | None = None,
 ) -> T:
     """What the first of several calls gives that is answered; the others are given up then.
 
     The next begins `pause_ms` after the one before it, which stays open: a service that hung may answer only
     calls that come after its return. None begins beside an answer that has begun (a call calls what it is
-    given then), nor beside MOST_CALLS others. `lost` hears why a call failed while another was open; the last
+    given then), nor beside MOST_CALLS others. Of answers that are there together it gives the one of the
+    highest `version`: all of them are told. `lost` hears why a call failed while another was open; the last
     one's error is raised: Silent or any of FAULTS.
     """
     ended: Queue[tuple[int, T | Exception]] = Queue()
@@ -175,7 +177,7 @@
             except Empty:
                 continue
             if not isinstance(found, Exception):
-                return found
+                return found if version is None else max([found, *_answers(ended)], key=version)
             del calls[number]
             begun.discard(number)
             if not calls:
@@ -185,6 +187,16 @@
         gevent.killall(list(calls.values()), block=False)
 
 
+def _answers(ended: Queue[tuple[int, T | Exception]]) -> list[T]:
+    """What further calls have been answered with by now."""
+    found: list[T] = []
+    while not ended.empty():
+        one = ended.get_nowait()[1]
+        if not isinstance(one, Exception):
+            found.append(one)
+    return found
+
+
 def ask_agent(discovery: Address, options: Options) -> HostList:
     """The whole list from an agent on this machine, asked again and again until it answers.
 
@@ -197,9 +209,13 @@
 
     def call() -> None:
         try:
-            answer.set(whole(discovery, options, AGENT_MS * AGENT_CALLS))
+            news = whole(discovery, options, AGENT_MS * AGENT_CALLS)
+            had = answer.value  # of a call that was answered in the same turn
+            if not isinstance(had, HostList) or had.index < news.index:
+                answer.set(news)
         except BadList as error:
-            answer.set(error)
+            if not answer.ready():
+                answer.set(error)
         except FAULTS:
             pass  # the next call is on its way
         except Exception as error:
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -377,7 +377,11 @@
         config = self._config
         options, discovery = config.options, config.discovery
         if self._index is None:
-            self._news(self._first_of(lambda _: asking.whole(discovery, options, options.call_timeout_ms)))
+            news = self._first_of(
+                lambda _: asking.whole(discovery, options, options.call_timeout_ms),
+                lambda found: found.index,
+            )
+            self._news(news)
 
         def begin(headed: Callable[[], object]) -> tuple[HostList | None, Iterator[HostList | None]]:
             words = self._words(options.call_timeout_ms, headed)
@@ -389,11 +393,12 @@
                 self._check(first)
             return first, words
 
-        first, words = self._first_of(begin)
+        known = self._index or 0
+        first, words = self._first_of(begin, lambda found: known if found[0] is None else found[0].index)
         self._take_word(first)
         self._read_words(words)
 
-    def _first_of(self, call: Callable[[Callable[[], object]], T]) -> T:
+    def _first_of(self, call: Callable[[Callable[[], object]], T], version: Callable[[T], int]) -> T:
         me = self._asking = gevent.getcurrent()
         begun = self._now()
 
@@ -410,7 +415,7 @@
             return hangs_ms(self._config.settings, self._rng, self._full)
 
         try:
-            found = asking.first_of(call, pause_ms, self._now, lost)
+            found = asking.first_of(call, pause_ms, self._now, lost, version)
             self._take_part()
             self._full = False
             return found
--- a/tests/test_watch_races.py
+++ b/tests/test_watch_races.py
@@ -310,3 +310,75 @@
         until(lambda: one.set.seen()[0] == 10)
         until(lambda: held[0].dead)
         assert WHOLE_TARGET not in service.targets and one.states("e0")[-1] is i.ReplicaState.DRAINING
+
+
+@pytest.mark.parametrize("first", ["old", "new"])
+def test_of_two_calls_answered_at_once_the_newer_answer_counts(
+    first: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A call that hung is answered in the same turn as the one beside it, with what it was asked for then."""
+    service = Service(9)
+    service.watch_begins = b""
+    monkeypatch.setattr("spoolbarrow.net.destinations.hangs_ms", lambda *more: 20.0)
+    with following(service) as one:
+        one.set.watch()
+        until(lambda: len(service.watches) == 2)
+        old, new = service.watches
+        drains, serves = entry("e0", 1, status="terminating"), entry("e0", 1)
+        answers = {new: HEAD + chunk(listing(9, drains)), old: HEAD + chunk(listing(8, serves, whole=True))}
+        for sock in (old, new) if first == "old" else (new, old):
+            sock.sendall(answers[sock])
+        until(lambda: one.set.seen()[0] == 9)
+        until(lambda: service.party.ends == 1)  # the other call's connection
+        new.sendall(chunk(listing(10, entry("e1", 2))))
+        until(lambda: one.set.seen()[0] == 10)
+        assert one.states("e0") == [i.ReplicaState.SERVING, i.ReplicaState.DRAINING]
+
+
+@pytest.mark.parametrize("first", [8, 9])
+def test_of_two_whole_lists_that_come_at_once_the_newer_one_counts(
+    first: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    service = Service(9)
+    asked: list[Sock] = []
+    service.news = b""
+    monkeypatch.setattr("spoolbarrow.net.destinations.hangs_ms", lambda *more: 20.0)
+    with following(service) as one:
+        answer = service.party.script
+
+        def keep(sock: Sock, message: Message) -> object:
+            asked.append(sock)
+            return answer(sock, message)
+
+        service.party.script = keep
+        one.set.apply(msgspec.structs.replace(service.config(), kinds={"another": 1}))
+        until(lambda: len(asked) == 2)
+        for index in (8, 9) if first == 8 else (9, 8):
+            status = "in_service" if index == 8 else "terminating"
+            text = listing(index, entry("e0", 1, status=status), whole=True)
+            asked[index - 8].sendall(PLAIN % (b"200 OK", b"", len(text), text))
+        until(lambda: service.watches)
+        assert service.watched_from() == [b"9"]
+        assert one.states("e0") == [i.ReplicaState.SERVING, i.ReplicaState.DRAINING]
+
+
+def test_of_an_agents_answers_that_come_at_once_the_newest_counts() -> None:
+    """A call that hung is answered in the same turn as later ones, and one of them with no list."""
+    agent = Service(9)
+    agent.news = b""
+    asked: list[Sock] = []
+    with following(agent, mode="automatic") as one:
+        answer = agent.party.script
+
+        def keep(sock: Sock, message: Message) -> object:
+            asked.append(sock)
+            return answer(sock, message)
+
+        agent.party.script = keep
+        one.set.watch()
+        until(lambda: len(asked) == 4)
+        texts = [listing(8, whole=True), listing(9, whole=True), listing(8, whole=True), b"[]"]
+        for sock, text in zip(asked, texts, strict=True):
+            sock.sendall(PLAIN % (b"200 OK", b"", len(text), text))
+        until(lambda: len(one.told) > 1)
+        assert one.kinds()[:2] == [i.ListKind.RESTORED, i.ListKind.WHOLE] and one.set.seen()[0] == 9
