--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -91,7 +91,7 @@
 @pytest.mark.parametrize("text", [b"7\n", b"}", b"text", b"] {}", b"{} x\n", b'{"a":"%s' % (b"x" * 200)])
 def test_what_is_no_object_is_a_fault(text: bytes) -> None:
     with pytest.raises(Fault):
-        Messages(100).feed(text)
+        list(Messages(100).feed(text))
 
 
 # Silence
