--- a/spoolbarrow/net/asking.py
+++ b/spoolbarrow/net/asking.py
@@ -31,7 +31,11 @@
 
 
 class BadList(Exception):
-    """An answer that is no list: torn, too long, of the wrong type, or of an older version than is known."""
+    """An answer that is no list: torn, too long, of the wrong type, or older (`OldList`)."""
+
+
+class OldList(BadList):
+    """A list of an older version than is known."""
 
 
 FAULTS = (OSError, http1.Fault, BadList)  # what a call may end in
@@ -94,26 +98,37 @@
         while not parser.whole:
             begun = parser.headed
             limit = options.watch_silence_ms if begun else limit_ms
-            if not _read(parser, sock, buffer, heard + limit - now()):
+            broken: http1.Fault | None = None
+            try:
+                in_time = _read(parser, sock, buffer, heard + limit - now())
+            except http1.Fault as error:
+                in_time, broken = True, error  # what came whole before it in the same read is told
+            if not in_time:
                 if begun:
                     raise Silent
                 raise TimeoutError("no answer in time")
             _is_well(parser)
-            words = _cut(messages, b"".join(parser.take_body()), parser.whole)
-            if words or parser.headed != begun:
-                heard = now()
             if parser.headed != begun:
+                heard = now()
                 headed()
-            for word in words:
+            for word in _cut(messages, b"".join(parser.take_body())):
+                heard = now()
                 yield _decode(word) if word else None
+            if broken is not None:
+                raise broken
+    _cut_end(messages)
 
 
-def _cut(messages: Messages, data: bytes, ended: bool) -> list[bytes]:
+def _cut(messages: Messages, data: bytes) -> Iterator[bytes]:
     try:
-        words = messages.feed(data)
-        if ended:
-            messages.end()
-        return words
+        yield from messages.feed(data)
+    except http1.Fault as error:
+        raise BadList(str(error)) from error
+
+
+def _cut_end(messages: Messages) -> None:
+    try:
+        messages.end()
     except http1.Fault as error:
         raise BadList(str(error)) from error
 
@@ -139,12 +154,14 @@
     pause_ms: Callable[[], float],
     now: Callable[[], float],
     lost: Callable[[Exception], object],
+    version: Callable[[T], int] | None = None,
 ) -> T:
     """What the first of several calls gives that is answered; the others are given up then.
 
     The next begins `pause_ms` after the one before it, which stays open: a service that hung may answer only
     calls that come after its return. None begins beside an answer that has begun (a call calls what it is
-    given then), nor beside MOST_CALLS others. `lost` hears why a call failed while another was open; the last
+    given then), nor beside MOST_CALLS others. Of answers that are there together it gives the one of the
+    highest `version`: all of them are told. `lost` hears why a call failed while another was open; the last
     one's error is raised: Silent or any of FAULTS.
     """
     ended: Queue[tuple[int, T | Exception]] = Queue()
@@ -171,7 +188,7 @@
             except Empty:
                 continue
             if not isinstance(found, Exception):
-                return found
+                return found if version is None else max([found, *_answers(ended)], key=version)
             del calls[number]
             begun.discard(number)
             if not calls:
@@ -181,6 +198,16 @@
         gevent.killall(list(calls.values()), block=False)
 
 
+def _answers(ended: Queue[tuple[int, T | Exception]]) -> list[T]:
+    """What further calls have been answered with by now."""
+    found: list[T] = []
+    while not ended.empty():
+        one = ended.get_nowait()[1]
+        if not isinstance(one, Exception):
+            found.append(one)
+    return found
+
+
 def ask_agent(discovery: Address, options: Options) -> HostList:
     """The whole list from an agent on this machine, asked again and again until it answers.
 
@@ -193,9 +220,13 @@
 
     def call() -> None:
         try:
-            answer.set(whole(discovery, options, AGENT_MS * AGENT_CALLS))
+            news = whole(discovery, options, AGENT_MS * AGENT_CALLS)
+            had = answer.value  # of a call that was answered in the same turn
+            if not isinstance(had, HostList) or had.index < news.index:
+                answer.set(news)
         except BadList as error:
-            answer.set(error)
+            if not answer.ready():
+                answer.set(error)
         except FAULTS:
             pass  # the next call is on its way
         except Exception as error:
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -17,7 +17,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
 from spoolbarrow.errors import Problem
-from spoolbarrow.fleet.pacing import CLOCK_MS, WAITED_MS, hangs_ms, silent_ms, spread_ms
+from spoolbarrow.fleet.pacing import CLOCK_MS, WAITED_MS, hangs_ms, refused_ms, silent_ms, spread_ms
 from spoolbarrow.net import asking
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.wire import STATES
@@ -51,7 +51,10 @@
         self._listing: dict[str, tuple[str, bool]] | None = None  # of both; None: to be made anew
         self._resumed: dict[str, float] = {}  # when, of those listed: they may have been restarted meanwhile
         self._index: int | None = config.known.index  # None: the whole list must be asked for
+        # The one whose news counts: another that still runs was ready to when it was killed (`_take_part`).
         self._watch: gevent.Greenlet[[], None] | None = None
+        self._begins_at: float | None = None  # while the watch pauses before its first call
+        self._closed = False
         self._rng = Random(config.seed)
         self._spoke = False  # this watch has said something
         self._asking: object = None  # the watch, while its calls are on their way and none has answered
@@ -61,6 +64,7 @@
         self._heard_at = now()
         self._doubt: gevent.Greenlet[[], None] | None = None  # until the clock for silence runs out
         self._unconfirmed = False
+        self._refused: gevent.Greenlet[[], None] | None = None  # a list was, as older; its end: `_ask_whole`
         self._addresses: dict[str, Address] = {}
         self._started: dict[str, float] = {}
         self._types: dict[str, tuple[str, int]] = {}  # and groups
@@ -86,7 +90,7 @@
             self._tell(i.ReplicaList(i.ListKind.RESTORED, lines))
         moved = config.discovery != old.discovery
         if moved or (config.zones, config.kinds) != (old.zones, old.kinds):
-            self._index = None
+            self._drop_version()
             # All are told at once, mostly: an agent is asked now, one service for all by and by.
             self.watch(self._rng.random() * spread_ms(config.settings) * config.settings.subscribe)
         elif config.settings.subscribe != old.settings.subscribe:
@@ -113,7 +117,7 @@
                 gone = [i.ReplicaEntry(name, state=i.ReplicaState.GONE) for name in leaving]
                 self._tell(i.ReplicaList(i.ListKind.CHANGES, tuple(gone)))
             if self._watch is not None:
-                self._index = None
+                self._drop_version()
                 self.watch()
         tell(list(self._aside.values()))
 
@@ -284,13 +288,30 @@
         """Hear of changes from now on, or after a pause.
 
         Where discovery is asked, this ends in exactly one FAILED, unless another watch takes its place; one
-        that falls silent is opened anew before that. Where lists are pushed it does not end.
+        that falls silent is opened anew before that. Where lists are pushed it does not end. A watch
+        that takes the place of one that still pauses begins no later than that one would have.
         """
+        if self._closed:
+            return
         if self._watch is not None:
             self._watch.kill(block=False)
         self._count_silence()
+        now = self._now()
+        begins = now + pause_ms
+        if self._begins_at is not None:
+            begins = min(begins, max(now, self._begins_at))
+        self._begins_at = begins
         asked = self._config.settings.subscribe
-        self._watch = gevent.spawn_later(pause_ms / 1000, self._follow if asked else self._follow_agent)
+        follow = self._follow if asked else self._follow_agent
+        self._watch = gevent.spawn_later((begins - now) / 1000, follow)
+
+    def _take_part(self) -> None:
+        """End the greenlet that calls this unless it is the watch in force; asked after each of its waits.
+
+        A kill reaches a greenlet by way of the loop, and one that was ready to run by then runs before it.
+        """
+        if gevent.getcurrent() is not self._watch:
+            raise gevent.GreenletExit
 
     def ask(self) -> None:
         """Watch, unless calls are on their way: the decisions may have given up one that is not lost."""
@@ -303,12 +324,15 @@
         self._agent_heard.wait(asking.AGENT_ANSWER_MS / 1000)
 
     def close(self) -> None:
-        """Stop watching."""
-        for one in (self._watch, self._doubt):
+        """Stop watching, for good: an order to watch may still be on its way."""
+        self._closed = True
+        for one in (self._watch, self._doubt, self._refused):
             if one is not None:
                 one.kill(block=False)
+        self._watch = self._doubt = self._refused = None
 
     def _follow(self) -> None:
+        self._begins_at = None
         mute = 0  # watches in a row that never said a word
         while True:
             self._spoke = False
@@ -322,6 +346,7 @@
             gevent.sleep(silent_ms(mute, self._rng) / 1000)
 
     def _follow_agent(self) -> None:
+        self._begins_at = None
         last = ""
         while True:
             self._spoke = False
@@ -335,9 +360,12 @@
         """Why a watch ended."""
         try:
             read()
-            return "ended"
+            why = "ended"
         except Exception as error:
-            return self._why(error)
+            self._take_part()
+            why = self._why(error)
+        self._take_part()
+        return why
 
     def _why(self, error: Exception) -> str:
         if isinstance(error, (asking.Silent, TimeoutError)):
@@ -347,6 +375,8 @@
         if not isinstance(error, asking.FAULTS):
             unexpected("watch", error)
             return "unexpected"
+        if isinstance(error, asking.OldList):
+            self._refuse_older()
         if isinstance(error, asking.BadList) and str(error) != self._bad:  # an agent is asked for ever
             self._bad = str(error)
             log("bad_list", why=str(error), index=self._index)
@@ -356,7 +386,11 @@
         config = self._config
         options, discovery = config.options, config.discovery
         if self._index is None:
-            self._news(self._first_of(lambda _: asking.whole(discovery, options, options.call_timeout_ms)))
+            news = self._first_of(
+                lambda _: asking.whole(discovery, options, options.call_timeout_ms),
+                lambda found: found.index,
+            )
+            self._news(news)
 
         def begin(headed: Callable[[], object]) -> tuple[HostList | None, Iterator[HostList | None]]:
             words = self._words(options.call_timeout_ms, headed)
@@ -368,11 +402,12 @@
                 self._check(first)
             return first, words
 
-        first, words = self._first_of(begin)
+        known = self._index or 0
+        first, words = self._first_of(begin, lambda found: known if found[0] is None else found[0].index)
         self._take_word(first)
         self._read_words(words)
 
-    def _first_of(self, call: Callable[[Callable[[], object]], T]) -> T:
+    def _first_of(self, call: Callable[[Callable[[], object]], T], version: Callable[[T], int]) -> T:
         me = self._asking = gevent.getcurrent()
         begun = self._now()
 
@@ -381,6 +416,7 @@
             self._full = refused and self._now() - begun >= WAITED_MS
 
         def lost(error: Exception) -> None:
+            self._take_part()
             note(error)
             log("watch_broken", why=self._why(error), index=self._index)
 
@@ -388,10 +424,12 @@
             return hangs_ms(self._config.settings, self._rng, self._full)
 
         try:
-            found = asking.first_of(call, pause_ms, self._now, lost)
+            found = asking.first_of(call, pause_ms, self._now, lost, version)
+            self._take_part()
             self._full = False
             return found
         except Exception as error:
+            self._take_part()
             note(error)
             raise
         finally:
@@ -399,7 +437,9 @@
                 self._asking = None
 
     def _read_agent(self) -> None:
-        self._news(asking.ask_agent(self._config.discovery, self._config.options))
+        news = asking.ask_agent(self._config.discovery, self._config.options)
+        self._take_part()
+        self._news(news)
         self._agent_heard.set()
         self._read_words(self._words(asking.AGENT_ANSWER_MS))
 
@@ -411,6 +451,7 @@
 
     def _read_words(self, words: Iterator[HostList | None]) -> None:
         for word in words:
+            self._take_part()
             self._take_word(word)
 
     def _take_word(self, word: HostList | None) -> None:
@@ -448,15 +489,43 @@
         log("list_unconfirmed", index=self._index, silent_ms=round(self._now() - self._heard_at))
 
     def _check(self, news: HostList) -> None:
-        """BadList for a version older than what is known, be it whole: engines that drain may serve in it."""
+        """OldList for a version older than what is known, be it whole: engines that drain may serve in it."""
         if self._index is not None and news.index < self._index:
-            raise asking.BadList(f"its index went back from {self._index} to {news.index}")
+            raise asking.OldList(f"its index went back from {self._index} to {news.index}")
+
+    def _refuse_older(self) -> None:
+        """An older list may be one that is late, or discovery has begun its versions anew.
+
+        What tells them apart is a whole list that is asked for from now on. An agent is asked for it at once;
+        the service after a pause, in which a watch that goes on from the known version may bring newer news.
+        """
+        if not self._config.settings.subscribe:
+            self._drop_version()
+        elif self._refused is None:
+            pause = refused_ms(self._config.settings, self._rng)
+            self._refused = gevent.spawn_later(pause / 1000, self._ask_whole)
+
+    def _ask_whole(self) -> None:
+        self._refused = None
+        self._drop_version()
+        self.watch()
+
+    def _drop_version(self) -> None:
+        """The next list that is taken is a whole one, asked for from now on, whatever its version."""
+        self._index = None
+        self._end_refusal()
+
+    def _end_refusal(self) -> None:
+        if self._refused is not None:
+            self._refused.kill(block=False)
+            self._refused = None
 
     def _news(self, news: HostList) -> None:
         self._check(news)
         kind = i.ListKind.WHOLE if news.snapshot else i.ListKind.CHANGES
         self._take(news, kind)
         self._index = news.index
+        self._end_refusal()
         self._heard()
 
     def _take(self, news: HostList, kind: i.ListKind) -> None:
