Keep each listener's own waiting connection, and wait for the last of all in a drain

Cause: Inbound kept one accepted connection that waits for room (_next) and one greenlet that lets a listener go (_leaving) for all listeners. _stop_listening and _let_go share them with the accept loop of the next address, and _stop_listening waited in kill(): a second change, a drain or a request for room in between lost a waiting connection, seated one twice (two readers on one socket), did not wait for it in a drain, or left an accept loop on a closed listener that logs accept_paused every 0.1 s. A newer process that never began to accept took connections from the shared queue when it was ended, which its older process would have served. _close_idle and _make_room asked the kernel for unread bytes of all connections before they closed the first.

Change: what waits and what lets go are kept by listener, _stop_listening never yields, an inherited listener from which this process does not accept is left alone, and each connection is looked at just before its close.

Ruled out: between accept() and the entry in the table, and between its removal and _admit, nothing yields; a request in single bytes is never idle; what is read behind an answer with Connection: close reaches no engine.

--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -52,12 +52,14 @@
         self.buffer = bytearray(RECV)
         self._clients: set[Client] = set()
         self._overflow = Overflow(self.buffer)
-        self._next: socket.socket | None = None  # accepted, and waiting for room
+        self._waiting: dict[socket.socket, socket.socket] = {}  # by listener: accepted, and waiting for room
         self._out = False  # of descriptors, as far as is known
         self._listener: socket.socket | None = None
         self._inherited = False  # other processes accept from it, too
+        self._accepts = False  # this one does, or will whether it can serve or not
         self._accepting: gevent.Greenlet[[socket.socket, bool], None] | None = None
-        self._leaving: gevent.Greenlet[..., None] | None = None  # it accepts the last that have come
+        # By listener that is no longer listened at: they accept the last that have come.
+        self._leaving: dict[socket.socket, gevent.Greenlet[..., None]] = {}
         self._sweeper: gevent.Greenlet[[], None] | None = None
 
     def start(self, inherited: socket.socket | None = None, alone: bool = True) -> None:
@@ -68,7 +70,7 @@
         if inherited is None:
             self._listen(self.config)
         else:
-            self._listener, self._inherited = inherited, True
+            self._listener, self._inherited, self._accepts = inherited, True, alone
             self._accepting = gevent.spawn(self._accept, inherited, alone)
         self._sweeper = gevent.spawn(self._sweep)
 
@@ -81,7 +83,7 @@
     def _listen(self, config: Config) -> None:
         listener = http1.listen(config.listen, BACKLOG)
         self._stop_listening()
-        self._listener, self._inherited = listener, False
+        self._listener, self._inherited, self._accepts = listener, False, True
         self._accepting = gevent.spawn(self._accept, listener, True)
 
     def ready(self) -> bool:
@@ -135,7 +137,7 @@
         gevent.sleep(times.accept / 1000)
         self._stop_listening()
         passing = None if pass_on is None else gevent.spawn(self._pass_idle, pass_on, times.retry_after)
-        while self._clients or not (self._leaving is None or self._leaving.ready()):
+        while self._clients or self._leaving:
             try:
                 self._end_what_is_due(self.host.now() - begun, times, passing is None or passing.ready())
             except Exception as error:  # what one connection runs into must not leave the others unanswered
@@ -177,17 +179,19 @@
         and could not be answered. Nor is one closed that still takes in its answer: what crosses would have
         the kernel reset the connection under it.
         """
-        for client in [c for c in self._clients if c.idle() and not c.ending and not c.unread()]:
-            if client.answered() and (not client.fresh or client.since < now - NEWCOMER_MS):
+        for client in [c for c in self._clients if c.idle() and not c.ending]:
+            settled = not client.fresh or client.since < now - NEWCOMER_MS
+            # The kernel is asked just before: a request may have come while others were closed.
+            if settled and client.answered() and not client.unread():
                 client.close(Why.ENDED)
 
     def close(self) -> None:
         """Drop everything at once."""
-        gevent.killall([each for each in (self._accepting, self._leaving, self._sweeper) if each is not None])
-        if self._listener is not None:
-            self._listener.close()
-        if self._next is not None:
-            self._next.close()
+        running = (self._accepting, self._sweeper, self._emptying)
+        listeners = [*self._leaving, *([self._listener] if self._listener is not None else [])]
+        gevent.killall([*(each for each in running if each is not None), *self._leaving.values()])
+        for sock in (*listeners, *self._waiting.values()):
+            sock.close()
         self._overflow.close()
         for client in list(self._clients):
             client.close(Why.ENDED)
@@ -214,6 +218,7 @@
         accepted = 0
         while not (at_once or self.able()):
             gevent.sleep(ABLE_S)
+        self._accepts = True
         while True:
             self._take(listener)
             accepted += 1
@@ -233,19 +238,19 @@
         except OSError as error:
             return self._cannot_accept(error)
         self._out = False
-        self._seat(sock)
+        self._seat(listener, sock)
 
-    def _seat(self, sock: socket.socket) -> None:
+    def _seat(self, listener: socket.socket, sock: socket.socket) -> None:
         """Serve a connection as soon as there is room, or tell it that there is none."""
-        self._next, since = sock, self.host.now()
+        self._waiting[listener], since = sock, self.host.now()
         while len(self._clients) >= self.config.max_inbound:
             if self._make_room():
                 continue
             if max(self.host.now() - since, tcpinfo.last_received_ms(sock)) >= PATIENCE_MS:
-                self._next = None
+                del self._waiting[listener]
                 return self._overflow.refuse(sock, self.host.now())
             gevent.sleep(ROOM_S)
-        self._next = None
+        del self._waiting[listener]
         self._admit(sock)
 
     def _cannot_accept(self, error: OSError) -> None:
@@ -270,27 +275,43 @@
         client.go_on()
 
     def _stop_listening(self) -> None:
-        """Accept nothing that comes from now on, but for what another process does not."""
-        if self._accepting is not None and self._listener is not None:
-            self._accepting.kill()
-            waiting, self._next = self._next, None
-            listener = None if self.succeeded else self._listener
-            self._leaving = gevent.spawn(self._let_go, listener, self._inherited, waiting)
+        """Accept nothing that comes from now on, but for what another process does not; never waits.
 
-    def _let_go(self, listener: socket.socket | None, inherited: bool, waiting: socket.socket | None) -> None:
+        An inherited listener from which this process has not begun to accept is another process's still.
+        """
+        if self._accepting is not None and self._listener is not None:
+            takes_last = self._accepts and not self.succeeded
+            self._accepting.kill(block=False)
+            self._leaving[self._listener] = gevent.spawn(
+                self._let_go, self._listener, self._inherited, self._accepting, takes_last
+            )
+            self._accepting = None
+
+    def _let_go(
+        self,
+        listener: socket.socket,
+        inherited: bool,
+        accepting: gevent.Greenlet[[socket.socket, bool], None],
+        takes_last: bool,
+    ) -> None:
         """Guards requests on connections that the kernel has accepted: a listener's end resets them."""
-        if waiting is not None:
-            self._seat(waiting)
-        if listener is None:
-            return
-        listener.settimeout(0.0)
-        with suppress(BlockingIOError):
-            while True:
-                self._take(listener)
-        # One that was inherited stays as long as the process: closed here, the others' would still wake
-        # this one's event loop for each connection.
-        if not inherited:
-            listener.close()
+        try:
+            accepting.join()
+            waiting = self._waiting.get(listener)
+            if waiting is not None:
+                self._seat(listener, waiting)
+            if not takes_last:
+                return
+            listener.settimeout(0.0)
+            with suppress(BlockingIOError):
+                while True:
+                    self._take(listener)
+            # One that was inherited stays as long as the process: closed here, the others' would still wake
+            # this one's event loop for each connection.
+            if not inherited:
+                listener.close()
+        finally:
+            del self._leaving[listener]
 
     def _make_room(self) -> bool:
         """Close what has longest had nothing under way: first those that have their last answer.
@@ -303,14 +324,16 @@
         now = self.host.now()
         settled = [c for c in self._clients if c.since < now - SETTLED_MS and (c.ending or c.idle())]
         settled.sort(key=lambda c: (not c.ending, not c.fresh, c.since))
-        leave = (c for c in settled if not c.unread() and c.answered())  # the kernel is asked of few
-        first = list(islice(leave, ROOM_AT_ONCE))
-        for client in first:
+        # The kernel is asked of few, and just before each is closed.
+        leave = islice((c for c in settled if c.answered() and not c.unread()), ROOM_AT_ONCE)
+        closed = 0
+        for client in leave:
             client.close(Why.ROOM)
-        if not first:
+            closed += 1
+        if not closed:
             for client in [c for c in self._clients if c.since < now - HALF_MS]:
                 client.hurry(self.config.settings.max_retry_after_ms)
-        return bool(first)
+        return closed > 0
 
     def _sweep(self) -> None:
         while True:
