Carry out one reload at a time, whole, and never inside a start or a drain

Cause: Subsystems.reload yields inside (Inbound._stop_listening, Control.move and Control.close wait for killed greenlets; subsystems are stopped), and ran in whoever called it. A second SIGHUP in between applied newer files to the listener and left the older ones to the host; one between inbound.start and the end of Operations.start opened the operators' listener twice and ended the program with CannotListen; SIGTERM in between began the drain before the rest was applied; an operator's call as its caller could be ended by Control half way. Where another process came inside, the host kept the room as shared out before. After the return stood an unreachable return.

Change: a lock held by the start, a reload and the begin of a drain; a reload runs in a greenlet of its own; the host goes by the files before anything yields; flows that are switched off are closed beside, as copies are, so that a drain does not wait for collectors.

Ruled out: from Subsystems._read to Host.apply nothing yields, so nothing that fails comes after the listener's change of address; SIGTERM before the handlers ends a program that is not up.

Tests: tests/test_shutdown_races.py, section on reloads; all fail without the change.

--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -14,6 +14,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 
 from spoolbarrow import config
 from spoolbarrow.errors import Problem
@@ -99,6 +100,8 @@
         self._agreement: Agreement | None = None
         self._fleet: Follower | None = None
         self._operator: Operator | None = None
+        # Held while the program starts, goes by other files, or begins to end: one of these at a time.
+        self.changing = BoundedSemaphore(1)
 
     def prepare(self, operator: Operator | None, settings: config.Config) -> Prepared:
         """Everything about new settings that can fail; ConfigError where it does, and nothing is changed."""
@@ -225,47 +228,64 @@
     def reload(self, wanted: str = "") -> Problem | None:
         """Go by the configuration files as they are now, where they have the digest `wanted` or any will do.
 
-        A faulty or late one changes nothing: why is logged and returned.
+        A faulty or late one changes nothing: why is logged and returned. One that comes while the program
+        starts or another is carried out waits, and reads the files after that. It is carried out whole, also
+        where its caller, who may be one of the operators' listener that it closes, is ended meanwhile.
         """
-        if self._inbound.draining:
-            log("reload_ignored", why="draining")
-            return Draining("", "draining")
+        problem: Problem | None = gevent.spawn(self._reload, wanted).get()
+        return problem
+
+    def _reload(self, wanted: str) -> Problem | None:
+        with self.changing:
+            if self._inbound.draining:
+                log("reload_ignored", why="draining")
+                return Draining("", "draining")
+            try:
+                self._act_on_files(wanted)
+            except config.ConfigError as error:
+                refused("reload_failed", error)
+                return error
+            return None
+
+    def _act_on_files(self, wanted: str) -> None:
+        """ConfigError, and nothing is changed, where the files can't be used."""
         operations = self._operations
-        try:
-            read, settings, operator, prepared = self._read()
-            if wanted:
-                from spoolbarrow.agree import files
+        read, settings, operator, prepared = self._read()
+        if wanted:
+            from spoolbarrow.agree import files
 
-                if files(self._contents(settings, operator)[0]) != wanted:
-                    raise FilesChanged("agree: the files are not what was checked")
-            calls = None if operations is None else operations.prepare(read)
-            try:
-                self._inbound.apply(settings)  # the last that can fail
-            except OSError as error:
-                if calls is not None:
-                    calls.close()
-                raise config.CannotListen("listen", str(error)) from error
-        except config.ConfigError as error:
-            refused("reload_failed", error)
-            return error
+            if files(self._contents(settings, operator)[0]) != wanted:
+                raise FilesChanged("agree: the files are not what was checked")
+        calls = None if operations is None else operations.prepare(read)
+        try:
+            self._inbound.apply(settings)  # the last that can fail
+        except OSError as error:
+            if calls is not None:
+                calls.close()
+            raise config.CannotListen("listen", str(error)) from error
+        # No other greenlet runs between the reading of the files and this: the room was shared out there, and
+        # another process of this router may come or go at any time.
+        self._host.apply(settings)
         if operations is not None:
             operations.apply(read, calls)
-        self._host.apply(settings)
         self.apply(operator, prepared)
         log("reloaded", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
-        return None
-        return ""
 
     def drain(self) -> None:
-        """The router begins to end: copies do at once, so that live requests have the whole grace."""
-        if self._shadow is not None:
-            self._shadow.stop()
+        """The router begins to end: copies do at once, so that live requests have the whole grace.
+
+        Files that are being acted on are so whole first.
+        """
+        with self.changing:
+            if self._shadow is not None:
+                self._shadow.stop()
 
     def close(self) -> None:
         """End what is on, after `drain`."""
         if self._shadow is not None:
             self._shadow.close()
-        self._end_flows()
+        if self._flows is not None:
+            self._flows.close()
 
     def _end_shadow(self) -> None:
         if self._shadow is not None:
@@ -295,10 +315,23 @@
 
     def _end_flows(self) -> None:
         if self._flows is not None:
-            self._flows.close()
+            gevent.spawn(self._flows.close)  # collectors may be slow
             self._flows = None
 
 
+def start(host: Host, inbound: Inbound, operations: Operations | None) -> None:
+    """Listen and begin to decide; CannotListen where an address can't be had."""
+    try:
+        if operations is None:
+            inbound.start()
+            host.start()
+        else:
+            inbound.start(operations.inherited, operations.alone())
+            operations.start(host, inbound)
+    except OSError as error:
+        raise config.CannotListen("listen", str(error)) from error
+
+
 def main() -> int:
     """Serve until SIGTERM, then finish what was taken."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it must not end a program that is not up yet
@@ -328,15 +361,8 @@
     # Before it listens: what sends SIGHUP may know of no other sign that the program is up.
     gevent.signal_handler(signal.SIGHUP, subsystems.reload)
     try:
-        try:
-            if operations is None:
-                inbound.start()
-                host.start()
-            else:
-                inbound.start(operations.inherited, operations.alone())
-                operations.start(host, inbound)
-        except OSError as error:
-            raise config.CannotListen("listen", str(error)) from error
+        with subsystems.changing:
+            start(host, inbound, operations)
     except config.CannotListen as error:
         refused("bad_config", error)
         return error.status
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -6,8 +6,12 @@
 
 from __future__ import annotations
 
+import signal
+import subprocess
+import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from pathlib import Path
 from typing import Any
 
 import gevent
@@ -18,10 +22,13 @@
 from msgspec.structs import replace
 
 from spoolbarrow import config
+from spoolbarrow.admin.operations import Operations
+from spoolbarrow.handover import Handover
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
-from tests.stage import LISTEN, Client, ask, free_port, make_config, serve_all, stage, until
-from tests.test_drain import NEVER, PATIENT, Engine, asked, closed, refused, rest
+from spoolbarrow.serve import Descriptors, Subsystems
+from tests.stage import LISTEN, Client, Party, ask, entry, free_port, make_config, serve_all, stage, until
+from tests.test_drain import NEVER, PATIENT, ROOT, Engine, asked, closed, refused, rest
 
 UP = b"GET /up HTTP/1.1\r\n\r\n"
 SMALL = {"sockets": 64}  # sixteen clients at once
@@ -269,3 +276,156 @@
         client.sock.close()
         until(lambda: not scene.inbound._clients)
         assert not engine.requests and not scene.host.open_requests()
+
+
+# Reloads
+
+
+class Program:
+    """What `serve.main` joins, in this process."""
+
+    def __init__(self, folder: Path, raw: dict[str, Any], monkeypatch: pytest.MonkeyPatch) -> None:
+        self.raw, self.file = raw, folder / "config.json"
+        monkeypatch.setenv("NODE_CONFIG", str(self.file))
+        monkeypatch.setenv("TMPDIR", str(folder))
+        self.write()
+        settings = config.load()
+        self.operations = Operations(settings)
+        self.host = Host(settings)
+        self.inbound = Inbound(settings, self.host)
+        self.subsystems = Subsystems(self.host, self.inbound, self.operations, Descriptors())
+        self.inbound.start()
+        self.operations.start(self.host, self.inbound)
+
+    def write(self, **changes: Any) -> None:
+        """Other files."""
+        self.raw = self.raw | changes
+        self.file.write_bytes(msgspec.json.encode(self.raw))
+
+    def close(self) -> None:
+        self.operations.close()
+        self.inbound.close()
+        self.host.stop()
+
+
+@pytest.fixture
+def program(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Program]:
+    raw = make_config([], control=f"{LISTEN}:{free_port()}", options={"drain_accept_ms": 1.0})
+    made = Program(tmp_path, raw, monkeypatch)
+    yield made
+    made.close()
+
+
+def at_the_move(program: Program, met: Callable[[], object]) -> None:
+    """Have `met` called in the middle of a reload: where its operators' listener is changed for another."""
+    control: Any = program.operations._control
+    stop_listening = control._stop_listening
+
+    def stopping() -> None:
+        control._stop_listening = stop_listening
+        met()
+        stop_listening()
+
+    control._stop_listening = stopping
+
+
+def test_a_reload_in_the_middle_of_another_comes_after_it(program: Program) -> None:
+    second: list[Any] = []
+
+    def met() -> None:
+        program.write(name="second", listen=f"{LISTEN}:{free_port()}")
+        second.append(gevent.spawn(program.subsystems.reload))
+        turns()
+        assert program.inbound.config.name == program.host.config.name == "first"
+
+    at_the_move(program, met)
+    program.write(name="first", control=f"{LISTEN}:{free_port()}")
+    assert program.subsystems.reload() is None
+    gevent.joinall(second, raise_error=True)
+    assert program.inbound.config.name == program.host.config.name == "second"
+
+
+def test_a_reload_is_whole_also_where_its_caller_is_ended(program: Program) -> None:
+    """An operator's call may be the caller: it gives way to others, and ends with its listener."""
+
+    def met() -> None:
+        caller.kill(block=False)
+        turns()
+
+    at_the_move(program, met)
+    program.write(name="other", control=f"{LISTEN}:{free_port()}")
+    caller = gevent.spawn(program.subsystems.reload)
+    caller.join()
+    until(lambda: program.inbound.config.name == program.host.config.name == "other")
+    assert (
+        Client(int(program.raw["control"].rpartition(":")[2]))
+        .send(b"GET /v1/readyz HTTP/1.1\r\n\r\n")
+        .answer()
+    )
+
+
+def test_a_drain_begins_after_the_reload_that_is_in_the_middle(program: Program) -> None:
+    def end() -> None:
+        program.subsystems.drain()
+        program.inbound.drain()
+
+    ending: list[Any] = []
+
+    def met() -> None:
+        ending.append(gevent.spawn(end))
+        turns()
+        assert not program.inbound.draining
+
+    at_the_move(program, met)
+    program.write(name="other", control=f"{LISTEN}:{free_port()}")
+    assert program.subsystems.reload() is None
+    gevent.joinall(ending, raise_error=True)
+    assert program.host.config.name == "other" and program.subsystems.reload() is not None
+
+
+def test_a_process_that_comes_in_the_middle_of_a_reload_halves_the_room_of_both_sides(
+    program: Program,
+) -> None:
+    """The room is shared out when the files are read, and anew when another process comes or goes."""
+
+    def met() -> None:
+        program.operations._handover.newer = ["newer"]  # type: ignore[union-attr]
+        program.operations._looked()
+
+    at_the_move(program, met)
+    whole = program.host.config.max_outbound
+    program.write(name="other", control=f"{LISTEN}:{free_port()}")
+    assert program.subsystems.reload() is None
+    assert program.host.config.max_outbound == program.inbound.config.max_outbound < whole
+
+
+def test_sighup_while_the_program_starts_is_carried_out_once_it_is_up(tmp_path: Path) -> None:
+    """An older process that says nothing has the newer one wait for its state, before it decides anything."""
+    older = Handover(str(tmp_path))
+    party = Party(serve_all)
+    raw = make_config([entry("e0", party.port)], control=f"{LISTEN}:{free_port()}")
+    (tmp_path / "config.json").write_bytes(msgspec.json.encode(raw))
+    environment = {"NODE_CONFIG": str(tmp_path / "config.json"), "TMPDIR": str(tmp_path)}
+    port = int(raw["listen"].rpartition(":")[2])
+    log = tmp_path / "log"
+    with (
+        open(log, "wb") as written,
+        subprocess.Popen(
+            [sys.executable, "-m", "spoolbarrow"], cwd=ROOT, env=environment, stderr=written
+        ) as process,
+    ):
+        try:
+            until(lambda: not socket.socket().connect_ex((LISTEN, port)))
+            process.send_signal(signal.SIGHUP)
+            until(lambda: process.poll() is not None or '"reloaded"' in log.read_text())
+            told = log.read_text()
+            assert process.poll() is None, told
+            assert told.index('"handover_failed"') < told.index('"reloaded"')
+            assert Client(port).send(ask()).answer().status == 200
+            process.send_signal(signal.SIGTERM)
+            until(lambda: process.poll() is not None)
+            assert process.returncode == 0
+        finally:
+            process.kill()
+            party.close()
+            older.close()
