Lose nothing that comes while a connection or a stream is handed over

Causes, each where two processes of one router pass connections: - Client.pause (net/client.py) waits for its killed reader, which may run once more where a turn of the hub is long: a request read then, whole or begun, was lost, as the connection went on to the other process. - passing.give marked a stream as on its way only after that wait: move_streams could break it off in between. - passing.take entered the stream before Endpoints.take_over read its head: a Fault left the client's connection, the request's name and a place in the pool behind, and the giver broke the stream off. - passing.take took connections also in a process that is ending itself, after its drain had looked. - passing.take left descriptors open where one of them is no socket. - Handover.send_stream counted a stream as in doubt before anything was written, and so broke it off. - Handover.others_words noted words as read before it had read them: without a descriptor they were lost. - Operations.drain went by a look of up to 50 ms ago: where the newer process had just ended, nobody accepted.

Change: each of these is undone or asked anew where it happens; a connection whose reader had read more is served here and the next one is passed on. Small edits in net/client.py (pause) and net/endpoint.py (the head is read before the connection is entered).

Ruled out: STREAM_S firing with the acknowledgement (gevent hands out what came before timeouts, and a giver in doubt shuts both connections down for both sides); between take and go nothing yields but the one byte of the acknowledgement, and go runs also where that fails; _pass_idle stops only where the process itself takes nothing.

Tests: tests/test_handover_races.py; each fails without the change, but the one that pins that a stream which was sent whole is taken.

--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -9,6 +9,7 @@
 
 import os
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from functools import partial
 
 import gevent
@@ -92,6 +93,9 @@
 
         Streams that last pass on to it by themselves.
         """
+        if self._handover is not None:
+            with suppress(OSError):
+                self._handover.look()  # the newer one may have ended since the last look
         if not self.succeeded():
             return None
         gevent.spawn_later(grace(self._inbound.config, True).pass_on / 1000, self._pass_streams)
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -160,8 +160,8 @@
                 status = path.stat()
                 writing = (status.st_ino, status.st_mtime_ns)
                 if self._read.get(other) != writing:
-                    self._read[other] = writing
                     texts.append(path.read_bytes())
+                    self._read[other] = writing
         return texts
 
     def forget(self, dead: list[str]) -> None:
@@ -242,8 +242,8 @@
             with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as taker, gevent.Timeout(STREAM_S):
                 taker.connect(self._streams_path(self.newer[-1]))
                 rights = (socket.SOL_SOCKET, socket.SCM_RIGHTS, array("i", descriptors))
-                sent = True
                 done = taker.sendmsg([len(text).to_bytes(4), text], [rights])
+                sent = True  # the descriptors go with the first byte, or not at all
                 taker.sendall((len(text).to_bytes(4) + text)[done:])
                 return {b"y": True, b"n": False}.get(taker.recv(1))
         except (OSError, gevent.Timeout) as error:
--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -257,13 +257,22 @@
 
     def pause(self) -> bool:
         """Stop reading, if the client has sent nothing that is not read and answered; whether it did."""
-        parser = self._parser
-        busy = self.ending or parser.reading or parser.whole or parser.fault is not None
-        if busy or self.unread() or self.reader is None:
+        exchange = self.exchange
+        if self._has_more() or self.unread() or self.reader is None:
             return False
         self._paused = True
         self.reader.kill()
-        return not self._closed
+        if self._closed:
+            return False
+        if self._has_more() or self.exchange is not exchange:
+            self.go_on()  # the reader ran once more before it ended: what it read is answered here
+            return False
+        return True
+
+    def _has_more(self) -> bool:
+        """Whether something was read that is not served yet, or it is to end."""
+        parser = self._parser
+        return bool(self.ending or parser.reading or parser.whole or parser.fault is not None)
 
     def paused(self) -> bool:
         """Whether nobody reads: it is on its way to another process of this router."""
--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -94,14 +94,17 @@
     def take_over(
         self, attempt: Attempt, sock: socket, head: list[tuple[bytes, bytes]], tail: bytes
     ) -> Underway:
-        """A stream that another process of this router has begun; OSError where its connection has ended."""
-        connection = self._pool.adopt(attempt.endpoint, sock)
-        attempt.connection = connection.number
+        """A stream that another process of this router has begun.
+
+        OSError where its connection has ended, Fault where this process can't read its head: it is not taken.
+        """
         options = self._config.options
         parser = http1.ResponseParser(options.max_head, options.max_body)
         lines = b"".join(b"%s: %s\r\n" % field for field in head)
         # Fed what the other process was, up to the end of a chunk, the parser stands where that one's did.
         parser.feed(memoryview(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n"))
+        connection = self._pool.adopt(attempt.endpoint, sock)
+        attempt.connection = connection.number
         underway = Underway(attempt, connection, parser)
         underway.tail, underway.claimed = tail, True
         return underway
--- a/spoolbarrow/net/passing.py
+++ b/spoolbarrow/net/passing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 
@@ -17,6 +18,7 @@
 from spoolbarrow.net.client import Client, Exchange
 from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.host import Host
+from spoolbarrow.net.http1 import Fault
 from spoolbarrow.net.inbound import Inbound
 from spoolbarrow.net.log import log
 
@@ -58,10 +60,20 @@
 
 def give(host: Host, underway: Underway, send: Send) -> bool:
     """Hand a stream over, asked between two of its chunks; whether it is no longer this process's."""
-    attempt, request = underway.attempt, underway.attempt.request
+    request = underway.attempt.request
     exchange = request.answer
-    if not isinstance(exchange, Exchange) or request.over or not exchange.client.pause():
+    if not isinstance(exchange, Exchange) or request.over:
         return False
+    # From here on it is not broken off: closed meanwhile, its descriptors' numbers could be others'.
+    underway.passing = True
+    try:
+        return exchange.client.pause() and _pass(host, underway, exchange, send)
+    finally:
+        underway.passing = False
+
+
+def _pass(host: Host, underway: Underway, exchange: Exchange, send: Send) -> bool:
+    attempt, request = underway.attempt, underway.attempt.request
     stream = Stream(
         VERSION,
         request.id,
@@ -78,9 +90,7 @@
         exchange.closes(),
     )
     text = msgspec.json.encode(stream)
-    underway.passing = True  # closed meanwhile, its descriptors' numbers could be others'
     taken = send(text, (exchange.client.sock.fileno(), underway.connection.sock.fileno()))
-    underway.passing = False
     if taken is None:
         # Perhaps it was taken: two processes must never read one connection, so that nobody does.
         for sock in (underway.connection.sock, exchange.client.sock):
@@ -114,10 +124,12 @@
 
     The descriptors are this process's either way.
     """
-    socks = [socket.socket(fileno=number) for number in descriptors]
-    if text == IDLE and len(socks) == 1:
-        return inbound.take_idle(socks[0]).go_on
+    socks = _sockets(descriptors)
     try:
+        if inbound.draining:
+            raise Torn("", "this process is ending, too")
+        if text == IDLE and len(socks) == 1:
+            return inbound.take_idle(socks[0]).go_on
         if len(socks) != 2:
             raise Torn("", f"{len(socks)} descriptors")
         client, engine = socks
@@ -133,8 +145,15 @@
     exchange = inbound.take_over(client, stream.chunks, stream.closing)
     request, attempt = host.take_over(stream, exchange, exchange.client.number)
     exchange.request = request
-    head = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in stream.head]
-    underway = host.endpoints().take_over(attempt, engine, head, stream.tail.encode("latin-1"))
+    try:
+        head = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in stream.head]
+        underway = host.endpoints().take_over(attempt, engine, head, stream.tail.encode("latin-1"))
+    except (Fault, OSError, UnicodeError) as error:
+        # The other process keeps it: nothing of it stays here.
+        host.given(attempt)
+        exchange.client.detach()
+        engine.close()
+        raise Torn("", str(error)) from error
     log("stream_taken", request=request.key, id=request.id)
 
     def go() -> None:
@@ -142,3 +161,18 @@
         host.endpoints().carry_on(underway)
 
     return go
+
+
+def _sockets(descriptors: Sequence[int]) -> list[socket.socket]:
+    """Each descriptor's socket; OSError, and all of them are closed, where one is none."""
+    socks: list[socket.socket] = []
+    try:
+        for number in descriptors:
+            socks.append(socket.socket(fileno=number))
+    except OSError:
+        for sock in socks:
+            sock.close()
+        for number in descriptors[len(socks) :]:
+            os.close(number)
+        raise
+    return socks
--- /dev/null
+++ b/tests/test_handover_races.py
@@ -0,0 +1,254 @@
+"""Hand-over between processes: what comes between two steps of giving, taking and acknowledging.
+
+Each test forces its order: a hook stands where another greenlet may run, and lets in what must not be lost.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from gevent import socket
+from gevent.event import Event
+from msgspec.structs import replace
+
+from spoolbarrow import config
+from spoolbarrow import interface as i
+from spoolbarrow.admin.operations import Operations
+from spoolbarrow.config import INHERITED
+from spoolbarrow.handover import Handover, Torn
+from spoolbarrow.net import passing
+from spoolbarrow.net.http1 import Message
+from tests.stage import EVENTS, HEAD, LISTEN, ask, chunk, make_config, serve_all, stage, until
+from tests.test_drain import END, asked, rest
+from tests.test_handover import begin_only, two_processes
+
+
+class LateReader:
+    """A connection's reader that runs once more before it ends, as it may where a hub's turn is long."""
+
+    def __init__(self, held: Any, came: Callable[[], object]) -> None:
+        self.held, self.reader, self.came = held, held.reader, came
+        held.reader = self
+
+    def kill(self) -> None:
+        self.came()
+        self.reader.kill()
+
+
+def never_sent(text: bytes, descriptors: Any) -> bool:
+    raise AssertionError("it was passed on")
+
+
+# The client sends while its connection is made ready to be passed on
+
+
+def test_a_request_that_is_read_while_an_idle_connection_is_paused_is_answered_here() -> None:
+    given = Event()
+
+    def later(sock: socket.socket, message: Message) -> None:
+        given.wait()
+        serve_all(sock, message)
+
+    with stage(later) as (scene, engine):
+        client = scene.client().send(b"GET /up HTTP/1.1\r\n\r\n")
+        client.answer()
+        (held,) = scene.inbound._clients
+        until(held.idle)
+
+        def crossing() -> None:
+            client.send(asked("crossing"))
+            until(lambda: scene.heard(i.RequestArrived))
+
+        LateReader(held, crossing)
+        assert not passing.give_idle(held, never_sent)
+        given.set()
+        assert client.answer().status == 200 and len(engine.requests) == 1
+        assert client.send(asked("next")).answer().status == 200  # it is read on
+
+
+@pytest.mark.parametrize("size", [1, 40])
+def test_the_begin_of_a_request_that_is_read_while_it_is_paused_is_kept(size: int) -> None:
+    with stage(serve_all) as (scene, _):
+        client = scene.client().send(b"GET /up HTTP/1.1\r\n\r\n")
+        client.answer()
+        (held,) = scene.inbound._clients
+        until(held.idle)
+
+        def crossing() -> None:
+            client.send(asked("crossing")[:size])
+            until(lambda: held._parser.reading)
+
+        LateReader(held, crossing)
+        assert not passing.give_idle(held, never_sent)
+        assert client.send(asked("crossing")[size:]).answer().status == 200
+
+
+def test_a_request_that_is_read_while_a_stream_is_paused_is_answered_after_it() -> None:
+    step, tried = Event(), Event()
+
+    def in_two(sock: socket.socket, message: Message) -> None:
+        step.wait()
+        sock.sendall(HEAD + chunk(EVENTS[0]))
+        tried.wait()
+        sock.sendall(chunk(EVENTS[1]) + END)
+
+    with stage(in_two) as (scene, engine):
+        client = scene.client().send(asked("first"))
+        until(lambda: engine.requests)
+        (held,) = scene.inbound._clients
+
+        def crossing() -> None:
+            scene.host.give = None
+            client.send(asked("second"))
+            until(lambda: held._parser.whole)
+            tried.set()
+
+        LateReader(held, crossing)
+        scene.host.give = lambda underway: passing.give(scene.host, underway, never_sent)
+        step.set()
+        tried.wait()
+        assert rest(client, b"").status == 200 and client.answer().status == 200
+
+
+def test_a_stream_is_not_broken_off_while_its_reader_is_stopped() -> None:
+    """The clock of a drain may come to `drain_move_ms` then."""
+    with two_processes(begin_only) as (old, new, engine):
+        client = old.client()
+        until(lambda: old.inbound._clients)
+        (held,) = old.inbound._clients
+        LateReader(held, old.host.move_streams)
+        client.send(ask())
+        until(lambda: new.host.in_progress() == 1)
+        assert old.heard(i.StreamStarted) and engine.ends == 0
+        client.sock.settimeout(0.0)
+        taken = client.sock.recv(65536)
+        assert taken.endswith(chunk(EVENTS[0]))
+        with pytest.raises(BlockingIOError):
+            client.sock.recv(1)  # neither ended nor broken
+
+
+# The other process
+
+
+@contextmanager
+def stream(**changes: Any) -> Iterator[tuple[bytes, list[int], list[socket.socket]]]:
+    """A stream's message, and descriptors of two connections that run: those the other sides hold."""
+    told = passing.Stream(
+        passing.VERSION, "9b1f", 0, 0, 0.0, 0.0, "e0", 0.0, 0.0,
+        [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")], "", True, False,
+    )  # fmt: skip
+    pairs = [socket.socketpair() for _ in range(2)]
+    numbers = [os.dup(theirs.fileno()) for _, theirs in pairs]
+    for _, theirs in pairs:
+        theirs.close()
+    try:
+        yield msgspec.json.encode(replace(told, **changes)), numbers, [ours for ours, _ in pairs]
+    finally:
+        for ours, _ in pairs:
+            ours.close()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        [("no name", "")],
+        [("content-length", "none")],
+        [("snowman", "\u2603")],
+    ],
+)
+def test_a_stream_whose_head_this_process_cannot_read_leaves_nothing_here(
+    head: list[tuple[str, str]],
+) -> None:
+    """The other process is told so and goes on with it."""
+    with stage() as (new,), stream(head=head) as (text, numbers, ends):
+        with pytest.raises(Torn):
+            passing.take(new.host, new.inbound, text, numbers)
+        assert not new.inbound._clients and not new.host.open_requests() and not new.host.is_open("9b1f")
+        assert new.host._endpoints._pool._open == 0
+        assert [end.recv(1) for end in ends] == [b"", b""]  # no descriptor stays
+
+
+@pytest.mark.parametrize("idle", [True, False])
+def test_a_process_that_ends_takes_nothing_more(idle: bool) -> None:
+    """It may be at its last step, after it looked for what is still open."""
+    with stage() as (new,), stream() as (text, numbers, ends):
+        new.inbound.draining = True
+        if idle:
+            os.close(numbers.pop())
+            text = passing.IDLE
+        with pytest.raises(Torn):
+            passing.take(new.host, new.inbound, text, numbers)
+        assert not new.inbound._clients and [end.recv(1) for end in ends] == [b"", b""]
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_where_a_descriptor_is_no_socket_none_stays_open(first: bool) -> None:
+    with stage() as (new,), stream() as (text, numbers, ends):
+        file = os.open(os.devnull, os.O_RDONLY)
+        numbers.insert(0 if first else 2, file)
+        with pytest.raises(OSError):
+            passing.take(new.host, new.inbound, text, numbers)
+        assert [end.recv(1) for end in ends] == [b"", b""]
+        with pytest.raises(OSError):
+            os.fstat(file)
+
+
+@pytest.mark.parametrize("taken", [True, False])
+def test_what_was_never_sent_is_not_in_doubt(tmp_path: Path, taken: bool) -> None:
+    """Only what left this process may be with another one: else the stream goes on here."""
+    one, two = Handover(str(tmp_path)), Handover(str(tmp_path))
+    one.look()
+    two.listen_for_streams(lambda text, descriptors: lambda: None)
+    with socket.socket() as idle:
+        number = idle.fileno() if taken else -1  # one that is closed can't be sent
+        assert one.send_stream(b"x", [number]) is taken
+    one.close()
+    two.close()
+
+
+def test_words_that_could_not_be_read_are_read_at_the_next_look(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A process may be out of descriptors for a moment."""
+    one, two = Handover(str(tmp_path)), Handover(str(tmp_path))
+    one.look()
+    two.write_words(b"said")
+
+    def none_left(path: Path) -> bytes:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    with monkeypatch.context() as lacking:
+        lacking.setattr(Path, "read_bytes", none_left)
+        assert one.others_words([]) == []
+    assert one.others_words([]) == [b"said"] and one.others_words([]) == []
+    one.close()
+    two.close()
+
+
+def test_a_newer_process_that_has_just_ended_is_no_successor(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """SIGTERM may come before the next look: the router then ends as one that nobody follows."""
+    raw = make_config([])
+    with socket.socket() as shared, stage() as (scene,):
+        shared.bind((LISTEN, 0))
+        shared.listen(8)
+        monkeypatch.setenv("TMPDIR", str(tmp_path))
+        monkeypatch.setenv(INHERITED, str(os.dup(shared.fileno())))
+        older = Operations(config.parse(msgspec.json.encode(raw)))
+        older._host, older._inbound = scene.host, scene.inbound
+        newer = Handover(str(tmp_path))
+        older._handover.look()  # type: ignore[union-attr]
+        assert older.succeeded()
+        newer.close()
+        assert older.drain() is None
+        older.close()
+        assert older.inherited is not None
+        older.inherited.close()
