Never let a full pipe hold the process up in a write of the log

Two places in net/log.py waited for whoever reads standard error: - Log._write_some asks poll whether there is room and then writes. Another process that writes to the same pipe (the router's next process in an upgrade inherits it) may fill it between the two, and os.write then blocks the whole process, with every stream, until somebody reads. - Log.write wrote at once before `start`, without a look. A program that is started on a full pipe that nobody reads stopped at its first line and never served.

The change: writes ask not to wait (pwritev with RWF_NOWAIT: pipes and sockets; files, terminals and kernels that do not know it are written as before, after poll). Before `start` a line that is not taken is waited for FLUSH_S at most, and the lines behind it not at all: they go out once the log has started.

Ruled out: a reader that comes back (lines keep their order, and what did not fit is told as before), a reader that has gone (tests/test_log.py).

tests/test_event_delay.py: the pipe is filled in the very call of poll that told of room; and a log is written on a pipe that is full from the start.

--- a/spoolbarrow/net/log.py
+++ b/spoolbarrow/net/log.py
@@ -3,18 +3,18 @@
 Owns the lines until they are written. Once `start` was called they wait in a bounded buffer, and one greenlet
 writes them as the reader takes them: one that stops reading a full pipe costs lines, not answers. What did
 not fit is counted, and told as `log_dropped` when the reader is back. Before `start` lines are written at
-once.
+once; there too, a reader that takes nothing is waited for a moment only.
 """
 
 from __future__ import annotations
 
+import errno
 import os
 import select
 import time
 import traceback
 from collections import deque
 from collections.abc import Mapping
-from contextlib import suppress
 
 import gevent
 import orjson
@@ -27,7 +27,9 @@
 AT_ONCE = 4096  # bytes in one write: what poll says is writable takes PIPE_BUF without blocking (POSIX)
 RETRY_S = 0.05  # between looks at a reader that takes nothing
 BUFFER_BYTES = 1 << 18  # waiting for the reader at most: some thousand lines
-FLUSH_S = 0.2  # at the end, a reader that takes nothing is waited for so long
+FLUSH_S = 0.2  # before `start` and at the end, a reader that takes nothing is waited for so long
+# Told of files, terminals and older kernels, where a write can't be asked not to wait.
+NOT_SUPPORTED = frozenset({errno.EOPNOTSUPP, errno.ENOSYS, errno.EINVAL, errno.ESPIPE})
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
@@ -60,20 +62,22 @@
         if trouble is not None and trouble.tells and "remedy" not in fields:
             fields = {**fields, "remedy": trouble.remedy}
         line = self._line(event, level, fields)
-        if self._writer is None:
-            with suppress(OSError):  # a log nobody can read must not end the requests under way
-                os.write(self._descriptor, line)
-        elif self._held + len(line) > self._most:
+        waiting = bool(self._lines)
+        if self._held + len(line) > self._most:
             self._dropped += 1
         else:
             self._lines.append(line)
             self._held += len(line)
+        if self._writer is not None:
             self._woken.set()
+        else:
+            self._flush(0.0 if waiting else FLUSH_S)  # once: a start must not wait for it line by line
 
     def start(self) -> None:
         """From now on lines wait for a greenlet to write them."""
         if self._writer is None:
             self._writer = gevent.spawn(self._run)
+            self._woken.set()  # for lines that nobody took before
 
     def stop(self) -> None:
         """Write what waits, as far as the reader takes it soon; then lines go out at once again."""
@@ -81,9 +85,15 @@
             return
         self._writer.kill()
         self._writer = None
-        end = time.monotonic() + FLUSH_S
-        while self._pending() and time.monotonic() < end:
+        self._flush(FLUSH_S)
+
+    def _flush(self, wait_s: float) -> None:
+        """Write what waits; a reader that takes nothing is waited for so long in all."""
+        end = time.monotonic() + wait_s
+        while self._pending():
             if not self._write_some():
+                if time.monotonic() >= end:
+                    return
                 self._poll.poll(int(RETRY_S * 1000))
 
     def _pending(self) -> bool:
@@ -115,9 +125,7 @@
         self._held -= size
         data = b"".join(batch)
         try:
-            written = os.write(self._descriptor, data[:AT_ONCE])
-        except BlockingIOError:
-            written = 0
+            written = _write_now(self._descriptor, data[:AT_ONCE])
         except OSError:
             return True  # nobody can read it any more: the lines are gone, the requests go on
         if written < len(data):  # the rest of a line longer than a write, or what a full pipe did not take
@@ -136,6 +144,24 @@
         return orjson.dumps(record, default=repr, option=orjson.OPT_APPEND_NEWLINE)
 
 
+def _write_now(descriptor: int, data: bytes) -> int:
+    """Write what the reader takes at once, perhaps nothing: how many bytes; OSError where nobody can read.
+
+    Guards against another process that writes to the same pipe: it may fill it after poll told of room.
+    """
+    try:
+        return os.pwritev(descriptor, (data,), -1, os.RWF_NOWAIT)
+    except BlockingIOError:
+        return 0
+    except OSError as error:
+        if error.errno not in NOT_SUPPORTED:
+            raise
+    try:
+        return os.write(descriptor, data)
+    except BlockingIOError:
+        return 0
+
+
 def _plain(value: object) -> str:
     """A value on one line; what holds blanks or quotes is written as JSON writes it."""
     if isinstance(value, str) and value and not any(c.isspace() or c in '"=\\' for c in value):
--- a/tests/test_event_delay.py
+++ b/tests/test_event_delay.py
@@ -6,9 +6,13 @@
 from __future__ import annotations
 
 import itertools
+import os
+import threading
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import gevent
+import orjson
 import pytest
 from gevent import socket
 from gevent.event import Event
@@ -17,6 +21,7 @@
 from spoolbarrow.net import http1
 from spoolbarrow.net.host import AT_ONCE
 from spoolbarrow.net.http1 import READS_A_TURN, Message, ResponseParser
+from spoolbarrow.net.log import Log
 from spoolbarrow.net.request import Attempt, Request
 from spoolbarrow.net.taps import Observer, Opened
 from tests.stage import HEAD, Client, ask, chunk, stage, until
@@ -227,3 +232,73 @@
         accepted, _ = listener.accept()
         with accepted:
             assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def fill(writer: int) -> None:
+    """Another process's lines, until the pipe takes no more."""
+    os.set_blocking(writer, False)
+    try:
+        while True:
+            os.write(writer, b"x" * 4095 + b"\n")
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+
+
+def returns(call: Callable[[], object]) -> bool:
+    """Whether a call comes back; one that would hold the whole process stays behind in its thread."""
+    thread = threading.Thread(target=call, daemon=True)
+    thread.start()
+    thread.join(20)
+    return not thread.is_alive()
+
+
+def told(reader: int) -> list[str]:
+    """The events among the lines that stand in a pipe."""
+    os.set_blocking(reader, False)
+    try:
+        lines = os.read(reader, 1 << 20).splitlines()
+    except BlockingIOError:
+        return []
+    return [orjson.loads(line)["event"] for line in lines if line.startswith(b"{")]
+
+
+def test_a_log_that_another_process_fills_holds_nothing_up(pipe: tuple[int, int]) -> None:
+    """The pipe is filled between the look at it and the write: two processes of a router share their log."""
+    reader, writer = pipe
+    log = Log(writer)
+    look = log._poll
+
+    class Filled:
+        def poll(self, wait_ms: int) -> object:
+            room = look.poll(wait_ms)
+            fill(writer)
+            return room
+
+    log._lines.append(log._line("started", "info", {}))
+    log._held = len(log._lines[0])
+    log._poll = Filled()  # type: ignore[assignment]
+    assert returns(log._write_some)
+    assert told(reader) == [] and len(log._lines) == 1
+    log._poll = look
+    assert log._write_some() and told(reader) == ["started"] and log._held == 0
+
+
+def test_a_log_that_nobody_reads_does_not_keep_the_program_from_starting(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    fill(writer)
+    log = Log(writer)
+    assert returns(lambda: log.write("destinations", {})) and returns(lambda: log.write("started", {}))
+    log.start()
+    gevent.sleep(0)
+    assert told(reader) == []  # it is read again from here on
+    until(lambda: not log._lines)
+    assert told(reader) == ["destinations", "started"]
+    log.stop()
