--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -77,13 +77,13 @@
         self.over, self.answered = True, how
 
     def account(self, now: float) -> dict[str, object]:
-        """What became of it, for the log; times in ms since it was taken."""
+        """What became of it, for the log: times in ms since it was taken, numbers as they were then."""
         since = self.taken_at
         return {
             "request": self.key,
             "id": self.id,
-            "class": self.class_name or self.cls,
-            "tenant": self.tenant_name or self.tenant,
+            "class": self.cls,
+            "tenant": self.tenant,
             "answer": self.answered,
             "budget_ms": round(self.deadline - since),
             "ms": round(now - since),
