Take the lists that are whole before a fault in the same read

Cause: `Messages.feed` and `asking._cut` raised at what is no object, too long or torn, and with it dropped the objects found before that in the same read; `asking.follow` did so as well where the parser met broken framing. Discovery had written those lists, so they count as told, and the next watch is seconds away.

Change: `Messages.feed` gives each object as it is found and raises after them; `follow` takes what the body held before it raises the parser's fault.

Ruled out, pinned: the end or a reset in the middle of a list, the end in the same read as whole lists, an older or mistyped list behind good ones, a whole list in a watch, reads of one byte.

Test: tests/test_watch_races.py; the torn, the non-object, the overlong and the badly framed tails failed without the change. tests/test_list_clock.py goes through what `feed` gives, as that is an iterator now; what it asks is the same.

--- a/spoolbarrow/net/asking.py
+++ b/spoolbarrow/net/asking.py
@@ -98,26 +98,37 @@
         while not parser.whole:
             begun = parser.headed
             limit = options.watch_silence_ms if begun else limit_ms
-            if not _read(parser, sock, buffer, heard + limit - now()):
+            broken: http1.Fault | None = None
+            try:
+                in_time = _read(parser, sock, buffer, heard + limit - now())
+            except http1.Fault as error:
+                in_time, broken = True, error  # what came whole before it in the same read is told
+            if not in_time:
                 if begun:
                     raise Silent
                 raise TimeoutError("no answer in time")
             _is_well(parser)
-            words = _cut(messages, b"".join(parser.take_body()), parser.whole)
-            if words or parser.headed != begun:
-                heard = now()
             if parser.headed != begun:
+                heard = now()
                 headed()
-            for word in words:
+            for word in _cut(messages, b"".join(parser.take_body())):
+                heard = now()
                 yield _decode(word) if word else None
+            if broken is not None:
+                raise broken
+    _cut_end(messages)
+
+
+def _cut(messages: Messages, data: bytes) -> Iterator[bytes]:
+    try:
+        yield from messages.feed(data)
+    except http1.Fault as error:
+        raise BadList(str(error)) from error
 
 
-def _cut(messages: Messages, data: bytes, ended: bool) -> list[bytes]:
+def _cut_end(messages: Messages) -> None:
     try:
-        words = messages.feed(data)
-        if ended:
-            messages.end()
-        return words
+        messages.end()
     except http1.Fault as error:
         raise BadList(str(error)) from error
 
--- a/spoolbarrow/net/messages.py
+++ b/spoolbarrow/net/messages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 
 from spoolbarrow.net.http1 import Fault
 
@@ -28,12 +29,12 @@
         if self._depth:
             raise Fault(502, "an object that is torn")
 
-    def feed(self, data: bytes) -> list[bytes]:
+    def feed(self, data: bytes) -> Iterator[bytes]:
         """Each object that is whole now, and b"" for each empty line between objects.
 
-        Fault 502 for what is neither, and for an object that is too long.
+        Then, so that what is whole before it is had, Fault 502 for what is neither or an object that is too
+        long. To be gone through to its end before the next call.
         """
-        found: list[bytes] = []
         start = 0
         skip, self._skip = self._skip, 0
         for match in _MARKS.finditer(data):
@@ -57,22 +58,27 @@
                 elif mark in _CLOSE:
                     self._depth -= 1
                     if not self._depth:
-                        found.append(self._pending + data[start : place + 1])
+                        whole = self._pending + data[start : place + 1]
+                        self._guard(len(whole))
                         self._pending, start, self._ended = b"", place + 1, True
+                        yield whole
             elif mark == _LINE:
                 self._blank(data[start:place])
-                if not self._ended:
-                    found.append(b"")
+                empty = not self._ended
                 start, self._ended = place + 1, False
+                if empty:
+                    yield b""
             else:
                 raise Fault(502, "neither an object nor an empty line")
         self._skip = max(0, skip - len(data))
         self._pending += data[start:]
         if not self._depth:
             self._blank(b"")
-        if len(self._pending) > self._most or any(len(one) > self._most for one in found):
+        self._guard(len(self._pending))
+
+    def _guard(self, size: int) -> None:
+        if size > self._most:
             raise Fault(502, "line too long")
-        return found
 
     def _blank(self, rest: bytes) -> None:
         """What lies outside objects says nothing, and is not kept."""
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -80,7 +80,8 @@
     for one in said:
         text = b"" if one is None else msgspec.json.encode(one)
         stream += (msgspec.json.format(text, indent=indent) if indent and text else text) + b"\n"
-    found, messages = [], Messages(1 << 20)
+    found: list[bytes] = []
+    messages = Messages(1 << 20)
     while stream:
         size = sizes[len(stream) % len(sizes)]
         found += messages.feed(stream[:size])
@@ -91,7 +92,7 @@
 @pytest.mark.parametrize("text", [b"7\n", b"}", b"text", b"] {}", b"{} x\n", b'{"a":"%s' % (b"x" * 200)])
 def test_what_is_no_object_is_a_fault(text: bytes) -> None:
     with pytest.raises(Fault):
-        Messages(100).feed(text)
+        list(Messages(100).feed(text))
 
 
 # Silence
--- a/tests/test_watch_races.py
+++ b/tests/test_watch_races.py
@@ -382,3 +382,75 @@
             sock.sendall(PLAIN % (b"200 OK", b"", len(text), text))
         until(lambda: len(one.told) > 1)
         assert one.kinds()[:2] == [i.ListKind.RESTORED, i.ListKind.WHOLE] and one.set.seen()[0] == 9
+
+
+# What is whole before a fault or an end
+
+
+DRAINS = listing(8, entry("e0", 1, status="terminating"))
+MORE = listing(9, entry("e1", 2, weight=2.0))
+ENDS = {
+    "the end": chunk(DRAINS + MORE) + b"0\r\n\r\n",
+    "a torn list and the end": chunk(DRAINS + MORE) + chunk(MORE[:-9]) + b"0\r\n\r\n",
+    "no object": chunk(DRAINS + MORE) + chunk(b"sorry\n"),
+    "no object on the same line": chunk(DRAINS + MORE[:-1] + b" sorry\n"),
+    "a chunk without a size": chunk(DRAINS + MORE) + b"sorry\r\n",
+    "a list too long": chunk(DRAINS + MORE) + chunk(b'{"x":"' + b"x" * 5000),
+    "an older list": chunk(DRAINS + MORE) + chunk(listing(2)),
+    "a list of the wrong type": chunk(DRAINS + MORE) + chunk(b'{"index":"x"}\n'),
+}
+
+
+@pytest.mark.parametrize("known", ["first", "later"])
+@pytest.mark.parametrize("name", ENDS)
+def test_what_is_whole_before_a_fault_in_the_same_read_is_taken(
+    name: str, known: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Discovery has written it, so it is told; the fault ends the watch all the same."""
+    monkeypatch.setattr(asking, "MAX_LINE", 4000)
+    service = Service(9)
+    service.watch_begins = HEAD + ENDS[name] if known == "first" else HEAD + chunk(b"\n")
+    with following(service) as one:
+        one.set.watch()
+        until(lambda: len(one.told) >= 2)
+        if known == "later":
+            service.watches[0].sendall(ENDS[name])
+        until(lambda: i.ListKind.FAILED in one.kinds())
+        assert one.states("e0")[-1] is i.ReplicaState.DRAINING and one.set.seen()[0] == 9
+
+
+@pytest.mark.parametrize("end", ["end", "reset"])
+def test_a_list_cut_off_in_its_middle_changes_nothing_and_what_came_before_stands(end: str) -> None:
+    service = Service(9)
+    with following(service) as one:
+        one.set.watch()
+        until(lambda: len(one.told) == 2)
+        watch = service.watches[0]
+        watch.sendall(chunk(DRAINS + MORE[:20]))
+        if end == "reset":
+            watch.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            until(lambda: one.set.seen()[0] == 8)
+            watch.close()
+        else:
+            watch.shutdown(socket.SHUT_WR)
+        until(lambda: i.ListKind.FAILED in one.kinds())
+        assert one.set.seen()[0] == 8 and one.states("e1") == [i.ReplicaState.SERVING]
+        assert one.states("e0")[-1] is i.ReplicaState.DRAINING
+
+
+def test_a_watch_in_one_byte_pieces_is_taken_as_in_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The whole list that a watch begins with, an empty line and a change; then the end between two lists."""
+    whole = listing(8, entry("e0", 1), entry("e1", 2), entry("e2", 3), whole=True)
+    service = Service(9)
+    service.watch_begins = b""
+    monkeypatch.setattr(asking, "RECV", 1)  # bytes a read takes
+    with following(service) as one:
+        one.set.watch()
+        until(lambda: service.watches)
+        text = chunk(msgspec.json.format(whole, indent=2) + b"\n\n") + chunk(MORE)
+        service.watches[0].sendall(HEAD + text)
+        until(lambda: one.set.seen()[0] == 9)
+        service.watches[0].shutdown(socket.SHUT_RDWR)
+        until(lambda: i.ListKind.FAILED in one.kinds())
+        assert one.kinds()[1:] == [i.ListKind.WHOLE, i.ListKind.CHANGES, i.ListKind.FAILED]
+        assert one.set.names() == ["e0", "e1", "e2"]
