Use a connection only for the incarnation of the engine that it was opened to

Cause: the list may tell of a restart, a move, or an end and a return while a connection is in use or comes up. `DestinationSet._accepts` had idle ones dropped only. `ConnectionPool.give_back` compared addresses, so a connection from before a restart in place, or from before GONE and back, was kept for the next request; `ConnectionPool.take` returned a connection to the old address though another engine may listen there by then, and the request was written to it.

Change: each listed endpoint has an incarnation, a number that changes with its address, its start or its return. `give_back` keeps a connection of the same incarnation only; `take` closes one that was opened to an earlier incarnation and opens one to what the endpoint is now. A refusal would have blamed the new engine for it.

Ruled out, pinned: a drain that is told and withdrawn is no new incarnation, and connections in use then are kept.

--- a/spoolbarrow/net/connection_pool.py
+++ b/spoolbarrow/net/connection_pool.py
@@ -26,6 +26,9 @@
     def address(self, name: str) -> Address | None:
         """Where an endpoint listens."""
 
+    def incarnation(self, name: str) -> int:
+        """A number that is another one after each restart, move or return of the endpoint."""
+
     def serving(self, name: str) -> bool:
         """Whether the endpoint takes new work."""
 
@@ -42,8 +45,11 @@
 class Connection:
     """One connection to an endpoint; one request at a time goes over it."""
 
-    def __init__(self, endpoint: str, address: Address, sock: socket, number: int) -> None:
+    def __init__(
+        self, endpoint: str, address: Address, sock: socket, number: int, incarnation: int = 0
+    ) -> None:
         self.endpoint, self.address, self.sock, self.number = endpoint, address, sock, number
+        self.incarnation = incarnation  # of the endpoint that it leads to
         self.idle_since = 0.0
 
     def stale(self) -> bool:
@@ -80,7 +86,7 @@
 
     def take(self, endpoint: str) -> Connection:
         """An idle connection, else a new one; OSError where none comes up, Shortage where none can be had."""
-        address = self._destinations.address(endpoint)
+        address, incarnation = self._destinations.address(endpoint), self._destinations.incarnation(endpoint)
         if address is None:
             raise OSError("no address")
         idle = self._idle.get(endpoint)
@@ -100,12 +106,17 @@
         try:
             sock = http1.connect(address, self._config.connect_timeout_ms / 1000)
             number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
-            return Connection(endpoint, address, sock, number)
+            connection = Connection(endpoint, address, sock, number, incarnation)
         except BaseException as error:  # a cancelled attempt's GreenletExit too: the count must stay true
             self._open -= 1
             if isinstance(error, http1.Shortage):
                 self._short(error)
             raise
+        if self._destinations.incarnation(endpoint) == incarnation:
+            return connection
+        # Replaced while it came up: at the old address another one may listen by now.
+        self.drop(connection)
+        return self.take(endpoint)
 
     def _short(self, error: http1.Shortage) -> http1.Shortage:
         """Kept for the log: one line for many, since a shortage meets all that is sent."""
@@ -117,7 +128,7 @@
         address = self._destinations.address(endpoint) or sock.getpeername()
         number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
         self._open += 1
-        return Connection(endpoint, address, sock, number)
+        return Connection(endpoint, address, sock, number, self._destinations.incarnation(endpoint))
 
     def _learn_settle(self, connection: Connection) -> None:
         """Guards against a second answer that comes so late that it passes for the next request's."""
@@ -130,7 +141,7 @@
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for the next request, if its endpoint is still the one that it leads to."""
         endpoint = connection.endpoint
-        current = self._destinations.address(endpoint) == connection.address
+        current = self._destinations.incarnation(endpoint) == connection.incarnation
         if not (current and self._destinations.serving(endpoint)):
             return self.drop(connection)
         connection.sock.settimeout(None)
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from itertools import count
 from random import Random
 from typing import TypeVar
 
@@ -66,6 +67,8 @@
         self._unconfirmed = False
         self._refused: gevent.Greenlet[[], None] | None = None  # a list was, as older; its end: `_ask_whole`
         self._addresses: dict[str, Address] = {}
+        self._incarnations: dict[str, int] = {}
+        self._next_incarnation = count(1)
         self._started: dict[str, float] = {}
         self._types: dict[str, tuple[str, int]] = {}  # and groups
         self._serving: set[str] = set()
@@ -142,6 +145,10 @@
         """Where an endpoint listens."""
         return self._addresses.get(name)
 
+    def incarnation(self, name: str) -> int:
+        """A number that is another one after each restart, move or return of the endpoint; 0: not listed."""
+        return self._incarnations.get(name, 0)
+
     def serving(self, name: str) -> bool:
         """Whether the endpoint takes new work, as far as this router was told."""
         return name in self._serving
@@ -554,6 +561,7 @@
         """Guards against tables that grow with every endpoint that ever was."""
         self._serving.discard(name)
         self._addresses.pop(name, None)
+        self._incarnations.pop(name, None)
         self._started.pop(name, None)
         self._types.pop(name, None)
         self._lines.pop(name, None)
@@ -571,7 +579,9 @@
             log("bad_entry", name=entry.name, address=entry.address, status=entry.status)
             return False
         if (self._addresses.get(entry.name), self._started.get(entry.name)) != (listens, entry.since_ms):
-            self._left(entry.name)  # it moved or restarted: connections to what it was are of no use
+            # It moved or restarted: connections to what it was are of no use, idle or not.
+            self._incarnations[entry.name] = next(self._next_incarnation)
+            self._left(entry.name)
         self._addresses[entry.name], self._started[entry.name] = listens, entry.since_ms
         self._types[entry.name] = (entry.type, entry.group)
         self._lines[entry.name] = entry
--- a/tests/test_watch_races.py
+++ b/tests/test_watch_races.py
@@ -15,17 +15,18 @@
 import msgspec
 import pytest
 from gevent import socket
+from gevent.event import Event
 
 from spoolbarrow import config
 from spoolbarrow import interface as i
-from spoolbarrow.config import Config
+from spoolbarrow.config import Config, HostList, ListEntry
 from spoolbarrow.fleet.pacing import spread_ms
 from spoolbarrow.lab.wire import PLAIN
-from spoolbarrow.net import asking
+from spoolbarrow.net import asking, http1
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Message
-from tests.stage import HEAD, Party, chunk, entry, make_config, now_unix_ms, until
+from tests.stage import HEAD, Party, ask, chunk, entry, make_config, now_unix_ms, serve_all, stage, until
 
 KNOWN = 7  # the version in the configuration
 WHOLE_TARGET = b"/discovery/hosts"
@@ -454,3 +455,86 @@
         until(lambda: i.ListKind.FAILED in one.kinds())
         assert one.kinds()[1:] == [i.ListKind.WHOLE, i.ListKind.CHANGES, i.ListKind.FAILED]
         assert one.set.names() == ["e0", "e1", "e2"]
+
+
+# Engines that were replaced or restarted while a connection to them was in use
+
+
+def slow_then_served(gate: Event) -> Any:
+    """An engine whose first answer waits for the gate; it stays up, as its machine does."""
+
+    def script(sock: Sock, message: Message) -> None:
+        gate.wait(20)
+        serve_all(sock, message)
+
+    return script
+
+
+CHANGES: dict[str, list[list[dict[str, Any]]]] = {
+    "restarted in place": [[{"since_ms": 5.0}]],
+    "gone, then back": [[{"status": "terminated"}], [{}]],
+    "gone and back in one list": [[{"status": "terminated"}, {}]],
+}
+
+
+@pytest.mark.parametrize("name", CHANGES)
+def test_a_connection_from_before_a_restart_is_not_kept(name: str) -> None:
+    """It comes back from a request that was under way; what it leads to is a new engine by then."""
+    gate = Event()
+    with stage(slow_then_served(gate)) as (scene, engine):
+        asked = scene.client().send(ask())
+        until(lambda: engine.requests)
+        for index, changes in enumerate(CHANGES[name], 8):
+            lines = [entry("e0", engine.port, **change) for change in changes]
+            news = HostList(index, False, msgspec.convert(lines, list[ListEntry]))
+            scene.host.destinations._news(news)
+        gate.set()
+        assert asked.answer().status == 200
+        until(lambda: not scene.host.open_requests())
+        assert not scene.host._endpoints._pool._idle
+        until(lambda: engine.ends == 1)
+
+
+def test_a_connection_through_a_drain_that_was_withdrawn_is_kept() -> None:
+    """The engine is the same: what was under way when the drain was told and taken back goes on."""
+    gate = Event()
+    with stage(slow_then_served(gate)) as (scene, engine):
+        asked = scene.client().send(ask())
+        until(lambda: engine.requests)
+        for index, status in ((8, "terminating"), (9, "in_service")):
+            line = msgspec.convert(entry("e0", engine.port, status=status), ListEntry)
+            scene.host.destinations._news(HostList(index, False, [line]))
+        gate.set()
+        assert asked.answer().status == 200
+        until(lambda: not scene.host.open_requests())
+        assert len(scene.host._endpoints._pool._idle["e0"]) == 1
+
+
+@pytest.mark.parametrize("change", ["moved", "restarted in place", "gone and back"])
+def test_nothing_is_written_to_what_an_engine_was_before_it_was_replaced(
+    change: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The list tells of the change while the connection comes up: at the old address another may listen."""
+    connect = http1.connect
+    changed: list[Sock] = []
+    with stage(serve_all, serve_all) as (scene, old, other):
+        port = other.port if change == "moved" else old.port
+        gone = [entry("e0", old.port, status="terminated")] if change == "gone and back" else []
+        back = entry("e0", port, since_ms=0.0 if gone else 5.0)
+        news = HostList(9, False, msgspec.convert([*gone, back], list[ListEntry]))
+        alone = msgspec.convert([entry("e1", other.port, status="terminated")], list[ListEntry])
+        scene.host.destinations._news(HostList(8, False, alone))
+
+        def change_meanwhile(where: tuple[str, int], timeout_s: float) -> Sock:
+            sock = connect(where, timeout_s)
+            if where[1] == old.port and not changed:
+                changed.append(sock)
+                scene.host.destinations._news(news)
+            return sock
+
+        monkeypatch.setattr(http1, "connect", change_meanwhile)
+        assert scene.client().send(ask()).answer().status == 200
+        until(lambda: old.ends >= 1)  # the connection that was opened before the change
+        assert len(changed) == 1 and changed[0].fileno() == -1
+        assert [len(party.requests) for party in (old, other)] == ([0, 1] if change == "moved" else [1, 0])
+        assert old.connections + other.connections == 2
