Keep one table of the listed endpoints

`DestinationSet` kept addresses, starts, types and groups, incarnations and lines in five tables by name. All but the incarnation follow from the line, and the address is read from it. One table of `Listed` (line, address, incarnation) takes their place; no behaviour changes. tests/test_service.py looks at that table and at the endpoints in service instead of the three before.

--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from itertools import count
 from random import Random
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import gevent
 from gevent.event import Event
@@ -34,6 +34,18 @@
     remedy = "Resume suspended engines that are gone, by `POST /v1/engines/ID/resume`."
 
 
+class Listed(NamedTuple):
+    """An endpoint that discovery lists."""
+
+    line: ListEntry  # what discovery said last
+    address: Address
+    incarnation: int  # another number after each restart, move or return
+
+    def serving(self) -> bool:
+        """Whether discovery has it in service."""
+        return STATES[self.line.status] is i.ReplicaState.SERVING
+
+
 class DestinationSet:
     """Addresses and states by name; `tell` hears each piece of news as the decisions' event."""
 
@@ -46,7 +58,7 @@
     ) -> None:
         self._config, self._tell, self._left = config, tell, left
         self._now = now
-        self._lines: dict[str, ListEntry] = {}  # what discovery said last of each that is listed
+        self._listed: dict[str, Listed] = {}
         self._suspended: set[str] = set()  # by hand, at this router
         self._shared: frozenset[str] = frozenset()  # by the document that all routers share
         self._listing: dict[str, tuple[str, bool]] | None = None  # of both; None: to be made anew
@@ -66,11 +78,7 @@
         self._doubt: gevent.Greenlet[[], None] | None = None  # until the clock for silence runs out
         self._unconfirmed = False
         self._refused: gevent.Greenlet[[], None] | None = None  # a list was, as older; its end: `_ask_whole`
-        self._addresses: dict[str, Address] = {}
-        self._incarnations: dict[str, int] = {}
         self._next_incarnation = count(1)
-        self._started: dict[str, float] = {}
-        self._types: dict[str, tuple[str, int]] = {}  # and groups
         self._serving: set[str] = set()
         # Endpoints of this type, or of this group, never serve: they are told to `_aside_tell`.
         self._aside_type, self._aside_group = "", -1
@@ -106,10 +114,10 @@
         self._aside_type, self._aside_group, self._aside_tell = kind, group, tell
         if changed:
             self._aside.clear()
-            leaving = [name for name, of in self._types.items() if self._is_aside(*of)]
+            leaving = [n for n, one in self._listed.items() if self._is_aside(one.line.type, one.line.group)]
             for name in leaving:
-                where = self._addresses[name]
-                self._aside[name] = (name, where, name in self._serving, self._started[name])
+                listed = self._listed[name]
+                self._aside[name] = (name, listed.address, name in self._serving, listed.line.since_ms)
                 self._forget(name)
             if leaving:
                 gone = [i.ReplicaEntry(name, state=i.ReplicaState.GONE) for name in leaving]
@@ -139,15 +147,17 @@
 
     def told_usable(self) -> bool:
         """Whether discovery has some endpoint in service, be it suspended or not."""
-        return any(STATES[line.status] is i.ReplicaState.SERVING for line in self._lines.values())
+        return any(listed.serving() for listed in self._listed.values())
 
     def address(self, name: str) -> Address | None:
         """Where an endpoint listens."""
-        return self._addresses.get(name)
+        listed = self._listed.get(name)
+        return None if listed is None else listed.address
 
     def incarnation(self, name: str) -> int:
         """A number that is another one after each restart, move or return of the endpoint; 0: not listed."""
-        return self._incarnations.get(name, 0)
+        listed = self._listed.get(name)
+        return 0 if listed is None else listed.incarnation
 
     def serving(self, name: str) -> bool:
         """Whether the endpoint takes new work, as far as this router was told."""
@@ -155,7 +165,7 @@
 
     def names(self) -> list[str]:
         """The endpoints that are listed, those that drain too."""
-        return list(self._addresses)
+        return list(self._listed)
 
     def suspended(self, name: str) -> bool:
         """Whether operators want nothing more sent to it."""
@@ -163,7 +173,7 @@
 
     def has(self, name: str) -> bool:
         """Whether an operator can mean this endpoint: it is listed, or was when it was suspended."""
-        return name in self._addresses or name in self._suspended
+        return name in self._listed or name in self._suspended
 
     def listing(self) -> dict[str, tuple[str, bool]]:
         """Each listed endpoint's zone, and whether it is in service by discovery's word and operators'.
@@ -171,16 +181,15 @@
         The same object until that changes, not to be changed by who asks.
         """
         if self._listing is None:
-            serving = i.ReplicaState.SERVING
             self._listing = {
-                name: (line.zone, STATES[line.status] is serving and not self.suspended(name))
-                for name, line in self._lines.items()
+                name: (listed.line.zone, listed.serving() and not self.suspended(name))
+                for name, listed in self._listed.items()
             }
         return self._listing
 
     def seen(self) -> tuple[int, list[ListEntry]]:
         """The list's index and its lines by name, without the addresses, which may differ by router."""
-        lines = [replace(self._lines[name], address="") for name in sorted(self._lines)]
+        lines = [replace(self._listed[name].line, address="") for name in sorted(self._listed)]
         return self._index or 0, lines
 
     def all_suspended(self) -> list[str]:
@@ -196,10 +205,10 @@
             z for z in back.keys() | self._zones_back.keys() if back.get(z) != self._zones_back.get(z)
         }
         self._zones_out, self._zones_back = out, dict(back)
-        for name, line in list(self._lines.items()):
-            if line.zone not in changed:
+        for name, listed in list(self._listed.items()):
+            if listed.line.zone not in changed:
                 continue
-            if self._masked(line).state is i.ReplicaState.SERVING:
+            if self._masked(listed.line).state is i.ReplicaState.SERVING:
                 self._serving.add(name)
             else:
                 self._serving.discard(name)
@@ -241,9 +250,9 @@
 
     def _taken_back(self, name: str) -> None:
         self._listing = None
-        if name in self._lines and not self.suspended(name):
+        if name in self._listed and not self.suspended(name):
             self._resumed[name] = self._now()
-            if STATES[self._lines[name].status] is i.ReplicaState.SERVING:
+            if self._listed[name].serving():
                 self._serving.add(name)
         self._say_again(name)
 
@@ -252,7 +261,7 @@
         # Who sets endpoints aside hears of them from a whole list only: version 0 is answered with that.
         aside = self._aside_type or self._aside_group >= 0
         index = 0 if aside or self._index is None else self._index
-        return HostList(index, True, list(self._lines.values())), dict(self._resumed)
+        return HostList(index, True, [one.line for one in self._listed.values()]), dict(self._resumed)
 
     def restore(self, known: HostList | None = None, resumed: dict[str, float] | None = None) -> None:
         """Begin with the list as this router last had it: as configured, or as another process passed it."""
@@ -261,8 +270,8 @@
         self._take(known, i.ListKind.RESTORED)
 
     def _say_again(self, name: str) -> None:
-        if name in self._lines:
-            self._tell(i.ReplicaList(i.ListKind.CHANGES, (self._masked(self._lines[name]),)))
+        if name in self._listed:
+            self._tell(i.ReplicaList(i.ListKind.CHANGES, (self._masked(self._listed[name].line),)))
 
     def _masked(self, line: ListEntry) -> i.ReplicaEntry:
         """What the decisions hear of a line: operators' word goes before discovery's."""
@@ -528,7 +537,7 @@
 
     def _take(self, news: HostList, kind: i.ListKind) -> None:
         if kind is not i.ListKind.CHANGES:
-            for name in self._addresses.keys() - {entry.name for entry in news.endpoints}:
+            for name in self._listed.keys() - {entry.name for entry in news.endpoints}:
                 self._forget(name)
             self._aside.clear()
         entries, aside = [], False
@@ -536,7 +545,7 @@
             if self._is_aside(entry.type, entry.group):
                 aside = True
                 self._set_aside(entry)
-                if entry.name in self._addresses:  # it served until now
+                if entry.name in self._listed:  # it served until now
                     self._forget(entry.name)
                     entries.append(i.ReplicaEntry(entry.name, state=i.ReplicaState.GONE))
                 continue
@@ -560,11 +569,7 @@
     def _forget(self, name: str) -> None:
         """Guards against tables that grow with every endpoint that ever was."""
         self._serving.discard(name)
-        self._addresses.pop(name, None)
-        self._incarnations.pop(name, None)
-        self._started.pop(name, None)
-        self._types.pop(name, None)
-        self._lines.pop(name, None)
+        self._listed.pop(name, None)
         self._listing = None
         self._resumed.pop(name, None)
         self._left(name)
@@ -578,12 +583,12 @@
         if entry.status not in STATES or listens is None:
             log("bad_entry", name=entry.name, address=entry.address, status=entry.status)
             return False
-        if (self._addresses.get(entry.name), self._started.get(entry.name)) != (listens, entry.since_ms):
-            # It moved or restarted: connections to what it was are of no use, idle or not.
-            self._incarnations[entry.name] = next(self._next_incarnation)
+        was = self._listed.get(entry.name)
+        if was is not None and (was.address, was.line.since_ms) == (listens, entry.since_ms):
+            incarnation = was.incarnation
+        else:  # it moved or restarted: connections to what it was are of no use, idle or not
+            incarnation = next(self._next_incarnation)
             self._left(entry.name)
-        self._addresses[entry.name], self._started[entry.name] = listens, entry.since_ms
-        self._types[entry.name] = (entry.type, entry.group)
-        self._lines[entry.name] = entry
+        self._listed[entry.name] = Listed(entry, listens, incarnation)
         self._listing = None
         return True
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -304,7 +304,7 @@
         assert engine.connections == 2
         until(lambda: scene.host.open_requests() == 0)
         host, router = scene.host, scene.host._router
-        tables = (host.destinations._addresses, host.destinations._started, host.destinations._serving)
+        tables = (host.destinations._listed, host.destinations._serving)
         assert all(set(table) == {"new"} for table in (*tables, router.pool.replicas))
         until(lambda: not router.requests)
         assert not host._requests and not host._ids
