--- a/spoolbarrow/net/connection_pool.py
+++ b/spoolbarrow/net/connection_pool.py
@@ -16,8 +16,8 @@
 SETTLE_MS = 5.0  # a connection rests so long: a second answer straight after must not pass for the next
 LONGEST_SETTLE_MS = 1000.0  # where an endpoint's unasked bytes came later, its connections rest longer
 SETTLE_FACTOR = 4.0  # so many times as late as they came
-DONE = b"\ndata: [DONE]"  # a stream's last event
 SHORT_LOG_MS = 5000.0  # between lines of the log about a lack of connections
+NO_INCARNATION = -1  # of a connection that leads to nothing that is listed: it is not kept
 
 
 class Registry(Protocol):
@@ -26,12 +26,12 @@
     def address(self, name: str) -> Address | None:
         """Where an endpoint listens."""
 
+    def incarnation(self, name: str) -> int:
+        """A number that is another one after each restart, move or return of the endpoint."""
+
     def serving(self, name: str) -> bool:
         """Whether the endpoint takes new work."""
 
-    def started(self, name: str) -> float | None:
-        """When the endpoint's process started, as listed."""
-
 
 class Observed(Protocol):
     """Who owns the clock and the observers."""
@@ -46,10 +46,10 @@
     """One connection to an endpoint; one request at a time goes over it."""
 
     def __init__(
-        self, endpoint: str, address: Address, sock: socket, number: int, started: float | None = None
+        self, endpoint: str, address: Address, sock: socket, number: int, incarnation: int = 0
     ) -> None:
         self.endpoint, self.address, self.sock, self.number = endpoint, address, sock, number
-        self.started = started  # of the process that was listed when it was opened
+        self.incarnation = incarnation  # of the endpoint that it leads to
         self.idle_since = 0.0
 
     def stale(self) -> bool:
@@ -86,7 +86,7 @@
 
     def take(self, endpoint: str) -> Connection:
         """An idle connection, else a new one; OSError where none comes up, Shortage where none can be had."""
-        address, started = self._destinations.address(endpoint), self._destinations.started(endpoint)
+        address, incarnation = self._destinations.address(endpoint), self._destinations.incarnation(endpoint)
         if address is None:
             raise OSError("no address")
         idle = self._idle.get(endpoint)
@@ -105,16 +105,18 @@
         self._open += 1
         try:
             sock = http1.connect(address, self._config.connect_timeout_ms / 1000)
-            if not self._is_listed(endpoint, address, started):
-                sock.close()
-                raise OSError("its endpoint was replaced while it came up")
             number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
-            return Connection(endpoint, address, sock, number, started)
+            connection = Connection(endpoint, address, sock, number, incarnation)
         except BaseException as error:  # a cancelled attempt's GreenletExit too: the count must stay true
             self._open -= 1
             if isinstance(error, http1.Shortage):
                 self._short(error)
             raise
+        if self._destinations.incarnation(endpoint) == incarnation:
+            return connection
+        # Replaced while it came up: at the old address another one may listen by now.
+        self.drop(connection)
+        return self.take(endpoint)
 
     def _short(self, error: http1.Shortage) -> http1.Shortage:
         """Kept for the log: one line for many, since a shortage meets all that is sent."""
@@ -126,12 +128,9 @@
         address: Address = sock.getpeername()[:2]  # where the list has it now may be another process
         number = self._host.taps.opened(Side.ENDPOINT, sock, self._host.now(), endpoint)
         self._open += 1
-        return Connection(endpoint, address, sock, number, self._destinations.started(endpoint))
-
-    def _is_listed(self, endpoint: str, address: Address, started: float | None) -> bool:
-        """Whether an endpoint's name still stands for the process that started then and listens there."""
-        destinations = self._destinations
-        return (destinations.address(endpoint), destinations.started(endpoint)) == (address, started)
+        listed = self._destinations.address(endpoint) == address
+        incarnation = self._destinations.incarnation(endpoint) if listed else NO_INCARNATION
+        return Connection(endpoint, address, sock, number, incarnation)
 
     def _learn_settle(self, connection: Connection) -> None:
         """Guards against a second answer that comes so late that it passes for the next request's."""
@@ -144,7 +143,7 @@
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for the next request, if its endpoint is still the one that it leads to."""
         endpoint = connection.endpoint
-        current = self._is_listed(endpoint, connection.address, connection.started)
+        current = self._destinations.incarnation(endpoint) == connection.incarnation
         if not (current and self._destinations.serving(endpoint)):
             return self.drop(connection)
         connection.sock.settimeout(None)
