Move the reading of files and the subsystems out of serve.py, one life for each subsystem

serve.py held start and signals, the reload and a chain that switched seven subsystems on and off by hand. A move: the order of preparing and applying stays, what is off is not imported. The tests of reloads, shutdowns, failover, admin, agreement, door, shadow, flows, command line and readiness pass (serve's names in three of them follow the move).

--- a/spoolbarrow/net/agreement.py
+++ b/spoolbarrow/net/agreement.py
@@ -107,7 +107,7 @@
         self._host, self._gate, self._files = host, gate, files
         self.ledger = Ledger()
         self._listing: object = None
-        self.apply(host.config, operator)
+        self.apply(operator)
         self._loop = gevent.spawn(self._run)
 
     def refuse(self, config: Config, operator: Operator) -> None:
@@ -116,11 +116,11 @@
         if why := self.ledger.refused(operator.agree.revision, of_files(config, operator)):
             raise Outdated(why)
 
-    def apply(self, config: Config, operator: Operator) -> None:
+    def apply(self, operator: Operator) -> None:
         """These files are acted on from now on."""
         assert operator.agree is not None
         self._table = operator.agree
-        for item, contents in of_files(config, operator).items():
+        for item, contents in of_files(self._host.config, operator).items():
             self._note(item, self._table.revision, contents)
 
     def stop(self) -> None:
--- /dev/null
+++ b/spoolbarrow/subsystems.py
@@ -0,0 +1,224 @@
+"""What the operator's file switches on and off; nothing of what is off is imported.
+
+Each subsystem has the same life: its settings are prepared, which may fail and changes nothing; then it is
+started, changed or stopped. `Subsystems` holds them and their order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from importlib.util import find_spec
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
+
+import gevent
+from msgspec import Struct
+
+from spoolbarrow.config import Config, NeedsPackage
+from spoolbarrow.net.host import Host
+from spoolbarrow.net.inbound import Inbound
+from spoolbarrow.net.log import standard
+
+if TYPE_CHECKING:
+    from spoolbarrow.admin.operations import Operations
+    from spoolbarrow.door import keeper
+    from spoolbarrow.door.keeper import Keeper
+    from spoolbarrow.flows import exporter
+    from spoolbarrow.flows.exporter import Exporter
+    from spoolbarrow.net.agreement import Agreement, Files
+    from spoolbarrow.net.failover import ZoneWatch
+    from spoolbarrow.net.follow import Follower
+    from spoolbarrow.operator import FailoverTable, FleetTable, Operator
+    from spoolbarrow.shadow import copier
+    from spoolbarrow.shadow.copier import Copier
+
+SettingsT = TypeVar("SettingsT", contravariant=True)
+
+
+class Running(Protocol[SettingsT]):
+    """A subsystem that is on."""
+
+    def apply(self, prepared: SettingsT, /) -> None:
+        """Go by other settings."""
+
+
+RunningT = TypeVar("RunningT", bound=Running)  # type: ignore[type-arg]
+PreparedT = TypeVar("PreparedT")
+
+
+class Switch(Generic[PreparedT, RunningT]):
+    """One subsystem, on or off."""
+
+    def __init__(self, start: Callable[[PreparedT], RunningT], stop: Callable[[RunningT], object]) -> None:
+        self._start, self._stop = start, stop
+        self.running: RunningT | None = None
+
+    def apply(self, prepared: PreparedT | None) -> None:
+        """Be on by these settings; None: be off."""
+        if prepared is None:
+            self.stop()
+        elif self.running is None:
+            self.running = self._start(prepared)
+        else:
+            self.running.apply(prepared)
+
+    def stop(self) -> None:
+        """Be off."""
+        running, self.running = self.running, None
+        if running is not None:
+            self._stop(running)
+
+
+class Prepared(Struct, frozen=True):
+    """Settings that can be applied; a subsystem without any is off."""
+
+    operator: Operator | None = None
+    flows: exporter.Prepared | None = None
+    shadow: copier.Prepared | None = None
+    door: keeper.Prepared | None = None
+    failover: FailoverTable | None = None
+    agree: Operator | None = None
+    fleet: FleetTable | None = None
+
+
+class Subsystems:
+    """All subsystems of one router."""
+
+    def __init__(self, host: Host, inbound: Inbound, operations: Operations | None, files: Files) -> None:
+        self._host, self._inbound, self._operations, self._files = host, inbound, operations, files
+        self._operator: Operator | None = None
+        self._flows = Switch(self._start_flows, lambda one: gevent.spawn(one.close))  # collectors may be slow
+        self._shadow = Switch(self._start_shadow, _stop_shadow)
+        self._door = Switch(self._start_door, lambda one: one.stop())
+        self._failover = Switch(self._start_failover, lambda one: one.stop())
+        self._agreement = Switch(self._start_agreement, lambda one: one.stop())
+        self._fleet = Switch(self._start_fleet, lambda one: one.stop())
+
+    def prepare(self, operator: Operator | None, settings: Config) -> Prepared:
+        """Everything about new settings that can fail; ConfigError where it does, and nothing is changed."""
+        if operator is None:
+            return Prepared()
+        prepared = Prepared(
+            operator,
+            _prepare_flows(operator),
+            _prepare_shadow(operator, settings),
+            _prepare_door(operator, settings),
+            _prepare_failover(operator, settings),
+            operator if operator.agree is not None else None,
+            operator.fleet,
+        )
+        if prepared.agree is not None and self._agreement.running is not None:
+            self._agreement.running.refuse(settings, prepared.agree)
+        return prepared
+
+    def apply(self, prepared: Prepared) -> None:
+        """Go by settings that were prepared; what is not set is as without a file."""
+        self._operator = operator = prepared.operator
+        if operator is None:
+            standard.configure()
+        else:
+            standard.configure(operator.log.level, operator.log.format)
+        self._flows.apply(prepared.flows)
+        self._shadow.apply(prepared.shadow)
+        self._door.apply(prepared.door)
+        self._failover.apply(prepared.failover)
+        self._agreement.apply(prepared.agree)
+        if self._operations is not None:
+            self._operations.agreement = self._agreement.running
+        # Last: the others have seen the tenants as the files have them.
+        self._fleet.apply(prepared.fleet)
+
+    @property
+    def failover(self) -> ZoneWatch | None:
+        """Failover's watch, where it is on."""
+        return self._failover.running
+
+    def drain(self) -> None:
+        """The router begins to end: copies do at once, so that live requests have the whole grace."""
+        if self._shadow.running is not None:
+            self._shadow.running.stop()
+
+    def close(self) -> None:
+        """End what is on, after `drain`."""
+        if self._shadow.running is not None:
+            self._shadow.running.close()
+        if self._flows.running is not None:
+            self._flows.running.close()
+
+    def _start_flows(self, prepared: exporter.Prepared) -> Exporter:
+        from spoolbarrow.flows.exporter import Exporter
+
+        return Exporter(self._host, prepared)
+
+    def _start_shadow(self, prepared: copier.Prepared) -> Copier:
+        from spoolbarrow.shadow.copier import Copier
+
+        return Copier(self._host, prepared)
+
+    def _start_door(self, prepared: keeper.Prepared) -> Keeper:
+        from spoolbarrow.door.keeper import Keeper
+
+        return Keeper(self._host, prepared)
+
+    def _start_failover(self, table: FailoverTable) -> ZoneWatch:
+        from spoolbarrow.net.failover import ZoneWatch
+
+        return ZoneWatch(self._host, table)
+
+    def _start_agreement(self, operator: Operator) -> Agreement:
+        from spoolbarrow.net.agreement import Agreement
+
+        return Agreement(self._host, self._inbound, operator, self._files)
+
+    def _start_fleet(self, table: FleetTable) -> Follower:
+        from spoolbarrow.net.follow import Follower
+
+        return Follower(self._host, table, self._shares_changed)
+
+    def _shares_changed(self) -> None:
+        """Tenants have other shares than their file says: the door goes by them, too."""
+        if self._operator is not None:
+            self._door.apply(_prepare_door(self._operator, self._host.config))
+
+
+def _prepare_flows(operator: Operator) -> exporter.Prepared | None:
+    if operator.flows is None:
+        return None
+    from spoolbarrow.flows import exporter
+
+    return exporter.Prepared(operator.flows)
+
+
+def _prepare_shadow(operator: Operator, settings: Config) -> copier.Prepared | None:
+    if operator.shadow is None:
+        return None
+    for package in ("xxhash", "zstandard"):
+        if find_spec(package) is None:
+            raise NeedsPackage("shadow", f"needs the package {package} (extra `shadow`)")
+    from spoolbarrow.shadow import copier
+
+    return copier.Prepared(operator.shadow, settings)
+
+
+def _prepare_door(operator: Operator, settings: Config) -> keeper.Prepared | None:
+    if operator.door is None:
+        return None
+    if find_spec("xxhash") is None:
+        raise NeedsPackage("door", "needs the package xxhash (extra `door`)")
+    from spoolbarrow.door import keeper
+
+    return keeper.Prepared(operator.door, settings)
+
+
+def _prepare_failover(operator: Operator, settings: Config) -> FailoverTable | None:
+    if operator.failover is None:
+        return None
+    from spoolbarrow.operator import zone_faults
+
+    if faults := zone_faults(operator.failover, settings.zones):
+        raise faults[0]
+    return operator.failover
+
+
+def _stop_shadow(running: Copier) -> None:
+    running.stop()
+    gevent.spawn(running.close)  # a disk may be slow
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -253,7 +253,7 @@
 def test_faulty_failover_settings_name_their_key(tmp_path: Path) -> None:
     from spoolbarrow import config
     from spoolbarrow.operator import read
-    from spoolbarrow.serve import Subsystems
+    from spoolbarrow.subsystems import Subsystems
     from tests.stage import make_config
 
     def faults(text: str) -> list[str]:
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -31,8 +31,8 @@
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import standard
 from spoolbarrow.operator import FleetTable
+from spoolbarrow.reload import Descriptors, Reloader
 from spoolbarrow.router import Router
-from spoolbarrow.serve import Descriptors, Subsystems
 from tests.stage import (
     EVENTS,
     HEAD,
@@ -469,7 +469,7 @@
     file = tmp_path / "config.json"
     monkeypatch.setenv("NODE_CONFIG", str(file))
     with stage(serve_all, settings=settings(FIRST)) as (scene, _):
-        subsystems = Subsystems(scene.host, scene.inbound, None, Descriptors())
+        reloader = Reloader(scene.host, scene.inbound, None, Descriptors())
         stop, second = scene.inbound._stop_listening, []
         listen = f"{LISTEN}:{free_port()}"
 
@@ -480,13 +480,13 @@
         def between() -> None:
             scene.inbound._stop_listening = stop
             write(TURNED)
-            second.append(gevent.spawn(subsystems.reload))
+            second.append(gevent.spawn(reloader.reload))
             gevent.sleep(0)  # it runs as far as it can
             stop()
 
         scene.inbound._stop_listening = between
         write({"Classes": [ONCE], "Tenants": [OTHER]})
-        assert subsystems.reload() is None
+        assert reloader.reload() is None
         assert second[0].get(timeout=20) is None
         for settled in (scene.host.config, scene.inbound.config):
             assert settled.classes == {"once": 0, "chat": 1} and settled.tenants == {"other": 0, "acme": 1}
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -26,7 +26,7 @@
 from spoolbarrow.handover import Handover
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
-from spoolbarrow.serve import Descriptors, Subsystems
+from spoolbarrow.reload import Descriptors, Reloader
 from tests.stage import LISTEN, Client, Party, ask, entry, free_port, make_config, serve_all, stage, until
 from tests.test_drain import NEVER, PATIENT, ROOT, Engine, asked, closed, refused, rest
 
@@ -293,7 +293,7 @@
         self.operations = Operations(settings)
         self.host = Host(settings)
         self.inbound = Inbound(settings, self.host)
-        self.subsystems = Subsystems(self.host, self.inbound, self.operations, Descriptors())
+        self.reloader = Reloader(self.host, self.inbound, self.operations, Descriptors())
         self.inbound.start()
         self.operations.start(self.host, self.inbound)
 
@@ -334,13 +334,13 @@
 
     def met() -> None:
         program.write(name="second", listen=f"{LISTEN}:{free_port()}")
-        second.append(gevent.spawn(program.subsystems.reload))
+        second.append(gevent.spawn(program.reloader.reload))
         turns()
         assert program.inbound.config.name == program.host.config.name == "first"
 
     at_the_move(program, met)
     program.write(name="first", control=f"{LISTEN}:{free_port()}")
-    assert program.subsystems.reload() is None
+    assert program.reloader.reload() is None
     gevent.joinall(second, raise_error=True)
     assert program.inbound.config.name == program.host.config.name == "second"
 
@@ -354,7 +354,7 @@
 
     at_the_move(program, met)
     program.write(name="other", control=f"{LISTEN}:{free_port()}")
-    caller = gevent.spawn(program.subsystems.reload)
+    caller = gevent.spawn(program.reloader.reload)
     caller.join()
     until(lambda: program.inbound.config.name == program.host.config.name == "other")
     assert (
@@ -366,7 +366,7 @@
 
 def test_a_drain_begins_after_the_reload_that_is_in_the_middle(program: Program) -> None:
     def end() -> None:
-        program.subsystems.drain()
+        program.reloader.drain()
         program.inbound.drain()
 
     ending: list[Any] = []
@@ -378,9 +378,9 @@
 
     at_the_move(program, met)
     program.write(name="other", control=f"{LISTEN}:{free_port()}")
-    assert program.subsystems.reload() is None
+    assert program.reloader.reload() is None
     gevent.joinall(ending, raise_error=True)
-    assert program.host.config.name == "other" and program.subsystems.reload() is not None
+    assert program.host.config.name == "other" and program.reloader.reload() is not None
 
 
 def test_a_process_that_comes_in_the_middle_of_a_reload_halves_the_room_of_both_sides(
@@ -395,7 +395,7 @@
     at_the_move(program, met)
     whole = program.host.config.max_outbound
     program.write(name="other", control=f"{LISTEN}:{free_port()}")
-    assert program.subsystems.reload() is None
+    assert program.reloader.reload() is None
     assert program.host.config.max_outbound == program.inbound.config.max_outbound < whole
 
 
