Pin a first event in the tick in which another attempt ends

Read as dangerous, and holds without a change: Host.claim and Host.ended in either order, the decisions' Fail after the claim. The stream is the answer, and each attempt has one outcome.

Test: the end of the first attempt is put just before or after the second one's claim.

--- a/tests/test_answer_races.py
+++ b/tests/test_answer_races.py
@@ -463,3 +463,43 @@
         assert answer.status == 200 and b"".join(answer.take_body()) == b"".join(EVENTS)
         until(lambda: len(outcomes(scene)) == 2)
         assert outcomes(scene) == [i.Outcome.RESET, i.Outcome.SERVED]
+
+
+@pytest.mark.parametrize("event_first", [True, False])
+def test_a_first_event_in_the_tick_in_which_another_attempt_ends_is_the_answer(event_first: bool) -> None:
+    """The decisions hear of both at once, and a stream stands over what they make of the end.
+
+    Holds without a change.
+    """
+    go = Event()
+
+    def late(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        sock.sendall(WHOLE)
+
+    with stage(silent, silent) as (scene, *engines):
+        client = scene.client().send(ask())
+        until(lambda: engines[0].requests or engines[1].requests)
+        host = scene.host
+        (request,) = host._requests.values()
+        other = {"e0": 1, "e1": 0}[request.attempts[0].endpoint]
+        engines[other].script = late
+        host._send(i.Send(request.key, f"e{other}"))
+        until(lambda: engines[other].requests)
+        claim = host.claim
+
+        def claimed(attempt: Any) -> bool:
+            claims: bool = claim(attempt) if event_first else False
+            host.ended(request.attempts[0], i.Outcome.RESET)
+            if event_first:
+                host._fail(i.Fail(request.key))
+            else:
+                claims = claim(attempt)
+            return claims
+
+        host.claim = claimed
+        go.set()
+        assert client.answer().status == 200
+        until(lambda: host.open_requests() == 0)
+        assert outcomes(scene) == [i.Outcome.RESET, i.Outcome.SERVED]
+        assert client.send(b"GET /up HTTP/1.1\r\n\r\n").answer().status == 200
