Wait for the decisions to hear an outcome before it is compared

Three tests of tests/test_answer_races.py looked at what the decisions had heard as soon as the request was over; they hear of it in the next tick.

--- a/tests/test_answer_races.py
+++ b/tests/test_answer_races.py
@@ -234,7 +234,7 @@
         parts[0].sendall(WHOLE[at:])
         hold(1.2 * limit_ms / 1000)
         assert client.answer().status == 200
-        assert outcomes(scene) == [i.Outcome.SERVED]
+        until(lambda: outcomes(scene) == [i.Outcome.SERVED])
 
 
 def reset(sock: socket.socket) -> None:
@@ -427,7 +427,7 @@
         status = {"deadline first": 504, "overdue": 504, "refused first": 503, "event first": 200}[order]
         assert client.answer().status == status
         assert claims == [status == 200]
-        until(lambda: host.open_requests() == 0)
+        until(lambda: host.open_requests() == 0 and outcomes(scene))
         assert len(outcomes(scene)) == 1
         # Nothing more came behind it, and the connection goes on.
         assert client.send(b"GET /up HTTP/1.1\r\n\r\n").answer().status == 200
@@ -500,6 +500,6 @@
         host.claim = claimed
         go.set()
         assert client.answer().status == 200
-        until(lambda: host.open_requests() == 0)
+        until(lambda: len(outcomes(scene)) == 2)
         assert outcomes(scene) == [i.Outcome.RESET, i.Outcome.SERVED]
         assert client.send(b"GET /up HTTP/1.1\r\n\r\n").answer().status == 200
