Measure who is served: answered by length of prompt, and sessions refused throughout

benchmarks/served.py plays sites drawn at random (lab/sites.py) at four loads and with all engines cold, and tells the share answered by tenth of prompt length, the longest and the fifth after them beside their class, and the sessions of which all turns are refused beside chance.

--- /dev/null
+++ b/benchmarks/served.py
@@ -0,0 +1,183 @@
+"""Who is served: the share answered by length of prompt, and the sessions that are refused throughout.
+
+    python benchmarks/served.py [--short] [--module FILE ...] [--day NAME ...] [--seeds N] [--routers N]
+                                [--engines N] [--length S] [--jobs N]
+
+Played on sites drawn at random (`spoolbarrow/lab/sites.py`), of both sorts: at four loads, and on a
+quiet day on which all engines begin cold. Each `--module` is another text of the decision module, played on
+the same days.
+Told are means over the classes of all days, and the worst class. On the quiet day the longest tenth and the
+fifth after it have to get two thirds of their class's share, on the others half; and on the quiet day the
+sessions of which all turns are refused may be 0.12 of a class's sessions more than chance gives.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections import defaultdict
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks")]
+
+import msgspec  # noqa: E402
+from placement import MODULE, decisions  # noqa: E402
+
+from spoolbarrow.lab import policies  # noqa: E402
+from spoolbarrow.lab.account import Record  # noqa: E402
+from spoolbarrow.lab.scenario import Scenario, Trouble  # noqa: E402
+from spoolbarrow.lab.simulate import Simulation  # noqa: E402
+from spoolbarrow.lab.sites import site  # noqa: E402
+
+LOADS = {"quiet": 0.25, "usual": 0.45, "busy": 0.7, "full": 1.1, "cold": 0.25}
+LEAST = {"quiet": 2.0 / 3.0, "usual": 0.5, "busy": 0.5, "full": 0.5, "cold": 0.5}
+MANY, TENTH, QUARTER = 400, 0.1, 0.25  # from so many requests the longest are a tenth, below a quarter
+NEXT = 0.2
+REFUSED_MORE = 0.12  # of a class's sessions, on the quiet day
+FEW = 40  # requests of a class, below which it says nothing
+DECILES = 10
+
+Row = dict[str, Any]
+
+
+def share(records: list[Record]) -> float:
+    """The part that was answered, in time or late."""
+    return sum(one.first_ms >= 0.0 for one in records) / max(1, len(records))
+
+
+def refused_throughout(records: list[Record]) -> tuple[float, float]:
+    """The part of sessions of which all turns are refused, and what chance would give."""
+    sessions: dict[int, list[bool]] = defaultdict(list)
+    for one in records:
+        sessions[one.asked.session].append(one.outcome in ("refused", "failed"))
+    chance = sum(sum(turns) for turns in sessions.values()) / max(1, len(records))
+    by_chance = sum(chance ** len(turns) for turns in sessions.values())
+    return sum(map(all, sessions.values())) / len(sessions), by_chance / len(sessions)
+
+
+def of_class(records: list[Record]) -> Row:
+    """What became of one class's requests."""
+    ranked = sorted(records, key=lambda one: one.asked.prompt, reverse=True)
+    first = round(len(ranked) * (TENTH if len(ranked) >= MANY else QUARTER))
+    after = first + round(len(ranked) * NEXT)
+    whole = max(share(ranked), 1e-9)
+    throughout, chance = refused_throughout(records)
+    size = len(ranked) / DECILES
+    deciles = [ranked[round(n * size) : round((n + 1) * size)] for n in reversed(range(DECILES))]
+    return {
+        "requests": len(ranked),
+        "answered": share(ranked),
+        "longest": share(ranked[:first]) / whole,
+        "next": share(ranked[first:after]) / whole,
+        "refused_throughout": throughout,
+        "by_chance": chance,
+        "deciles": [share(decile) for decile in deciles],
+    }
+
+
+def play(text: str, scenario: Scenario, seed: int) -> Row:
+    """One day with one text of the decisions."""
+    module = decisions(text, {})
+
+    def make(settings: Any, number: int, truth: Any) -> Any:
+        return module.Router(settings, number)
+
+    policies.POLICIES["played"] = make
+    day = Simulation(scenario, "played", seed)
+    report = day.play()
+    by_class: dict[int, list[Record]] = defaultdict(list)
+    for record in day.callers.records:
+        by_class[record.asked.cls].append(record)
+    return {
+        "worth": report["worth"],
+        "broken": sum(report["rules_broken"].values()),
+        "decision_us": report["run"]["decision_us_a_request"],
+        "classes": [of_class(records) for records in by_class.values() if len(records) >= FEW],
+    }
+
+
+def scenario_of(name: str, seed: int, many: bool, args: argparse.Namespace) -> Scenario:
+    """A day of that name on the site of that seed."""
+    made = site(seed, many, args.routers, args.engines, LOADS[name], args.length)
+    if name != "cold":
+        return made
+    begin = (Trouble(name="cold_restart", begin_s=0.0, part=1.0),)
+    return msgspec.structs.replace(made, troubles=begin)
+
+
+def summary(days: list[Row]) -> Row:
+    """Means over the classes of several days, and the worst of them."""
+    classes = [one for day in days for one in day["classes"]]
+
+    def mean(key: str) -> float:
+        return round(float(sum(one[key] for one in classes)) / len(classes), 4)
+
+    more = [one["refused_throughout"] - one["by_chance"] for one in classes]
+    return {
+        "worth": round(sum(day["worth"] for day in days) / len(days), 4),
+        "worths": [round(day["worth"], 4) for day in days],
+        "decision_us": round(sum(day["decision_us"] for day in days) / len(days), 1),
+        "rules_broken": sum(day["broken"] for day in days),
+        "answered": mean("answered"),
+        "longest": mean("longest"),
+        "next": mean("next"),
+        "worst_longest": round(min(one["longest"] for one in classes), 4),
+        "worst_next": round(min(one["next"] for one in classes), 4),
+        "refused_throughout": mean("refused_throughout"),
+        "by_chance": mean("by_chance"),
+        "worst_refused_more": round(max(more), 4),
+        "deciles": [
+            round(sum(one["deciles"][n] for one in classes) / len(classes), 3) for n in range(DECILES)
+        ],
+    }
+
+
+def holds(name: str, told: Row) -> bool:
+    """Whether the terms hold in every class of every day of that name."""
+    longest = min(told["worst_longest"], told["worst_next"]) >= LEAST[name]
+    return longest and (name != "quiet" or told["worst_refused_more"] <= REFUSED_MORE)
+
+
+def main() -> int:
+    """Play, print a line for each day and text, and a JSON object last."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--short", action="store_true")
+    parser.add_argument("--module", action="append", default=[])
+    parser.add_argument("--day", action="append", choices=list(LOADS))
+    parser.add_argument("--seeds", type=int, default=4)
+    parser.add_argument("--routers", type=int, default=100)
+    parser.add_argument("--engines", type=int, default=30)
+    parser.add_argument("--length", type=float, default=12.0)
+    parser.add_argument("--jobs", type=int, default=2)
+    args = parser.parse_args()
+    if args.short:
+        args.seeds, args.routers, args.engines, args.length = 1, 40, 20, 6.0
+    texts = {"as it is": MODULE.read_text(), **{file: Path(file).read_text() for file in args.module}}
+    days = [(many, seed) for many in (False, True) for seed in range(1, 1 + args.seeds)]
+    names = args.day or list(LOADS)
+    with ProcessPoolExecutor(args.jobs, mp_context=get_context("spawn"), max_tasks_per_child=1) as pool:
+        runs = {
+            (name, text): [
+                pool.submit(play, texts[text], scenario_of(name, seed, many, args), seed)
+                for many, seed in days
+            ]
+            for name in names
+            for text in texts
+        }
+        told: dict[str, dict[str, Row]] = {}
+        for (name, text), some in runs.items():
+            found = told.setdefault(name, {})[text] = summary([run.result() for run in some])
+            found["holds"] = holds(name, found)
+            print(f"{name}, {text}: {found}", flush=True)
+    held = all(found["as it is"]["holds"] for found in told.values())
+    print(json.dumps({"name": "served", "holds": held, "days": told}))
+    return 0 if held else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
