Let a slice be overdrawn by one request, so that a full fleet refuses none for its size

Cause: Router._decide asked Entitlement.save() >= request.tokens once the fleet is full, and a slice saves up 4 s of its rate or two mean requests at most. At many routers that is two mean requests: whatever is larger could never pass a full fleet, however long its tenant had waited. The long-run rate of a slice is the same: what is sent is charged in full, and nothing passes while the slice is overdrawn.

Tried and not taken: a bound of two, or of one mean request.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -182,7 +182,7 @@
         return self.used / USAGE_MS
 
     def save(self, now: float, slice_rate: float, request_tokens: float) -> float:
-        """What the slice has saved up."""
+        """What the slice has saved up: any of it lets a request through, whose tokens may overdraw it."""
         depth = max(slice_rate * SLICE_DEPTH_MS, SLICE_MIN * request_tokens)
         gained = depth if self.saved_at == 0.0 else slice_rate * (now - self.saved_at)
         self.saved, self.saved_at = min(depth, self.saved + gained), now
@@ -608,7 +608,7 @@
             refused = False
             if wait > self.full_ms and not request.promised:
                 seconds = (self.answer_ms[request.kind] + self.mean_aim) * slice_rate / pool.request_tokens
-                refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved < request.tokens
+                refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved <= 0.0
                 # Departure 3: the lowest of many is beaten by nearly all; the fuller, the higher the cut.
                 newest = (r.priority for r in reversed(self.requests.values()) if r.entitlement)
                 admitted = sorted(islice(newest, CUT_SAMPLE))
