Refuse nothing for the time its own reading takes while the fleet is not full

Cause: Router._decide refused what Pool.first() predicts after its aim, with the request's own reading at 12 tokens a millisecond times a lateness of up to 6: where an aim grows by less with the prompt, an idle fleet refused the longest. Now only waiting counts there; in a full fleet reading counts as before.

Tests: tests/test_who_is_served.py; three fail without the change.

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -601,7 +601,6 @@
         slice_rate = self._baseline(request.tenant) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
         request.priority = request.weight * standing * request.standing
-        first = pool.first(wait, read)
         wait *= pool.lateness
         if not request.resumed:
             saved = entitlement.save(now, slice_rate, pool.request_tokens)
@@ -615,6 +614,7 @@
                 over = min(1.0, (wait / self.full_ms - 1.0) / CUT_SPAN)
                 cut = admitted[int(over * (len(admitted) - 1))] if admitted else 0.0
                 refused = refused or request.priority <= cut
+            first = pool.first(soonest[2], read if wait > self.full_ms else 0.0)  # reading alone is no reason
             if refused or now + first > request.arrived_at + HOPELESS * request.aim:
                 return self._finish(request, wait)
         entitlement.saved -= request.tokens
--- a/tests/test_who_is_served.py
+++ b/tests/test_who_is_served.py
@@ -112,3 +112,28 @@
     served = full.served([large] * steps)
     mean = full.router.pool.request_tokens  # it has grown to what is asked: the slice is so many of them
     assert 0 < len(served) * tokens <= mean * (QUOTA_PER_S * steps * STEP_MS / 1000.0 + SAVED) + tokens
+
+
+@pytest.mark.parametrize("lateness", [1.0, 2.0, 6.0])
+def test_a_prompt_that_takes_long_to_read_is_not_refused_by_an_idle_fleet(lateness: float) -> None:
+    """Its own reading is no waiting: late it still earns its share, and nobody is in its way."""
+    cls = RequestClass(1200.0, 15000.0, 1.0, late_share=0.25, token_aim_ms=80.0, aim_ms_per_token=0.045)
+    router = Router(make_settings(nodes=1, zones=1, classes=(cls,)), 1)
+    router.handle(0.0, [serving("a", "b")])
+    router.handle(1.0, [answered("a", 0.0), answered("b", 0.0)])
+    router.pool.lateness = lateness
+    for n, prompt in enumerate((500, 4000, 40_000)):
+        event = RequestArrived(f"q{n}", 0, 15000.0, prompt_tokens=prompt)
+        assert isinstance(first_answer(router.handle(2.0 + n, [event])), Send)
+
+
+def test_a_prompt_is_refused_where_waiting_alone_takes_its_aim() -> None:
+    """Whatever it has to read: what waits so long makes others late."""
+    cls = RequestClass(1200.0, 15000.0, 1.0, late_share=0.25, token_aim_ms=1000.0)
+    router = Router(make_settings(nodes=1, zones=1, classes=(cls,)), 1)
+    router.handle(0.0, [serving("a")])
+    for _ in range(20):
+        router.handle(1.0, [answered("a", 30_000.0)])
+    for n, prompt in enumerate((20, 4000)):
+        event = RequestArrived(f"q{n}", 0, 15000.0, prompt_tokens=prompt)
+        assert isinstance(first_answer(router.handle(2.0 + n, [event])), Refuse)
