Call for the list at the time that was set last, however many failures were told

Read: Router._list sets a timer for each failure it is told, and Router._fired (token "list") calls at each that fires while no call is under way. A watch that a reload began, and not the decisions, fails as well: its timer stood beside the one that was set already, and each reload while discovery was down added a series of calls for as long as it stayed down. Only the timer set last counts now. The test plays failures told up to three times and fails without the mend. Ruled out: Pacing (it draws each pause as before).

--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -76,7 +76,7 @@
 SWEEP_MS = 500.0  # between looks at what no event wakes
 COLD_SHARE, COLD_HOME = 0.5, 0.2  # of what rule 4 tolerates: in all, for those at home there
 COLD_LIGHT, COLD_MOVED = 0.5, 0.05  # mean works counted at least; chance of moved streams: they come at once
-ASK_LOST_MS = 3500.0  # calls wait 3 s: one without an answer by then is made again
+ASK_LOST_MS, TIMER_MS = 3500.0, 1.0  # a call without an answer for so long is lost; timers are so exact
 
 _M64 = (1 << 64) - 1
 
@@ -416,7 +416,7 @@
         self.actions: list[i.Action] = []
         self.now, self.hedges, self.begun = 0.0, 1.0, False
         self.configure(settings)
-        self.subscribed, self.asking, self.asked_at = not settings.subscribe, False, 0.0
+        self.subscribed, self.asking, self.asked_at, self.list_due = not settings.subscribe, False, 0.0, 0.0
         self.awaited: dict[str, list[Request]] = {}  # requests held, by the replica asked
         self.on: dict[type, Callable[[Any], None]] = {
             i.RequestArrived: self._arrived,
@@ -469,6 +469,7 @@
         if event.kind is i.ListKind.FAILED:
             pause = self.pacing.failed(self.now - self.asked_at) if self.asking else self.pacing.broke()
             self.subscribed = self.asking = False
+            self.list_due = self.now + pause  # a timer of an earlier failure makes no call of its own
             return self._timer("list", pause)
         if event.kind is not i.ListKind.RESTORED:
             self.subscribed, self.asking = True, False
@@ -479,10 +480,9 @@
         token = event.token
         if token == "sweep":
             self._sweep()
-        elif token == "list":
-            if not self.subscribed and not self.asking:
-                self.asking, self.asked_at = True, self.now
-                self.actions.append(i.Subscribe())
+        elif token == "list" and not (self.subscribed or self.asking or self.now < self.list_due - TIMER_MS):
+            self.asking, self.asked_at = True, self.now
+            self.actions.append(i.Subscribe())
         elif token[:2] == "h:":
             if token[2:] in self.requests and self.requests[token[2:]].held:
                 self._decide(self.requests[token[2:]])
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -117,3 +117,31 @@
     assert isinstance(asked, i.Subscribe)
     (vain,) = router.handle(7_000.0, [i.ReplicaList(i.ListKind.FAILED)])
     assert isinstance(vain, i.SetTimer) and 500.0 <= vain.in_ms <= 1_000.0
+
+
+def test_a_call_is_made_at_the_time_set_last_however_many_failures_were_told() -> None:
+    """A reload's own watch fails beside the call that the decisions wait for: no second series begins."""
+    router = Router(facts(1), seed=1)
+    timers: list[float] = []
+    calls: list[tuple[float, float]] = []  # when each was made, and when the last timer was to fire
+    last = 0.0
+
+    def handle(now: float, *events: i.Event) -> None:
+        nonlocal last
+        for action in router.handle(now, list(events)):
+            if isinstance(action, i.SetTimer) and action.token == "list":
+                last = now + action.in_ms
+                timers.append(last)
+            elif isinstance(action, i.Subscribe):
+                calls.append((now, last))
+
+    failed = i.ReplicaList(i.ListKind.FAILED)
+    handle(0.0)
+    while len(calls) < 20:
+        now = timers.pop(timers.index(min(timers)))
+        before = len(calls)
+        handle(now, i.TimerFired("list"))
+        if len(calls) > before:
+            for told in range(1 + len(calls) % 3):  # one failure, or more: of watches that reloads began
+                handle(now + 1.0 + told, failed)
+    assert all(made == due for made, due in calls), calls
