Split the lab's simulation into modules of one job

spoolbarrow/lab/simulate.py had 937 lines and ten classes.

virtual_time.py Clock, the queue of events simulation_state.py Machine, Flight, Open, Call, Node, UP_MS, and the protocols by which the parts of a simulation call each other simulated_engines.py Machines, work() simulated_routers.py Nodes simulated_clients.py Callers simulate.py Simulation, simulate()

A pure move: of the old file's lines only imports, the module docstring and the type of the parts' `sim` argument are different. The parts take a SimulationContext, a protocol, where they took a Simulation, so that no module imports itself by way of others. lab/sockets.py imports UP_MS from simulation_state.py; Simulation and simulate() stay where they were.

--- a/spoolbarrow/lab/sockets.py
+++ b/spoolbarrow/lab/sockets.py
@@ -21,7 +21,7 @@
 from spoolbarrow.lab.kinds import draw
 from spoolbarrow.lab.load import Load
 from spoolbarrow.lab.scenario import Scenario
-from spoolbarrow.lab.simulate import UP_MS
+from spoolbarrow.lab.simulation_state import UP_MS
 from spoolbarrow.lab.wire import HOST
 from spoolbarrow.net import http1
 
