Split the destination set from the watch on discovery

net/destinations.py had two jobs: the registry of what is listed, suspended, failed over, set aside and in service, and the greenlets that call and watch discovery.

The second moves to net/discovery_watch.py (DiscoveryWatch): the watch in force, the version of the list and its check, the timers for silence and for a refused list. DestinationSet makes it and keeps its public methods. No behaviour changes.

Tests name the moved functions at their new place; none is changed otherwise.

--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -1,29 +1,25 @@
-"""The destination set: discovery's list, the watch on it, and what has been withdrawn since when.
+"""The destination set: the endpoints that discovery lists, and which of them are in service.
 
-Owns who is in service: what discovery says, masked by what operators suspended. A suspension is their fact,
-not a decision: the decisions hear of such an endpoint as one that drains, and of its return as a start.
+An endpoint is in service if discovery says so and neither an operator nor failover has taken it out. The
+decisions are told of an endpoint that was taken out as one that drains, and of its return as a start. The
+list comes from `net/discovery_watch.py`.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from itertools import count
-from random import Random
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
 
-import gevent
-from gevent.event import Event
 from msgspec.structs import replace
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, address
 from spoolbarrow.errors import Problem
-from spoolbarrow.fleet.pacing import CLOCK_MS, WAITED_MS, hangs_ms, refused_ms, silent_ms, spread_ms
-from spoolbarrow.net import asking
-from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.discovery_watch import DiscoveryWatch
+from spoolbarrow.net.log import log
 from spoolbarrow.wire import STATES
 
-T = TypeVar("T")
 MOST_SUSPENDED = 4096  # names; they stay while their endpoints are gone, so only operators take them out
 
 
@@ -47,7 +43,11 @@
 
 
 class DestinationSet:
-    """Addresses and states by name; `tell` hears each piece of news as the decisions' event."""
+    """The listed endpoints by name: address, state, suspension.
+
+    `tell` gets each change as an event for the decisions; `left` the name of each endpoint that leaves
+    service or restarts.
+    """
 
     def __init__(
         self,
@@ -63,21 +63,7 @@
         self._shared: frozenset[str] = frozenset()  # by the document that all routers share
         self._listing: dict[str, tuple[str, bool]] | None = None  # of both; None: to be made anew
         self._resumed: dict[str, float] = {}  # when, of those listed: they may have been restarted meanwhile
-        self._index: int | None = config.known.index  # None: the whole list must be asked for
-        # The one whose news counts: another that still runs was ready to when it was killed (`_take_part`).
-        self._watch: gevent.Greenlet[[], None] | None = None
-        self._begins_at: float | None = None  # while the watch pauses before its first call
-        self._closed = False
-        self._rng = Random(config.seed)
-        self._spoke = False  # this watch has said something
-        self._asking: object = None  # the watch, while its calls are on their way and none has answered
-        self._full = False  # the last call was refused after a wait
-        self._bad = ""  # what was wrong with the last answer that was no list
-        self._agent_heard = Event()  # where lists are pushed: what the agent has is known
-        self._heard_at = now()
-        self._doubt: gevent.Greenlet[[], None] | None = None  # until the clock for silence runs out
-        self._unconfirmed = False
-        self._refused: gevent.Greenlet[[], None] | None = None  # a list was, as older; its end: `_ask_whole`
+        self._discovery = DiscoveryWatch(config, self, tell, now)
         self._next_incarnation = count(1)
         self._serving: set[str] = set()
         # Endpoints of this type, or of this group, never serve: they are told to `_aside_tell`.
@@ -89,23 +75,30 @@
         self.verdicts: dict[str, dict[str, object]] | None = None  # failover's, by zone and region; None: off
 
     def apply(self, config: Config) -> None:
-        """Go by a new configuration: another discovery is asked afresh, and calls to the old one dropped.
-
-        Until its list has come, the endpoints stay as they are. Its versions need not be the old one's.
-        """
+        """Go by a new configuration; the endpoints stay as they are until discovery's next list has come."""
         old, self._config = self._config, config
         if (config.zones, config.kinds, config.settings.zone) != (old.zones, old.kinds, old.settings.zone):
-            # Guards against numbers of before in news that is told and not decided on yet. It is the list as
-            # last held: not news, which would count as an answer of discovery's.
+            # News may wait that has the old numbers of zones and types. The list is told as it was last
+            # taken, and as restored: any other kind would count as an answer from discovery.
             lines = tuple(self._masked(listed.line) for listed in self._listed.values())
             self._tell(i.ReplicaList(i.ListKind.RESTORED, lines))
-        moved = config.discovery != old.discovery
-        if moved or (config.zones, config.kinds) != (old.zones, old.kinds):
-            self._drop_version()
-            # All are told at once, mostly: an agent is asked now, one service for all by and by.
-            self.watch(self._rng.random() * spread_ms(config.settings) * config.settings.subscribe)
-        elif config.settings.subscribe != old.settings.subscribe:
-            self.watch()
+        self._discovery.apply(config)
+
+    def watch(self, pause_ms: float = 0.0) -> None:
+        """Watch discovery from now on, or after a pause."""
+        self._discovery.watch(pause_ms)
+
+    def ask(self) -> None:
+        """Watch discovery, unless calls to it are on their way."""
+        self._discovery.ask()
+
+    def hear_first(self) -> None:
+        """Watch discovery, and wait a moment for the list of an agent on this machine."""
+        self._discovery.hear_first()
+
+    def close(self) -> None:
+        """Stop watching discovery, for good."""
+        self._discovery.close()
 
     def set_aside(
         self, kind: str, group: int, tell: Callable[[list[tuple[str, Address, bool, float]]], None]
@@ -127,9 +120,7 @@
             if leaving:
                 gone = [i.ReplicaEntry(name, state=i.ReplicaState.GONE) for name in leaving]
                 self._tell(i.ReplicaList(i.ListKind.CHANGES, tuple(gone)))
-            if self._watch is not None:
-                self._drop_version()
-                self.watch()
+            self._discovery.start_over()
         tell(list(self._aside.values()))
 
     def _is_aside(self, kind: str, group: int) -> bool:
@@ -195,7 +186,7 @@
     def seen(self) -> tuple[int, list[ListEntry]]:
         """The list's index and its lines by name, without the addresses, which may differ by router."""
         lines = [replace(self._listed[name].line, address="") for name in sorted(self._listed)]
-        return self._index or 0, lines
+        return self._discovery.index or 0, lines
 
     def all_suspended(self) -> list[str]:
         """The endpoints that operators want nothing more sent to."""
@@ -263,16 +254,17 @@
 
     def export(self) -> tuple[HostList, dict[str, float]]:
         """The list as this router has it, and when operators took endpoints of it back."""
-        # Who sets endpoints aside hears of them from a whole list only: version 0 is answered with that.
+        # Endpoints that are set aside are not in the export, and are told by a whole list only: discovery
+        # answers version 0 with one.
         aside = self._aside_type or self._aside_group >= 0
-        index = 0 if aside or self._index is None else self._index
+        index = 0 if aside else self._discovery.index or 0
         return HostList(index, True, [one.line for one in self._listed.values()]), dict(self._resumed)
 
     def restore(self, known: HostList | None = None, resumed: dict[str, float] | None = None) -> None:
         """Begin with the list as this router last had it: as configured, or as another process passed it."""
         known = self._config.known if known is None else known
-        self._index, self._resumed = known.index, dict(resumed or {})
-        self._take(known, i.ListKind.RESTORED)
+        self._discovery.index, self._resumed = known.index, dict(resumed or {})
+        self.take(known, i.ListKind.RESTORED)
 
     def _say_again(self, name: str) -> None:
         if name in self._listed:
@@ -296,251 +288,8 @@
         resumed = max(self._resumed.get(entry.replica, 0.0), self._zones_back.get(line.zone, 0.0))
         return replace(entry, started_at_ms=resumed) if resumed > entry.started_at_ms else entry
 
-    def watch(self, pause_ms: float = 0.0) -> None:
-        """Hear of changes from now on, or after a pause.
-
-        Where discovery is asked, this ends in exactly one FAILED, unless another watch takes its place; one
-        that falls silent is opened anew before that. Where lists are pushed it does not end. A watch
-        that takes the place of one that still pauses begins no later than that one would have.
-        """
-        if self._closed:
-            return
-        if self._watch is not None:
-            self._watch.kill(block=False)
-        self._count_silence()
-        now = self._now()
-        begins = now + pause_ms
-        if self._begins_at is not None:
-            begins = min(begins, max(now, self._begins_at))
-        self._begins_at = begins
-        asked = self._config.settings.subscribe
-        follow = self._follow if asked else self._follow_agent
-        self._watch = gevent.spawn_later((begins - now) / 1000, follow)
-
-    def _take_part(self) -> None:
-        """End the greenlet that calls this unless it is the watch in force; asked after each of its waits.
-
-        A kill reaches a greenlet by way of the loop, and one that was ready to run by then runs before it.
-        """
-        if gevent.getcurrent() is not self._watch:
-            raise gevent.GreenletExit
-
-    def ask(self) -> None:
-        """Watch, unless calls are on their way: the decisions may have given up one that is not lost."""
-        if self._watch is None or self._asking is not self._watch:
-            self.watch()
-
-    def hear_first(self) -> None:
-        """Watch, and wait a moment for what the agent has: it counts as told before anything is decided."""
-        self.watch()
-        self._agent_heard.wait(asking.AGENT_ANSWER_MS / 1000)
-
-    def close(self) -> None:
-        """Stop watching, for good: an order to watch may still be on its way."""
-        self._closed = True
-        for one in (self._watch, self._doubt, self._refused):
-            if one is not None:
-                one.kill(block=False)
-        self._watch = self._doubt = self._refused = None
-
-    def _follow(self) -> None:
-        self._begins_at = None
-        mute = 0  # watches in a row that never said a word
-        while True:
-            self._spoke = False
-            why = self._end_of(self._read_watch)
-            self._broken(why)
-            if why != "silent":
-                return self._tell(i.ReplicaList(i.ListKind.FAILED))
-            # Watches that never speak cost the service a call each, so they are opened less often, but still
-            # within the clock.
-            mute = 0 if self._spoke else mute + 1
-            gevent.sleep(silent_ms(mute, self._rng) / 1000)
-
-    def _follow_agent(self) -> None:
-        self._begins_at = None
-        last = ""
-        while True:
-            self._spoke = False
-            why = self._end_of(self._read_agent)
-            if self._spoke or why != last:  # an agent without a watch is asked for ever: not a line each time
-                self._broken(why)
-            last = why
-            gevent.sleep(asking.AGENT_MS / 1000)
-
-    def _end_of(self, read: Callable[[], None]) -> str:
-        """Why a watch ended."""
-        try:
-            read()
-            why = "ended"
-        except Exception as error:
-            self._take_part()
-            why = self._why(error)
-        self._take_part()
-        return why
-
-    def _why(self, error: Exception) -> str:
-        if isinstance(error, (asking.Silent, TimeoutError)):
-            # Also a call that got no answer at all: a service that is too busy or down says so, and the clock
-            # runs from the call.
-            return "silent"
-        if not isinstance(error, asking.FAULTS):
-            unexpected("watch", error)
-            return "unexpected"
-        if isinstance(error, asking.OldList):
-            self._refuse_older()
-        if isinstance(error, asking.BadList) and str(error) != self._bad:  # an agent is asked for ever
-            self._bad = str(error)
-            log("bad_list", why=str(error), index=self._index)
-        return f"{type(error).__name__}: {error}"
-
-    def _read_watch(self) -> None:
-        config = self._config
-        options, discovery = config.options, config.discovery
-        if self._index is None:
-            news = self._first_of(
-                lambda _: asking.whole(discovery, options, options.call_timeout_ms),
-                lambda found: found.index,
-            )
-            self._news(news)
-
-        def begin(headed: Callable[[], object]) -> tuple[HostList | None, Iterator[HostList | None]]:
-            words = self._words(options.call_timeout_ms, headed)
-            try:
-                first = next(words)
-            except StopIteration:
-                raise asking.BadList("a watch that ended without a word") from None
-            if first is not None:
-                self._check(first)
-            return first, words
-
-        known = self._index or 0
-        first, words = self._first_of(begin, lambda found: known if found[0] is None else found[0].index)
-        self._take_word(first)
-        self._read_words(words)
-
-    def _first_of(self, call: Callable[[Callable[[], object]], T], version: Callable[[T], int]) -> T:
-        me = self._asking = gevent.getcurrent()
-        begun = self._now()
-
-        def note(error: Exception) -> None:
-            refused = isinstance(error, asking.FAULTS) and not isinstance(error, TimeoutError)
-            self._full = refused and self._now() - begun >= WAITED_MS
-
-        def lost(error: Exception) -> None:
-            self._take_part()
-            note(error)
-            log("watch_broken", why=self._why(error), index=self._index)
-
-        def pause_ms() -> float:
-            return hangs_ms(self._config.settings, self._rng, self._full)
-
-        try:
-            found = asking.first_of(call, pause_ms, self._now, lost, version)
-            self._take_part()
-            self._full = False
-            return found
-        except Exception as error:
-            self._take_part()
-            note(error)
-            raise
-        finally:
-            if self._asking is me:  # else another watch has taken its place
-                self._asking = None
-
-    def _read_agent(self) -> None:
-        news = asking.ask_agent(self._config.discovery, self._config.options)
-        self._take_part()
-        self._news(news)
-        self._agent_heard.set()
-        self._read_words(self._words(asking.AGENT_ANSWER_MS))
-
-    def _words(
-        self, limit_ms: float, headed: Callable[[], object] = lambda: None
-    ) -> Iterator[HostList | None]:
-        config = self._config
-        return asking.follow(config.discovery, config.options, self._index or 0, self._now, limit_ms, headed)
-
-    def _read_words(self, words: Iterator[HostList | None]) -> None:
-        for word in words:
-            self._take_part()
-            self._take_word(word)
-
-    def _take_word(self, word: HostList | None) -> None:
-        if word is not None:
-            self._news(word)
-        else:
-            self._heard()
-            if not self._spoke:
-                self._tell(i.ReplicaList(i.ListKind.CHANGES))  # nothing missed: the call's answer
-        self._spoke = True
-
-    def _heard(self) -> None:
-        """Discovery spoke: the list is what it has."""
-        self._bad = ""
-        self._heard_at = self._now()
-        if self._doubt is not None:
-            self._doubt.kill(block=False)
-            self._doubt = None
-        if self._unconfirmed:
-            self._unconfirmed = False
-            log("list_confirmed", index=self._index)
-
-    def _broken(self, why: str) -> None:
-        log("watch_broken", why=why, index=self._index)
-        self._count_silence()
-
-    def _count_silence(self) -> None:
-        if self._doubt is None:
-            left = self._heard_at + CLOCK_MS - self._now()
-            self._doubt = gevent.spawn_later(max(0.0, left) / 1000, self._run_out)
-
-    def _run_out(self) -> None:
-        """The clock has run out: what discovery may have said since counts as told, and is not known here."""
-        self._unconfirmed = True
-        log("list_unconfirmed", index=self._index, silent_ms=round(self._now() - self._heard_at))
-
-    def _check(self, news: HostList) -> None:
-        """OldList for a version older than what is known, be it whole: engines that drain may serve in it."""
-        if self._index is not None and news.index < self._index:
-            raise asking.OldList(f"its index went back from {self._index} to {news.index}")
-
-    def _refuse_older(self) -> None:
-        """An older list may be one that is late, or discovery has begun its versions anew.
-
-        What tells them apart is a whole list that is asked for from now on. An agent is asked for it at once;
-        the service after a pause, in which a watch that goes on from the known version may bring newer news.
-        """
-        if not self._config.settings.subscribe:
-            self._drop_version()
-        elif self._refused is None:
-            pause = refused_ms(self._config.settings, self._rng)
-            self._refused = gevent.spawn_later(pause / 1000, self._ask_whole)
-
-    def _ask_whole(self) -> None:
-        self._refused = None
-        self._drop_version()
-        self.watch()
-
-    def _drop_version(self) -> None:
-        """The next list that is taken is a whole one, asked for from now on, whatever its version."""
-        self._index = None
-        self._end_refusal()
-
-    def _end_refusal(self) -> None:
-        if self._refused is not None:
-            self._refused.kill(block=False)
-            self._refused = None
-
-    def _news(self, news: HostList) -> None:
-        self._check(news)
-        kind = i.ListKind.WHOLE if news.snapshot else i.ListKind.CHANGES
-        self._take(news, kind)
-        self._index = news.index
-        self._end_refusal()
-        self._heard()
-
-    def _take(self, news: HostList, kind: i.ListKind) -> None:
+    def take(self, news: HostList, kind: i.ListKind) -> None:
+        """Take over a list, or changes of it, and tell the decisions."""
         if kind is not i.ListKind.CHANGES:
             for name in self._listed.keys() - {entry.name for entry in news.endpoints}:
                 self._forget(name)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -220,7 +220,7 @@
 
 def news(scene: Any, *entries: dict[str, Any], whole: bool = False) -> None:
     raw = {"index": 9, "snapshot": whole, "endpoints": list(entries)}
-    scene.host.destinations._news(msgspec.convert(raw, HostList))
+    scene.host.destinations._discovery._news(msgspec.convert(raw, HostList))
 
 
 def test_nothing_goes_to_a_suspended_engine_whatever_discovery_says() -> None:
--- a/tests/test_answer_races.py
+++ b/tests/test_answer_races.py
@@ -140,7 +140,7 @@
 
 def news(scene: Any, *lines: ListEntry) -> None:
     """Discovery says this now."""
-    scene.host.destinations._news(HostList(100, False, list(lines)))
+    scene.host.destinations._discovery._news(HostList(100, False, list(lines)))
 
 
 def line(name: str, port: int, since_ms: float = 0.0) -> ListEntry:
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -284,8 +284,8 @@
 
 def test_what_can_not_be_confirmed_is_told_once_and_taken_back(monkeypatch: pytest.MonkeyPatch) -> None:
     logged: list[str] = []
-    monkeypatch.setattr("spoolbarrow.net.destinations.log", lambda event, **fields: logged.append(event))
-    monkeypatch.setattr("spoolbarrow.net.destinations.CLOCK_MS", 300.0)
+    monkeypatch.setattr("spoolbarrow.net.discovery_watch.log", lambda event, **fields: logged.append(event))
+    monkeypatch.setattr("spoolbarrow.net.discovery_watch.CLOCK_MS", 300.0)
 
     def turned_away(of: Scripted, sock: Sock) -> None:
         sock.sendall(TURNED_AWAY)
@@ -362,7 +362,9 @@
 ) -> None:
     """Bound: 6 s from the answer to the list, as after any failed call; the error names the fault once."""
     told: list[dict[str, Any]] = []
-    monkeypatch.setattr("spoolbarrow.net.destinations.log", lambda e, **more: told.append({"e": e, **more}))
+    monkeypatch.setattr(
+        "spoolbarrow.net.discovery_watch.log", lambda e, **more: told.append({"e": e, **more})
+    )
     monkeypatch.setattr(asking, "MAX_LINE", 4000)
     bad, fault = BAD[name]
     one, begun = Scripted(bad, tells), time.monotonic()
@@ -384,7 +386,9 @@
     name: str, mode: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     told: list[dict[str, Any]] = []
-    monkeypatch.setattr("spoolbarrow.net.destinations.log", lambda e, **more: told.append({"e": e, **more}))
+    monkeypatch.setattr(
+        "spoolbarrow.net.discovery_watch.log", lambda e, **more: told.append({"e": e, **more})
+    )
     monkeypatch.setattr(asking, "MAX_LINE", 4000)
     bad, fault = BAD_WHOLE[name]
     one = Scripted(tells)
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -245,7 +245,7 @@
     with stage(serve_all, serve_all, settings=settings(FIRST | zones)) as (scene, *engines):
         listed = [entry("near", engines[0].port), entry("far", engines[1].port, zone="b")]
         known = config.parse(msgspec.json.encode(make_config(listed, settings=settings(zones)))).known
-        scene.host.destinations._take(known, i.ListKind.WHOLE)
+        scene.host.destinations.take(known, i.ListKind.WHOLE)
         pool = scene.host.router().pool
         until(lambda: [replica.id for replica in pool.local] == ["near"])
         far = pool.replicas["far"]
@@ -267,7 +267,7 @@
         pool, destinations = scene.host.router().pool, scene.host.destinations
         listed = [entry("near", engine.port), entry("far", engine.port, zone="b")]
         known = config.parse(msgspec.json.encode(make_config(listed, settings=settings(zones)))).known
-        destinations._take(known, i.ListKind.WHOLE)
+        destinations.take(known, i.ListKind.WHOLE)
         assert "near" not in pool.replicas  # it is told, and no batch was since
         apply(scene, FIRST | {"Zones": ["b", "a"], "MyZone": 1})
         until(lambda: "near" in pool.replicas)
@@ -288,7 +288,7 @@
         router = scene.host.router()
         asked = scene.client().send(ask())
         until(lambda: engine.requests)
-        scene.host.destinations._take(HostList(9, True, []), i.ListKind.WHOLE)
+        scene.host.destinations.take(HostList(9, True, []), i.ListKind.WHOLE)
         until(lambda: not router.pool.replicas)
         apply(scene, FIRST | {"Zones": ["b"], "MyZone": 0})
         seen.set()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -298,7 +298,7 @@
         scene.client().send(ask()).answer()
         until(lambda: scene.host._endpoints._pool._idle)
         listed = parse(msgspec.json.encode(make_config([entry("new", engine.port)]))).known
-        scene.host.destinations._take(listed, i.ListKind.WHOLE)
+        scene.host.destinations.take(listed, i.ListKind.WHOLE)
         until(lambda: engine.ends == 1)
         assert scene.client().send(ask()).answer().status == 200
         assert engine.connections == 2
--- a/tests/test_shadow.py
+++ b/tests/test_shadow.py
@@ -349,11 +349,11 @@
             assert len(parties[0].requests) == 8 == len(parties[1].requests)
             draining = [entry("new", parties[1].port, type="candidate", group=7, status="terminating")]
             news = config.HostList(8, False, msgspec.convert(draining, list[config.ListEntry]))
-            scene.host.destinations._take(news, i.ListKind.CHANGES)
+            scene.host.destinations.take(news, i.ListKind.CHANGES)
             live(scene)
             assert copier._decider.dropped["no engine with room"] == 1
             news.endpoints[0].status = "terminated"
-            scene.host.destinations._take(news, i.ListKind.CHANGES)
+            scene.host.destinations.take(news, i.ListKind.CHANGES)
             assert not copier._decider._engines and not scene.host.destinations._aside
         for party in parties:
             party.close()
--- a/tests/test_watch_races.py
+++ b/tests/test_watch_races.py
@@ -229,14 +229,14 @@
     spawn_later = gevent.spawn_later
 
     def noted(seconds: float, call: Callable[..., Any]) -> object:
-        if call == one.set._follow:
+        if call == one.set._discovery._follow:
             pauses.append(seconds)
         return spawn_later(seconds, call)
 
     monkeypatch.setattr(gevent, "spawn_later", noted)
     try:
         draws = iter([0.25, 0.75, 0.125])
-        one.set._rng.random = lambda: next(draws, 0.5)  # type: ignore[method-assign]
+        one.set._discovery._rng.random = lambda: next(draws, 0.5)  # type: ignore[method-assign]
         settings = new.config()
         fleet = msgspec.structs.replace(settings.settings, nodes=200)
         for kind in ("first", "second", "third"):
@@ -293,8 +293,8 @@
     with following(service) as one:
 
         def hold(seconds: float, call: Callable[..., Any]) -> Any:
-            made = spawn_later(3600.0 if call == one.set._ask_whole else seconds, call)
-            if call == one.set._ask_whole:
+            made = spawn_later(3600.0 if call == one.set._discovery._ask_whole else seconds, call)
+            if call == one.set._discovery._ask_whole:
                 held.append(made)
             return made
 
@@ -320,7 +320,7 @@
     """A call that hung is answered in the same turn as the one beside it, with what it was asked for then."""
     service = Service(9)
     service.watch_begins = b""
-    monkeypatch.setattr("spoolbarrow.net.destinations.hangs_ms", lambda *more: 20.0)
+    monkeypatch.setattr("spoolbarrow.net.discovery_watch.hangs_ms", lambda *more: 20.0)
     with following(service) as one:
         one.set.watch()
         until(lambda: len(service.watches) == 2)
@@ -343,7 +343,7 @@
     service = Service(9)
     asked: list[Sock] = []
     service.news = b""
-    monkeypatch.setattr("spoolbarrow.net.destinations.hangs_ms", lambda *more: 20.0)
+    monkeypatch.setattr("spoolbarrow.net.discovery_watch.hangs_ms", lambda *more: 20.0)
     with following(service) as one:
         answer = service.party.script
 
@@ -489,7 +489,7 @@
         for index, changes in enumerate(CHANGES[name], 8):
             lines = [entry("e0", engine.port, **change) for change in changes]
             news = HostList(index, False, msgspec.convert(lines, list[ListEntry]))
-            scene.host.destinations._news(news)
+            scene.host.destinations._discovery._news(news)
         gate.set()
         assert asked.answer().status == 200
         until(lambda: not scene.host.open_requests())
@@ -505,7 +505,7 @@
         until(lambda: engine.requests)
         for index, status in ((8, "terminating"), (9, "in_service")):
             line = msgspec.convert(entry("e0", engine.port, status=status), ListEntry)
-            scene.host.destinations._news(HostList(index, False, [line]))
+            scene.host.destinations._discovery._news(HostList(index, False, [line]))
         gate.set()
         assert asked.answer().status == 200
         until(lambda: not scene.host.open_requests())
@@ -525,13 +525,13 @@
         back = entry("e0", port, since_ms=0.0 if gone else 5.0)
         news = HostList(9, False, msgspec.convert([*gone, back], list[ListEntry]))
         alone = msgspec.convert([entry("e1", other.port, status="terminated")], list[ListEntry])
-        scene.host.destinations._news(HostList(8, False, alone))
+        scene.host.destinations._discovery._news(HostList(8, False, alone))
 
         def change_meanwhile(where: tuple[str, int], timeout_s: float) -> Sock:
             sock = connect(where, timeout_s)
             if where[1] == old.port and not changed:
                 changed.append(sock)
-                scene.host.destinations._news(news)
+                scene.host.destinations._discovery._news(news)
             return sock
 
         monkeypatch.setattr(http1, "connect", change_meanwhile)
