--- a/spoolbarrow/lab/callers.py
+++ b/spoolbarrow/lab/callers.py
@@ -24,7 +24,7 @@
 MUST_ASK_MS = 10_000.0
 RATES = (5.0, 10.0, 20.0)  # calls a second
 CASES = (("start, known list", True, 0.0), ("start, no list", False, 0.0), ("back after 25 s", True, 25.0))
-MOST_CALLS = 2  # of one router open at once, as of `net/asking.py`
+MOST_CALLS = 2  # of one router open at once, as of `net/discovery_client.py`
 BASE_MS = 1000.0  # of a back-off
 CLASSES = (RequestClass(aim_ms=1000.0, deadline_ms=5000.0, worth=1.0),)
 
--- a/spoolbarrow/net/asking.py
+++ b/spoolbarrow/net/discovery_client.py
@@ -1,7 +1,7 @@
 """Calls to discovery: the whole list, and a watch on it that is broken once it has fallen silent.
 
-Owns connections to discovery, and its share of the clock for silence (docs/design.md, "The list's clock");
-what the list means, and when to call, is left to whoever calls.
+This module opens the connections to discovery and limits how long each call waits (docs/design.md, "The
+list's clock"). What a list means, and when to call, is up to the caller: `net/discovery_watch.py`.
 """
 
 from __future__ import annotations
--- a/spoolbarrow/net/discovery_watch.py
+++ b/spoolbarrow/net/discovery_watch.py
@@ -2,8 +2,9 @@
 
 Discovery is a service for all routers (`subscribe`) or an agent on this machine. A service is asked for the
 changes since the known version, or for the whole list where none is known, each time that the decisions order
-it; an agent is asked for the whole list again and again. The calls themselves are in `net/asking.py`, the
-pauses between them in `fleet/pacing.py`; the endpoints that the lists name are kept by a `ListKeeper`.
+it; an agent is asked for the whole list again and again. The calls themselves are in
+`net/discovery_client.py`, the pauses between them in `fleet/pacing.py`; the endpoints that the lists name are
+kept by a `ListKeeper`.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config, HostList
 from spoolbarrow.fleet.pacing import CLOCK_MS, WAITED_MS, hangs_ms, refused_ms, silent_ms, spread_ms
-from spoolbarrow.net import asking
+from spoolbarrow.net import discovery_client
 from spoolbarrow.net.log import log, unexpected
 
 T = TypeVar("T")
@@ -105,7 +106,7 @@
     def hear_first(self) -> None:
         """Watch, and wait a moment for the agent's list: it counts as told before anything is decided."""
         self.watch()
-        self._agent_heard.wait(asking.AGENT_ANSWER_MS / 1000)
+        self._agent_heard.wait(discovery_client.AGENT_ANSWER_MS / 1000)
 
     def start_over(self) -> None:
         """Ask for the whole list again, unless discovery is not watched."""
@@ -156,7 +157,7 @@
             if self._spoke or why != last:  # an agent that can't be watched is not logged at each call
                 self._broken(why)
             last = why
-            gevent.sleep(asking.AGENT_MS / 1000)
+            gevent.sleep(discovery_client.AGENT_MS / 1000)
 
     def _end_of(self, read: Callable[[], None]) -> str:
         """Read a watch to its end, and say why it ended."""
@@ -171,16 +172,17 @@
 
     def _why(self, error: Exception) -> str:
         """The reason for the log; what is wrong with a list is noted."""
-        if isinstance(error, (asking.Silent, TimeoutError)):
+        if isinstance(error, (discovery_client.Silent, TimeoutError)):
             # Also a call that got no answer at all: a service that is too busy or down says so, and the clock
             # runs from the call.
             return "silent"
-        if not isinstance(error, asking.FAULTS):
+        if not isinstance(error, discovery_client.FAULTS):
             unexpected("watch", error)
             return "unexpected"
-        if isinstance(error, asking.OldList):
+        if isinstance(error, discovery_client.OldList):
             self._refuse_older()
-        if isinstance(error, asking.BadList) and str(error) != self._bad:  # an agent is asked for ever
+        # An agent is asked for ever: the same fault is logged once.
+        if isinstance(error, discovery_client.BadList) and str(error) != self._bad:
             self._bad = str(error)
             log("bad_list", why=str(error), index=self.index)
         return f"{type(error).__name__}: {error}"
@@ -193,7 +195,7 @@
         options, discovery = config.options, config.discovery
         if self.index is None:
             news = self._first_of(
-                lambda _: asking.whole(discovery, options, options.call_timeout_ms),
+                lambda _: discovery_client.whole(discovery, options, options.call_timeout_ms),
                 lambda found: found.index,
             )
             self._news(news)
@@ -203,7 +205,7 @@
             try:
                 first = next(words)
             except StopIteration:
-                raise asking.BadList("a watch that ended without a word") from None
+                raise discovery_client.BadList("a watch that ended without a word") from None
             if first is not None:
                 self._check(first)
             return first, words
@@ -214,12 +216,12 @@
         self._read_words(words)
 
     def _first_of(self, call: Callable[[Callable[[], object]], T], version: Callable[[T], int]) -> T:
-        """What the first of several calls to a service gives that is answered (`asking.first_of`)."""
+        """The first answer of several calls to a service (`discovery_client.first_of`)."""
         me = self._asking = gevent.getcurrent()
         begun = self._now()
 
         def note(error: Exception) -> None:
-            refused = isinstance(error, asking.FAULTS) and not isinstance(error, TimeoutError)
+            refused = isinstance(error, discovery_client.FAULTS) and not isinstance(error, TimeoutError)
             self._full = refused and self._now() - begun >= WAITED_MS
 
         def lost(error: Exception) -> None:
@@ -231,7 +233,7 @@
             return hangs_ms(self._config.settings, self._rng, self._full)
 
         try:
-            found = asking.first_of(call, pause_ms, self._now, lost, version)
+            found = discovery_client.first_of(call, pause_ms, self._now, lost, version)
             self._take_part()
             self._full = False
             return found
@@ -245,17 +247,19 @@
 
     def _read_agent(self) -> None:
         """Ask an agent for the whole list, then read a watch on it to its end."""
-        news = asking.ask_agent(self._config.discovery, self._config.options)
+        news = discovery_client.ask_agent(self._config.discovery, self._config.options)
         self._take_part()
         self._news(news)
         self._agent_heard.set()
-        self._read_words(self._words(asking.AGENT_ANSWER_MS))
+        self._read_words(self._words(discovery_client.AGENT_ANSWER_MS))
 
     def _words(
         self, limit_ms: float, headed: Callable[[], object] = lambda: None
     ) -> Iterator[HostList | None]:
         config = self._config
-        return asking.follow(config.discovery, config.options, self.index or 0, self._now, limit_ms, headed)
+        return discovery_client.follow(
+            config.discovery, config.options, self.index or 0, self._now, limit_ms, headed
+        )
 
     def _read_words(self, words: Iterator[HostList | None]) -> None:
         for word in words:
@@ -285,7 +289,7 @@
     def _check(self, news: HostList) -> None:
         """OldList for a version older than the known one, also of a whole list: it may undo a drain."""
         if self.index is not None and news.index < self.index:
-            raise asking.OldList(f"its index went back from {self.index} to {news.index}")
+            raise discovery_client.OldList(f"its index went back from {self.index} to {news.index}")
 
     def _refuse_older(self) -> None:
         """Have the whole list asked for: an older list may be late, or discovery counts its versions anew.
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -25,7 +25,7 @@
 from spoolbarrow.config import Options
 from spoolbarrow.fleet.pacing import MUTE_MS, SILENT_SPREAD_MS, Pacing
 from spoolbarrow.lab.wire import PLAIN
-from spoolbarrow.net import asking
+from spoolbarrow.net import discovery_client
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.messages import Messages
@@ -365,7 +365,7 @@
     monkeypatch.setattr(
         "spoolbarrow.net.discovery_watch.log", lambda e, **more: told.append({"e": e, **more})
     )
-    monkeypatch.setattr(asking, "MAX_LINE", 4000)
+    monkeypatch.setattr(discovery_client, "MAX_LINE", 4000)
     bad, fault = BAD[name]
     one, begun = Scripted(bad, tells), time.monotonic()
     try:
@@ -389,7 +389,7 @@
     monkeypatch.setattr(
         "spoolbarrow.net.discovery_watch.log", lambda e, **more: told.append({"e": e, **more})
     )
-    monkeypatch.setattr(asking, "MAX_LINE", 4000)
+    monkeypatch.setattr(discovery_client, "MAX_LINE", 4000)
     bad, fault = BAD_WHOLE[name]
     one = Scripted(tells)
     other = Scripted(bad, answers(lines(9, "e0", whole=True)), tells, mode=mode)
@@ -418,7 +418,7 @@
         return number
 
     lost: list[Exception] = []
-    made = gevent.spawn(asking.first_of, call, lambda: 20.0, now_unix_ms, lost.append)
+    made = gevent.spawn(discovery_client.first_of, call, lambda: 20.0, now_unix_ms, lost.append)
     until(lambda: len(begun) == 2)
     gevent.sleep(0.2)
     assert begun == [0, 1]
@@ -433,10 +433,10 @@
         begun.append(1)
         headed()
         gevent.sleep(0.2)
-        raise asking.Silent
+        raise discovery_client.Silent
 
-    with pytest.raises(asking.Silent):
-        asking.first_of(call, lambda: 20.0, now_unix_ms, print)
+    with pytest.raises(discovery_client.Silent):
+        discovery_client.first_of(call, lambda: 20.0, now_unix_ms, print)
     assert begun == [1]
 
 
--- a/tests/test_watch_races.py
+++ b/tests/test_watch_races.py
@@ -22,7 +22,7 @@
 from spoolbarrow.config import Config, HostList, ListEntry
 from spoolbarrow.fleet.pacing import spread_ms
 from spoolbarrow.lab.wire import PLAIN
-from spoolbarrow.net import asking, http1
+from spoolbarrow.net import discovery_client, http1
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Message
@@ -112,7 +112,7 @@
 
 def before_it_is_taken(monkeypatch: pytest.MonkeyPatch, index: int, order: Callable[[], object]) -> None:
     """Run `order` after the list of this version was decoded by a call, and before the watch has it."""
-    decode = asking._decode
+    decode = discovery_client._decode
 
     def decoded(text: bytes) -> config.HostList:
         found = decode(text)
@@ -120,7 +120,7 @@
             gevent.spawn(order)  # waits in the loop before whoever the call's end wakes
         return found
 
-    monkeypatch.setattr(asking, "_decode", decoded)
+    monkeypatch.setattr(discovery_client, "_decode", decoded)
 
 
 # A watch that outlives its order
@@ -410,7 +410,7 @@
     name: str, known: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Discovery has written it, so it is told; the fault ends the watch all the same."""
-    monkeypatch.setattr(asking, "MAX_LINE", 4000)
+    monkeypatch.setattr(discovery_client, "MAX_LINE", 4000)
     service = Service(9)
     service.watch_begins = HEAD + ENDS[name] if known == "first" else HEAD + chunk(b"\n")
     with following(service) as one:
@@ -446,7 +446,7 @@
     whole = listing(8, entry("e0", 1), entry("e1", 2), entry("e2", 3), whole=True)
     service = Service(9)
     service.watch_begins = b""
-    monkeypatch.setattr(asking, "RECV", 1)  # bytes a read takes
+    monkeypatch.setattr(discovery_client, "RECV", 1)  # bytes a read takes
     with following(service) as one:
         one.set.watch()
         until(lambda: service.watches)
