Name three modules of net/ by the field's terms

grace is drain_schedule (DrainSchedule), troubles is diagnostics (Diagnostic, DIAGNOSTICS), passing is connection_handover. No behaviour changes; the log's events and the settings keep their names.

--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -21,10 +21,10 @@
 from spoolbarrow.admin.orders import Orders
 from spoolbarrow.config import Config
 from spoolbarrow.handover import Handover, Torn
-from spoolbarrow.net import passing
+from spoolbarrow.net import connection_handover
 from spoolbarrow.net.client import Client
+from spoolbarrow.net.drain_schedule import drain_schedule
 from spoolbarrow.net.engine_answer import Underway
-from spoolbarrow.net.grace import grace
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
 from spoolbarrow.net.log import log
@@ -84,7 +84,7 @@
         if self._handover is not None and self.inherited is not None:
             self._handover.start(self._looked, self._adopt, self._write_state)
             try:
-                self._handover.listen_for_streams(partial(passing.take, host, inbound))
+                self._handover.listen_for_streams(partial(connection_handover.take, host, inbound))
             except OSError as error:
                 log("handover_failed", what="streams", why=str(error))  # a path that is too long, say
 
@@ -98,13 +98,13 @@
                 self._handover.look()  # the newer one may have ended since the last look
         if not self.succeeded():
             return None
-        gevent.spawn_later(grace(self._inbound.config, True).pass_on / 1000, self._pass_streams)
+        gevent.spawn_later(drain_schedule(self._inbound.config, True).pass_on / 1000, self._pass_streams)
         return self._give_idle
 
     def _give_idle(self, client: Client) -> bool:
         # One whose next request is coming in is served here, and that is no reason to give up on the others.
         return not self._unheard and (
-            client.unread() or passing.give_idle(client, self._send_idle) or not client.idle()
+            client.unread() or connection_handover.give_idle(client, self._send_idle) or not client.idle()
         )
 
     def _send_idle(self, text: bytes, descriptors: Sequence[int]) -> bool | None:
@@ -119,7 +119,7 @@
 
     def _give(self, underway: Underway) -> bool:
         assert self._handover is not None
-        return passing.give(self._host, underway, self._send_stream)
+        return connection_handover.give(self._host, underway, self._send_stream)
 
     def _send_stream(self, text: bytes, descriptors: Sequence[int]) -> bool | None:
         assert self._handover is not None
--- a/spoolbarrow/net/troubles.py
+++ b/spoolbarrow/net/diagnostics.py
@@ -12,7 +12,7 @@
 from spoolbarrow.errors import Defect, Problem
 
 
-class Trouble(Problem):
+class Diagnostic(Problem):
     """An event of the log that tells of something wrong."""
 
     event: ClassVar[str] = ""
@@ -20,7 +20,7 @@
     tells: ClassVar[bool] = True  # its lines carry the remedy
 
 
-class BadConfig(Trouble):
+class BadConfig(Diagnostic):
     """The program does not start with this configuration; `error` names the key."""
 
     status, event, level = 2, "bad_config", "error"
@@ -28,7 +28,7 @@
     remedy = "Put right the key that `error` names and start it again; `spoolbarrow check` tells every fault."
 
 
-class ReloadFailed(Trouble):
+class ReloadFailed(Diagnostic):
     """SIGHUP or `agree apply` changed nothing; `error` names the key."""
 
     event, level = "reload_failed", "error"
@@ -36,14 +36,14 @@
     remedy = "Put right the key that `error` names and send SIGHUP again; what was acted on stays till then."
 
 
-class ReloadIgnored(Trouble):
+class ReloadIgnored(Diagnostic):
     """SIGHUP came while the router drains."""
 
     event, level = "reload_ignored", "info"
     remedy = "Nothing: the process is ending; its successor reads the files as they are."
 
 
-class Unexpected(Trouble):
+class Unexpected(Diagnostic):
     """A fault of this program; what was under way has had its answer."""
 
     event, level = "unexpected", "error"
@@ -51,7 +51,7 @@
     remedy = Defect.remedy
 
 
-class Overdue(Trouble):
+class Overdue(Diagnostic):
     """The decisions left a request open past its deadline; the host answered it."""
 
     event, level = "overdue", "error"
@@ -59,7 +59,7 @@
     remedy = "Report it with the lines of this request: it is a fault of this program."
 
 
-class SendForUnknown(Trouble):
+class SendForUnknown(Diagnostic):
     """The decisions sent a request that is no longer open; nothing went out."""
 
     event, level = "send_for_unknown", "info"
@@ -67,7 +67,7 @@
     remedy = "Report it with the lines of this request: it is a fault of this program."
 
 
-class BadEntry(Trouble):
+class BadEntry(Diagnostic):
     """A line of discovery's list can't be used; the engine gets nothing."""
 
     event = "bad_entry"
@@ -75,7 +75,7 @@
     remedy = "Put the entry right in discovery: HOST:PORT; in_service, terminating or terminated."
 
 
-class WatchBroken(Trouble):
+class WatchBroken(Diagnostic):
     """The watch on discovery ended or fell silent; it is asked for again, and the list stays as it was."""
 
     event = "watch_broken"
@@ -83,7 +83,7 @@
     remedy = "If it repeats, see whether the named discovery runs and answers within `call_timeout_ms`."
 
 
-class BadList(Trouble):
+class BadList(Diagnostic):
     """Discovery's answer is no list that can be taken: `why` names the fault; the list stays as it was."""
 
     event, level = "bad_list", "error"
@@ -94,7 +94,7 @@
     )
 
 
-class ListUnconfirmed(Trouble):
+class ListUnconfirmed(Diagnostic):
     """Discovery has said nothing for 6 s: what it had to tell counts as told and is not known here."""
 
     event = "list_unconfirmed"
@@ -102,7 +102,7 @@
     remedy = "See whether discovery runs and is reached from here; `list_confirmed` follows once it speaks."
 
 
-class NotSent(Trouble):
+class NotSent(Diagnostic):
     """An attempt never reached its engine; it is tried elsewhere."""
 
     event, tells = "not_sent", False
@@ -110,7 +110,7 @@
     remedy = "Many at one engine: see whether it listens, and suspend it till it does."
 
 
-class Reset(Trouble):
+class Reset(Diagnostic):
     """An engine's connection broke under an attempt, which may have run."""
 
     event, tells = "reset", False
@@ -118,7 +118,7 @@
     remedy = "Many at one engine: look in its own log for restarts, and suspend it till it holds."
 
 
-class EndpointError(Trouble):
+class EndpointError(Diagnostic):
     """An engine answered an attempt with an error."""
 
     event, tells = "endpoint_error", False
@@ -126,7 +126,7 @@
     remedy = "Many at one engine: look in its own log for the status that is told, and suspend it."
 
 
-class Unreadable(Trouble):
+class Unreadable(Diagnostic):
     """An engine's answer is spoilt; the attempt may have run."""
 
     event, tells = "unreadable", False
@@ -134,7 +134,7 @@
     remedy = "Look at what is between router and engine, and at the engine's version; suspend it meanwhile."
 
 
-class ProbeFailed(Trouble):
+class ProbeFailed(Diagnostic):
     """A probe was cut off or malformed; silence alone is not told."""
 
     event, level, tells = "probe_failed", "info", False
@@ -142,7 +142,7 @@
     remedy = "Many at one engine: see whether it offers its load report where the settings say."
 
 
-class BadRequest(Trouble):
+class BadRequest(Diagnostic):
     """A client's message is not HTTP as it is taken here; it was told so."""
 
     event, level, tells = "bad_request", "info", False
@@ -150,7 +150,7 @@
     remedy = "Have the client's owner put it right by README.md's table of answers."
 
 
-class NoRoomForRequest(Trouble):
+class NoRoomForRequest(Diagnostic):
     """A request was refused since bodies or open requests are at their limit."""
 
     event = "no_room"
@@ -158,7 +158,7 @@
     remedy = "Give the router more of `limits.memory_mb`, or put another router beside it."
 
 
-class AcceptPaused(Trouble):
+class AcceptPaused(Diagnostic):
     """No client could be accepted for a moment."""
 
     event = "accept_paused"
@@ -166,7 +166,7 @@
     remedy = "Raise the process's limit of descriptors to `limits.sockets` (`ulimit -n`), or lower that."
 
 
-class NoRoomForClients(Trouble):
+class NoRoomForClients(Diagnostic):
     """Clients' connections were answered 503: others with requests under way had all the places."""
 
     event = "no_room_for_clients"
@@ -174,7 +174,7 @@
     remedy = "Give the router more of `limits.sockets`, or put another one beside it."
 
 
-class NoRoomForAttempts(Trouble):
+class NoRoomForAttempts(Diagnostic):
     """Attempts and probes were not sent: this router could open no more connections to engines.
 
     Nothing is held against the engines; a request is tried elsewhere or refused.
@@ -188,7 +188,7 @@
     )
 
 
-class ControlPaused(Trouble):
+class ControlPaused(Diagnostic):
     """No operator's call could be accepted for a moment."""
 
     event = "control_paused"
@@ -196,14 +196,14 @@
     remedy = "Raise the process's limit of descriptors to `limits.sockets` (`ulimit -n`), or lower that."
 
 
-class ClientStalled(Trouble):
+class ClientStalled(Diagnostic):
     """A client that took nothing of its answer for `stall_ms` was cut off."""
 
     event = "client_stalled"
     remedy = "Many: look at the network between clients and router, or raise `options.stall_ms`."
 
 
-class Unasked(Trouble):
+class Unasked(Diagnostic):
     """An engine said something on an idle connection; its connections rest longer."""
 
     event = "unasked"
@@ -211,7 +211,7 @@
     remedy = "Have the engine's owner see why it writes after the end of an answer."
 
 
-class LogDropped(Trouble):
+class LogDropped(Diagnostic):
     """So many lines are missing here, since the log's reader took none."""
 
     event = "log_dropped"
@@ -219,7 +219,7 @@
     remedy = "See why what reads standard error stopped, or have it read into a file."
 
 
-class HandoverFailed(Trouble):
+class HandoverFailed(Diagnostic):
     """Something did not pass between two processes of a router; serving goes on."""
 
     event = "handover_failed"
@@ -227,7 +227,7 @@
     remedy = "See that `$TMPDIR` can be written and that both processes have one name and version."
 
 
-class WordLost(Trouble):
+class WordLost(Diagnostic):
     """A suspension that another process was told could not be kept here."""
 
     event = "word_lost"
@@ -235,7 +235,7 @@
     remedy = "Resume suspended engines that are gone, and suspend this one again."
 
 
-class FailoverDropped(Trouble):
+class FailoverDropped(Diagnostic):
     """More outcomes came in one period than failover weighs; the rest says nothing."""
 
     event, level = "failover_dropped", "info"
@@ -243,7 +243,7 @@
     remedy = "Shorten `failover.period_ms`."
 
 
-class CollectorLost(Trouble):
+class CollectorLost(Diagnostic):
     """A flow collector can't be reached or written; records wait, up to the queue's bound."""
 
     event, level = "collector_lost", "info"
@@ -251,7 +251,7 @@
     remedy = "See that the collector runs at this address, or that its directory can be written and has room."
 
 
-class ExporterLost(Trouble):
+class ExporterLost(Diagnostic):
     """The collector lost an exporter's connection."""
 
     event, level = "exporter_lost", "info"
@@ -259,7 +259,7 @@
     remedy = "See `collector_lost` in that exporter's log."
 
 
-class FlowMessageRefused(Trouble):
+class FlowMessageRefused(Diagnostic):
     """An exporter's message breaks a rule of its format, which is named with the octet."""
 
     event, level = "flow_message_refused", "info"
@@ -267,7 +267,7 @@
     remedy = "See that the exporter speaks IPFIX or NetFlow v9, and give it the same enterprise number."
 
 
-class FlowMessageCut(Trouble):
+class FlowMessageCut(Diagnostic):
     """An exporter ended its connection inside a message."""
 
     event, level = "flow_message_cut", "info"
@@ -275,7 +275,7 @@
     remedy = "Look in the exporter's log for why it ended so; its records of that message are lost."
 
 
-class ShadowSpool(Trouble):
+class ShadowSpool(Diagnostic):
     """Pairs of shadow traffic can't be written; they are dropped and counted."""
 
     event, level = "shadow_spool", "info"
@@ -283,7 +283,7 @@
     remedy = "Make room in `shadow.directory`, and let this user write there."
 
 
-class StoreDisk(Trouble):
+class StoreDisk(Diagnostic):
     """A store member's disk failed: it takes no more part."""
 
     event, level = "store_disk", "info"
@@ -291,7 +291,7 @@
     remedy = "Make room or change the disk, then start the member again: the others carry on meanwhile."
 
 
-class StoreMemberBehind(Trouble):
+class StoreMemberBehind(Diagnostic):
     """A store member began with an older file than it had: it counts for nothing until it has caught up."""
 
     event, level = "store_member_behind", "info"
@@ -299,7 +299,7 @@
     remedy = "Leave it running: it catches up, and counts for nothing until a majority besides it runs."
 
 
-class StoreFrame(Trouble):
+class StoreFrame(Diagnostic):
     """What came from another store member can't be read; its connection was closed."""
 
     event, level = "store_frame", "info"
@@ -307,8 +307,8 @@
     remedy = "Let only members of one version reach `--listen`, on a network of their own."
 
 
-def _below(kind: type[Trouble]) -> dict[str, type[Trouble]]:
+def _below(kind: type[Diagnostic]) -> dict[str, type[Diagnostic]]:
     return {one.event: one for one in kind.__subclasses__()}
 
 
-TROUBLES = _below(Trouble)
+DIAGNOSTICS = _below(Diagnostic)
--- a/spoolbarrow/net/grace.py
+++ b/spoolbarrow/net/drain_schedule.py
@@ -15,7 +15,7 @@
 SUCCEEDED_KEEP_MS = 1000.0  # clients may use connections so long, where another process takes idle ones
 
 
-class Grace(Struct, frozen=True):
+class DrainSchedule(Struct, frozen=True):
     """Each time in ms after SIGTERM."""
 
     accept: float  # connections are accepted until then
@@ -27,7 +27,7 @@
     retry_after: float  # ms, for those that are refused
 
 
-def grace(config: Config, succeeded: bool) -> Grace:
+def drain_schedule(config: Config, succeeded: bool) -> DrainSchedule:
     """The times of a drain; `succeeded`: another process accepts from the same socket and takes streams."""
     options, settings = config.options, config.settings
     longest = max(cls.deadline_ms for cls in settings.classes)
@@ -46,4 +46,4 @@
     answer = until(options.drain_answer_ms)
     refuse = min(answer, move if succeeded or config.resumes else keep)
     retry_after = min(options.drain_accept_ms, settings.max_retry_after_ms)
-    return Grace(accept, keep, refuse, until(PASS_MS), move, answer, retry_after)
+    return DrainSchedule(accept, keep, refuse, until(PASS_MS), move, answer, retry_after)
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -13,7 +13,7 @@
 from spoolbarrow.config import Config
 from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.client import Client, Exchange
-from spoolbarrow.net.grace import Grace, grace
+from spoolbarrow.net.drain_schedule import DrainSchedule, drain_schedule
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
@@ -133,7 +133,7 @@
         """
         self.succeeded = succeeded = pass_on is not None
         self.draining = True
-        begun, times = self.host.now(), grace(self.config, succeeded)
+        begun, times = self.host.now(), drain_schedule(self.config, succeeded)
         gevent.sleep(times.accept / 1000)
         self._stop_listening()
         passing = None if pass_on is None else gevent.spawn(self._pass_idle, pass_on, times.retry_after)
@@ -146,7 +146,7 @@
         if passing is not None:
             passing.kill()
 
-    def _end_what_is_due(self, passed: float, times: Grace, closes: bool) -> None:
+    def _end_what_is_due(self, passed: float, times: DrainSchedule, closes: bool) -> None:
         if passed >= times.refuse:
             self.refusing_ms = times.retry_after
         if passed >= times.keep:
--- a/spoolbarrow/net/log.py
+++ b/spoolbarrow/net/log.py
@@ -21,7 +21,7 @@
 from gevent.event import Event
 
 from spoolbarrow.errors import Problem
-from spoolbarrow.net.troubles import TROUBLES
+from spoolbarrow.net.diagnostics import DIAGNOSTICS
 
 STDERR = 2
 AT_ONCE = 4096  # bytes in one write: what poll says is writable takes PIPE_BUF without blocking (POSIX)
@@ -55,7 +55,7 @@
 
     def write(self, event: str, fields: Mapping[str, object]) -> None:
         """Take one event, if it is of the level that is wanted; never waits once started."""
-        trouble = TROUBLES.get(event)
+        trouble = DIAGNOSTICS.get(event)
         level = "info" if trouble is None else trouble.level
         if LEVELS[level] < self.threshold:
             return
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -377,7 +377,7 @@
 def test_what_is_off_is_not_imported() -> None:
     code = (
         "import sys, spoolbarrow.serve; "
-        "print([m for m in sys.modules if 'admin' in m or 'handover' in m or 'passing' in m])"
+        "print([m for m in sys.modules if 'admin' in m or 'handover' in m or 'connection_handover' in m])"
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     assert done.stdout.strip() == "[]"
--- a/tests/test_client_races.py
+++ b/tests/test_client_races.py
@@ -13,7 +13,7 @@
 from gevent.event import Event
 
 from spoolbarrow import interface as i
-from spoolbarrow.net import http1, passing
+from spoolbarrow.net import connection_handover, http1
 from spoolbarrow.net.client import AHEAD
 from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.http1 import Message
@@ -230,7 +230,7 @@
         inside = the_client(scene)
         until(inside.idle)
         read_as_its_reader_ends(inside, client, ask(), lambda: engine.requests)
-        assert not passing.give_idle(inside, newer.take)
+        assert not connection_handover.give_idle(inside, newer.take)
         go.set()
         assert not newer.taken and client.answer().status == 200
         assert client.send(ask(X_Correlation_Id="next")).answer().status == 200  # it is read again
@@ -253,7 +253,7 @@
         until(lambda: scene.heard(i.StreamStarted))
         read = inside._parser
         ended = read_as_its_reader_ends(inside, client, raw, lambda: read.whole or read.reading)
-        scene.host.give = lambda underway: passing.give(scene.host, underway, newer.take)
+        scene.host.give = lambda underway: connection_handover.give(scene.host, underway, newer.take)
         go.set()
         assert client.answer().status == 200 and not newer.taken
         scene.host.give = None
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -27,10 +27,10 @@
 from msgspec.structs import astuple, replace
 
 from spoolbarrow.config import parse
-from spoolbarrow.net import inbound, passing
+from spoolbarrow.net import connection_handover, inbound
 from spoolbarrow.net.connection_pool import Connection
+from spoolbarrow.net.drain_schedule import drain_schedule
 from spoolbarrow.net.engine_answer import Underway
-from spoolbarrow.net.grace import grace
 from spoolbarrow.net.http1 import Message, ResponseParser
 from spoolbarrow.net.request import Attempt
 from tests.stage import (
@@ -420,7 +420,7 @@
     raw = make_config([])
     raw["settings"] |= RESUME if resume else {}
     raw["settings"]["Classes"][0]["DeadlineMs"] = longest
-    told = grace(parse(msgspec.json.encode(raw)), succeeded)
+    told = drain_schedule(parse(msgspec.json.encode(raw)), succeeded)
     assert astuple(told) == (*times, 500)
 
 
@@ -602,7 +602,7 @@
         until(held.idle)
         client.sock.close()
         until(lambda: not scene.inbound._clients)
-        assert not held.idle() and not passing.give_idle(held, lambda text, descriptors: True)
+        assert not held.idle() and not connection_handover.give_idle(held, lambda text, descriptors: True)
 
 
 def test_a_stream_on_its_way_to_a_newer_process_is_not_broken_off() -> None:
@@ -619,7 +619,7 @@
         sock.sendall(chunk(EVENTS[1]) + END)
 
     with stage(in_two) as (scene, _):
-        scene.host.give = lambda underway: passing.give(scene.host, underway, send)
+        scene.host.give = lambda underway: connection_handover.give(scene.host, underway, send)
         client = scene.client().send(ask())
         asked_for.wait()
         scene.host.move_streams()
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -18,7 +18,7 @@
 from spoolbarrow.admin.calls import CallFault
 from spoolbarrow.config import ConfigError
 from spoolbarrow.errors import Problem
-from spoolbarrow.net.troubles import TROUBLES, Trouble
+from spoolbarrow.net.diagnostics import DIAGNOSTICS, Diagnostic
 from spoolbarrow.store.faults import StoreFault
 
 ROOT = Path(spoolbarrow.__file__).parent
@@ -32,7 +32,7 @@
 
 """
 FAMILIES: tuple[tuple[type[Problem], str, str, str], ...] = (
-    (Trouble, "In the log", "event | level", "Lines of a request's attempts do not carry the remedy."),
+    (Diagnostic, "In the log", "event | level", "Lines of a request's attempts do not carry the remedy."),
     (
         CallFault,
         "Answers of the control listener",
@@ -58,7 +58,7 @@
 
 
 def row(kind: type[Problem]) -> str:
-    if issubclass(kind, Trouble):
+    if issubclass(kind, Diagnostic):
         named = f"`{kind.event}` | {kind.level}"
     else:
         answers = issubclass(kind, (CallFault, StoreFault))
@@ -109,9 +109,9 @@
 
 
 def test_what_the_log_calls_trouble_has_one_type_for_each_event() -> None:
-    assert len(TROUBLES) == len(list(below(Trouble)))  # each has an event of its own
-    written = "\n".join(path.read_text() for path in ROOT.rglob("*.py") if path.name != "troubles.py")
-    assert [event for event in TROUBLES if f'"{event}"' not in written] == []
+    assert len(DIAGNOSTICS) == len(list(below(Diagnostic)))  # each has an event of its own
+    written = "\n".join(path.read_text() for path in ROOT.rglob("*.py") if path.name != "diagnostics.py")
+    assert [event for event in DIAGNOSTICS if f'"{event}"' not in written] == []
 
 
 def test_place_and_remedy_travel_with_an_error() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,7 +24,7 @@
 from spoolbarrow.admin.words import AWAY, Words
 from spoolbarrow.config import INHERITED, ConfigError, HostList, ListEntry
 from spoolbarrow.handover import Handover, Torn
-from spoolbarrow.net import passing
+from spoolbarrow.net import connection_handover
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.router import Router
 from tests.stage import (
@@ -353,11 +353,13 @@
     with stage(*script) as (old, engine), stage() as (new,):
 
         def send(text: bytes, descriptors: Any) -> bool:
-            passing.take(new.host, new.inbound, text, [os.dup(number) for number in descriptors])()
+            connection_handover.take(
+                new.host, new.inbound, text, [os.dup(number) for number in descriptors]
+            )()
             return True
 
         old.send = send
-        old.host.give = lambda underway: passing.give(old.host, underway, old.send)
+        old.host.give = lambda underway: connection_handover.give(old.host, underway, old.send)
         yield old, new, engine
 
 
@@ -390,13 +392,13 @@
         client, busy = old.client(), old.client().send(ask()[:30])
         assert client.send(ask()).answer().status == 200
         until(lambda: len(old.inbound._clients) == 2 and old.host.open_requests() == 0)
-        given = [passing.give_idle(one, old.send) for one in list(old.inbound._clients)]
+        given = [connection_handover.give_idle(one, old.send) for one in list(old.inbound._clients)]
         assert sorted(given) == [False, True]  # not the one that is half read
         assert client.send(ask()).answer().status == 503 and len(engine.requests) == 1  # the new one has none
         assert busy.send(ask()[30:]).answer().status == 200
         (left,) = old.inbound._clients
         until(lambda: left.idle())
-        assert not passing.give_idle(left, lambda text, descriptors: False)
+        assert not connection_handover.give_idle(left, lambda text, descriptors: False)
         assert busy.send(ask(X_Correlation_Id="on")).answer().status == 200  # and is read on here
 
 
@@ -450,7 +452,7 @@
         else:
             with pytest.raises(ConnectionResetError):
                 client.answer()
-        assert passing.read(tries[0]).id == "9b1f" and not new.inbound._clients
+        assert connection_handover.read(tries[0]).id == "9b1f" and not new.inbound._clients
 
 
 def begin_only(sock: socket.socket, message: Message) -> None:
@@ -484,9 +486,9 @@
     with stage() as (new,):
         ends = socket.socketpair()
         with pytest.raises(ValueError):
-            passing.take(new.host, new.inbound, text, [os.dup(end.fileno()) for end in ends])
+            connection_handover.take(new.host, new.inbound, text, [os.dup(end.fileno()) for end in ends])
         with pytest.raises(ValueError):
-            passing.take(new.host, new.inbound, text, [])
+            connection_handover.take(new.host, new.inbound, text, [])
         assert not new.inbound._clients
         for end in ends:
             end.close()
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -23,7 +23,7 @@
 from spoolbarrow.admin.operations import Operations
 from spoolbarrow.config import INHERITED
 from spoolbarrow.handover import Handover, Torn
-from spoolbarrow.net import passing
+from spoolbarrow.net import connection_handover
 from spoolbarrow.net.http1 import Message
 from tests.stage import EVENTS, HEAD, LISTEN, ask, chunk, make_config, serve_all, stage, until
 from tests.test_drain import END, asked, rest
@@ -67,7 +67,7 @@
             until(lambda: scene.heard(i.RequestArrived))
 
         LateReader(held, crossing)
-        assert not passing.give_idle(held, never_sent)
+        assert not connection_handover.give_idle(held, never_sent)
         given.set()
         assert client.answer().status == 200 and len(engine.requests) == 1
         assert client.send(asked("next")).answer().status == 200  # it is read on
@@ -86,7 +86,7 @@
             until(lambda: held._parser.reading)
 
         LateReader(held, crossing)
-        assert not passing.give_idle(held, never_sent)
+        assert not connection_handover.give_idle(held, never_sent)
         assert client.send(asked("crossing")[size:]).answer().status == 200
 
 
@@ -111,7 +111,7 @@
             tried.set()
 
         LateReader(held, crossing)
-        scene.host.give = lambda underway: passing.give(scene.host, underway, never_sent)
+        scene.host.give = lambda underway: connection_handover.give(scene.host, underway, never_sent)
         step.set()
         tried.wait()
         assert rest(client, b"").status == 200 and client.answer().status == 200
@@ -140,8 +140,8 @@
 @contextmanager
 def stream(**changes: Any) -> Iterator[tuple[bytes, list[int], list[socket.socket]]]:
     """A stream's message, and descriptors of two connections that run: those the other sides hold."""
-    told = passing.Stream(
-        passing.VERSION, "9b1f", "chat", "acme", 0.0, 0.0, "e0", 0.0, 0.0,
+    told = connection_handover.Stream(
+        connection_handover.VERSION, "9b1f", "chat", "acme", 0.0, 0.0, "e0", 0.0, 0.0,
         [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")], "", True, False,
     )  # fmt: skip
     pairs = [socket.socketpair() for _ in range(2)]
@@ -169,7 +169,7 @@
     """The other process is told so and goes on with it."""
     with stage() as (new,), stream(head=head) as (text, numbers, ends):
         with pytest.raises(Torn):
-            passing.take(new.host, new.inbound, text, numbers)
+            connection_handover.take(new.host, new.inbound, text, numbers)
         assert not new.inbound._clients and not new.host.open_requests() and not new.host.is_open("9b1f")
         assert new.host._endpoints._pool._open == 0
         assert [end.recv(1) for end in ends] == [b"", b""]  # no descriptor stays
@@ -182,9 +182,9 @@
         new.inbound.draining = True
         if idle:
             os.close(numbers.pop())
-            text = passing.IDLE
+            text = connection_handover.IDLE
         with pytest.raises(Torn):
-            passing.take(new.host, new.inbound, text, numbers)
+            connection_handover.take(new.host, new.inbound, text, numbers)
         assert not new.inbound._clients and [end.recv(1) for end in ends] == [b"", b""]
 
 
@@ -194,7 +194,7 @@
         file = os.open(os.devnull, os.O_RDONLY)
         numbers.insert(0 if first else 2, file)
         with pytest.raises(OSError):
-            passing.take(new.host, new.inbound, text, numbers)
+            connection_handover.take(new.host, new.inbound, text, numbers)
         assert [end.recv(1) for end in ends] == [b"", b""]
         with pytest.raises(OSError):
             os.fstat(file)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -9,7 +9,7 @@
 import spoolbarrow
 
 ROOT = Path(spoolbarrow.__file__).parent
-OBSERVERS = {"agreement", "failover", "passing", "pools"}  # of net/: they come in from above
+OBSERVERS = {"agreement", "failover", "connection_handover", "pools"}  # of net/: they come in from above
 
 
 def imports() -> dict[str, set[str]]:
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -27,7 +27,7 @@
 from spoolbarrow.admin.figures import Figures
 from spoolbarrow.config import ConfigError, HostList
 from spoolbarrow.handover import Torn
-from spoolbarrow.net import passing, pools
+from spoolbarrow.net import connection_handover, pools
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import standard
 from spoolbarrow.operator import FleetTable
@@ -309,10 +309,12 @@
     ):
 
         def send(text: bytes, descriptors: Any) -> bool:
-            passing.take(new.host, new.inbound, text, [os.dup(number) for number in descriptors])()
+            connection_handover.take(
+                new.host, new.inbound, text, [os.dup(number) for number in descriptors]
+            )()
             return True
 
-        old.host.give = lambda underway: passing.give(old.host, underway, send)
+        old.host.give = lambda underway: connection_handover.give(old.host, underway, send)
         yield old, new, engine
 
 
@@ -367,9 +369,13 @@
     with next_process(serve_all, TURNED) as (_, new, _):
         one, other = socket.socketpair()
         now = new.host.now()
-        stream = passing.Stream(1, "x", "once", "other", now, now, "e0", now, now, [], "", True, False)
+        stream = connection_handover.Stream(
+            1, "x", "once", "other", now, now, "e0", now, now, [], "", True, False
+        )
         with pytest.raises(Torn):
-            passing.take(new.host, new.inbound, msgspec.json.encode(stream), [one.detach(), other.detach()])
+            connection_handover.take(
+                new.host, new.inbound, msgspec.json.encode(stream), [one.detach(), other.detach()]
+            )
         assert not new.inbound._clients
 
 
