Go on passing connections where the next request of one came as it was tried

Operations._give_idle looks whether a client has sent something, then Client.pause looks again. A request that came between the two, unread as yet, read as "the other process takes nothing": no further idle connection was passed, answers ended their connections, and what came on those that were kept was refused. Seen by reading test_ten_upgrades_in_a_row_under_load_lose_nothing, which fails now and then on a busy machine, before too; that this is its cause was not seen (one of its failures had a hand-over that timed out).

--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -102,10 +102,15 @@
         return self._give_idle
 
     def _give_idle(self, client: Client) -> bool:
-        # One whose next request is coming in is served here, and that is no reason to give up on the others.
-        return not self._unheard and (
-            client.unread() or connection_handover.give_idle(client, self._send_idle) or not client.idle()
-        )
+        """Whether the next idle connection may be tried, too.
+
+        One whose next request is coming in is served here, and that is no reason to give up on the others.
+        """
+        if self._unheard:
+            return False
+        if client.unread() or connection_handover.give_idle(client, self._send_idle):
+            return True
+        return not client.idle() or client.unread()  # its request came just now
 
     def _send_idle(self, text: bytes, descriptors: Sequence[int]) -> bool | None:
         assert self._handover is not None
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -252,3 +252,28 @@
         older.close()
         assert older.inherited is not None
         older.inherited.close()
+
+
+def test_a_request_that_comes_as_an_idle_connection_is_tried_is_no_reason_to_pass_no_others(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It comes after the first look at the connection and before the second, unread as yet."""
+    give_idle = connection_handover.give_idle
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    with stage(serve_all) as (scene, _):
+        client = scene.client().send(ask())
+        assert client.answer().status == 200
+        (held,) = scene.inbound._clients
+        until(held.idle)
+
+        def just_now(given: Any, send: Any) -> bool:
+            client.send(ask(X_Correlation_Id="next"))
+            assert given.unread() and given.idle()  # no greenlet had its turn
+            return give_idle(given, send)
+
+        monkeypatch.setattr(connection_handover, "give_idle", just_now)
+        operations = Operations(scene.config)
+        monkeypatch.setattr(operations, "_send_idle", never_sent)
+        assert operations._give_idle(held)
+        assert client.answer().status == 200
+        operations.close()
