--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -19,7 +19,6 @@
 from spoolbarrow.net.taps import Taps, Why
 
 RECV = 65536  # bytes read at once
-DONE = b"\ndata: [DONE]"  # a stream's last event
 NOT_RUN = b"x-unprocessed"
 KIND, STREAM = b"content-type", b"text/event-stream"
 CLIENTS_FAULT = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # others would say the same
