--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -220,7 +220,7 @@
 
 def news(scene: Any, *entries: dict[str, Any], whole: bool = False) -> None:
     raw = {"index": 9, "snapshot": whole, "endpoints": list(entries)}
-    scene.host.destinations._news(msgspec.convert(raw, HostList))
+    scene.host.destinations._discovery._news(msgspec.convert(raw, HostList))
 
 
 def test_nothing_goes_to_a_suspended_engine_whatever_discovery_says() -> None:
@@ -377,7 +377,7 @@
 def test_what_is_off_is_not_imported() -> None:
     code = (
         "import sys, spoolbarrow.serve; "
-        "print([m for m in sys.modules if 'admin' in m or 'handover' in m or 'passing' in m])"
+        "print([m for m in sys.modules if 'admin' in m or 'handover' in m or 'connection_handover' in m])"
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
     assert done.stdout.strip() == "[]"
