--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -196,7 +196,7 @@
         return self.used / USAGE_MS
 
     def save(self, now: float, slice_rate: float, request_tokens: float) -> float:
-        """What the slice has saved up: any of it lets a request through, whose tokens may overdraw it."""
+        """What the slice has saved up."""
         depth = max(slice_rate * SLICE_DEPTH_MS, SLICE_MIN * request_tokens)
         gained = depth if self.saved_at == 0.0 else slice_rate * (now - self.saved_at)
         self.saved, self.saved_at = min(depth, self.saved + gained), now
@@ -607,20 +607,20 @@
         slice_rate = self._baseline(request) / settings.nodes
         standing = (1.0 + ALPHA_DEBT * entitlement.debt) / (1.0 + ALPHA_BURST * entitlement.burst)
         request.priority = request.weight * standing * request.standing
+        first = pool.first(wait, read)
         wait *= pool.lateness
         if not request.resumed:
             saved = entitlement.save(now, slice_rate, pool.request_tokens)
             refused = False
             if wait > self.full_ms and not request.promised:
                 seconds = (request.learnt.answer_ms + self.mean_aim) * slice_rate / pool.request_tokens
-                refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved <= 0.0
+                refused = entitlement.in_flight >= max(2.0 * seconds, SLICE_MIN) or saved < request.tokens
                 # Departure 3: the lowest of many is beaten by nearly all; the fuller, the higher the cut.
                 newest = (r.priority for r in reversed(self.requests.values()) if r.entitlement)
                 admitted = sorted(islice(newest, CUT_SAMPLE))
                 over = min(1.0, (wait / self.full_ms - 1.0) / CUT_SPAN)
                 cut = admitted[int(over * (len(admitted) - 1))] if admitted else 0.0
                 refused = refused or request.priority <= cut
-            first = pool.first(soonest[2], read if wait > self.full_ms else 0.0)  # reading alone is no reason
             if refused or now + first > request.arrived_at + HOPELESS * request.aim:
                 return self._finish(request, wait)
         entitlement.saved -= request.tokens
