Look for the end of a stream's first event in the new bytes alone

Underway.passable joined and searched all that was held at each read: for a first event that comes in single bytes that grows with the square of its length, up to 64 KiB. It now searches what came, with the last bytes before it. Behaviour stays: the tests of answers and event delays pass, and a first event ended in each of three ways and cut at every three places comes out alike.

--- a/spoolbarrow/net/engine_answer.py
+++ b/spoolbarrow/net/engine_answer.py
@@ -15,6 +15,7 @@
 DONE = b"\ndata: [DONE]"  # a stream's last event
 LAST_CHUNK, END = b"\r\n0\r\n", b"0\r\n\r\n"  # with what is before it; to the end, without trailers
 EVENT_ENDS = b"\n\n", b"\r\n\r\n", b"\r\r"
+LONGEST_EVENT_END = max(map(len, EVENT_ENDS))
 MOST_HELD = 65536  # bytes of a stream's beginning that are kept back until its first event is whole
 MOST_UNREAD = 1 << 20  # bytes in the kernel that are searched for a stream's end
 
@@ -28,6 +29,8 @@
         self.claimed = False  # its stream is the client's
         self.passing = False  # on its way to another process of this router
         self._held: list[bytes] = []  # of a first event that is not whole yet
+        self._held_bytes = 0
+        self._held_end = b""  # its last bytes: an event's end may come in two pieces
 
     def passable(self, parts: list[bytes]) -> list[bytes]:
         """What may be passed on, now that these bytes have come: nothing until the first event is whole.
@@ -37,9 +40,12 @@
         """
         if self.claimed:
             return parts
+        new = b"".join(parts)
+        searched = self._held_end + new
         self._held += parts
-        begun = b"".join(self._held)
-        if self.parser.whole or len(begun) >= MOST_HELD or any(end in begun for end in EVENT_ENDS):
+        self._held_bytes += len(new)
+        self._held_end = searched[1 - LONGEST_EVENT_END :]
+        if self.parser.whole or self._held_bytes >= MOST_HELD or any(end in searched for end in EVENT_ENDS):
             parts, self._held = self._held, []
             return parts
         return []
