Count what each engine begins by how many could, so that engines that leave don't widen the budget

Cause: fleet/capacity.py divided what a kind had begun in the last seconds by the engines that are able now: where most of a kind had just left the list, what they had begun counted for those that were left, and the bound was gone for some seconds. Engines that hang counted as able, so that the others looked as if they bore little.

Change: each beginning counts by one over the engines that were able just then; those that were silent of late do not count. Pure draws of lab/opened.py begin only what engines can do, and play three times the load, with and without a hot opening, in tests/test_slow_start.py and benchmarks/cold_engines.py.

The test that a request's zone goes by name reads the ring's members; it asks the same.

--- a/benchmarks/cold_engines.py
+++ b/benchmarks/cold_engines.py
@@ -39,6 +39,8 @@
     "three attempts": Traffic(attempts=3),
     "load 0.4": Traffic(load=0.4),
     "load 1.2": Traffic(load=1.2),
+    "load 3": Traffic(load=3.0),
+    "load 3 and a hot opening": Traffic(load=3.0, zipf=1.3, hot=0.3),
     "one request a second": Traffic(per_engine_s=1.0),
     "restarts told within 1.5 s": Traffic(told_ms=1500.0),
     "slow engines": Traffic(capacity=0.6),
--- a/spoolbarrow/hash_ring.py
+++ b/spoolbarrow/hash_ring.py
@@ -65,6 +65,10 @@
             found = self._walks[key, count] = self._search(key, count)
         return list(found)
 
+    def members(self) -> set[Member]:
+        """Who stands on it."""
+        return {place[2] for place in self._places}
+
     def remembered(self) -> int:
         """How many walks it keeps in memory."""
         return len(self._walks)
--- a/spoolbarrow/lab/opened.py
+++ b/spoolbarrow/lab/opened.py
@@ -53,6 +53,22 @@
 USUAL = Traffic()
 
 
+class Able:
+    """What one or more engines can begin: so many requests a ms, and what they have saved up in a second."""
+
+    def __init__(self, saved_ms: float = 1000.0) -> None:
+        self._saved_ms, self._saved, self._at = saved_ms, 0.0, 0.0
+
+    def begins(self, now: float, per_ms: float) -> bool:
+        """Whether one more request begins, at their present pace."""
+        self._saved = min(per_ms * self._saved_ms, self._saved + per_ms * (now - self._at))
+        self._at = now
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
+
+
 class Started(NamedTuple):
     """One cold engine's time until it is warm."""
 
@@ -101,6 +117,8 @@
     sums, told = dict.fromkeys(taken, 0.0), dict.fromkeys(taken, 0.0)
     worst, sent, work_sent = dict.fromkeys(taken, 0.0), dict.fromkeys(taken, 0), dict.fromkeys(taken, 0.0)
     broke = dict.fromkeys(taken, False)
+    warm, cold_able = Able(), {name: Able() for name in taken}
+    per_warm_ms = traffic.per_engine_s / 1000.0
     per_ms = traffic.load * traffic.per_engine_s * engines / 1000.0
     arrivals, at = [], START - traffic.lead_ms
     while (at := at + rng.expovariate(per_ms)) < START + rule.cold_ms:
@@ -120,8 +138,11 @@
         asked = RequestArrived("q", 0, 4000.0, session=rng.getrandbits(60) + 1, prefix=key, resumed=moved)
         request = Request(asked, settings, NO_TERMS, now)
         request.tokens, request.draw = work * pool.mean_work, rng.getrandbits(63)
-        homes = pool.homes(request, now)
+        request.homes = homes = pool.homes(request, now)
+        pool.came(request, now)
         if now < START:
+            if warm.begins(now, (engines - cold) * per_warm_ms):
+                pool.capacity.begun(now, 0)
             continue
         knows = number not in told_at
         if knows:
@@ -130,6 +151,12 @@
             opened.sort(key=lambda name: name != homes[0].id)
         else:
             opened = [homes[0].id] if homes[0].id in taken else []
+        grown = rule.cold_from + (1.0 - rule.cold_from) * (now - START) / rule.cold_ms
+        begins = warm.begins(now, (engines - cold) * per_warm_ms)
+        for name in () if begins else opened[: traffic.attempts]:
+            begins = begins or cold_able[name].begins(now, grown * traffic.capacity * per_warm_ms)
+        if begins:
+            pool.capacity.begun(now, 0)
         for name in opened[: traffic.attempts]:
             sent[name] += 1
             work_sent[name] += work
@@ -141,16 +168,15 @@
                 _, gone, by_told = within.popleft()
                 sums[name] -= gone
                 told[name] -= gone * by_told
-            ramp = rule.cold_from + (1.0 - rule.cold_from) * (now - START) / rule.cold_ms
-            budget = rule.overload_factor * ramp * traffic.capacity * traffic.per_engine_s * span / 1000.0
+            budget = rule.overload_factor * grown * traffic.capacity * traffic.per_engine_s * span / 1000.0
             share = sums[name] / bears(budget)
             if share > 1.0 >= worst[name]:  # the first fall
                 broke[name] = told[name] > TOLD * sums[name]
             worst[name] = max(worst[name], share)
-    grown = (rule.cold_from + 1.0) / 2.0 * traffic.per_engine_s * rule.cold_ms / 1000.0
-    budgets = grown * rule.overload_factor * traffic.capacity
+    warming = (rule.cold_from + 1.0) / 2.0 * traffic.per_engine_s * rule.cold_ms / 1000.0
+    budgets = warming * rule.overload_factor * traffic.capacity
     return [
-        Started(worst[name], sent[name] / grown, work_sent[name] / budgets, broke[name]) for name in taken
+        Started(worst[name], sent[name] / warming, work_sent[name] / budgets, broke[name]) for name in taken
     ]
 
 
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -315,8 +315,19 @@
 
     def came(self, request: Request, now: float) -> None:
         """Count what comes, against what replicas begin: cold ones are open to their part of that."""
-        shares = {r.id: (r.kind, min(1.0, COLD_SHARE * self.tolerated(r, now))) for r in self.cold}
-        self.capacity.came(now, request.homes[0] if request.homes else None, shares)
+        able: dict[int, float] = {}
+        for replica in self.serving if self.cold else ():
+            # What hangs begins nothing, and must not make the others look as if they bore little.
+            share = 0.0 if replica.strikes else 1.0
+            if self.is_cold(replica, now):
+                share *= min(1.0, COLD_SHARE * self.tolerated(replica, now))
+            able[replica.kind] = able.get(replica.kind, 0.0) + share
+        preferred = request.homes[0] if request.homes else None
+        self.capacity.came(now, preferred.id if preferred in self.cold else None, able)
+
+    def is_cold(self, replica: Replica, now: float) -> bool:
+        """Whether it is in its slow start."""
+        return replica.started_at > 0.0 and now - replica.started_at < self.settings.cold_ms
 
     def tolerated(self, replica: Replica, now: float) -> float:
         """Rule 4: what a cold replica may be sent, as a multiple of what a warm one begins."""
@@ -326,7 +337,7 @@
 
     def cold_allows(self, replica: Replica, request: Request, now: float, home: bool) -> bool:
         """Rule 4: a cold replica is open to a request by its draw, the same at each attempt (design.md)."""
-        if replica.started_at <= 0.0 or now - replica.started_at >= self.settings.cold_ms:
+        if not self.is_cold(replica, now):
             return True
         tolerated = self.tolerated(replica, now)
         at_home = min(1.0, COLD_HOME * tolerated)
@@ -622,7 +633,7 @@
         candidates = [(home, min(rank, 1)) for rank, home in enumerate(request.homes)]
         candidates += [(r, 2) for _, r in pool.fresh if r not in request.homes]
         # A node meets a cold replica seldom by chance: those that this request may use are always compared.
-        cold = [r for r in pool.cold if now - r.started_at < self.settings.cold_ms and r not in request.homes]
+        cold = [r for r in pool.cold if pool.is_cold(r, now) and r not in request.homes]
         candidates += [(r, 2) for r in cold if pool.cold_allows(r, request, now, False)]
         best = self._least(request, candidates, False, care)
         if best is None and pool.serving:
--- a/tests/test_reload_races.py
+++ b/tests/test_reload_races.py
@@ -252,7 +252,8 @@
         pool.zone_load[:], pool.zone_at[:] = [5.0, 9.0], [scene.host.now()] * 2
         apply(scene, FIRST | {"Zones": ["b", "a"], "MyZone": 1})
         assert [replica.id for replica in pool.local] == ["near"] and pool.remote == [far]
-        assert {place[1] for place in pool.near} == {"near"} and {place[1] for place in pool.far} == {"far"}
+        assert {one.id for one in pool.near.members()} == {"near"}
+        assert {one.id for one in pool.far.members()} == {"far"}
         assert pool.zone_load == [9.0, 5.0]
         apply(scene, FIRST | {"Zones": ["a"], "MyZone": 0})  # its zone is gone, and it is not local by that
         assert [replica.id for replica in pool.local] == ["near"] and pool.remote == [far]
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -86,6 +86,8 @@
         Traffic(zipf=1.3, hot=0.3),
         Traffic(attempts=3),
         Traffic(told_ms=1500.0),
+        Traffic(load=3.0),
+        Traffic(load=3.0, zipf=1.3, hot=0.3),
     ],
 )
 def test_what_all_routers_may_send_makes_hardly_an_engine_fall(traffic: Traffic) -> None:
