Test: a request given up is not sent on, nor told time that has passed

With a window that is full, the engine reads the rest after its client went, after the deadline, or after the time that the head tells has passed by 0.2 s; it must not have the whole of it.

--- /dev/null
+++ b/tests/test_deadlines.py
@@ -0,0 +1,144 @@
+"""What an endpoint is told of the time left is never more than its client has, and what is given up ends.
+
+A request that is not taken in whole at once is forced by small buffers, time that passes by a clock set on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import pytest
+from gevent import socket
+
+from spoolbarrow import interface as i
+from spoolbarrow.net import http1, tcpinfo
+from spoolbarrow.net.http1 import RequestParser
+from tests.stage import Stage, ask, entry, make_config, until
+from tests.test_answer_races import LONG, outcomes, rest_of, stuck, unread_engine
+from tests.test_gone import ENDS
+
+SMALL = 4096  # bytes of a socket's buffer
+BEYOND_MS = 200.0  # over what may pass between the head's time and the request's last byte
+SLACK_MS = 150.0  # by so much an endpoint may be told more than its client has left
+
+
+def pass_time(scene: Stage, ms: float) -> None:
+    """Set the router's clock on."""
+    clock = scene.host.now
+    scene.host.now = lambda: clock() + ms  # type: ignore[assignment,method-assign]
+
+
+@contextmanager
+def slow_engine(**settings: Any) -> Iterator[tuple[Stage, socket.socket]]:
+    """A router before an engine whose window is full while this machine's kernel holds the rest."""
+    with socket.socket() as machine:
+        machine.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL)
+        machine.bind(("127.0.0.1", 0))
+        machine.listen(4)
+        changes = make_config([])["settings"]
+        changes["Limits"] |= settings
+        scene = Stage(make_config([entry("e0", machine.getsockname()[1])], settings=changes))
+        try:
+            yield scene, machine
+        finally:
+            scene.inbound.close()
+            scene.host.stop()
+
+
+def handed_over(scene: Stage) -> bool:
+    """Whether an attempt's last byte was given to the kernel."""
+    return any(
+        attempt.connection for request in scene.host._requests.values() for attempt in request.attempts
+    )
+
+
+def whole_of(sock: socket.socket) -> http1.Message:
+    parser = RequestParser(16384, 262144)
+    while not parser.whole:
+        parser.feed(memoryview(sock.recv(65536)))
+    return parser.whole[0]
+
+
+def test_a_request_half_written_too_long_is_not_written_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its head tells the time as it was; the engine reads on once that is too much."""
+    with unread_engine(monkeypatch, True) as (scene, machine):
+        client = scene.client().send(ask(LONG))
+        engine, _ = machine.accept()
+        until(lambda: stuck(engine))
+        pass_time(scene, BEYOND_MS)
+        until(lambda: outcomes(scene))
+        assert outcomes(scene)[0] is i.Outcome.UNREACHABLE
+        assert not rest_of(engine).whole
+        assert client.answer().status == 503  # no other engine, and it never ran
+
+
+def test_a_request_that_this_machine_holds_too_long_never_comes_to_its_engine() -> None:
+    """The kernel took the whole of it, and the engine's window is full."""
+    with slow_engine() as (scene, machine):
+        client = scene.client().send(ask(LONG))
+        engine, _ = machine.accept()
+        until(lambda: handed_over(scene) and stuck(engine))
+        pass_time(scene, BEYOND_MS)
+        until(lambda: outcomes(scene))
+        assert outcomes(scene)[0] is i.Outcome.UNREACHABLE
+        assert not rest_of(engine).whole
+        assert client.answer().status == 503
+
+
+@ENDS
+@pytest.mark.parametrize("cancelling", [True, False])
+def test_what_this_machine_holds_of_a_request_does_not_go_on_after_its_client_went(
+    cancelling: bool, go: Any
+) -> None:
+    """Closed as usual, the kernel would send the rest: the engine would begin it for nobody."""
+    with slow_engine(Cancelling=cancelling) as (scene, machine):
+        client = scene.client().send(ask(LONG))
+        engine, _ = machine.accept()
+        until(lambda: handed_over(scene) and stuck(engine))
+        go(client)
+        until(lambda: scene.heard(i.RequestGone) and scene.host.open_requests() == 0)
+        assert not rest_of(engine).whole
+
+
+def test_what_this_machine_holds_of_a_request_does_not_go_on_after_its_deadline() -> None:
+    with slow_engine() as (scene, machine):
+        client = scene.client().send(ask(LONG))
+        engine, _ = machine.accept()
+        until(lambda: handed_over(scene) and stuck(engine))
+        (key,) = scene.host._requests
+        scene.host._deadline(key)
+        assert client.answer().status in (503, 504)
+        assert not rest_of(engine).whole
+
+
+def test_an_engine_that_takes_long_requests_in_slowly_is_told_less_time_for_the_next() -> None:
+    """So that it can be used at all: each longer wait that was given up leaves more room."""
+    with slow_engine() as (scene, machine):
+        scene.client().send(ask(LONG))
+        engine, _ = machine.accept()
+        until(lambda: handed_over(scene) and stuck(engine))
+        pass_time(scene, BEYOND_MS)
+        until(lambda: outcomes(scene))
+        pass_time(scene, 5000.0)  # long enough for it not to count as silent any more
+        scene.client().send(ask(LONG, X_Correlation_Id="again"))
+        engine, _ = machine.accept()
+        until(lambda: handed_over(scene) and stuck(engine))
+        pass_time(scene, BEYOND_MS)
+        message = whole_of(engine)
+        (request,) = scene.host._requests.values()
+        left = request.deadline - scene.host.now()
+        assert message.body == LONG and int(message.fields[b"x-time-left-ms"]) <= left + SLACK_MS
+
+
+def test_the_kernel_tells_what_it_has_not_sent() -> None:
+    with socket.socket() as machine:
+        machine.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL)
+        machine.bind(("127.0.0.1", 0))
+        machine.listen(1)
+        sock = http1.connect(machine.getsockname(), 10.0)
+        with sock, machine.accept()[0]:
+            assert not tcpinfo.unsent(sock)
+            sock.sendall(LONG)
+            assert tcpinfo.unsent(sock)
