Send a request whole in good time, or have nothing more of it leave this machine

Cause: `Endpoints._write` (net/endpoint.py 206-211) reckoned the time left once, before a write that could wait for as long as the request lived (`http1.send_while`, 385-397, asked only when the window opened), so an engine that read on late was told time that had passed. And a request that the kernel had taken whole counted as sent while its rest stood in the send buffer: `ConnectionPool.drop` (connection_pool.py 159) closed the connection as usual, the kernel sent the rest on, and the engine had the whole of a request whose client had gone, or whose deadline was over.

Seen: with a full window, the engine got the whole request in each of the eight ways a client can go, after the deadline, and after 0.2 s with 4,984 ms told where 4,783 were left.

Checked and ruled out: a connection that comes up late (`may_send` and the time left are asked after it); `max(1, ...)` (over by less than 1 ms, since `may_send` refuses at the deadline); may_send to the first byte (nothing waits in between).

Change: the writing moves to net/request_writing.py. So that engines far away can be used, long requests to one that was too slow tell less time and may take so much longer. A connection given up under a request is reset where not all was acknowledged. What is left: between the last look and the close some microseconds.

The test of an engine that reads slowly has its clock stand still now: it asks that the request comes whole, and a busy machine must not make it late.

--- a/spoolbarrow/net/connection_pool.py
+++ b/spoolbarrow/net/connection_pool.py
@@ -11,6 +11,7 @@
 from spoolbarrow.config import Address, Config
 from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.log import log
+from spoolbarrow.net.request_writing import break_off
 from spoolbarrow.net.taps import Side, Taps, Why
 
 SETTLE_MS = 5.0  # a connection rests so long: a second answer straight after must not pass for the next
@@ -151,10 +152,13 @@
         self._idle.setdefault(endpoint, deque()).append(connection)
 
     def drop(self, connection: Connection, why: Why = Why.DONE) -> None:
-        """Close a connection."""
+        """Close a connection; of a request that was broken off nothing more leaves this machine."""
         self._open -= 1
         self._host.taps.closing(connection.number, why)
-        connection.sock.close()
+        if why is Why.BROKEN:
+            break_off(connection.sock)
+        else:
+            connection.sock.close()
 
     def forget(self, endpoint: str) -> None:
         """Drop the idle connections to an endpoint that is gone, drains, or is no longer what it was."""
--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -16,11 +16,17 @@
 from spoolbarrow.net.load_report import LOAD, kept_tokens, parse_load, tail_report
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.request import Attempt
+from spoolbarrow.net.request_writing import await_sent, send_while
 from spoolbarrow.net.taps import Taps, Why
 
 RECV = 65536  # bytes read at once
 NOT_RUN = b"x-unprocessed"
 KIND, STREAM = b"content-type", b"text/event-stream"
+OLDEST_TOLD_MS = 100.0  # a request's last byte leaves so long after its head, which tells the time left
+MOST_FOREGONE_MS = 2000.0  # by so much less is told at most where an endpoint takes requests in slowly,
+ONE_FLIGHT = (
+    14_000  # and of bodies longer than these bytes: a new connection sends so much unasked (RFC 6928)
+)
 CLIENTS_FAULT = frozenset({400, 404, 405, 411, 413, 414, 415, 422, 431})  # others would say the same
 
 
@@ -61,6 +67,8 @@
         self._config, self._destinations, self._host = config, destinations, host
         self._pool = ConnectionPool(config, destinations, host)
         self._buffer = bytearray(RECV)  # one for all: what is read is parsed before another greenlet runs
+        # By endpoint that took a request in too slowly: how much less than is left the next ones tell, ms.
+        self._foregone: dict[str, float] = {}
         self._sweeper = gevent.spawn(self._sweep)
 
     def send(self, attempt: Attempt) -> None:
@@ -78,6 +86,7 @@
 
     def forget(self, endpoint: str) -> None:
         """Keep nothing of an endpoint that is gone, drains, or is no longer what it was."""
+        self._foregone.pop(endpoint, None)
         self._pool.forget(endpoint)
 
     def close(self) -> None:
@@ -195,7 +204,7 @@
             raise
         except OSError as error:
             raise NotSent(f"{type(error).__name__}: {error}") from error
-        request, written = attempt.request, False
+        written = False
         try:
             # While this one waited for its connection, its request may have ended, or the endpoint may
             # have been withdrawn: a drain's clock runs to the first byte sent.
@@ -203,13 +212,9 @@
                 return None, i.Outcome.MOOT
             if not self._destinations.serving(attempt.endpoint):
                 raise NotSent("withdrawn")
-            left = max(1, int(request.deadline - self._host.now()))
-            pieces = http1.request_pieces(request.message, connection.address, left)
-            # A long request may wait for its endpoint half written; as long as it is not whole, it can't run.
-            written = http1.send_while(connection.sock, pieces, lambda: self._host.may_send(attempt))
+            written = self._write_whole(attempt, connection)
             if not written:
                 return None, i.Outcome.MOOT
-            attempt.connection = connection.number
             if self._host.taps.active:
                 self._host.taps.attempt_sent(attempt)
             return connection, i.Outcome.MOOT
@@ -219,6 +224,36 @@
             if not written:
                 self._pool.drop(connection, Why.BROKEN)
 
+    def _write_whole(self, attempt: Attempt, connection: Connection) -> bool:
+        """Write a request; False where its attempt is over, NotSent where it is taken in too slowly.
+
+        Guards the time that the head tells: by the request's last byte it must not be more than is left.
+        """
+        host, request, begun = self._host, attempt.request, self._host.now()
+        left = request.deadline - begun
+        foregone = (
+            self._foregone.get(attempt.endpoint, 0.0) if len(request.message.body) > ONE_FLIGHT else 0.0
+        )
+        told = max(1, int(max(left - foregone, left / 2)))
+        patience = OLDEST_TOLD_MS + left - told
+        pieces = http1.request_pieces(request.message, connection.address, told)
+
+        def in_good_time() -> bool:
+            return host.now() - begun <= patience
+
+        def may_go_on() -> bool:
+            return host.may_send(attempt) and in_good_time()
+
+        # A long request may wait for its endpoint half written; as long as it is not whole, it can't run.
+        if send_while(connection.sock, pieces, may_go_on):
+            attempt.connection = connection.number  # what the kernel holds may leave at any time
+            if await_sent(connection.sock, may_go_on):
+                return True
+        if in_good_time():
+            return False
+        self._foregone[attempt.endpoint] = min(2.0 * patience, MOST_FOREGONE_MS)
+        raise NotSent(f"not taken in within {patience:.0f} ms")
+
     def _probe(self, endpoint: str) -> None:
         begun, outcome, report = self._host.now(), i.Outcome.RESET, None
         try:
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -4,19 +4,17 @@
 
 import select
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import httptools
 from gevent.socket import (
     AF_INET,
     IPPROTO_TCP,
-    MSG_DONTWAIT,
     SO_REUSEADDR,
     SOCK_STREAM,
     SOL_SOCKET,
     TCP_NODELAY,
     socket,
-    wait_write,
 )
 from msgspec import Struct
 
@@ -379,25 +377,11 @@
     """Write all pieces in as few calls as the kernel takes; blocks its greenlet, raises OSError."""
     rest: list[bytes | memoryview] = [piece for piece in pieces if piece]
     while rest:
-        _remove_sent(rest, sock.sendmsg(rest[:IOV_MAX]))
+        remove_sent(rest, sock.sendmsg(rest[:IOV_MAX]))
 
 
-def send_while(sock: socket, pieces: Sequence[bytes], may_go_on: Callable[[], bool]) -> bool:
-    """Like `send_pieces`, but asks after each wait for the other side; whether all was written."""
-    rest: list[bytes | memoryview] = [piece for piece in pieces if piece]
-    while rest:
-        try:
-            sent = sock.sendmsg(rest[:IOV_MAX], [], MSG_DONTWAIT)
-        except BlockingIOError:
-            wait_write(sock.fileno())
-            if not may_go_on():
-                return False
-        else:
-            _remove_sent(rest, sent)
-    return True
-
-
-def _remove_sent(rest: list[bytes | memoryview], sent: int) -> None:
+def remove_sent(rest: list[bytes | memoryview], sent: int) -> None:
+    """Take so many bytes off the front of what is still to be written."""
     done = 0
     while done < len(rest) and sent >= len(rest[done]):
         sent -= len(rest[done])
--- a/spoolbarrow/net/tcpinfo.py
+++ b/spoolbarrow/net/tcpinfo.py
@@ -88,6 +88,12 @@
     return any(told.unpack_from(raw)[0] for told in (_UNACKED, _NOT_SENT))
 
 
+def unsent(sock: Inspectable) -> bool:
+    """Whether this machine holds some of what was written that it has never sent: the peer can't have it."""
+    told: int = _NOT_SENT.unpack_from(_read(sock))[0]
+    return told > 0
+
+
 def peer_ended(sock: Inspectable) -> bool:
     """Whether the peer has said its end, or reset the connection."""
     return _read(sock)[0] in _FIN_TAKEN | {CLOSED}
--- a/tests/test_answer_races.py
+++ b/tests/test_answer_races.py
@@ -126,7 +126,10 @@
 
 
 def test_a_long_request_that_an_engine_reads_slowly_is_written_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    """As long as its head's time holds: the clock stands still, however busy the machine is."""
     with unread_engine(monkeypatch, True) as (scene, machine):
+        now = scene.host.now()
+        scene.host.now = lambda: now
         client = scene.client().send(ask(LONG))
         engine, _ = machine.accept()
         until(lambda: stuck(engine))
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -27,7 +27,7 @@
 def pass_time(scene: Stage, ms: float) -> None:
     """Set the router's clock on."""
     clock = scene.host.now
-    scene.host.now = lambda: clock() + ms  # type: ignore[assignment,method-assign]
+    scene.host.now = lambda: clock() + ms  # type: ignore[assignment]
 
 
 @contextmanager
