Give final answers before short deadlines, between long ticks and beside faults

Causes: `Client._serve` (net/client.py 446) took the whole margin of 15 ms off any patience, so that a client that waits 15 ms or less always failed. `Host._run` (net/host.py 357) slept out the decisions' tick before it looked at timers, and `_deadline` (421) waited two ticks more before the host answers by itself: a tick longer than some ms answered after the client gave up. `_send` (441) left an attempt open whose greenlet could not be made. `read_facts` refused (400) a client's time of more than twice its class's deadline, which is legal where the prompt's length is not told.

Ruled out: a decision that raises on a request answers it at once (502, `test_serving`); a timer or an action that raises is logged and the loop goes on; deadlines of many at once are 32 between turns of the others, so answers leave meanwhile; a process that stood still past a deadline answers in its first turn, since timers run before the decisions; ticks up to 2 ms take the same way as before.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -434,7 +434,7 @@
         if inbound.host.is_open(name):
             # Guards the request of that name: an endpoint could not tell the two apart.
             raise Fault(409, "X-Correlation-Id: a request of this name is open")
-        settings, options = inbound.config.settings, inbound.config.options
+        settings = inbound.config.settings
         if inbound.refusing_ms is not None:
             self._turned_away(message, "fail_fast")
             return exchange.fail_fast(inbound.refusing_ms)
@@ -443,7 +443,7 @@
             log("no_room", held=inbound.held, open=inbound.host.open_requests())
             self._turned_away(message, "fail_fast")
             return exchange.fail_fast(settings.max_retry_after_ms)
-        deadline = arrived + budget - options.answer_margin_ms
+        deadline = arrived + budget
         if deadline <= inbound.host.now():
             self._turned_away(message, "failed")
             return exchange.fail(True)
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
@@ -20,13 +19,14 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.config import Config, HostList
+from spoolbarrow.net.clock import Clock
 from spoolbarrow.net.destinations import DestinationSet
 from spoolbarrow.net.endpoint import Endpoints
 from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.fairness import give_way
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
-from spoolbarrow.net.request import Answer, Attempt, Request
+from spoolbarrow.net.request import Answer, Attempt, Request, Taken
 from spoolbarrow.net.taps import Taps
 from spoolbarrow.router import Router
 
@@ -34,32 +34,12 @@
     from spoolbarrow.fleet.documents import InCommon
 
 AT_ONCE = 32  # events decided on, or timers run, before other greenlets have their turn: some ms of a core
-OVERDUE_TICKS = 2.0  # past its deadline: a request that the decisions then leave open is answered by the host
-
-
-class Clock:
-    """The module's clock: Unix milliseconds at the start, never set back after it.
-
-    Discovery tells the start of an endpoint in Unix time; on this clock it means the same.
-    """
-
-    def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
-
-    def __call__(self) -> float:
-        """Now, ms."""
-        return (time.monotonic() + self._offset) * 1000.0
-
-
-class Taken(Protocol):
-    """What another process of this router tells of a stream; times as on the host's clock."""
-
-    id: str
-    taken_at: float
-    deadline: float
-    endpoint: str
-    sent_at: float
-    first_at: float
+OVERDUE_TICKS = (
+    2.0  # past its deadline: a request that the decisions then leave open is answered by the host,
+)
+OVERDUE_MS = 4.0  # at the latest so long past it, however long a tick is: the answer's margin is 15
+TIMER_LOOK_MS = 2.0  # between looks at timers within a tick
+AGAIN_MS = 1000.0  # a timer of the decisions that a fault swallowed comes again so much later
 
 
 class Decider(Protocol):
@@ -355,6 +335,10 @@
                 if due > 0:
                     self._wake.wait(due / 1000)
             early = last + self.config.settings.tick_ms - self.now()
+            if early > TIMER_LOOK_MS:  # a deadline waits for no tick
+                gevent.sleep(TIMER_LOOK_MS / 1000)
+                self._run_timers(self.now())
+                continue
             if early > 0:
                 gevent.sleep(early / 1000)
             last = self.now()
@@ -405,12 +389,20 @@
             for event in events:
                 if isinstance(event, i.RequestArrived) and not self._sent(event.request, actions):
                     actions.append(i.Fail(event.request))
+            actions += self._swallowed_timers(events, actions)
         for action in actions:
             try:
                 self._do[type(action)](action)
             except Exception as error:
                 unexpected(f"action {type(action).__name__}", error)
 
+    @staticmethod
+    def _swallowed_timers(events: list[i.Event], actions: list[i.Action]) -> list[i.SetTimer]:
+        """The timers of a batch that the decisions failed on, but for those that they have set anew."""
+        fired = [event.token for event in events if isinstance(event, i.TimerFired)]
+        kept = {action.token for action in actions if isinstance(action, i.SetTimer)}
+        return [i.SetTimer(token, AGAIN_MS) for token in fired if token not in kept]
+
     @staticmethod
     def _sent(key: str, actions: list[i.Action]) -> bool:
         return any(isinstance(action, i.Send) and action.request == key for action in actions)
@@ -422,8 +414,9 @@
         for attempt in list(request.attempts):
             self.ended(attempt, i.Outcome.TIMEOUT)
         if not request.over:
-            # Not sooner: the decisions hear of the deadline in this tick and answer in the next at latest.
-            self._at(self.now() + OVERDUE_TICKS * self.config.settings.tick_ms, lambda: self._overdue(key))
+            # Not sooner: the decisions hear of the deadline in this tick and mostly answer in the next.
+            patience = min(OVERDUE_TICKS * self.config.settings.tick_ms, OVERDUE_MS)
+            self._at(self.now() + patience, lambda: self._overdue(key))
 
     def _overdue(self, key: str) -> None:
         """Guards a request that the decisions forgot: its client must not wait in vain."""
@@ -445,7 +438,11 @@
             return self.ended(attempt, i.Outcome.MOOT)
         if action.max_wait_ms > 0:
             self._at(attempt.sent_at + action.max_wait_ms, lambda: self._expire(attempt))
-        self._endpoints.send(attempt)
+        try:
+            self._endpoints.send(attempt)
+        except Exception as error:
+            unexpected("send", error)
+            self.ended(attempt, i.Outcome.MOOT)  # else its request would wait for its deadline
 
     def _expire(self, attempt: Attempt) -> None:
         if attempt.request.stream is not attempt:
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -43,6 +43,17 @@
         """The stream broke: the client must see that it is not whole."""
 
 
+class Taken(Protocol):
+    """What another process of this router tells of a stream; times as on the host's clock."""
+
+    id: str
+    taken_at: float
+    deadline: float
+    endpoint: str
+    sent_at: float
+    first_at: float
+
+
 class Request:
     """A client's request until it is answered and its last attempt has ended."""
 
--- a/spoolbarrow/net/request_facts.py
+++ b/spoolbarrow/net/request_facts.py
@@ -15,12 +15,17 @@
     remedy = "Keep the names that requests use until the process that took them has ended."
 
 
-MAX_PATIENCE = 2.0  # of the class's deadline: nobody waits longer
+MAX_PATIENCE = 2.0  # of the class's deadline: so long is a client waited for at most
+ABSURD_MS = 86_400_000.0  # a day: what says that it waits longer is no client's patience
+MARGIN_SHARE = 0.25  # of a client's patience, at most, an answer leaves before the client gives up
 REPEATS_STREAM = b"again"
 
 
 def read_facts(message: Message, config: Config) -> tuple[i.RequestArrived, float]:
-    """What the decisions want to know of a request, and its client's patience; Fault 400 where malformed."""
+    """What the decisions want to know of a request, and how long its answer has; Fault 400 where malformed.
+
+    That is its client's patience, less the margin for the way there.
+    """
     fields = message.fields
     if not fields.get(b"x-correlation-id"):
         raise Fault(400, "X-Correlation-Id: missing")
@@ -36,9 +41,12 @@
     prompt, shared, answer = (_length(told, name, config) for name in lengths)
     left, of_class = fields.get(b"x-time-left-ms"), config.settings.classes[cls]
     budget = of_class.deadline_ms if left is None else _number(left, 10, "X-Time-Left-Ms")
-    # Guards the timers: each stands till its request's deadline. A deadline grows twice as fast as the aim.
-    if budget > MAX_PATIENCE * (of_class.deadline_ms + 2.0 * of_class.aim_ms_per_token * prompt):
+    if budget > ABSURD_MS:
         raise Fault(400, "X-Time-Left-Ms: out of range")
+    # Guards the timers: each stands till its request's deadline. A deadline grows twice as fast as the aim.
+    longest = MAX_PATIENCE * (of_class.deadline_ms + 2.0 * of_class.aim_ms_per_token * prompt)
+    budget = min(budget, longest)
+    margin = min(config.options.answer_margin_ms, MARGIN_SHARE * budget)
     facts = i.RequestArrived(
         request="",
         cls=cls,
@@ -52,7 +60,7 @@
         resumed=fields.get(b"x-repeat") == REPEATS_STREAM,
         settings=config.settings,
     )
-    return facts, budget
+    return facts, budget - margin
 
 
 def passed_facts(cls: str, tenant: str, config: Config) -> i.RequestArrived:
