Name the key of each impossible figure of the settings, and take none that is endless

Cause: `config.parse` (config.py 224-231) took the decisions' settings as `wire.decode_settings` reads them, whose checks name a group of figures (interface.py 131-148, "settings: tick, drain grace and longest retry-after must not be negative"), and let others pass: negative windows, shares, stretches and token aims, times of 1e308 ms. A memory of 1e308 MB raised OverflowError (line 251), which is no fault with a key: at the start a traceback, at SIGHUP an unexpected error.

Change: the bounds stand in the structs that config.py decodes beside (`msgspec.Meta`), so that a fault has its key; no figure may be over 1e10. Where several figures together are impossible, the text is as before.

Checked and ruled out: a figure that is NaN or beyond a float is no JSON here and refused with its place; settings that are drawn at the edge (1 class, names that differ in case, no tenants, 1 attempt, windows of 0, ColdFrom next to 0 and 1, ColdMs 0, no probes, no reports, 64 descriptors) are read and a request is sent; a drain answers all 0.2 s before SIGKILL at any deadline from 1 ms. `ColdFrom` of exactly 0 stays refused as before, now by its key. An aim of a microsecond is read, and each request refused.

--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -11,10 +11,10 @@
 from collections.abc import Mapping
 from math import inf, isfinite
 from pathlib import Path
-from typing import Any, get_args
+from typing import Annotated, Any, get_args
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 from msgspec.structs import replace
 
 from spoolbarrow import interface as i
@@ -27,6 +27,7 @@
 CONTROL = "NODE_CONTROL"  # the same as the key `control`, which goes before it
 INHERITED = "NODE_INHERITED_FD"  # the number of a listening socket that was passed on at the start
 NAME_A_FILE = "Have NODE_CONFIG (or `--config`) name a file that this user can read."
+MOST = 1e10  # of any figure that is told: a hundred days in ms, what no machine has in bytes or descriptors
 MIN_SOCKETS = 64  # below this the fixed needs leave nothing for clients
 # Descriptors that neither clients nor endpoints get, however many there are: standard input, output, error,
 # the event loop's (8); the listener, and the next one where its address changes (2); discovery, watched and
@@ -125,13 +126,40 @@
     sockets: int = 1024
 
 
-class _Named(Struct):
+_Longer = Annotated[float, Meta(gt=0, le=MOST)]
+_NotNegative = Annotated[float, Meta(ge=0, le=MOST)]
+_Count = Annotated[int, Meta(ge=1)]
+
+
+class _Class(Struct):
+    AimMs: _Longer
+    DeadlineMs: _Longer
+    Name: str = ""
+    Importance: _NotNegative = 0.0
+    RepeatWindowMs: _NotNegative = 0.0
+    LateShare: _NotNegative = 0.0
+
+
+class _Tenant(Struct):
     Name: str = ""
+    Portion: _NotNegative = 0.0
+    QuotaPerS: _NotNegative = 0.0
 
 
-class _SocketLimits(Struct):
-    ConnIdleMs: float = 30_000.0
-    ConnectTimeoutMs: float = 200.0
+class _Limits(Struct):
+    ConnIdleMs: _Longer = 30_000.0
+    ConnectTimeoutMs: _Longer = 200.0
+    MaxAttempts: _Count = 1
+    MaxOpen: _Count = 1
+    MaxRetryAfterMs: _NotNegative = 0.0
+
+
+class _Invariants(Struct):
+    ColdFrom: Annotated[float, Meta(gt=0, le=1)] = 1.0
+    ColdMs: _NotNegative = 0.0
+    DrainGraceMs: _NotNegative = 0.0
+    OverloadFactor: _NotNegative = 0.0
+    TipAfterMs: _NotNegative = 0.0
 
 
 class _Stats(Struct):
@@ -140,16 +168,20 @@
 
 class _Specifics(Struct):
     Resume: bool = False
+    AimUsPer1000PromptTokens: list[_NotNegative] = []
+    TokenAimMs: list[_NotNegative] = []
 
 
 class _Names(Struct):
-    """What sockets need of the settings beyond what the decisions do."""
+    """What sockets need of the settings beyond what the decisions do, and the bounds of what both read."""
 
-    Classes: list[_Named]
-    Tenants: list[_Named] = []
+    Classes: Annotated[list[_Class], Meta(min_length=1)]
+    Tenants: list[_Tenant] = []
     Zones: list[str] = []
     Skus: list[str] = []
-    Limits: _SocketLimits = msgspec.field(default_factory=_SocketLimits)
+    TickMs: _NotNegative = 0.0
+    Limits: _Limits = msgspec.field(default_factory=_Limits)
+    Invariants: _Invariants = msgspec.field(default_factory=_Invariants)
     Stats: _Stats = msgspec.field(default_factory=_Stats)
     Specifics: _Specifics = msgspec.field(default_factory=_Specifics)
 
@@ -205,8 +237,11 @@
 
 def _positive(place: str, values: Struct) -> None:
     for key in values.__struct_fields__:
-        if getattr(values, key) <= 0:
+        value = getattr(values, key)
+        if value <= 0:
             raise ConfigError(f"{place}.{key}: must be positive")
+        if isfinite(value) and value > MOST:
+            raise ConfigError(f"{place}.{key}: over {MOST:g}")
 
 
 def _fits_clock(options: Options) -> None:
@@ -236,12 +271,22 @@
         told.add(name)
 
 
+def _settings(raw: dict[str, Any]) -> tuple[i.Settings, _Names]:
+    """What the decisions and the sockets take of the platform's settings."""
+    outer = {"settings": raw}
+    try:
+        settings = wire.decode_settings(raw)
+    except i.SettingsError:
+        msgspec.convert(outer, _Outer)  # names the key, where it is one alone
+        raise
+    return settings, msgspec.convert(outer, _Outer).settings
+
+
 def parse(text: bytes) -> Config:
     """The checked configuration of a file's text."""
     try:
         file = msgspec.json.decode(text, type=_File)
-        settings = wire.decode_settings(file.settings)
-        names = msgspec.convert({"settings": file.settings}, _Outer).settings
+        settings, names = _settings(file.settings)
     except (msgspec.DecodeError, wire.WireError) as error:
         raise ConfigError(_place(str(error))) from error
     except i.SettingsError as error:
@@ -251,7 +296,6 @@
     _positive("limits", file.limits)
     _positive("options", file.options)
     _fits_clock(file.options)
-    _positive("settings.Limits", names.Limits)
     if file.limits.sockets < MIN_SOCKETS:
         raise ConfigError(f"limits.sockets: at least {MIN_SOCKETS} are needed")
     try:
