Test: what is cancelled in each turn writes nothing, and who went is not asked about again

Red: a request whose client went is given to the decisions once more where the door is taken away in that tick; they send it to nobody and keep it. Green: a cancel in the batch of the send, as the connection comes up with the kill a turn later, and the engine's connection ends when the client goes in each of four ways.

--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -9,14 +9,15 @@
 from contextlib import contextmanager
 from typing import Any
 
+import gevent
 import pytest
 from gevent import socket
 
 from spoolbarrow import interface as i
 from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.http1 import RequestParser
-from tests.stage import Stage, ask, entry, make_config, until
-from tests.test_answer_races import LONG, outcomes, rest_of, stuck, unread_engine
+from tests.stage import Stage, ask, entry, make_config, serve_all, stage, until
+from tests.test_answer_races import LONG, outcomes, rest_of, silent, stuck, unread_engine
 from tests.test_gone import ENDS
 
 SMALL = 4096  # bytes of a socket's buffer
@@ -142,3 +143,65 @@
             assert not tcpinfo.unsent(sock)
             sock.sendall(LONG)
             assert tcpinfo.unsent(sock)
+
+
+def test_an_attempt_that_is_cancelled_in_the_batch_that_sent_it_never_connects() -> None:
+    """Its greenlet has not begun: killed before, it does nothing."""
+    with stage(serve_all) as (scene, engine):
+        decide = scene.host._router.handle
+
+        def send_and_cancel(now: float, events: list[i.Event]) -> list[i.Action]:
+            actions: list[i.Action] = decide(now, events)
+            sent = [action for action in actions if isinstance(action, i.Send)]
+            return actions + [i.Cancel(action.request, 0) for action in sent]
+
+        scene.host._router.handle = send_and_cancel
+        client = scene.client().send(ask())
+        until(lambda: outcomes(scene))
+        scene.host._router.handle = decide
+        assert client.answer().status == 503
+        assert outcomes(scene) == [i.Outcome.CANCELLED] and not engine.connections
+
+
+def test_an_attempt_that_is_cancelled_as_its_connection_comes_up_writes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The kill is on its way, and the greenlet runs on in the same turn."""
+    connect = http1.connect
+
+    def cancelled_meanwhile(address: Any, timeout_s: float) -> socket.socket:
+        sock = connect(address, timeout_s)
+        if address[1] == engine.port:
+            (request,) = scene.host._requests.values()
+            (attempt,) = request.attempts
+            greenlet, attempt.greenlet = attempt.greenlet, None  # its kill comes a turn later
+            scene.host.ended(attempt, i.Outcome.CANCELLED)
+            gevent.spawn(greenlet.kill, block=False)
+        return sock
+
+    with stage(serve_all) as (scene, engine):
+        monkeypatch.setattr(http1, "connect", cancelled_meanwhile)
+        scene.client().send(ask())
+        until(lambda: engine.ends == 1)
+        assert not engine.requests and outcomes(scene)[0] is i.Outcome.CANCELLED
+
+
+@ENDS
+def test_the_connection_of_an_attempt_ends_as_soon_as_its_client_went(go: Any) -> None:
+    with stage(silent) as (scene, engine):
+        client = scene.client().send(ask())
+        until(lambda: engine.requests)
+        go(client)
+        until(lambda: engine.ends == 1)
+        until(lambda: scene.host.open_requests() == 0)
+
+
+def test_a_request_whose_client_went_is_not_asked_about_again() -> None:
+    """The door is taken away in the tick in which the client went: the decisions would keep it for ever."""
+    with stage(serve_all) as (scene, engine):
+        scene.host._post(i.RequestGone("7"))
+        scene.host.ask_again([i.RequestArrived("7", cls=0, budget_ms=5000.0)])
+        assert scene.client().send(ask()).answer().status == 200
+        until(lambda: not scene.host._router.requests)
+        assert [event.request for event in scene.heard(i.RequestArrived)] == ["1"]
+        assert len(engine.requests) == 1
