Ask the decisions again only about requests that are still open

Cause: `Host.ask_again` (net/host.py 165) gave the decisions each request that waited at a door taken away, also one whose `RequestGone` stood before it in the inbox: they sent it to nobody (`send_for_unknown`) and kept it, with its tenant's share, for good.

Change: what is not open is left out. Checked: a client that goes after this is told of behind it. The same shape elsewhere: `_dated` and `_send` look the request up; `Cancel` and the answers do so, too.

--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -144,9 +144,10 @@
         self._decider = self._router if make is None else make(self._router)
 
     def ask_again(self, events: list[i.RequestArrived]) -> None:
-        """Requests that were taken and not decided on."""
+        """Requests that were taken and not decided on; not those whose clients have gone meanwhile."""
         for event in events:
-            self._post(event)
+            if event.request in self._requests:
+                self._post(event)
 
     def request(self, key: str) -> Request | None:
         """One that is open, by the host's name for it."""
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -49,7 +49,7 @@
 LONGER = {
     "net/client.py": 490,  # the connection, and the answer on it
     "net/follow.py": 531,  # the store's client, and what is made of its documents
-    "net/host.py": 498,  # the loop, the table of requests, and each action
+    "net/host.py": 499,  # the loop, the table of requests, and each action
     "router.py": 840,  # the decisions: to become a package
 }
 
