--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -1,9 +1,8 @@
-"""HTTP/1.1 messages: heads parsed in place by httptools, written out again with gathered writes."""
+"""HTTP/1.1 messages: answers parsed in place by httptools, both kinds written out with gathered writes."""
 
 from __future__ import annotations
 
 import select
-from collections import deque
 from collections.abc import Callable, Sequence
 
 import httptools
@@ -18,21 +17,19 @@
     socket,
     wait_write,
 )
-from msgspec import Struct
 
 from spoolbarrow.config import Address
 from spoolbarrow.net.fairness import give_way
+from spoolbarrow.net.request_parser import Fault as Fault
+from spoolbarrow.net.request_parser import Message as Message
+from spoolbarrow.net.request_parser import RequestParser as RequestParser
+from spoolbarrow.net.request_parser import without_padding
 
 # Fields that speak of one connection only, or that are written anew for each one.
 NOT_PASSED_ON = frozenset(
     b"connection keep-alive proxy-connection te trailer transfer-encoding upgrade"
     b" content-length expect host x-time-left-ms".split()
 )
-# Fields that two readers could take differently where they are repeated.
-ONCE = frozenset(
-    b"content-length transfer-encoding host x-correlation-id x-service-class x-account x-session-key"
-    b" x-time-left-ms x-facts x-repeat".split()
-)
 IOV_MAX = 512  # pieces in one gathered write; POSIX promises 16, Linux takes 1,024
 READS_A_TURN = 8  # of one answer; then other greenlets have their turn,
 LONG_READ = 1 << 14  # and after one read of so many bytes: it may hold a thousand events
@@ -52,139 +49,6 @@
 }
 
 
-class Fault(Exception):
-    """A message that is not taken; `status` is what its sender is told."""
-
-    def __init__(self, status: int, reason: str, *headers: bytes) -> None:
-        super().__init__(reason)
-        self.status, self.reason, self.headers = status, reason, headers
-
-
-class Message(Struct):
-    """One request as it came in."""
-
-    method: bytes = b""
-    target: bytes = b""
-    headers: list[tuple[bytes, bytes]] = []
-    fields: dict[bytes, bytes] = {}  # by lower-case name; the last of repeated ones
-    body: bytes = b""
-    keep_alive: bool = True
-    chunks: bool = True  # the sender reads chunked answers (HTTP/1.1)
-
-    def path(self) -> bytes:
-        """The target without its query."""
-        return self.target.partition(b"?")[0]
-
-
-def _without_padding(value: bytes | None) -> bytes:
-    """A field's value without the optional whitespace round it; llhttp leaves what stands behind it."""
-    return (value or b"").strip(b" \t")
-
-
-class RequestParser:
-    """Turns bytes, cut anywhere, into whole requests; the first fault ends the connection's parsing."""
-
-    def __init__(self, max_head: int, max_body: int) -> None:
-        self._max_head, self._max_body = max_head, max_body
-        self.whole: deque[Message] = deque()
-        self.fault: Fault | None = None
-        self.reading = False  # in the middle of a request
-        self.awaits_continue = False  # its sender waits for 100 before the body
-        self._message = Message()
-        self._parser = httptools.HttpRequestParser(self)
-        self._in_head = False
-        self._head = self._fed = 0
-        self._body: list[bytes] = []
-        self._body_size = 0
-
-    def feed(self, data: memoryview) -> None:
-        """Parse what came next; complete requests are appended to `whole`."""
-        if self.fault is not None:
-            return
-        had = len(self.whole)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.fault = self.fault or Fault(400, "upgrade not supported")
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            self.fault = cause if isinstance(cause, Fault) else Fault(400, f"malformed request: {error}")
-        # What is not handed over (an unfinished field, empty lines, what frames chunks) could grow for ever.
-        self._fed = 0 if len(self.whole) > had else self._fed + len(data)
-        if self.fault is None and self._fed > self._max_head:
-            if self._in_head or not self.reading:
-                self.fault = Fault(431, "head too large")
-            elif self._fed - self._body_size > self._max_head + self._max_body:
-                self.fault = Fault(400, "more framing than body")
-
-    def held(self) -> int:
-        """Bytes of bodies in hand."""
-        return self._body_size + sum(len(message.body) for message in self.whole)
-
-    def on_message_begin(self) -> None:
-        """httptools: a request's first byte."""
-        self._message = Message(headers=[], fields={})
-        self.reading = self._in_head = True
-        self._head = self._body_size = 0
-        self._body = []
-
-    def on_url(self, part: bytes) -> None:
-        """httptools: some of the target."""
-        self._message.target += part
-        self._grow_head(len(part))
-
-    def on_header(self, name: bytes, value: bytes | None) -> None:
-        """httptools: one whole field."""
-        if not self._in_head:
-            return  # a chunked body's trailer says nothing that is used here
-        value, key = _without_padding(value), name.lower()
-        self._grow_head(len(name) + len(value) + 4)
-        if key in ONCE and key in self._message.fields:
-            raise Fault(400, f"{key.decode()}: repeated")
-        self._message.headers.append((name, value))
-        self._message.fields[key] = value
-
-    def on_headers_complete(self) -> None:
-        """httptools: the head is whole."""
-        message, parser = self._message, self._parser
-        self._in_head = False
-        message.method = parser.get_method()
-        message.chunks = parser.get_http_version() == "1.1"
-        message.keep_alive = parser.should_keep_alive()
-        if parser.should_upgrade():
-            # llhttp stops reading HTTP here, so the body would be taken for the new protocol.
-            raise Fault(405 if message.method == b"CONNECT" else 400, "upgrade not supported")
-        if parser.get_http_version() not in ("1.0", "1.1"):
-            raise Fault(400, "not HTTP/1.0 or 1.1")
-        coding = message.fields.get(b"transfer-encoding")
-        if coding is not None and (coding.lower() != b"chunked" or not message.chunks):
-            # Guards against a length that the next one on the way would read otherwise.
-            raise Fault(400, "Transfer-Encoding: not chunked, or not HTTP/1.1")
-        if int(message.fields.get(b"content-length", b"0")) > self._max_body:
-            raise Fault(413, "body too large")
-        self.awaits_continue = message.fields.get(b"expect", b"").lower() == b"100-continue"
-
-    def on_body(self, part: bytes) -> None:
-        """httptools: some of the body."""
-        self._body_size += len(part)
-        if self._body_size > self._max_body:
-            raise Fault(413, "body too large")
-        self.awaits_continue = False
-        self._body.append(part)
-
-    def on_message_complete(self) -> None:
-        """httptools: the request is whole."""
-        self._message.body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        self._body, self._body_size = [], 0
-        self.reading = self.awaits_continue = False
-        self.whole.append(self._message)
-
-    def _grow_head(self, size: int) -> None:
-        self._head += size
-        if self._head > self._max_head:
-            raise Fault(431, "head too large")
-
-
 class ResponseParser:
     """Turns an answer's bytes into status, fields, and body parts to be taken with `take_body`."""
 
@@ -265,7 +129,7 @@
     def on_header(self, name: bytes, value: bytes | None) -> None:
         """httptools: one whole field."""
         if not self.headed:
-            self.fields[name.lower()] = _without_padding(value)
+            self.fields[name.lower()] = without_padding(value)
 
     def on_headers_complete(self) -> None:
         """httptools: the head is whole; an interim one (1xx) is skipped."""
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -50,7 +50,6 @@
     "net/client.py": 490,  # the connection, and the answer on it
     "net/follow.py": 531,  # the store's client, and what is made of its documents
     "net/host.py": 501,  # the loop, the table of requests, and each action
-    "net/http1.py": 410,  # both parsers, and writing
     "router.py": 840,  # the decisions: to become a package
 }
 
