--- a/tests/test_read_requests.py
+++ b/tests/test_read_requests.py
@@ -317,6 +317,30 @@
         assert statuses(client) == [200, 200, 500]
 
 
+def test_an_error_as_more_is_looked_at_leaves_the_request_under_way_its_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    go, met = Event(), Event()
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        serve_all(sock, message)
+
+    def fails(there: bytes) -> bool:
+        met.set()
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(http1, "may_begin", fails)
+    with stage(wait) as (scene, engine):
+        client = scene.client().send(ask("a"))
+        until(lambda: engine.requests)
+        client.send(ask("b"))
+        met.wait()
+        polls()
+        go.set()
+        assert statuses(client) == [200, 500]
+
+
 @pytest.mark.parametrize("how", ["closing", "sent_away"])
 def test_requests_read_together_are_answered_while_clients_are_sent_away(how: str) -> None:
     with stage(serve_all) as (scene, engine):
