Keep the request under way when reading on meets an error of this program

Client.run (net/client.py) ended the reader at an unexpected exception that came outside Client._fed, and with it the connection: the request that an engine had was given up without its answer.

A fault put into the look at unread bytes reset the client's connection. Checked: an exception in _fed was told as 500 before and still is; after the fault nothing is read or looked at again, so that it can't repeat without end. Change: waiting and reading stand in the same guard as parsing: the request under way has its answer, then 500 follows.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -91,8 +91,7 @@
             return True
         told = http1.polled(self.sock, select.POLLIN | select.POLLRDHUP)
         if not told or told & ENDED:
-            return told != 0
-        # Guards against a system that tells of no half-close: the end is then what is read next.
+            return told != 0  # else a system may tell of no half-close: the end is then what is read next
         self.sock.settimeout(0.0)
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
@@ -125,18 +124,7 @@
         """Read until the client goes."""
         view = memoryview(self.inbound.buffer)
         try:
-            while self._await_turn(view):
-                size = self.sock.recv_into(view)
-                if not size:
-                    return
-                try:
-                    self._fed(view[:size])
-                except OSError:
-                    raise
-                except Exception as error:
-                    unexpected("client", error)
-                    self._parser.fault = Fault(500, "internal error")  # its client is told all the same
-                    self._advance()
+            while self._read_next(view):
                 gevent.sleep(0)  # guards the others: a client that sends at full speed is always readable
             if self.ending and not self._closed:
                 await_end(self.sock, view, self._parser.rest(), self.inbound.config.options.linger_ms / 1000)
@@ -148,13 +136,28 @@
             if not self._paused:
                 self.lost()
 
+    def _read_next(self, view: memoryview) -> bool:
+        """Read what comes next once it may be read; false where nothing more is to be read."""
+        try:
+            size = self.sock.recv_into(view) if self._await_turn(view) else 0
+            if size:
+                self._fed(view[:size])
+            return size > 0
+        except OSError:
+            raise
+        except Exception as error:
+            unexpected("client", error)
+            self._parser.fault = Fault(500, "internal error")  # its client is told all the same, in its turn
+            self._advance()
+            return True
+
     def _await_turn(self, view: memoryview) -> bool:
         """Wait until something has come that may be read; false where nothing more is to be read."""
         while not self.ending:
             there = self.sock.recv_into(view, LOOKED_AT, socket.MSG_PEEK)
             if self.ending or self._may_read():
                 return not self.ending
-            if self._waits() and (not there or self.gone()):
+            if self._under_way() is not None and (not there or self.gone()):
                 return False
             if there and self._voids(view[:there]):
                 self._take_back(Fault(400, "malformed request: its length is not that of its body"))
@@ -170,26 +173,25 @@
             return False
         return not (self.exchange or parser.whole) or (parser.begins and self._unsent() is not None)
 
-    def _waits(self) -> bool:
-        """Whether it waits for an endpoint: one that is only told what was wrong may have said its end."""
+    def _under_way(self) -> Request | None:
+        """The request that has not its whole answer: one only told what was wrong may have said its end."""
         request = self.exchange.request if self.exchange is not None else None
-        return request is not None and not request.over
+        return None if request is None or request.over else request
 
     def _unsent(self) -> Request | None:
-        """The request under way, where no endpoint can have any of it."""
-        request = self.exchange.request if self.exchange is not None else None
-        if request is None or request.over or any(attempt.connection for attempt in request.attempts):
-            return None
-        return request
+        """The request under way, where no endpoint can have all of it."""
+        request = self._under_way()
+        sent = request is not None and any(attempt.connection for attempt in request.attempts)
+        return None if sent else request
 
     def _voids(self, there: memoryview) -> bool:
         """Whether what directly follows the last request that was read begins none: that one is cut short.
 
         Guards against passing on a part of a request, or one hidden in another's body.
         """
-        parser = self._parser
-        read_on = parser.reading or parser.begins or parser.whole or parser.fault is not None
-        return not read_on and not http1.may_begin(bytes(there))
+        if self._parser.reading or self._parser.begins or self.read_more():
+            return False
+        return not http1.may_begin(bytes(there))
 
     def _take_back(self, fault: Fault) -> None:
         """The request under way is not what its client meant; one that is out already goes on."""
@@ -207,22 +209,21 @@
 
     def pause(self) -> bool:
         """Stop reading, if nothing that was or will be read here waits for its answer; whether it did."""
-        if self._read_more() or self.reader is None or (self.exchange is None and self.unread()):
+        if self._unsettled() or self.reader is None or (self.exchange is None and self.unread()):
             return False
         exchange, self._paused = self.exchange, True
         self.reader.kill()
         if self._closed:
             return False
         # The event loop may poll before it ends the reader, which then reads what has come meanwhile.
-        if self._read_more() or self.exchange is not exchange:
+        if self._unsettled() or self.exchange is not exchange:
             self.go_on()
             return False
         return True
 
-    def _read_more(self) -> bool:
+    def _unsettled(self) -> bool:
         """Whether something was read that is not served yet, or it is to be closed."""
-        parser = self._parser
-        return self.ending or parser.reading or bool(parser.whole) or parser.fault is not None
+        return self.ending or self._parser.reading or self.read_more()
 
     def paused(self) -> bool:
         """Whether nobody reads: it is on its way to another process of this router."""
@@ -254,8 +255,7 @@
     def break_off(self) -> None:
         """End the connection with what was written as the last.
 
-        Guards events that its client has not had: closed over bytes that it sent meanwhile, the kernel would
-        reset the connection, and what it still holds would go with it.
+        Guards events that its client has not had: closed over unread bytes, a reset takes them along.
         """
         if self._closed or not (self.unread() or tcpinfo.awaits_peer(self.sock)):
             self.close()
