--- a/spoolbarrow/lab/cluster.py
+++ b/spoolbarrow/lab/cluster.py
@@ -52,8 +52,9 @@
     `operator`: the text of each router's operator file (none where it is empty), or what makes it.
     `known`: the list that routers begin with: none, an empty one, or that of all engines, both of a version
     before the one that the service tells. `figures`: engines have a capacity, and fall when they are cold.
-    `rate` (calls a second; 0: any number), `line_ms`, `timeout_s`: the list service's. `tree`: where the
-    routers' program lies, if it is another than this one.
+    `rate` (calls a second; 0: any number), `line_ms`, `timeout_s`: the list service's. `limits`: what
+    routers are told that their machine allows. `engines`: the module that stands in for these. `tree`: where
+    the routers' program lies, if it is another than this one.
     """
 
     def __init__(
@@ -73,6 +74,8 @@
         line_ms: float = 0.0,
         timeout_s: float = 3.0,
         settings: Mapping[str, Any] | None = None,
+        limits: Mapping[str, Any] | None = None,
+        engines: str = "standin",
         tree: Path | None = None,
     ) -> None:
         if known not in KNOWN:
@@ -80,7 +83,7 @@
         self.folder, self.zones, self.zone_of, self._operator = folder, list(zones), list(routers), operator
         self._gated, self._control, self._at_once, self._with_members = gates, control, at_once, members
         self._known, self._figures, self._settings = known, figures, dict(settings or {})
-        self._tree = tree
+        self._limits, self._standin, self._tree = dict(limits or {}), engines, tree
         self.rate, self._service = rate, (rate, line_ms, timeout_s)
         self.names = [f"e{n}" for n in range(sum(zones.values()))]
         self.of_zone: dict[str, list[int]] = {}
@@ -110,7 +113,7 @@
         figures = [] if self._figures is None else [msgspec.json.encode(self._figures).decode()]
         life = str(LIFE_S)
         self.engines = self._start(
-            "-m", "spoolbarrow.lab.standin", life, str(len(self.names)), *figures, stdin=True
+            "-m", f"spoolbarrow.lab.{self._standin}", life, str(len(self.names)), *figures, stdin=True
         )
         self.service = self._start(
             "-m", "spoolbarrow.lab.listing", life, *map(str, self._service), stdin=True
@@ -203,6 +206,8 @@
             "discovery": self._discovery[number],
             "settings": settings | self._settings,
         }
+        if self._limits:
+            made["limits"] = self._limits
         if self._control:
             made["control"] = f"{LISTEN}:{self.controls[number]}"
         if self._known != "none":
--- /dev/null
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -0,0 +1,370 @@
+"""Clients that keep all they saw: for checks of what a fleet owes to clients.
+
+    python -m spoolbarrow.lab.recorded_clients SECONDS PLAN     begins when told, then obeys
+
+PLAN (JSON, `Plan`) says how many clients each router has, what they ask and how they behave (`HABITS`). Lines
+on standard input: `begin`; `away ROUTERS` (no new connections go there) and `back ROUTERS`; `asked`, answered
+with the number of requests; `stop`, answered with every connection in JSON once each request under way has
+its answer, or DONE_S have passed. Times are `time.monotonic` when the kernel had the bytes, or was handed
+them, in s.
+"""
+
+from __future__ import annotations
+
+import json
+import socket as plain
+import sys
+import time
+from contextlib import suppress
+from hashlib import sha256
+from random import Random
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import socket
+from gevent.event import Event
+from msgspec import Struct
+
+from spoolbarrow.lab import loopback
+from spoolbarrow.lab.orders import obey_lines
+from spoolbarrow.lab.recorded_engines import received_at
+from spoolbarrow.lab.standin import EVENTS, reset
+from spoolbarrow.net import tcpinfo
+
+CONNECT_S = 5.0
+SLACK_S = 2.0  # beyond a request's time, and between a stream's bytes, until a client gives up
+MOST_SMALL = 700  # bytes of a request that is written byte by byte
+SLOW_READ, SLOW_PAUSE_S = 256, 0.01
+RESET_S = 0.02  # for a reset to come behind an end
+RETRY_S = 0.05  # before a client tries to connect again
+HABITS = (
+    "keeps",  # its connection, and pauses between requests
+    "eager",  # the same, and asks again in the instant in which an answer has ended
+    "renews",  # a connection for each request
+    "closes",  # says that its connection is to end with the answer
+    "leaves",  # closes while it waits
+    "resets",  # likewise
+    "half",  # says its end while it waits
+    "pipelines",  # several requests in one write
+    "garbles",  # what is no request, behind one that is
+    "slow",  # to read
+    "bytewise",  # writes single bytes
+    "stops",  # in the middle of a request
+)
+
+
+class Kind(Struct, frozen=True):
+    """One class that is asked for."""
+
+    name: str
+    left_ms: int
+
+
+class Plan(Struct, frozen=True):
+    """What clients do."""
+
+    ports: list[int]  # of the routers
+    host: str
+    kinds: list[Kind]
+    accounts: list[str]
+    habits: list[str]  # of each router's clients
+    pause_s: float = 0.1  # at most, between a client's requests
+    mean_prompt: float = 40.0
+    spread: float = 0.0  # of prompts' lengths, as sigma of their logarithm
+    seed: int = 1
+
+
+class Reader:
+    """Takes answers apart: a reader of its own, so that it does not share the program's mistakes."""
+
+    def __init__(self, sock: Any, slow: bool) -> None:
+        self._sock, self._slow, self._rest = sock, slow, b""
+        self.at = 0.0  # when the last bytes came
+
+    def _more(self) -> None:
+        if self._slow:
+            gevent.sleep(SLOW_PAUSE_S)
+        data = self._sock.recv(SLOW_READ if self._slow else 65_536)
+        if not data:
+            raise EOFError
+        self.at = received_at(self._sock)
+        self._rest += data
+
+    def line(self) -> bytes:
+        """The next line."""
+        while b"\r\n" not in self._rest:
+            self._more()
+        line, self._rest = self._rest.split(b"\r\n", 1)
+        return line
+
+    def exactly(self, size: int) -> bytes:
+        """So many bytes."""
+        while len(self._rest) < size:
+            self._more()
+        data, self._rest = self._rest[:size], self._rest[size:]
+        return data
+
+    def pending(self) -> bool:
+        """Whether bytes stand there, or come within an instant."""
+        if not self._rest:
+            self._sock.settimeout(0.0)
+            with suppress(OSError, EOFError):
+                self._more()
+        return bool(self._rest)
+
+
+class Visit:
+    """One connection of a client."""
+
+    def __init__(self, sock: Any, router: str, slow: bool) -> None:
+        self.sock, self.reader = sock, Reader(sock, slow)
+        self.requests: list[dict[str, Any]] = []
+        self.told: dict[str, Any] = {"router": router, "requests": self.requests}
+        self.lasts = True  # more may be asked on it
+
+    def read(self, asked: dict[str, Any]) -> None:
+        """The answer to a request, as far as it comes."""
+        try:
+            self._read(asked)
+        except EOFError:
+            gevent.sleep(RESET_S)
+            self._ended("reset" if self._was_reset() else "eof")
+        except TimeoutError:
+            self._close(gone=False)
+        except (OSError, ValueError):
+            self._ended("reset")
+
+    def _wait(self, until: float) -> None:
+        self.sock.settimeout(max(0.01, until - time.monotonic()))
+
+    def _read(self, asked: dict[str, Any]) -> None:
+        self._wait(asked["sent_at"] + asked["left_s"] + SLACK_S)
+        status = int(self.reader.line().split()[1])
+        asked["status"], asked["first_at"] = status, self.reader.at
+        fields: dict[bytes, bytes] = {}
+        while line := self.reader.line():
+            name, _, value = line.partition(b":")
+            fields[name.strip().lower()] = value.strip()
+        if fields.get(b"connection", b"").lower() == b"close":
+            self.lasts = False
+        self.sock.settimeout(SLACK_S + 3.0)
+        if b"content-length" in fields:
+            self.reader.exactly(int(fields[b"content-length"]))
+        else:
+            self._chunks(asked)
+        asked["answered_at"], asked["whole"] = self.reader.at, True
+
+    def _chunks(self, asked: dict[str, Any]) -> None:
+        while size := int(self.reader.line(), 16):
+            event = self.reader.exactly(size + 2)
+            for line in event.splitlines():
+                if line.startswith(b"data: {"):
+                    told = json.loads(line[6:])["choices"][0]["delta"]["content"]
+                    id, attempt, place = told.split(" ")
+                    asked["words"].append({"id": id, "attempt": attempt, "place": int(place)})
+        self.reader.line()
+
+    def _was_reset(self) -> bool:
+        """Whether a reset followed the other side's end: it had not read, nor will, all that was sent."""
+        told = self.sock.getsockopt(plain.IPPROTO_TCP, tcpinfo.TCP_INFO, tcpinfo.SIZE)
+        return bool(told[0] == tcpinfo.CLOSED)
+
+    def stands(self) -> bool:
+        """Whether its other side has not ended it, as far as this machine knows."""
+        self.sock.settimeout(0.0)
+        try:
+            return bool(self.sock.recv(1, plain.MSG_PEEK))
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
+    def _ended(self, how: str) -> None:
+        self.told |= {"ended": how, "ended_at": time.monotonic()}
+        self.lasts = False
+
+    def _close(self, gone: bool = True, way: str = "") -> None:
+        """End it; `gone`: the client leaves, rather than giving up on an answer that never came."""
+        self.lasts = False
+        if way == "half":
+            with suppress(OSError):
+                self.sock.shutdown(plain.SHUT_WR)
+        elif way == "resets":
+            reset(self.sock)
+        else:
+            self.sock.close()
+        if gone:
+            self.told.setdefault("closed_at", time.monotonic())
+
+    def leave(self, way: str) -> None:
+        """Go while something is under way."""
+        self._close(True, way)
+
+    def finish(self) -> None:
+        """End it after its last answer; what came beyond that is one answer too many."""
+        if "ended" not in self.told and "closed_at" not in self.told:
+            if "malformed_from" not in self.told:  # else it is told what was wrong
+                self.told["answers_too_many"] = int(self.reader.pending())
+            if self.requests and all(one["whole"] for one in self.requests):
+                self.told["closed_at"] = time.monotonic()
+        self.sock.close()
+
+
+class Client:
+    """One client of one router."""
+
+    def __init__(self, crowd: Crowd, router: int, number: int, habit: str) -> None:
+        self.crowd, self.router, self.habit = crowd, router, habit
+        self.name = f"r{router}-{number}"
+        self.rng = Random(f"{crowd.plan.seed} {self.name}")
+        self.count = 0
+
+    def run(self) -> None:
+        """Ask until told to stop."""
+        plan = self.crowd.plan
+        gevent.sleep(self.rng.random() * plan.pause_s)
+        while not self.crowd.stopping.is_set():
+            if self.router in self.crowd.away:
+                gevent.sleep(RETRY_S)
+                continue
+            try:
+                sock = socket.socket()
+                if self.habit == "slow":
+                    sock.setsockopt(plain.SOL_SOCKET, plain.SO_RCVBUF, 2048)
+                sock.settimeout(CONNECT_S)
+                sock.connect((plan.host, plan.ports[self.router]))
+            except OSError:
+                sock.close()
+                gevent.sleep(RETRY_S)
+                continue
+            sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
+            visit = Visit(sock, f"r{self.router}", self.habit == "slow")
+            self.crowd.visits.append(visit.told)
+            self._stay(visit)
+            visit.finish()
+
+    def _stay(self, visit: Visit) -> None:
+        while visit.lasts and visit.stands() and not self.crowd.stopping.is_set():
+            self._turn(visit)
+            if self.habit != "eager" or self.rng.random() < 0.2 or not visit.lasts:
+                gevent.sleep(self.rng.random() * self.crowd.plan.pause_s)
+            if self.habit in ("renews", "closes", "garbles"):
+                return
+
+    def _turn(self, visit: Visit) -> None:
+        many = self.rng.randint(2, 6) if self.habit == "pipelines" else 1
+        many = self.rng.choice([1, 1, 1, 3]) if self.habit == "garbles" else many
+        made = [self._request() for _ in range(many)]
+        raw = b"".join(text for _, text in made)
+        if self.habit == "garbles":
+            visit.told["malformed_from"] = len(visit.requests) + many
+            raw += self.rng.choice(
+                [b"\x00\x01nonsense\r\n\r\n", b"POST / HTTP/9.9\r\n\r\n", raw[:40] + b"\r\n\r\n\r\n"]
+            )
+        asked = [one for one, _ in made]
+        try:
+            self._send(visit, raw, asked)
+        except OSError:
+            # Not wholly handed over, so nothing is owed; some may have come all the same.
+            return visit.leave("leaves")
+        if self.habit in ("leaves", "resets", "half") and self.rng.random() < 0.6:
+            gevent.sleep(self.rng.choice([0.0, 0.001, 0.01, 0.05, 0.3]) * self.rng.random() * 2)
+            visit.leave(self.habit)
+            return
+        for one in asked:
+            if "ended" not in visit.told and "closed_at" not in visit.told:
+                visit.read(one)
+
+    def _send(self, visit: Visit, raw: bytes, asked: list[dict[str, Any]]) -> None:
+        visit.sock.settimeout(CONNECT_S)
+        if self.habit == "stops" and self.rng.random() < 0.5:
+            visit.sock.sendall(raw[: self.rng.randrange(1, len(raw))])
+            gevent.sleep(self.rng.random() * 0.1)
+            return visit.leave(self.rng.choice(["leaves", "resets"]))
+        if self.habit == "bytewise":
+            for at in range(0, len(raw) - 1):
+                visit.sock.sendall(raw[at : at + 1])
+                if at % 50 == 0:
+                    gevent.sleep(0)
+            raw = raw[-1:]
+        for last in (False, True):
+            for one in asked:
+                one["sent_at"] = time.monotonic()
+            if not last:
+                visit.requests += asked
+                visit.sock.sendall(raw)
+
+    def _request(self) -> tuple[dict[str, Any], bytes]:
+        plan, rng = self.crowd.plan, self.rng
+        kind = rng.choice(plan.kinds)
+        self.count += 1
+        id = f"{self.name}-{self.count}"
+        prompt = max(1, round(plan.mean_prompt * rng.lognormvariate(0.0, plan.spread)))
+        body = json.dumps({"model": "chat", "stream": True, "q": id}).encode()
+        left = kind.left_ms
+        head = (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: {id}\r\n"
+            f"X-Service-Class: {kind.name}\r\nX-Account: {rng.choice(plan.accounts)}\r\n"
+            f"X-Session-Key: {rng.getrandbits(64):016x}\r\nX-Time-Left-Ms: {left}\r\n"
+            f"X-Facts: prompt_len={prompt},max_out=8\r\nContent-Length: {len(body)}\r\n"
+        )
+        if self.habit == "closes":
+            head += "Connection: close\r\n"
+        asked = {
+            "id": id,
+            "sent_at": 0.0,
+            "left_s": left / 1000.0,
+            "digest": sha256(body).hexdigest(),
+            "status": 0,
+            "whole": False,
+            "first_at": 0.0,
+            "answered_at": 0.0,
+            "words": [],
+            "length": EVENTS,
+        }
+        return asked, head.encode("latin-1") + b"\r\n" + body
+
+
+class Crowd:
+    """All clients."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.visits: list[dict[str, Any]] = []
+        self.away: set[int] = set()
+        self.stopping = Event()
+        self._running: list[Any] = []
+
+    def obey(self, line: str) -> str:
+        """Carry out one line of standard input; its answer."""
+        word, *rest = line.split()
+        if word == "begin":
+            self._running = [
+                gevent.spawn(Client(self, router, number, habit).run)
+                for router in range(len(self.plan.ports))
+                for number, habit in enumerate(self.plan.habits)
+            ]
+        elif word == "asked":
+            return json.dumps(sum(len(one["requests"]) for one in self.visits))
+        elif word == "stop":
+            self.stopping.set()
+            gevent.joinall(self._running)
+            return json.dumps(self.visits)
+        elif word in ("away", "back") and rest:
+            chosen = {int(one) for one in rest[0].split(",")}
+            self.away = self.away | chosen if word == "away" else self.away - chosen
+        else:
+            return f"error: {line[:80]}"
+        return "ok"
+
+
+def main(argv: list[str]) -> None:
+    """Ask, and obey."""
+    loopback.most_files()
+    crowd = Crowd(msgspec.json.decode(argv[1], type=Plan))
+    obey_lines(float(argv[0]), crowd.obey)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/tests/fleet_record.py
@@ -0,0 +1,351 @@
+"""Runs of real processes with drawn settings and faults, and their records, on which terms are checked."""
+
+from __future__ import annotations
+
+import json
+import time
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from spoolbarrow.lab.cluster import LIFE_S, LISTEN, Cluster, Process
+from spoolbarrow.lab.cold import Figures
+from spoolbarrow.lab.recorded_clients import HABITS, Plan
+from tests.terms import Arrival, Connection, Death, Record, Terms, Told, Violation, check
+
+NAMES = ("chat", "a", "Doc-Query", "batch.low", "x" * 60, "7", "zeta_2")
+EFFECTS = ("retryable", "dedup", "fragile")
+AWAY_S = 0.25  # from SIGTERM until the front sends no new connections
+LISTED_S = 10.0
+FAULTS = (
+    "odd",
+    "hang",
+    "restart",
+    "down",
+    "full",
+    "slow",
+    "replace",
+    "term",
+    "kill",
+    "reset",
+    "drain",
+    "mute",
+)
+
+
+class Scene(Struct, frozen=True):
+    """What a run is made of: all of it drawn from the seed."""
+
+    seed: int
+    zones: dict[str, int]
+    routers: list[str]
+    settings: dict[str, Any]
+    limits: dict[str, Any]
+    figures: Figures | None
+    plan: dict[str, Any]  # without the ports
+    faults: list[tuple[float, str]]  # at so many seconds, what
+    length_s: float
+    known: str
+    gates: bool
+
+
+def draw_settings(rng: Random, figures: Figures) -> dict[str, Any]:
+    """The platform's settings over their whole legal range."""
+    names = rng.sample(NAMES, rng.randint(1, 4))
+    classes = [
+        {
+            "Name": name,
+            "AimMs": rng.choice([50.0, 200.0, 1200.0, 3000.0, 60e3]),
+            "DeadlineMs": rng.choice([1000.0, 1000.0, 1500.0, 2500.0, 4000.0]),
+            "Effect": rng.choice(EFFECTS),
+            "Group": rng.choice(["all", "zone", "cell"]),
+            "RepeatWindowMs": rng.choice([0.0, 1.0, 50.0, 500.0, 5000.0]),
+            "Importance": rng.choice([0.0, 0.5, 1.0, 3.0]),
+            "LateShare": rng.choice([0.0, 0.25, 1.0]),
+            "Stream": True,
+        }
+        for name in names
+    ]
+    tenants = [
+        {"Name": name, "Portion": rng.random(), "QuotaPerS": rng.choice([0.0, 1.0, 100.0])}
+        for name in rng.sample(["acme", "b", "Court 3"], rng.randint(0, 3))
+    ]
+    return {
+        "Classes": classes,
+        "Tenants": tenants,
+        "TickMs": rng.choice([0.0, 1.0, 5.0, 20.0]),
+        "Discovery": rng.choice(["subscribe", "automatic"]),
+        "Fees": rng.choice([{}, {"CrossZone": 0.3, "Waste": 0.3, "Probe": 0.002}]),
+        "Stats": rng.choice([{"Via": "off"}, {"Fields": ["x1", "load_share", "x0"], "Via": "on_probe"}]),
+        "Specifics": {"Resume": rng.random() < 0.3},
+        "Limits": {
+            "MaxAttempts": rng.choice([1, 1, 2, 3, 6]),
+            "RetryAfter": rng.random() < 0.7,
+            "Cancelling": rng.random() < 0.7,
+            "SecondCopies": rng.random() < 0.5,
+            "MaxRetryAfterMs": rng.choice([100.0, 1000.0, 5000.0]),
+            "Probing": rng.random() < 0.5,
+            "ConnectTimeoutMs": rng.choice([50.0, 200.0, 1000.0]),
+            "ConnIdleMs": rng.choice([200.0, 1000.0, 30_000.0]),
+        },
+        "Invariants": {
+            "ColdFrom": figures.cold_from,
+            "ColdMs": figures.cold_ms,
+            "OverloadFactor": figures.overload_factor,
+            "TipAfterMs": figures.tip_after_ms,
+            "DrainGraceMs": rng.choice([0.0, 250.0, 1000.0]),
+            "MustAskInMs": rng.choice([0.0, 5000.0]),
+        },
+    }
+
+
+def draw_scene(seed: int, routers: int, length_s: float = 8.0, each: int = 4) -> Scene:
+    """A run by its seed."""
+    rng = Random(seed)
+    figures = Figures(
+        per_s=rng.choice([10.0, 20.0, 40.0]),
+        cold_from=rng.choice([0.05, 0.12, 0.34, 1.0]),
+        cold_ms=rng.choice([2000.0, 5000.0, 10_000.0]),
+        overload_factor=rng.choice([1.0, 2.0, 4.0]),
+        tip_after_ms=rng.choice([500.0, 1000.0, 2000.0]),
+    )
+    settings = draw_settings(rng, figures)
+    count = rng.randint(1, 3)
+    zones = {f"z{n}": rng.randint(2, 4 - count // 2) for n in range(count)}
+    settings["Zones"] = list(zones)
+    engines = sum(zones.values())
+    kinds = [{"name": one["Name"], "left_ms": int(one["DeadlineMs"])} for one in settings["Classes"]]
+    clients = routers * each
+    asked = rng.choice([0.3, 0.8, 1.3]) * figures.per_s * engines  # a second
+    plan = {
+        "kinds": kinds,
+        "accounts": [one["Name"] for one in settings["Tenants"]] or ["acme"],
+        "habits": [rng.choice(HABITS) for _ in range(each)],
+        "pause_s": min(2.0, max(0.01, 2 * clients / asked)),
+        "spread": rng.choice([0.0, 0.5, 1.0]),
+        "seed": seed,
+    }
+    faults = sorted(
+        (round(rng.uniform(0.5, length_s - 2.0), 2), rng.choice(FAULTS)) for _ in range(rng.randint(2, 6))
+    )
+    limits = {"cores": 1.0, "memory_mb": 192.0, "sockets": rng.choice([64, 100, 256, 1024])}
+    return Scene(
+        seed=seed,
+        zones=zones,
+        routers=[rng.choice(list(zones)) for _ in range(routers)],
+        settings=settings,
+        limits=limits,
+        figures=figures,
+        plan=plan,
+        faults=faults,
+        length_s=length_s,
+        known=rng.choice(["none", "old"]),
+        gates=rng.random() < 0.3,
+    )
+
+
+class Run:
+    """A scene's processes while it is played."""
+
+    def __init__(self, folder: Path, scene: Scene) -> None:
+        self.scene, self.rng = scene, Random(scene.seed + 1)
+        self.told: list[Told] = []
+        self.deaths: list[Death] = []
+        self.steps: list[str] = []
+        self.logs: dict[str, list[str]] = {}  # by router: lines of processes that have ended
+        self.made = Cluster(
+            folder,
+            scene.zones,
+            scene.routers,
+            "",
+            gates=scene.gates,
+            control=False,
+            figures=scene.figures,
+            settings=scene.settings,
+            limits=scene.limits,
+            engines="recorded_engines",
+            known=scene.known,
+        )
+
+    def play(self) -> Record:
+        """All of it, to the end."""
+        made = self.made
+        try:
+            made.start()
+            plan = msgspec.convert({**self.scene.plan, "ports": made.ports, "host": LISTEN}, Plan)
+            self.clients = Process(
+                "-m",
+                "spoolbarrow.lab.recorded_clients",
+                str(LIFE_S),
+                msgspec.json.encode(plan).decode(),
+                stdin=True,
+            )
+            made.started.append(self.clients)
+            self.clients.tell("begin")
+            self.begun = time.monotonic()
+            for at, fault in self.scene.faults:
+                self._until(at)
+                self.note(fault)
+                getattr(self, f"_{fault}")()
+            self._until(self.scene.length_s)
+            return self.end()
+        finally:
+            self.keep_logs()
+            made.end(kill=True)
+
+    def end(self) -> Record:
+        """Stop asking, and take the record."""
+        visits = self.clients.ask("stop")
+        arrivals = self.made.engines.ask("arrivals")
+        figures = self.scene.figures
+        terms = None
+        if figures is not None:
+            terms = Terms(
+                overload_factor=figures.overload_factor,
+                cold_from=figures.cold_from,
+                cold_ms=figures.cold_ms,
+                tip_after_ms=figures.tip_after_ms,
+                per_s=figures.per_s,
+            )
+        return Record(
+            connections=tuple(msgspec.convert(visits, list[Connection])),
+            arrivals=tuple(msgspec.convert(arrivals, list[Arrival])),
+            told=tuple(self.told),
+            deaths=tuple(self.deaths),
+            terms=terms,
+        )
+
+    def note(self, what: str) -> None:
+        self.steps.append(f"{time.monotonic() - self.begun:.2f} {what} ({time.monotonic():.3f})")
+
+    def keep_logs(self) -> None:
+        for number, router in enumerate(self.made.routers):
+            self.logs.setdefault(f"r{number}", []).extend(router.lines)
+
+    def _until(self, at: float) -> None:
+        time.sleep(max(0.0, self.begun + at - time.monotonic()))
+
+    def _engine(self) -> int:
+        return self.rng.randrange(len(self.made.names))
+
+    def _router(self) -> int:
+        return self.rng.randrange(len(self.made.ports))
+
+    # Faults of engines
+
+    def _odd(self) -> None:
+        self.made.engines.tell(f"* odd {self.rng.choice([0.05, 0.2, 0.5])}")
+
+    def _hang(self) -> None:
+        self.made.engines.tell(f"{self._engine()} hang")
+
+    def _down(self) -> None:
+        self.made.engines.tell(f"{self._engine()} down")
+
+    def _full(self) -> None:
+        self.made.engines.tell(f"{self._engine()} full")
+
+    def _slow(self) -> None:
+        self.made.engines.tell(f"{self._engine()} slow {self.rng.choice([300, 1200, 4000])}")
+
+    def _restart(self) -> None:
+        engine = self._engine()
+        self.made.restart_engines([engine])
+        self._tell(engine)
+
+    def _replace(self) -> None:
+        """It leaves the list, is another's process, and is listed again."""
+        engine = self._engine()
+        self.made.out.add(engine)
+        self.made.list_again()
+        self.made.engines.tell(f"{engine} down")
+        time.sleep(0.3)
+        self.made.out.discard(engine)
+        self.made.restart_engines([engine])
+        self._tell(engine)
+
+    def _drain(self) -> None:
+        self.made.draining = {self._engine()}
+        self.made.list_again()
+
+    def _reset(self) -> None:
+        if not self.scene.gates:
+            return
+        gates = self.made.gates([self._engine()])
+        self.made.fault("reset", gates)
+        time.sleep(0.2)
+        self.made.fault("pass", gates)
+
+    def _mute(self) -> None:
+        self.made.service.tell("* mute")
+
+    def _tell(self, engine: int) -> None:
+        now = time.monotonic()
+        starts = self.made.engines.ask("starts")
+        for router in range(len(self.made.ports)):
+            self.told.append(
+                Told(router=f"r{router}", engine=f"e{engine}", started_at=starts[engine], at=now)
+            )
+
+    # Faults of routers
+
+    def _term(self) -> None:
+        number = self._router()
+        router = self.made.routers[number]
+        router.popen.terminate()
+        time.sleep(AWAY_S)
+        self.clients.tell(f"away {number}")
+        router.popen.wait(30)
+        self.note(f"r{number} ended with {router.popen.returncode}")
+        self._again(number)
+
+    def _kill(self) -> None:
+        number = self._router()
+        self.deaths.append(Death(router=f"r{number}", at=time.monotonic()))
+        self.made.kill_router(number)
+        self._again(number)
+
+    def _again(self, number: int) -> None:
+        self.logs.setdefault(f"r{number}", []).extend(self.made.routers[number].lines)
+        self.made.routers[number] = self.made.start_router(number)
+        with suppress(AssertionError):  # where none is listed, it serves none
+            self.made.wait_listed([number], LISTED_S)
+        self.clients.tell(f"back {number}")
+
+
+def report(run: Run, record: Record, violations: list[Violation]) -> str:
+    """What a run was and what it broke, for whoever looks into it."""
+    lines = [f"seed {run.scene.seed}", *(f"  {step}" for step in run.steps)]
+    for one in violations:
+        lines.append(f"{one.term}: {one.id}: {one.message}")
+        asked = [a for c in record.connections for a in c.requests if a.id == one.id]
+        visits = [c for c in record.connections if any(a.id == one.id for a in c.requests)]
+        for visit in visits:
+            lines.append(
+                f"    on {visit.router} ended={visit.ended} at {visit.ended_at:.3f},"
+                f" closed {visit.closed_at:.3f},"
+                f" of {len(visit.requests)}: {[a.id for a in visit.requests].index(one.id)}"
+            )
+        lines += [f"    {msgspec.json.encode(a).decode()}" for a in asked]
+        lines += [f"    {msgspec.json.encode(a).decode()}" for a in record.arrivals if a.id == one.id]
+        for name, log in run.logs.items():
+            lines += [f"    {name} {line}" for line in log if f'"{one.id}"' in line]
+    for name, log in run.logs.items():
+        lines += [f"    {name} {line}" for line in log if '"unexpected"' in line]
+    return "\n".join(lines)
+
+
+def play(folder: Path, scene: Scene) -> tuple[Run, Record, list[Violation]]:
+    """A scene's run, its record, and what it broke."""
+    run = Run(folder, scene)
+    record = run.play()
+    return run, record, check(record)
+
+
+def describe(scene: Scene) -> str:
+    """The scene in JSON."""
+    return json.dumps(msgspec.to_builtins(scene))
--- a/tests/terms.py
+++ b/tests/terms.py
@@ -17,6 +17,7 @@
 GONE_SLACK_S = 0.1  # from a client's end, or its answer, to the first byte of the last attempt for it
 TOLD_SLACK_S = 0.15  # that an engine may be told beyond what the client has left
 FEW = 30.0  # calls: below this a budget's chance counts for more
+CLIENTS_FAULT = frozenset(range(400, 500)) - {429}  # statuses; 429 declines, as 503 does
 TOLD_SHARE = 2.0 / 3.0  # of the work at an engine that fell, from routers told of its start
 
 
@@ -142,6 +143,8 @@
     due = asked.sent_at + asked.left_s + ANSWER_SLACK_S
     until = min(asked.answered_at or inf, connection.ended_at)
     if asked.whole:
+        if asked.status in CLIENTS_FAULT and connection.malformed_from < 0:
+            return f"answered {asked.status}, and nothing was wrong with it"
         # Once a stream has begun, no deadline runs; any other answer counts by its last byte.
         at = asked.first_at if asked.status == 200 else asked.answered_at
         if at <= due or connection.closed_at <= due:
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -75,6 +75,14 @@
     assert found.id == "q" and "after its deadline" in found.message
 
 
+@pytest.mark.parametrize("status", [400, 404, 409, 431])
+def test_a_request_that_is_well_is_not_told_that_it_is_wrong(status: int) -> None:
+    wrong = on(replace(SERVED, status=status, words=()))
+    assert len(answered(record(wrong))) == 1
+    assert answered(record(replace(wrong, malformed_from=1))) == []  # what follows spoils its framing
+    assert answered(record(on(replace(SERVED, status=429, words=())))) == []
+
+
 def test_an_answer_too_late_for_a_client_that_left_in_time_is_none_too_late() -> None:
     late = on(replace(SERVED, first_at=DUE + 1.0))
     assert answered(record(replace(late, closed_at=DUE))) == []
