--- a/spoolbarrow/lab/recorded_clients.py
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -254,7 +254,6 @@
 
     def _turn(self, visit: Visit) -> None:
         many = self.rng.randint(2, 6) if self.habit == "pipelines" else 1
-        many = self.rng.choice([1, 1, 1, 3]) if self.habit == "garbles" else many
         made = [self._request() for _ in range(many)]
         raw = b"".join(text for _, text in made)
         if self.habit == "garbles":
--- a/tests/fleet_record.py
+++ b/tests/fleet_record.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -21,6 +22,7 @@
 EFFECTS = ("retryable", "dedup", "fragile")
 AWAY_S = 0.25  # from SIGTERM until the front sends no new connections
 LISTED_S = 10.0
+COLD_FAULTS = ("restart", "restart_some", "restart_some", "lose_warm", "kill", "term", "replace")
 FAULTS = (
     "odd",
     "hang",
@@ -103,8 +105,15 @@
     }
 
 
-def draw_scene(seed: int, routers: int, length_s: float = 8.0, each: int = 4) -> Scene:
-    """A run by its seed."""
+def draw_scene(
+    seed: int,
+    routers: int,
+    length_s: float = 8.0,
+    each: int = 4,
+    faults: Sequence[str] = FAULTS,
+    least: float = 0.3,
+) -> Scene:
+    """A run by its seed; clients ask for the share `least` at least of what warm engines can do."""
     rng = Random(seed)
     figures = Figures(
         per_s=rng.choice([10.0, 20.0, 40.0]),
@@ -120,7 +129,7 @@
     engines = sum(zones.values())
     kinds = [{"name": one["Name"], "left_ms": int(one["DeadlineMs"])} for one in settings["Classes"]]
     clients = routers * each
-    asked = rng.choice([0.3, 0.8, 1.3]) * figures.per_s * engines  # a second
+    asked = max(least, rng.choice([0.3, 0.8, 1.3])) * figures.per_s * engines  # a second
     plan = {
         "kinds": kinds,
         "accounts": [one["Name"] for one in settings["Tenants"]] or ["acme"],
@@ -129,8 +138,8 @@
         "spread": rng.choice([0.0, 0.5, 1.0]),
         "seed": seed,
     }
-    faults = sorted(
-        (round(rng.uniform(0.5, length_s - 2.0), 2), rng.choice(FAULTS)) for _ in range(rng.randint(2, 6))
+    drawn = sorted(
+        (round(rng.uniform(0.5, length_s - 2.0), 2), rng.choice(faults)) for _ in range(rng.randint(2, 6))
     )
     limits = {"cores": 1.0, "memory_mb": 192.0, "sockets": rng.choice([64, 100, 256, 1024])}
     return Scene(
@@ -141,7 +150,7 @@
         limits=limits,
         figures=figures,
         plan=plan,
-        faults=faults,
+        faults=drawn,
         length_s=length_s,
         known=rng.choice(["none", "old"]),
         gates=rng.random() < 0.3,
@@ -155,6 +164,7 @@
         self.scene, self.rng = scene, Random(scene.seed + 1)
         self.told: list[Told] = []
         self.deaths: list[Death] = []
+        self.cuts: list[tuple[str, float]] = []  # by the proxy: an engine, and until when
         self.steps: list[str] = []
         self.logs: dict[str, list[str]] = {}  # by router: lines of processes that have ended
         self.made = Cluster(
@@ -200,7 +210,7 @@
     def end(self) -> Record:
         """Stop asking, and take the record."""
         visits = self.clients.ask("stop")
-        arrivals = self.made.engines.ask("arrivals")
+        arrivals = [self._cut(one) for one in self.made.engines.ask("arrivals")]
         figures = self.scene.figures
         terms = None
         if figures is not None:
@@ -219,6 +229,13 @@
             terms=terms,
         )
 
+    def _cut(self, arrival: dict[str, Any]) -> dict[str, Any]:
+        """What the proxy broke was not the router's doing."""
+        for engine, at in self.cuts:
+            if arrival["engine"] == engine and arrival["first_at"] < at and arrival["end"] == "left":
+                return {**arrival, "end": "broken"}
+        return arrival
+
     def note(self, what: str) -> None:
         self.steps.append(f"{time.monotonic() - self.begun:.2f} {what} ({time.monotonic():.3f})")
 
@@ -257,6 +274,23 @@
         self.made.restart_engines([engine])
         self._tell(engine)
 
+    def _restart_some(self) -> None:
+        """Several engines begin anew in one instant: what the others bore comes to them."""
+        count = self.rng.randint(2, len(self.made.names))
+        chosen = self.rng.sample(range(len(self.made.names)), count)
+        self.made.restart_engines(chosen)
+        for engine in chosen:
+            self._tell(engine)
+
+    def _lose_warm(self) -> None:
+        """Half of the engines are lost, and half of the others begin anew."""
+        order = self.rng.sample(range(len(self.made.names)), len(self.made.names))
+        lost, new = order[: len(order) // 2], order[len(order) // 2 :][::2]
+        self.made.engines.tell(f"{','.join(map(str, lost))} down")
+        self.made.restart_engines(new)
+        for engine in new:
+            self._tell(engine)
+
     def _replace(self) -> None:
         """It leaves the list, is another's process, and is listed again."""
         engine = self._engine()
@@ -275,9 +309,11 @@
     def _reset(self) -> None:
         if not self.scene.gates:
             return
-        gates = self.made.gates([self._engine()])
+        engine = self._engine()
+        gates = self.made.gates([engine])
         self.made.fault("reset", gates)
         time.sleep(0.2)
+        self.cuts.append((f"e{engine}", time.monotonic()))
         self.made.fault("pass", gates)
 
     def _mute(self) -> None:
--- a/tests/terms.py
+++ b/tests/terms.py
@@ -126,6 +126,8 @@
     Free of it are requests whose router was killed; those whose stream the engine broke, which end without
     their end; and those that crossed the end of a connection between two requests, unread: the kernel says
     so by a reset, and not one byte of an answer came. A first request on a connection crosses nothing.
+    Answers come in the order of requests: one sent behind another is due when that has its answer, if that
+    is later, and nothing is owed behind a stream that its engine broke.
     """
     broken = {one.id for one in record.arrivals if one.end == "broken"}
     found: list[Violation] = []
@@ -140,7 +142,10 @@
 
 
 def _unanswered(record: Record, connection: Connection, place: int, asked: Asked, broken: set[str]) -> str:
-    due = asked.sent_at + asked.left_s + ANSWER_SLACK_S
+    before = connection.requests[:place]
+    if any(one.status == 200 and not one.whole and one.id in broken for one in before):
+        return ""  # their stream broke, and its connection had to end with it
+    due = max([asked.sent_at + asked.left_s, *(one.answered_at for one in before)]) + ANSWER_SLACK_S
     until = min(asked.answered_at or inf, connection.ended_at)
     if asked.whole:
         if asked.status in CLIENTS_FAULT and connection.malformed_from < 0:
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -127,6 +127,21 @@
     assert answered(record(replace(cut, closed_at=11.4))) == []
 
 
+def test_a_request_sent_behind_another_is_due_when_that_has_its_answer() -> None:
+    first = replace(SERVED, id="p", answered_at=DUE + 1.0)
+    late = DUE + 1.0 + ANSWER_SLACK_S
+    second = replace(SERVED, status=504, words=(), first_at=late, answered_at=late)
+    assert answered(record(on(second, first))) == []
+    assert len(answered(record(on(replace(second, answered_at=late + A_LITTLE), first)))) == 1
+
+
+def test_nothing_is_owed_behind_a_stream_that_its_engine_broke() -> None:
+    cut = replace(SERVED, id="p", **{**HALF, "words": ()})
+    cut_off = on(replace(SERVED, **NOTHING), cut, ended="eof", ended_at=11.5)
+    assert answered(record(cut_off, arrivals=(replace(SENT, id="p", end="broken"),))) == []
+    assert len(answered(record(cut_off, arrivals=(replace(SENT, id="p"),)))) == 2
+
+
 def test_nothing_is_owed_for_what_is_no_request_and_behind_it() -> None:
     asked = replace(SERVED, **NOTHING)
     assert answered(record(on(asked, SERVED, malformed_from=1))) == []
