--- a/spoolbarrow/lab/recorded_clients.py
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -38,6 +38,7 @@
 SLOW_READ, SLOW_PAUSE_S = 256, 0.01
 RESET_S = 0.02  # for a reset to come behind an end
 RETRY_S = 0.05  # before a client tries to connect again
+HOT = "5c0f6e1a2b3d4c59"  # what prompts that begin alike begin with
 HABITS = (
     "keeps",  # its connection, and pauses between requests
     "eager",  # the same, and asks again in the instant in which an answer has ended
@@ -72,6 +73,8 @@
     pause_s: float = 0.1  # at most, between a client's requests
     mean_prompt: float = 40.0
     spread: float = 0.0  # of prompts' lengths, as sigma of their logarithm
+    hot: float = 0.0  # share of requests whose prompts begin alike
+    sessions: int = 0  # of a client; 0: each request is of its own
     seed: int = 1
 
 
@@ -294,6 +297,11 @@
                 visit.requests += asked
                 visit.sock.sendall(raw)
 
+    def _session(self) -> str:
+        if not self.crowd.plan.sessions:
+            return f"{self.rng.getrandbits(64):016x}"
+        return sha256(f"{self.name} {self.rng.randrange(self.crowd.plan.sessions)}".encode()).hexdigest()[:16]
+
     def _request(self) -> tuple[dict[str, Any], bytes]:
         plan, rng = self.crowd.plan, self.rng
         kind = rng.choice(plan.kinds)
@@ -302,11 +310,12 @@
         prompt = max(1, round(plan.mean_prompt * rng.lognormvariate(0.0, plan.spread)))
         body = json.dumps({"model": "chat", "stream": True, "q": id}).encode()
         left = kind.left_ms
+        prefix = f"prefix={HOT},prefix_len={prompt // 2}," if rng.random() < plan.hot else ""
         head = (
             f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: {id}\r\n"
             f"X-Service-Class: {kind.name}\r\nX-Account: {rng.choice(plan.accounts)}\r\n"
-            f"X-Session-Key: {rng.getrandbits(64):016x}\r\nX-Time-Left-Ms: {left}\r\n"
-            f"X-Facts: prompt_len={prompt},max_out=8\r\nContent-Length: {len(body)}\r\n"
+            f"X-Session-Key: {self._session()}\r\nX-Time-Left-Ms: {left}\r\n"
+            f"X-Facts: {prefix}prompt_len={prompt},max_out=8\r\nContent-Length: {len(body)}\r\n"
         )
         if self.habit == "closes":
             head += "Connection: close\r\n"
--- a/tests/fleet_record.py
+++ b/tests/fleet_record.py
@@ -22,7 +22,7 @@
 EFFECTS = ("retryable", "dedup", "fragile")
 AWAY_S = 0.25  # from SIGTERM until the front sends no new connections
 LISTED_S = 10.0
-COLD_FAULTS = ("restart", "restart_some", "restart_some", "lose_warm", "kill", "term", "replace")
+COLD_FAULTS = ("restart", "restart_some", "restart_some", "lose_warm", "kill", "term", "replace", "shrink")
 FAULTS = (
     "odd",
     "hang",
@@ -136,6 +136,8 @@
         "habits": [rng.choice(HABITS) for _ in range(each)],
         "pause_s": min(2.0, max(0.01, 2 * clients / asked)),
         "spread": rng.choice([0.0, 0.5, 1.0]),
+        "hot": rng.choice([0.0, 0.3, 1.0]),
+        "sessions": rng.choice([0, 1, 5]),
         "seed": seed,
     }
     drawn = sorted(
@@ -291,6 +293,15 @@
         for engine in new:
             self._tell(engine)
 
+    def _shrink(self) -> None:
+        """Half of the engines leave the list, and half of the others begin anew."""
+        order = self.rng.sample(range(len(self.made.names)), len(self.made.names))
+        self.made.out |= set(order[: len(order) // 2])
+        new = order[len(order) // 2 :][::2]
+        self.made.restart_engines(new)
+        for engine in new:
+            self._tell(engine)
+
     def _replace(self) -> None:
         """It leaves the list, is another's process, and is listed again."""
         engine = self._engine()
