--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -17,6 +17,7 @@
     Connection,
     Death,
     Record,
+    Starved,
     Terms,
     Told,
     Word,
@@ -83,6 +84,14 @@
     assert answered(record(on(replace(SERVED, status=429, words=())))) == []
 
 
+def test_an_answer_may_be_later_by_as_long_as_its_router_had_no_processor() -> None:
+    late = on(replace(SERVED, first_at=DUE + 0.2))
+    waited = Starved(router="r0", begin=DUE - 0.2, end=DUE, seconds=0.2)
+    assert answered(record(late, starved=(waited,))) == []
+    for other in ({"seconds": 0.2 - A_LITTLE}, {"router": "r1"}, {"begin": DUE + 0.3, "end": DUE + 0.4}):
+        assert len(answered(record(late, starved=(replace(waited, **other),)))) == 1
+
+
 def test_an_answer_too_late_for_a_client_that_left_in_time_is_none_too_late() -> None:
     late = on(replace(SERVED, first_at=DUE + 1.0))
     assert answered(record(replace(late, closed_at=DUE))) == []
@@ -122,7 +131,9 @@
     assert answered(record(cut, arrivals=(broken,))) == []
     assert len(answered(record(cut, arrivals=(SENT,)))) == 1
     assert len(answered(record(cut, arrivals=(replace(broken, id="p"),)))) == 1
+    assert answered(record(cut, arrivals=(SENT,), resumes=True)) == []
     left_open = replace(cut, ended="", ended_at=inf)
+    assert len(answered(record(left_open, arrivals=(SENT,), resumes=True))) == 1
     assert len(answered(record(left_open, arrivals=(broken,)))) == 1
     assert answered(record(replace(cut, closed_at=11.4))) == []
 
