--- a/tests/fleet_record.py
+++ b/tests/fleet_record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import threading
 import time
 from collections.abc import Sequence
@@ -39,6 +40,8 @@
     "reset",
     "drain",
     "mute",
+    "stop",
+    "hang_up",
 )
 
 
@@ -328,6 +331,20 @@
         for engine in new:
             self._tell(engine)
 
+    def _few(self) -> None:
+        """Two engines stay, and both begin anew."""
+        self.made.out |= set(range(2, len(self.made.names)))
+        self.made.restart_engines([0, 1])
+        for engine in (0, 1):
+            self._tell(engine)
+
+    def _all_new(self) -> None:
+        """All engines begin anew in one instant, and all stay."""
+        chosen = list(range(len(self.made.names)))
+        self.made.restart_engines(chosen)
+        for engine in chosen:
+            self._tell(engine)
+
     def _replace(self) -> None:
         """It leaves the list, is another's process, and is listed again."""
         engine = self._engine()
@@ -376,6 +393,19 @@
         self.note(f"r{number} ended with {router.popen.returncode}")
         self._again(number)
 
+    def _stop(self) -> None:
+        """A router's process stands still for a while: a busy machine, or a pause of the whole of it."""
+        number, begin = self._router(), time.monotonic()
+        router = self.made.routers[number]
+        router.popen.send_signal(signal.SIGSTOP)
+        time.sleep(self.rng.choice([0.2, 0.4, 0.8]))
+        router.popen.send_signal(signal.SIGCONT)
+        now = time.monotonic()
+        self.starved.append(Starved(router=f"r{number}", begin=begin, end=now, seconds=now - begin))
+
+    def _hang_up(self) -> None:
+        self.made.hang_up(range(len(self.made.ports)))
+
     def _kill(self) -> None:
         number = self._router()
         self.deaths.append(Death(router=f"r{number}", at=time.monotonic()))
@@ -406,7 +436,7 @@
         lines += [f"    {msgspec.json.encode(a).decode()}" for a in asked]
         lines += [f"    {msgspec.json.encode(a).decode()}" for a in record.arrivals if a.id == one.id]
         for name, log in run.logs.items():
-            lines += [f"    {name} {line}" for line in log if f'"{one.id}"' in line]
+            lines += [f"    {name} {line}" for line in log if f'"id":"{one.id}"' in line]
     for name, log in run.logs.items():
         lines += [f"    {name} {line}" for line in log if '"unexpected"' in line]
     return "\n".join(lines)
