--- a/tests/test_fleet_terms.py
+++ b/tests/test_fleet_terms.py
@@ -11,7 +11,9 @@
 from pathlib import Path
 
 import pytest
+from msgspec.structs import replace
 
+from spoolbarrow.lab.cold import Figures
 from tests.fleet_record import COLD_FAULTS, FAULTS, Scene, draw_scene, play, report
 
 
@@ -32,3 +34,60 @@
 
 def test_drawn_settings_and_faults_break_no_term_with_two_dozen_processes(tmp_path: Path) -> None:
     kept(tmp_path, draw_scene(400, 22, 5.0, 3, COLD_FAULTS), 100)
+
+
+def few_left(seed: int, routers: int, attempts: int) -> Scene:
+    """Of six engines two are left, both begin anew, and all that the six were asked for comes to them."""
+    each = 30
+    figures = Figures(per_s=20.0, cold_from=0.12, cold_ms=4000.0, overload_factor=2.5, tip_after_ms=1000.0)
+    drawn = draw_scene(seed, routers, 4.5, each)
+    chat = {"Name": "chat", "AimMs": 2000.0, "DeadlineMs": 4000.0, "Effect": "retryable", "Stream": True}
+    settings = {
+        **drawn.settings,
+        "Classes": [chat],
+        "Tenants": [],
+        "Zones": ["z0"],
+        "Discovery": "subscribe",
+        "Stats": {"Via": "off"},
+        "Specifics": {"Resume": False},
+        "Limits": {
+            "MaxAttempts": attempts,
+            "RetryAfter": True,
+            "Cancelling": True,
+            "SecondCopies": True,
+            "Probing": False,
+            "ConnectTimeoutMs": 200.0,
+        },
+        "Invariants": {
+            "ColdFrom": figures.cold_from,
+            "ColdMs": figures.cold_ms,
+            "OverloadFactor": figures.overload_factor,
+            "TipAfterMs": figures.tip_after_ms,
+        },
+    }
+    plan = {
+        "kinds": [{"name": "chat", "left_ms": 4000}],
+        "accounts": ["acme"],
+        "habits": ["keeps"] * each,
+        "pause_s": 2 * each * routers / (4.0 * figures.per_s * 6),
+        "seed": seed,
+    }
+    return replace(
+        drawn,
+        zones={"z0": 6},
+        routers=["z0"] * routers,
+        settings=settings,
+        limits={"cores": 1.0, "memory_mb": 192.0, "sockets": 1024},
+        figures=figures,
+        plan=plan,
+        faults=[(1.0, "few")],
+        gates=False,
+        known="old",
+    )
+
+
+@pytest.mark.parametrize("attempts", [1, 3])
+def test_two_engines_in_slow_start_that_are_all_there_is_are_not_overloaded(
+    tmp_path: Path, attempts: int
+) -> None:
+    kept(tmp_path, few_left(1, 4, attempts), 100)
