--- /dev/null
+++ b/tests/test_pipeline_terms.py
@@ -0,0 +1,17 @@
+"""Requests that were read whole, and what comes behind them that is none."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.stage import ask, serve_all, stage
+
+
+@pytest.mark.parametrize("behind", [b"\x00nonsense\r\n\r\n", b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n"])
+def test_each_request_read_before_a_malformed_one_has_an_answer(behind: bytes) -> None:
+    """On a new connection: each has its own, and the connection ends behind the last of them."""
+    ids = ["one", "two", "three"]
+    with stage(serve_all) as (scene, _):
+        client = scene.client().send(b"".join(ask(X_Correlation_Id=id) for id in ids) + behind)
+        for _id in ids:
+            assert client.answer().whole
