--- a/spoolbarrow/lab/recorded_clients.py
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -30,11 +30,14 @@
 from spoolbarrow.lab.orders import obey_lines
 from spoolbarrow.lab.recorded_engines import received_at
 from spoolbarrow.lab.standin import EVENTS, reset
+from spoolbarrow.lab.wire import chunk
 from spoolbarrow.net import tcpinfo
 
 CONNECT_S = 5.0
+GO_AHEAD = 100  # a status: the body may come
 SLACK_S = 2.0  # beyond a request's time, and between a stream's bytes, until a client gives up
 MOST_SMALL = 700  # bytes of a request that is written byte by byte
+LARGE = 150_000
 SLOW_READ, SLOW_PAUSE_S = 256, 0.01
 RESET_S = 0.02  # for a reset to come behind an end
 RETRY_S = 0.05  # before a client tries to connect again
@@ -51,6 +54,9 @@
     "garbles",  # what is no request, behind one that is
     "slow",  # to read
     "bytewise",  # writes single bytes
+    "chunked",  # sends its body in chunks, in two writes
+    "large",  # sends a body of LARGE bytes
+    "expects",  # the word to send its body
     "stops",  # in the middle of a request
 )
 
@@ -144,6 +150,9 @@
     def _read(self, asked: dict[str, Any]) -> None:
         self._wait(asked["sent_at"] + asked["left_s"] + SLACK_S)
         status = int(self.reader.line().split()[1])
+        while status == GO_AHEAD:
+            self.reader.line()
+            status = int(self.reader.line().split()[1])
         asked["status"], asked["first_at"] = status, self.reader.at
         fields: dict[bytes, bytes] = {}
         while line := self.reader.line():
@@ -290,6 +299,8 @@
                 if at % 50 == 0:
                     gevent.sleep(0)
             raw = raw[-1:]
+        if self.habit in ("chunked", "expects"):
+            raw = self._send_head(visit, raw)
         for last in (False, True):
             for one in asked:
                 one["sent_at"] = time.monotonic()
@@ -297,6 +308,13 @@
                 visit.requests += asked
                 visit.sock.sendall(raw)
 
+    def _send_head(self, visit: Visit, raw: bytes) -> bytes:
+        """The head first; what is left to send."""
+        head, end, body = raw.partition(b"\r\n\r\n")
+        visit.sock.sendall(head + end)
+        gevent.sleep(self.rng.choice([0.0, 0.02, 0.2]))
+        return body
+
     def _session(self) -> str:
         if not self.crowd.plan.sessions:
             return f"{self.rng.getrandbits(64):016x}"
@@ -308,15 +326,23 @@
         self.count += 1
         id = f"{self.name}-{self.count}"
         prompt = max(1, round(plan.mean_prompt * rng.lognormvariate(0.0, plan.spread)))
-        body = json.dumps({"model": "chat", "stream": True, "q": id}).encode()
+        told = {"model": "chat", "stream": True, "q": id}
+        if self.habit == "large":
+            told["fill"] = "x" * LARGE
+        body = json.dumps(told).encode()
+        length = f"Content-Length: {len(body)}"
+        if self.habit == "chunked":
+            length = "Transfer-Encoding: chunked"
         left = kind.left_ms
         prefix = f"prefix={HOT},prefix_len={prompt // 2}," if rng.random() < plan.hot else ""
         head = (
             f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: {id}\r\n"
             f"X-Service-Class: {kind.name}\r\nX-Account: {rng.choice(plan.accounts)}\r\n"
             f"X-Session-Key: {self._session()}\r\nX-Time-Left-Ms: {left}\r\n"
-            f"X-Facts: {prefix}prompt_len={prompt},max_out=8\r\nContent-Length: {len(body)}\r\n"
+            f"X-Facts: {prefix}prompt_len={prompt},max_out=8\r\n{length}\r\n"
         )
+        if self.habit == "expects":
+            head += "Expect: 100-continue\r\n"
         if self.habit == "closes":
             head += "Connection: close\r\n"
         asked = {
@@ -331,7 +357,8 @@
             "words": [],
             "length": EVENTS,
         }
-        return asked, head.encode("latin-1") + b"\r\n" + body
+        framed = chunk(body[:9]) + chunk(body[9:]) + b"0\r\n\r\n" if self.habit == "chunked" else body
+        return asked, head.encode("latin-1") + b"\r\n" + framed
 
 
 class Crowd:
--- a/spoolbarrow/lab/recorded_engines.py
+++ b/spoolbarrow/lab/recorded_engines.py
@@ -4,10 +4,10 @@
 
 They obey what `standin` does, and: `ENGINES odd SHARE`, by which that share of requests meets a trouble,
 drawn by the engine's number (`TROUBLES`); `ENGINES hang`, by which requests are taken and nothing comes back
-until the mode changes, which breaks them; `arrivals`, answered with all requests in JSON; `starts`, with when
-each engine was started. They never fall: what is too much is found out from the record. Each event of an
-answer names its request, the attempt and its place there. Times are `time.monotonic` when the kernel had the
-bytes, in s.
+until the mode changes, which breaks them; `ENGINES idle MS`, after which a connection that stands idle is
+closed; `arrivals`, answered with all requests in JSON; `starts`, with when each engine was started. They
+never fall: what is too much is found out from the record. Each event of an answer names its request, the
+attempt and its place there. Times are `time.monotonic` when the kernel had the bytes, in s.
 """
 
 from __future__ import annotations
@@ -51,10 +51,14 @@
         super().__init__(figures)
         self.number, self.rng = number, Random(number)
         self.started_at = 0.0  # monotonic s, of this process; 0: long ago
+        self.idle_s: float | None = None  # a connection that stands idle for so long is closed; None: none
         self.arrivals: list[dict[str, Any]] = []
 
     def set(self, words: list[str]) -> str:
         """Go by `MODE [VALUE]`: an own one, or a stand-in's."""
+        if words and words[0] == "idle":
+            self.idle_s = float(words[1]) / 1000.0
+            return "ok"
         if words and words[0] in ("odd", "hang"):
             self.mode, self.value = words[0], float(words[1]) if len(words) == 2 else 0.0
             self.door.unlock()
@@ -71,7 +75,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         parser, first = RequestParser(16_384, 262_144), 0.0
         try:
-            while data := sock.recv(65_536):
+            while True:
+                sock.settimeout(self.idle_s)
+                data = sock.recv(65_536)
+                sock.settimeout(None)
+                if not data:
+                    return
                 if not parser.reading:
                     first = received_at(sock)
                 parser.feed(memoryview(data))
--- a/tests/fleet_record.py
+++ b/tests/fleet_record.py
@@ -85,13 +85,14 @@
     return {
         "Classes": classes,
         "Tenants": tenants,
-        "TickMs": rng.choice([0.0, 1.0, 5.0, 20.0]),
+        "TickMs": rng.choice([0.0, 1.0, 5.0, 20.0, 50.0]),
         "Discovery": rng.choice(["subscribe", "automatic"]),
         "Fees": rng.choice([{}, {"CrossZone": 0.3, "Waste": 0.3, "Probe": 0.002}]),
         "Stats": rng.choice([{"Via": "off"}, {"Fields": ["x1", "load_share", "x0"], "Via": "on_probe"}]),
         "Specifics": {"Resume": rng.random() < 0.3},
         "Limits": {
             "MaxAttempts": rng.choice([1, 1, 2, 3, 6]),
+            "MaxOpen": rng.choice([2, 10_000, 10_000]),
             "RetryAfter": rng.random() < 0.7,
             "Cancelling": rng.random() < 0.7,
             "SecondCopies": rng.random() < 0.5,
@@ -127,6 +128,8 @@
         cold_ms=rng.choice([2000.0, 5000.0, 10_000.0]),
         overload_factor=rng.choice([1.0, 2.0, 4.0]),
         tip_after_ms=rng.choice([500.0, 1000.0, 2000.0]),
+        waiting=rng.choice([2, 16, 64]),
+        connections=rng.choice([4, 16, 256]),
     )
     settings = draw_settings(rng, figures)
     count = rng.randint(1, 3)
@@ -149,7 +152,11 @@
     drawn = sorted(
         (round(rng.uniform(0.5, length_s - 2.0), 2), rng.choice(faults)) for _ in range(rng.randint(2, 6))
     )
-    limits = {"cores": 1.0, "memory_mb": 192.0, "sockets": rng.choice([64, 100, 256, 1024])}
+    limits = {
+        "cores": 1.0,
+        "memory_mb": rng.choice([2.0, 192.0]),
+        "sockets": rng.choice([64, 100, 256, 1024]),
+    }
     return Scene(
         seed=seed,
         zones=zones,
@@ -205,6 +212,8 @@
                 stdin=True,
             )
             made.started.append(self.clients)
+            idle_ms = self.scene.settings["Limits"].get("ConnIdleMs", 30_000.0)
+            made.engines.tell(f"* idle {idle_ms}")
             watching = threading.Thread(target=self._watch, daemon=True)
             watching.start()
             self.clients.tell("begin")
