--- a/tests/fleet_record.py
+++ b/tests/fleet_record.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import signal
 import threading
 import time
@@ -347,13 +346,6 @@
         for engine in (0, 1):
             self._tell(engine)
 
-    def _all_new(self) -> None:
-        """All engines begin anew in one instant, and all stay."""
-        chosen = list(range(len(self.made.names)))
-        self.made.restart_engines(chosen)
-        for engine in chosen:
-            self._tell(engine)
-
     def _replace(self) -> None:
         """It leaves the list, is another's process, and is listed again."""
         engine = self._engine()
@@ -456,8 +448,3 @@
     run = Run(folder, scene)
     record = run.play()
     return run, record, check(record)
-
-
-def describe(scene: Scene) -> str:
-    """The scene in JSON."""
-    return json.dumps(msgspec.to_builtins(scene))
