Count a client's time from when its request can have come, not from when it was read

Cause: Client._fed (net/client.py) dated the first request of a read by the kernel's word of its newest bytes, asked after the read, and each further one by the time of the read. What had stood unread for long (a busy loop, a stopped process, a place waited for) was told to engines with more time than its client had, and its final answer came as much too late: late beyond half a second it is lost. One legal request is enough, where it is larger than the kernel's window: the read makes room, the rest comes at once, and the wait of the first part is forgotten.

Ruled out: the time told at the first byte (asked after the connection), the accept queue (it is asked as the connection is accepted).

Change: the kernel is asked before each read; bytes that came in one segment have its exact time, others count from when the loop last looked at its sockets (net/loop_turns.py), unless it was waiting then. The tests' clock lets the loop look when it is set on; `turns` is shared by two test files.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -17,6 +17,7 @@
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.last_answer import ENDED, await_end
 from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.loop_turns import Arrivals
 from spoolbarrow.net.request import Request
 from spoolbarrow.net.request_facts import read_facts
 from spoolbarrow.net.taps import Side, Why
@@ -59,8 +60,7 @@
         self.since = inbound.host.now()  # it was opened or became idle, or a later request began
         self.fresh = True  # nothing was answered on it yet
         self.writing_since = 0.0  # when a write began that the client has not taken yet
-        self._first_byte = 0.0
-        self._arrived: list[float] = []
+        self._arrivals = Arrivals(inbound.host.turns, sock)
         options = inbound.config.options
         self._parser = http1.RequestParser(options.max_head, options.max_body)
         self._room = Event()
@@ -139,7 +139,11 @@
     def _read_next(self, view: memoryview) -> bool:
         """Read what comes next once it may be read; false where nothing more is to be read."""
         try:
-            size = self.sock.recv_into(view) if self._await_turn(view) else 0
+            if not self._await_turn(view):
+                return False
+            # Asked before the read: the room that it makes in the kernel lets more come at once.
+            self._arrivals.look(self.inbound.host.now())
+            size = self.sock.recv_into(view)
             if size:
                 self._fed(view[:size])
             return size > 0
@@ -293,16 +297,11 @@
             self.close(Why.IDLE)
 
     def _fed(self, data: memoryview) -> None:
-        parser, now = self._parser, self.inbound.host.now()
+        parser = self._parser
         was_reading, had = parser.reading, len(parser.whole)
         parser.feed(data)
         self.count()
-        if not was_reading:
-            # What the kernel held while nobody read it has waited already: its client counts from sending.
-            self._first_byte = now - tcpinfo.last_received_ms(self.sock)
-        for _ in range(len(parser.whole) - had):
-            self._arrived.append(self._first_byte)
-            self._first_byte = now
+        self._arrivals.read(was_reading, len(parser.whole) - had)
         if parser.cut_short and parser.fault is not None:
             return self._take_back(parser.fault)
         if parser.reading and parser.fault is None and self.inbound.held > self.inbound.config.max_held:
@@ -311,7 +310,7 @@
             parser.fault = Fault(503, "no room", b"Retry-After: 1")
         if self.exchange is None:
             if parser.reading and not was_reading and not self.fresh:
-                self.since = now
+                self.since = self.inbound.host.now()
             self._advance()
 
     def _advance(self) -> None:
@@ -323,7 +322,7 @@
             message = parser.whole.popleft()
             self.exchange = Exchange(self, message)
             try:
-                self._serve(self.exchange, message, self._arrived.pop(0) if self._arrived else self.since)
+                self._serve(self.exchange, message, self._arrivals.first(self.since))
             except Fault as error:
                 self._turned_away(message, "failed")
                 self.exchange.refuse(error)
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -26,6 +26,7 @@
 from spoolbarrow.net.fairness import give_way
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.loop_turns import LoopTurns
 from spoolbarrow.net.request import Answer, Attempt, Request, Taken
 from spoolbarrow.net.taps import Taps
 from spoolbarrow.router import Router
@@ -57,6 +58,7 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.now = Clock()
+        self.turns = LoopTurns(lambda: self.now())
         self.taps = Taps()
         self.fleet: InCommon | None = None  # where the store is followed; versions are told of it
         self.destinations = DestinationSet(config, self._post, self._endpoint_left, self.now)
@@ -119,6 +121,7 @@
 
     def stop(self) -> None:
         """End what still runs for no request."""
+        self.turns.stop()
         self.destinations.close()
         if self._loop is not None:
             self._loop.kill()
@@ -387,8 +390,9 @@
             # this batch that went nowhere is answered now, else it would wait till its deadline.
             unexpected("decisions", error)
             actions = list(self._decider.actions)
+            sent = {action.request for action in actions if isinstance(action, i.Send)}
             for event in events:
-                if isinstance(event, i.RequestArrived) and not self._sent(event.request, actions):
+                if isinstance(event, i.RequestArrived) and event.request not in sent:
                     actions.append(i.Fail(event.request))
             actions += self._swallowed_timers(events, actions)
         for action in actions:
@@ -404,10 +408,6 @@
         kept = {action.token for action in actions if isinstance(action, i.SetTimer)}
         return [i.SetTimer(token, AGAIN_MS) for token in fired if token not in kept]
 
-    @staticmethod
-    def _sent(key: str, actions: list[i.Action]) -> bool:
-        return any(isinstance(action, i.Send) and action.request == key for action in actions)
-
     def _deadline(self, key: str) -> None:
         request = self._requests.get(key)
         if request is None or request.stream is not None:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -148,6 +148,12 @@
     return f"POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: api\r\n{head}\r\n".encode() + body
 
 
+def turns() -> None:
+    """Let whatever is ready run, and what that makes ready."""
+    for _ in range(10):
+        gevent.sleep(0)
+
+
 def until(true: Callable[[], T], seconds: float = 40.0) -> T:
     """Let greenlets and processes run until something holds, and give that; in vain it fails here."""
     end = time.monotonic() + seconds
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -16,7 +16,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.http1 import RequestParser
-from tests.stage import Stage, ask, entry, make_config, serve_all, stage, until
+from tests.stage import Stage, ask, entry, make_config, serve_all, stage, turns, until
 from tests.test_answer_races import LONG, outcomes, rest_of, silent, stuck, unread_engine
 from tests.test_gone import ENDS
 
@@ -26,9 +26,10 @@
 
 
 def pass_time(scene: Stage, ms: float) -> None:
-    """Set the router's clock on."""
+    """Set the router's clock on; its loop looks at its sockets before anything else happens."""
     clock = scene.host.now
     scene.host.now = lambda: clock() + ms  # type: ignore[assignment]
+    turns()
 
 
 @contextmanager
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -27,7 +27,19 @@
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
 from spoolbarrow.reload import Descriptors, Reloader
-from tests.stage import LISTEN, Client, Party, ask, entry, free_port, make_config, serve_all, stage, until
+from tests.stage import (
+    LISTEN,
+    Client,
+    Party,
+    ask,
+    entry,
+    free_port,
+    make_config,
+    serve_all,
+    stage,
+    turns,
+    until,
+)
 from tests.test_drain import NEVER, PATIENT, ROOT, Engine, asked, closed, refused, rest
 
 UP = b"GET /up HTTP/1.1\r\n\r\n"
@@ -62,12 +74,6 @@
     return lambda: len(scene.inbound._waiting) == count
 
 
-def turns() -> None:
-    """Let whatever is ready run, and what that makes ready."""
-    for _ in range(10):
-        gevent.sleep(0)
-
-
 # Listeners
 
 
