Ask the decisions anew where an engine started between a request's decision and its first byte

Cause: Host._run gave the decisions what had come in its order, so that a request was decided on by a list that was known not to be the last (net/host.py); and Endpoints._write (net/endpoint.py) asked after the wait for a connection whether its endpoint was listed, not whether it had started since. Requests decided on for a warm engine reached it in its slow start, all that waited for a connection at once, and they count for its budget as sent by a router that was told.

Ruled out: an engine that restarts and is not cold any more (the pool connects to what is there now, as before); probes (no work).

Change: net/inbox.py hands out news of the list first, also between the turns of a long batch; an attempt keeps its endpoint's incarnation as decided on, and one that is another by now and in its slow start makes it moot: it is decided on anew.

--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -159,6 +159,11 @@
         """Whether the endpoint takes new work, as far as this router was told."""
         return name in self._serving
 
+    def starting(self, name: str) -> bool:
+        """Whether the endpoint is in its slow start, by discovery's word."""
+        listed = self._listed.get(name)
+        return listed is not None and self._now() < listed.line.since_ms + self._config.settings.cold_ms
+
     def names(self) -> list[str]:
         """The endpoints that are listed, those that drain too."""
         return list(self._listed)
--- a/spoolbarrow/net/endpoint.py
+++ b/spoolbarrow/net/endpoint.py
@@ -73,6 +73,7 @@
 
     def send(self, attempt: Attempt) -> None:
         """Start an attempt."""
+        attempt.incarnation = self._destinations.incarnation(attempt.endpoint)
         attempt.greenlet = gevent.spawn(self._attempt, attempt, None)
 
     def probe(self, endpoint: str) -> None:
@@ -212,6 +213,8 @@
                 return None, i.Outcome.MOOT
             if not self._destinations.serving(attempt.endpoint):
                 raise NotSent("withdrawn")
+            if self._started_since(attempt):
+                return None, i.Outcome.MOOT  # what it may be sent now is decided anew
             written = self._write_whole(attempt, connection)
             if not written:
                 return None, i.Outcome.MOOT
@@ -224,6 +227,11 @@
             if not written:
                 self._pool.drop(connection, Why.BROKEN)
 
+    def _started_since(self, attempt: Attempt) -> bool:
+        """Whether its endpoint began its slow start after the attempt was decided on."""
+        same = self._destinations.incarnation(attempt.endpoint) == attempt.incarnation
+        return not same and self._destinations.starting(attempt.endpoint)
+
     def _write_whole(self, attempt: Attempt, connection: Connection) -> bool:
         """Write a request; False where its attempt is over, NotSent where it is taken in too slowly.
 
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -25,6 +25,7 @@
 from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.fairness import give_way
 from spoolbarrow.net.http1 import Message
+from spoolbarrow.net.inbox import Inbox
 from spoolbarrow.net.log import log, unexpected
 from spoolbarrow.net.loop_turns import LoopTurns
 from spoolbarrow.net.request import Answer, Attempt, Request, Taken
@@ -68,7 +69,7 @@
         self._requests: dict[str, Request] = {}
         self._ids: set[str] = set()  # the clients' names for them
         self._keys = count(1)
-        self._inbox: list[i.Event] = []
+        self._inbox = Inbox()
         self._wake = Event()
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._timer_order = count()
@@ -93,8 +94,7 @@
         """Begin deciding, on the list as last held; `warm` has the decisions know what was passed with it."""
         self.destinations.restore(known, resumed)
         if warm is not None:
-            events, self._inbox = self._inbox, []
-            self._decide(self.now(), events)
+            self._decide(self.now(), self._inbox.take())
             warm(self._router)
         if not self.config.settings.subscribe:
             self.destinations.hear_first()  # the decisions expect news unasked
@@ -324,7 +324,7 @@
     # The loop
 
     def _post(self, event: i.Event) -> None:
-        self._inbox.append(event)
+        self._inbox.add(event)
         self._wake.set()
 
     def _at(self, when: float, call: Callable[[], None]) -> None:
@@ -347,8 +347,7 @@
                 gevent.sleep(early / 1000)
             last = self.now()
             self._run_timers(last)
-            events, self._inbox = self._inbox, []
-            self._decide_in_turns(events)
+            self._decide_in_turns(self._inbox.take())
 
     def _run_timers(self, now: float) -> None:
         """Run those that are due; hundreds of them must not hold the events of streams up."""
@@ -373,8 +372,8 @@
             if first:
                 give_way()
                 self._run_timers(self.now())
-            now = self.now()
-            self._decide(now, [self._dated(event, now) for event in events[first : first + AT_ONCE]])
+            now, batch = self.now(), self._inbox.take_news() + events[first : first + AT_ONCE]
+            self._decide(now, [self._dated(event, now) for event in batch])
 
     def _dated(self, event: i.Event, now: float) -> i.Event:
         """A request's budget counts from the clock of its batch: else the decisions' deadline is too late."""
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -124,6 +124,7 @@
     def __init__(self, request: Request, number: int, endpoint: str, sent_at: float) -> None:
         self.request, self.number, self.endpoint, self.sent_at = request, number, endpoint, sent_at
         self.connection = 0  # the endpoint's, by the taps' number; 0: none came up
+        self.incarnation = 0  # of its endpoint, as it was decided on
         self.ended = False
         self.outcome: i.Outcome | None = None
         self.first_at = self.ended_at = 0.0
