Read little at once of what may be many requests, since each that is read is answered

Cause: each request that was read has its answer now, also behind one that ends the connection (net/client.py). One read took 64 KiB: a client that sends a flood of what is turned away had up to 280 answers for it, where the first one alone was written before.

Change: 4 KiB are read where no request is half read; the rest of a long one is read as before. What a flood sends further stays in the kernel and ends with the connection.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -24,6 +24,7 @@
 
 CHAT, UP = b"/v1/chat/completions", b"/up"
 LOOKED_AT = 64  # bytes of what is not read yet: enough to tell whether they begin a request
+FIRST_READ = 4096  # bytes of what may be many requests: each that is read must be answered
 GONE_S = 0.05  # between looks for the end of a client that has sent more: half of what it may go unseen
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -143,7 +144,7 @@
                 return False
             # Asked before the read: the room that it makes in the kernel lets more come at once.
             self._arrivals.look(self.inbound.host.now())
-            size = self.sock.recv_into(view)
+            size = self.sock.recv_into(view if self._parser.reading else view[:FIRST_READ])
             if size:
                 self._fed(view[:size])
             return size > 0
--- a/tests/test_read_requests.py
+++ b/tests/test_read_requests.py
@@ -15,6 +15,7 @@
 
 from spoolbarrow import interface as i
 from spoolbarrow.net import http1, tcpinfo
+from spoolbarrow.net.client import FIRST_READ
 from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.http1 import Message, RequestParser
 from spoolbarrow.net.overflow import Overflow
@@ -347,3 +348,13 @@
         setattr(scene.inbound, how, True)
         client = scene.client().send(ask("a") + ask("b") + ask("c"))
         assert statuses(client) == [200] * 3 and names(engine) == [b"a", b"b", b"c"]
+
+
+def test_of_a_flood_that_is_turned_away_little_is_read_and_that_is_answered() -> None:
+    """Each that is read must be answered: a flood that ends with its first answer is left in the kernel."""
+    with stage(serve_all) as (scene, engine):
+        one = ask("flood", X_Service_Class="unknown")
+        client = scene.client().send(one * 500)
+        answered = statuses(client)
+        assert set(answered) == {400} and len(answered) <= FIRST_READ // len(one)
+        assert not engine.requests
