--- /dev/null
+++ b/spoolbarrow/net/shared_documents.py
@@ -0,0 +1,115 @@
+"""The documents that operators share, applied to this router: suspended engines, and tenants' shares.
+
+Makes no calls: `learn` and `word` are told what the store's client read, and `apply` brings the router to
+what stands by now, which without word for too long is the safer of two versions (`fleet.safer`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+from msgspec.structs import replace
+
+from spoolbarrow.agree import digest
+from spoolbarrow.fleet import documents as d
+from spoolbarrow.fleet import safer
+from spoolbarrow.net.log import log
+
+if TYPE_CHECKING:
+    from spoolbarrow.interface import Tenant
+    from spoolbarrow.net.host import Host
+
+
+class SharedDocuments:
+    """Both documents as this router knows them; `changed` is called when shares were applied anew."""
+
+    def __init__(self, host: Host, within_ms: float, changed: Callable[[], None]) -> None:
+        self._host, self._changed = host, changed
+        self._shared = {key: safer.Shared(key, within_ms) for key in safer.KINDS}
+        self._logged: dict[str, tuple[int, safer.Mode]] = {}
+        self._suspended: frozenset[str] = frozenset()
+        self._file_tenants: tuple[Tenant, ...] = ()  # as the router's own file has them
+        self._applied_tenants: tuple[Tenant, ...] | None = None
+
+    def set_within(self, within_ms: float) -> None:
+        """Go by the safer version after so long without word."""
+        for shared in self._shared.values():
+            shared.within_ms = within_ms
+
+    def __contains__(self, key: str) -> bool:
+        """Whether a document is one of these."""
+        return key in self._shared
+
+    def learn(self, asked: float, key: str, revision: int, text: str) -> None:
+        """A version that is committed, asked for at `asked`; Garbage where it can't be read."""
+        self._shared[key].learn(asked, revision, text)
+
+    def word(self, asked: float) -> None:
+        """The store, asked at `asked`, has told all that is committed."""
+        for shared in self._shared.values():
+            shared.word(asked)
+
+    def apply(self, now: float) -> None:
+        """Bring the router to what stands by now. Waits for nobody."""
+        self._apply_suspensions(now)
+        self._apply_shares(now)
+        self._log_modes(now)
+
+    def stop(self) -> None:
+        """Withdraw both documents from the router: as without a store."""
+        self._host.destinations.share_suspensions(frozenset())
+        if self._applied_tenants is not None and self._host.config.settings.tenants is self._applied_tenants:
+            self._set_tenants(self._file_tenants)
+
+    def versions(self, now: float) -> dict[str, tuple[int, str]]:
+        """Revision and digest of each document that is acted on."""
+        found = {}
+        for key, shared in self._shared.items():
+            if shared.newest is not None:
+                acts = msgspec.to_builtins(shared.acts(now), order="sorted")
+                found[key] = (shared.newest.revision, digest(acts))
+        return found
+
+    def tell(self, now: float) -> dict[str, object]:
+        """By document: its revision, the mode it is applied in, and how many versions were unreadable."""
+        return {
+            key: {
+                "revision": self._revision(shared),
+                "mode": shared.mode(now).value,
+                "garbage": shared.garbage,
+            }
+            for key, shared in self._shared.items()
+        }
+
+    def _apply_suspensions(self, now: float) -> None:
+        suspended: frozenset[str] = self._shared[d.SUSPENSIONS].acts(now)
+        if suspended != self._suspended:
+            self._suspended = suspended
+            self._host.destinations.share_suspensions(suspended)
+
+    def _apply_shares(self, now: float) -> None:
+        config, shares = self._host.config, self._shared[d.SHARES]
+        if config.settings.tenants is not self._applied_tenants:
+            self._file_tenants = config.settings.tenants  # the file was read anew
+        wanted = safer.lay(shares.acts(now), config.tenants, self._file_tenants, not shares.unsettled(now))
+        if wanted != config.settings.tenants:
+            self._set_tenants(wanted)
+
+    def _set_tenants(self, tenants: tuple[Tenant, ...]) -> None:
+        config = self._host.config
+        self._applied_tenants = tenants
+        self._host.apply(replace(config, settings=replace(config.settings, tenants=tenants)))
+        self._changed()
+
+    def _log_modes(self, now: float) -> None:
+        for key, shared in self._shared.items():
+            mode = (self._revision(shared), shared.mode(now))
+            if mode != self._logged.get(key, (0, safer.Mode.NONE)):
+                self._logged[key] = mode
+                log("fleet_shared", key=key, revision=mode[0], mode=mode[1].value)
+
+    @staticmethod
+    def _revision(shared: safer.Shared) -> int:
+        return 0 if shared.newest is None else shared.newest.revision
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -162,7 +162,9 @@
         "{'click', 'tomllib', 'spoolbarrow.operator', 'spoolbarrow.failover', 'spoolbarrow.net.failover', "
         "'spoolbarrow.agree', 'spoolbarrow.net.agreement', 'spoolbarrow.store', 'gevent.pywsgi', "
         "'http.client', 'spoolbarrow.fleet.documents', "
-        "'spoolbarrow.net.follow', 'spoolbarrow.net.pools', 'spoolbarrow.pools', 'spoolbarrow.sessions'}"
+        "'spoolbarrow.net.follow', 'spoolbarrow.net.store_client', 'spoolbarrow.net.shared_documents', "
+        "'spoolbarrow.net.fleet_part', 'spoolbarrow.net.fleet_writing', "
+        "'spoolbarrow.net.pools', 'spoolbarrow.pools', 'spoolbarrow.sessions'}"
     )
     code = f"import spoolbarrow.serve, sys; print({unwanted} & set(sys.modules))"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -48,7 +48,6 @@
 # Modules that are longer still, and may not grow: each holds more than one job, to be parted next.
 LONGER = {
     "net/client.py": 410,  # the connection, and what is turned away before it is submitted
-    "net/follow.py": 531,  # the store's client, and what is made of its documents
     "net/host.py": 499,  # the loop, the table of requests, and each action
     "router.py": 840,  # the decisions: to become a package
 }
