Keep nothing of the body of a request that is refused half read

Cause: RequestParser (net/request_parser.py) kept what it had of a half-read body after the request was refused, as long as its client stayed: it counted for the memory that all bodies may take, so that others were turned away for lack of room.

Seen: test_serving.py::test_bodies_beyond_the_memory_for_them_are_turned_away failed once 4 KiB were read at first (503 for the next client, 3,896 bytes held, none open); before, only bodies over one read of 64 KiB were kept so.

Change: one method refuses what is read, and drops what there is of the body.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -118,7 +118,7 @@
     def hurry(self, retry_after_ms: float) -> None:
         """Refuse a request that is still half read: there is no time left for the rest of it."""
         if self._parser.reading and self.exchange is None and not (self.ending or self.unread()):
-            self._parser.fault = Fault(503, "no time for the rest", retry_after(retry_after_ms))
+            self._parser.refuse(Fault(503, "no time for the rest", retry_after(retry_after_ms)))
             self._advance()
 
     def run(self) -> None:
@@ -152,7 +152,7 @@
             raise
         except Exception as error:
             unexpected("client", error)
-            self._parser.fault = Fault(500, "internal error")  # its client is told all the same, in its turn
+            self._parser.refuse(Fault(500, "internal error"))  # its client is told all the same, in its turn
             self._advance()
             return True
 
@@ -200,7 +200,7 @@
 
     def _take_back(self, fault: Fault) -> None:
         """The request under way is not what its client meant; one that is out already goes on."""
-        self._parser.fault = fault
+        self._parser.refuse(fault)
         request = self._unsent()
         if request is not None:
             self.exchange = None
@@ -292,7 +292,7 @@
         One that was answered before is closed without a word: that could pass for its next request's answer.
         """
         if self.fresh or self._parser.reading:
-            self._parser.fault = Fault(408, "no whole request in time")
+            self._parser.refuse(Fault(408, "no whole request in time"))
             self._advance()
         else:
             self.close(Why.IDLE)
@@ -308,7 +308,7 @@
         if parser.reading and parser.fault is None and self.inbound.held > self.inbound.config.max_held:
             # Guards the memory: bodies that never become whole count as well. The requests before it are
             # as good as ever: refused in their place, one that may have run would be sent again.
-            parser.fault = Fault(503, "no room", b"Retry-After: 1")
+            parser.refuse(Fault(503, "no room", b"Retry-After: 1"))
         if self.exchange is None:
             if parser.reading and not was_reading and not self.fresh:
                 self.since = self.inbound.host.now()
--- a/spoolbarrow/net/request_parser.py
+++ b/spoolbarrow/net/request_parser.py
@@ -83,9 +83,15 @@
         self._fed = 0 if len(self.whole) > had else self._fed + len(data)
         if self.fault is None and not self._last and self._fed > self._max_head:
             if self._in_head or not self.reading:
-                self.fault = Fault(431, "head too large")
+                self.refuse(Fault(431, "head too large"))
             elif self._fed - self._body_size > self._max_head + self._max_body:
-                self.fault = Fault(400, "more framing than body")
+                self.refuse(Fault(400, "more framing than body"))
+
+    def refuse(self, fault: Fault) -> None:
+        """Take no more of what is read; nothing of a body that is half read is kept in memory."""
+        self.fault = fault
+        self._dropped += self._body_size
+        self._body, self._body_size = [], 0
 
     def _spoilt(self, fault: Fault) -> None:
         """Nothing more can be parsed.
@@ -102,7 +108,7 @@
             self.cut_short = True
         elif self._last:
             return
-        self.fault = fault
+        self.refuse(fault)
 
     def rest(self) -> int | None:
         """Bytes that may still come of a message that is refused; None where nothing tells its end."""
@@ -163,7 +169,7 @@
             # Guards against a length that the next one on the way would read otherwise.
             raise Fault(400, "Transfer-Encoding: not chunked, or not HTTP/1.1")
         if int(message.fields.get(b"content-length", b"0")) > self._max_body:
-            self.fault = Fault(413, "body too large")  # not raised: where it ends stays known
+            self.refuse(Fault(413, "body too large"))  # not raised: where it ends stays known
             return
         self.awaits_continue = message.fields.get(b"expect", b"").lower() == b"100-continue"
 
