Judge what engines bear by warm ones alone, and keep that where none is left

Cause: fleet/capacity.py counted what engines in slow start began as well, over what they were open to. Where all engines were in slow start, a router's own refusals made them look as if they bore little, and it refused the more: it starved itself.

Seen: test_fleet_cold.py::TestAllCold, all routers served after 10.4 to 10.7 s, 5 of 5 runs, in place of under 10 (passes with the program as it was, under the same load). Ruled out: the machine's load, the list (known at once).

Change: only what warm, not silent replicas begin is counted, for each of them, on a clock that stands still while there are none; before any was seen the draws alone decide.

--- a/spoolbarrow/lab/opened.py
+++ b/spoolbarrow/lab/opened.py
@@ -117,7 +117,7 @@
     sums, told = dict.fromkeys(taken, 0.0), dict.fromkeys(taken, 0.0)
     worst, sent, work_sent = dict.fromkeys(taken, 0.0), dict.fromkeys(taken, 0), dict.fromkeys(taken, 0.0)
     broke = dict.fromkeys(taken, False)
-    warm, cold_able = Able(), {name: Able() for name in taken}
+    warm = Able()
     per_warm_ms = traffic.per_engine_s / 1000.0
     per_ms = traffic.load * traffic.per_engine_s * engines / 1000.0
     arrivals, at = [], START - traffic.lead_ms
@@ -142,7 +142,7 @@
         pool.came(request, now)
         if now < START:
             if warm.begins(now, (engines - cold) * per_warm_ms):
-                pool.capacity.begun(now, 0)
+                pool.capacity.begun(0)
             continue
         knows = number not in told_at
         if knows:
@@ -152,11 +152,8 @@
         else:
             opened = [homes[0].id] if homes[0].id in taken else []
         grown = rule.cold_from + (1.0 - rule.cold_from) * (now - START) / rule.cold_ms
-        begins = warm.begins(now, (engines - cold) * per_warm_ms)
-        for name in () if begins else opened[: traffic.attempts]:
-            begins = begins or cold_able[name].begins(now, grown * traffic.capacity * per_warm_ms)
-        if begins:
-            pool.capacity.begun(now, 0)
+        if not opened and warm.begins(now, (engines - cold) * per_warm_ms):
+            pool.capacity.begun(0)
         for name in opened[: traffic.attempts]:
             sent[name] += 1
             work_sent[name] += work
--- a/spoolbarrow/router.py
+++ b/spoolbarrow/router.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from itertools import count, islice
 from math import exp
@@ -314,16 +314,13 @@
         return (wait + read / READ_RATE) * self.lateness + STEP_MS
 
     def came(self, request: Request, now: float) -> None:
-        """Count what comes, against what replicas begin: cold ones are open to their part of that."""
-        able: dict[int, float] = {}
-        for replica in self.serving if self.cold else ():
+        """Count what comes, against what warm replicas begin: cold ones are open to their part of that."""
+        warm = None
+        if self.cold:
             # What hangs begins nothing, and must not make the others look as if they bore little.
-            share = 0.0 if replica.strikes else 1.0
-            if self.is_cold(replica, now):
-                share *= min(1.0, COLD_SHARE * self.tolerated(replica, now))
-            able[replica.kind] = able.get(replica.kind, 0.0) + share
+            warm = Counter(r.kind for r in self.serving if not (r.strikes or self.is_cold(r, now)))
         preferred = request.homes[0] if request.homes else None
-        self.capacity.came(now, preferred.id if preferred in self.cold else None, able)
+        self.capacity.came(now, preferred.id if preferred in self.cold else None, warm)
 
     def is_cold(self, replica: Replica, now: float) -> bool:
         """Whether it is in its slow start."""
@@ -741,8 +738,8 @@
         attempt.first_ms = self.now - attempt.sent_at
         self._swallowed(attempt.replica, attempt.sent_at - OVERTAKEN_MS)
         self.pool.slower(attempt.replica, attempt.first_ms / max(attempt.predicted, 100.0), self.now)
-        if not request.started:
-            self.pool.capacity.begun(self.now, attempt.replica.kind)
+        if not (request.started or self.pool.is_cold(attempt.replica, self.now)):
+            self.pool.capacity.begun(attempt.replica.kind)
         request.started = True
         self._cancel_others(request, event.attempt)
 
