--- a/tests/test_read_requests.py
+++ b/tests/test_read_requests.py
@@ -33,6 +33,16 @@
     return asked(**{"X_Correlation_Id": name, **headers})  # type: ignore[arg-type]
 
 
+def served_after(go: Event) -> Any:
+    """An engine that answers once it may."""
+
+    def wait(sock: socket.socket, message: Message) -> None:
+        go.wait()
+        serve_all(sock, message)
+
+    return wait
+
+
 def names(engine: Any) -> list[bytes]:
     return [message.fields[b"x-correlation-id"] for message in engine.requests]
 
@@ -248,12 +258,7 @@
 @pytest.mark.parametrize("behind", [MALFORMED, NO_REQUEST])
 def test_a_request_that_is_out_has_its_own_answer_whatever_follows(behind: bytes) -> None:
     go = Event()
-
-    def wait(sock: socket.socket, message: Message) -> None:
-        go.wait()
-        serve_all(sock, message)
-
-    with stage(wait) as (scene, engine):
+    with stage(served_after(go)) as (scene, engine):
         client = scene.client().send(ask("a"))
         until(lambda: engine.requests)
         client.send(behind)
@@ -301,12 +306,7 @@
             raise ZeroDivisionError
 
     go = Event()
-
-    def wait(sock: socket.socket, message: Message) -> None:
-        go.wait()
-        serve_all(sock, message)
-
-    with stage(wait) as (scene, engine):
+    with stage(served_after(go)) as (scene, engine):
         client = scene.client().send(ask("a"))
         until(lambda: engine.requests)
         inside = the_client(scene)
