Log and count what a drain does to connections and requests

Cause: the log had a line for an operator's call and nothing of what followed; the evidence could not tell a request that was taken late from one that was held. Change: drain_state, drain_request, drain_closed (ids, why; 50 lines a second, the others counted) and drain_held (what is still open 3.9 s after the call); figures client_connections and drains.*. Checked: tests of admin, drain, errors, imports, read requests, service, serving, client and shutdown races.

--- a/spoolbarrow/admin/control.py
+++ b/spoolbarrow/admin/control.py
@@ -205,7 +205,10 @@
             return "ready"
         if verb is Verb.METRICS:
             known, skipped = self._host.engines()
-            return self.figures.write(self._host.in_progress(), known, skipped)
+            inbound = self._inbound
+            return self.figures.write(
+                self._host.in_progress(), known, skipped, inbound.connections(), inbound.drain_log.counts
+            )
         log("call", verb=verb.value, engine=call.engine)
         if verb is Verb.DRAIN:
             self._orders.drain()
--- a/spoolbarrow/admin/figures.py
+++ b/spoolbarrow/admin/figures.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from enum import Enum
 
+from spoolbarrow.net.drain_log import DrainCounts
+
 PREFIX = "router"
 
 
@@ -54,7 +56,14 @@
         """An attempt was written whole to an engine."""
         self.upstream_tries += 1
 
-    def write(self, in_progress: int, known_engines: int, skipped_engines: int) -> str:
+    def write(
+        self,
+        in_progress: int,
+        known_engines: int,
+        skipped_engines: int,
+        client_connections: int,
+        drains: DrainCounts,
+    ) -> str:
         """All figures, `name=value` a line."""
         told = {
             f"handled.{cls}.{fate.value}": count
@@ -66,5 +75,9 @@
             "in_progress": in_progress,
             "known_engines": known_engines,
             "skipped_engines": skipped_engines,
+            "client_connections": client_connections,
+            "drains.taken": drains.taken,
+            "drains.refused": drains.refused,
+            "drains.closed": drains.closed,
         }
         return "".join(f"{PREFIX}.{name}={value}\n" for name, value in told.items())
--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -11,19 +11,19 @@
 
 from spoolbarrow.config import Config
 from spoolbarrow.net import http1, tcpinfo
+from spoolbarrow.net.drain_log import DrainLog
 from spoolbarrow.net.exchange import Exchange as Exchange
 from spoolbarrow.net.exchange import retry_after
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.last_answer import ENDED, await_end
-from spoolbarrow.net.log import log, unexpected
+from spoolbarrow.net.log import unexpected
 from spoolbarrow.net.loop_turns import Arrivals
 from spoolbarrow.net.request import Request
-from spoolbarrow.net.request_facts import read_facts
+from spoolbarrow.net.request_admission import LOOKED_AT, turned_away
+from spoolbarrow.net.request_admission import admit as admit
 from spoolbarrow.net.taps import Side, Why
 
-CHAT, UP = b"/v1/chat/completions", b"/up"
-LOOKED_AT = 64  # bytes of what is not read yet: enough to tell whether they begin a request
 FIRST_READ = 4096  # bytes of what may be many requests: each that is read must be answered
 GONE_S = 0.05  # between looks for the end of a client that has sent more: half of what it may go unseen
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -43,6 +43,11 @@
     def ready(self) -> bool:
         """Whether clients may be sent here."""
 
+    drain_log: DrainLog
+
+    def clients_to_go(self) -> bool:
+        """Whether a drain is in force."""
+
     def gone(self, client: Client) -> None:
         """A client's connection is closed."""
 
@@ -79,6 +84,19 @@
         gone = self._closed or self._paused
         return not (gone or self.exchange or self._parser.reading or self._parser.whole)
 
+    def state(self) -> str:
+        """What it is doing, for the log."""
+        if self.ending:
+            return "told_to_go"
+        if self.exchange is not None or self._parser.whole:
+            return "answering"
+        return "half_read" if self._parser.reading else "idle"
+
+    def request_id(self) -> str:
+        """Its client's name for the request under way, for the log; empty where there is none."""
+        request = self.exchange.request if self.exchange is not None else None
+        return "" if request is None else request.id
+
     def unread(self) -> bool:
         """Whether the kernel holds something that its client sent."""
         return not self._closed and http1.polled(self.sock, select.POLLIN) != 0
@@ -164,7 +182,7 @@
                 return not self.ending
             if self._under_way() is not None and (not there or self.gone()):
                 return False
-            if there and self._voids(view[:there]):
+            if there and self.voids(view[:there]):
                 self._take_back(Fault(400, "malformed request: its length is not that of its body"))
                 continue
             self._room.clear()
@@ -189,7 +207,7 @@
         sent = request is not None and any(attempt.connection for attempt in request.attempts)
         return None if sent else request
 
-    def _voids(self, there: memoryview) -> bool:
+    def voids(self, there: memoryview) -> bool:
         """Whether what directly follows the last request that was read begins none: that one is cut short.
 
         Guards against passing on a part of a request, or one hidden in another's body.
@@ -278,9 +296,12 @@
     def close(self, why: Why | None = None) -> None:
         """End the connection; its reader, woken by that, does the rest."""
         if not self._closed:
+            state = self.state()
             self._closed = self.ending = True
             if why is None:
                 why = Why.DONE if self.exchange is None and not self._parser.reading else Why.BROKEN
+            if self.inbound.clients_to_go():
+                self.inbound.drain_log.closed(self.inbound.host.now(), self.number, why.name.lower(), state)
             self.inbound.host.taps.closing(self.number, why)
             self._room.set()
             self.sock.close()
@@ -323,15 +344,15 @@
             message = parser.whole.popleft()
             self.exchange = Exchange(self, message)
             try:
-                self._serve(self.exchange, message, self._arrivals.first(self.since))
+                admit(self, self.exchange, message, self._arrivals.first(self.since))
             except Fault as error:
-                self._turned_away(message, "failed")
+                turned_away(self.inbound, message, "failed")
                 self.exchange.refuse(error)
             except OSError:  # reset, as it was looked at
                 self.lost()
             except Exception as error:
                 unexpected("inbound", error)
-                self._turned_away(message, "failed")
+                turned_away(self.inbound, message, "failed")
                 self.exchange.whole(500, "internal error")
         elif parser.fault is not None:
             self.exchange = Exchange(self, Message(keep_alive=False))
@@ -351,47 +372,6 @@
             self._going_ahead = False
         self._advance()
 
-    def _serve(self, exchange: Exchange, message: Message, arrived: float) -> None:
-        inbound, path = self.inbound, message.path()
-        wanted = {CHAT: b"POST", UP: b"GET"}.get(path)
-        if wanted is None:
-            raise Fault(404, "no such path")
-        if message.method != wanted:
-            raise Fault(405, f"{path.decode()} takes {wanted.decode()}", b"Allow: " + wanted)
-        if path == UP:
-            return exchange.whole(200 if inbound.ready() else 503, "not ready")
-        facts, budget = read_facts(message, inbound.host.config)
-        name = message.fields[b"x-correlation-id"].decode("latin-1")
-        if inbound.host.is_open(name):
-            # Guards the request of that name: an endpoint could not tell the two apart.
-            raise Fault(409, "X-Correlation-Id: a request of this name is open")
-        settings = inbound.config.settings
-        if inbound.refusing_ms is not None:
-            self._turned_away(message, "fail_fast")
-            return exchange.fail_fast(inbound.refusing_ms)
-        # Guards against running out of memory or over what the platform allows to be open at once.
-        if inbound.held > inbound.config.max_held or inbound.host.open_requests() >= settings.max_open:
-            log("no_room", held=inbound.held, open=inbound.host.open_requests())
-            self._turned_away(message, "fail_fast")
-            return exchange.fail_fast(settings.max_retry_after_ms)
-        deadline = arrived + budget
-        if deadline <= inbound.host.now():
-            self._turned_away(message, "failed")
-            return exchange.fail(True)
-        if self.gone():  # also where its end came while the connection waited to be accepted
-            self._turned_away(message, "left")
-            return self.lost()
-        if self.unread() and self._voids(memoryview(self.sock.recv(LOOKED_AT, socket.MSG_PEEK))):
-            raise Fault(400, "malformed request: its length is not that of its body")
-        exchange.request = inbound.host.submit(name, message, exchange, deadline, facts, self.number)
-
-    def _turned_away(self, message: Message, how: str) -> None:
-        """Tell whoever watches, where the request names a class."""
-        taps, config = self.inbound.host.taps, self.inbound.config
-        name = message.fields.get(b"x-service-class", b"").decode("latin-1")
-        if taps.active and message.path() == CHAT and name in config.classes:
-            taps.turned_away(config.classes[name], how)
-
     def count(self) -> None:
         """Keep the account of the bodies that this connection holds in memory."""
         held = self._parser.held() + (len(self.exchange.message.body) if self.exchange else 0)
--- a/spoolbarrow/net/diagnostics.py
+++ b/spoolbarrow/net/diagnostics.py
@@ -75,6 +75,14 @@
     remedy = "Put the entry right in discovery: HOST:PORT; in_service, terminating or terminated."
 
 
+class DrainHeld(Diagnostic):
+    """What is still open 3.9 s after a drain by hand: so many `connections`, the first of them in `held`."""
+
+    event, level = "drain_held", "info"
+    where = "`held`: each connection, its state, its request and the ms since"
+    remedy = "Report it, but for connections that are `answering` an old request: such answers run on."
+
+
 class WatchBroken(Diagnostic):
     """The watch on discovery ended or fell silent; it is asked for again, and the list stays as it was."""
 
--- a/spoolbarrow/net/drain_schedule.py
+++ b/spoolbarrow/net/drain_schedule.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from msgspec import Struct
 
 from spoolbarrow.config import Config
@@ -15,6 +17,14 @@
 SUCCEEDED_KEEP_MS = 1000.0  # clients may use connections so long, where another process takes idle ones
 
 
+class DrainCause(Enum):
+    """Why clients are to go."""
+
+    CALL = "call"  # an operator drains this router by hand
+    SIGTERM = "sigterm"  # the process ends
+    SUCCESSOR = "successor"  # the process ends, and a newer one takes its clients
+
+
 class DrainSchedule(Struct, frozen=True):
     """Each time in ms after SIGTERM."""
 
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -13,7 +13,8 @@
 from spoolbarrow.config import Config
 from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.client import Client, Exchange
-from spoolbarrow.net.drain_schedule import DrainSchedule, drain_schedule
+from spoolbarrow.net.drain_log import DrainLog, Held
+from spoolbarrow.net.drain_schedule import DrainCause, DrainSchedule, drain_schedule
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
@@ -34,6 +35,7 @@
 NEWCOMER_MS = 400.0  # then a connection that has said nothing yet still may, so long
 DRAIN_S = 0.02  # between looks at what a drain's clock has reached
 ABLE_S = 0.01  # between looks at whether this process can serve yet
+HELD_S = 3.9  # after an operator's call nothing idle or new may be held (4 s): what is then is told
 EMPTYING_S = 0.05  # between looks at which connections are idle while clients are sent away
 
 
@@ -47,7 +49,9 @@
         self.closing = False  # nor are those that came kept
         self.refusing_ms: float | None = None  # nor is what comes on them taken: when to come back
         self.sent_away = False  # an operator wants no clients here for now
+        self._sent_away_at = 0.0
         self._emptying: gevent.Greenlet[[], None] | None = None
+        self.drain_log = DrainLog()
         self.held = 0  # bytes of bodies in memory
         self.buffer = bytearray(RECV)
         self._clients: set[Client] = set()
@@ -103,10 +107,15 @@
         """
         if not self.sent_away:
             self.sent_away = True
+            self._sent_away_at = self.host.now()
+            self.drain_log.state(DrainCause.CALL, "begun", 0.0, len(self._clients))
             self._emptying = gevent.spawn(self._empty)
 
     def take_back(self) -> None:
         """Take clients again."""
+        if self.sent_away:
+            passed = self.host.now() - self._sent_away_at
+            self.drain_log.state(DrainCause.CALL, "taken_back", passed, len(self._clients))
         self.sent_away = False
         if self._emptying is not None:
             self._emptying.kill(block=False)
@@ -115,10 +124,23 @@
     def _empty(self) -> None:
         # Not before the front has heard: closed sooner, clients would come back here.
         gevent.sleep(FRONT_S)
+        self.drain_log.state(DrainCause.CALL, "close_idle", FRONT_S * 1000, len(self._clients))
+        told = False
         while True:
-            self._close_idle(self.host.now())
+            now = self.host.now()
+            self._close_idle(now)
+            passed = now - self._sent_away_at
+            if not told and passed >= HELD_S * 1000:
+                told = True
+                self._tell_held(now, passed)
             gevent.sleep(EMPTYING_S)
 
+    def _tell_held(self, now: float, passed: float) -> None:
+        held = [
+            Held(one.number, one.state(), one.request_id(), round(now - one.since)) for one in self._clients
+        ]
+        self.drain_log.held(DrainCause.CALL, passed, held)
+
     def drain(self, pass_on: Callable[[Client], bool] | None = None) -> None:
         """Answer what was taken and what still comes within the grace, then close what is idle.
 
@@ -133,6 +155,8 @@
         """
         self.succeeded = succeeded = pass_on is not None
         self.draining = True
+        cause = DrainCause.SUCCESSOR if succeeded else DrainCause.SIGTERM
+        self.drain_log.state(cause, "begun", 0.0, len(self._clients))
         begun, times = self.host.now(), drain_schedule(self.config, succeeded)
         gevent.sleep(times.accept / 1000)
         self._stop_listening()
@@ -210,6 +234,14 @@
         client.exchange.begun()
         return client.exchange
 
+    def connections(self) -> int:
+        """Clients' connections that are open."""
+        return len(self._clients)
+
+    def clients_to_go(self) -> bool:
+        """Whether a drain is in force, by hand or to the end."""
+        return self.sent_away or self.draining
+
     def gone(self, client: Client) -> None:
         """A client's connection is closed."""
         self._clients.discard(client)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -28,6 +28,7 @@
 from spoolbarrow.admin.orders import Orders
 from spoolbarrow.config import HostList
 from spoolbarrow.net import destinations, inbound
+from spoolbarrow.net.drain_log import DrainCounts
 from spoolbarrow.net.http1 import Message, ResponseParser
 from tests.stage import (
     EVENTS,
@@ -158,10 +159,11 @@
     made = Figures(["chat", "deep"])
     made.answered("deep", "left")
     made.answered("nobody", "served")
-    assert made.write(1, 2, 3).splitlines() == [
+    assert made.write(1, 2, 3, 4, DrainCounts(5, 6, 7)).splitlines() == [
         *(f"router.handled.{c}.{f}=0" for c in ("chat", "deep") for f in FATES),
         *("router.upstream_tries=0", "router.in_progress=1"),
-        *("router.known_engines=2", "router.skipped_engines=3"),
+        *("router.known_engines=2", "router.skipped_engines=3", "router.client_connections=4"),
+        *("router.drains.taken=5", "router.drains.refused=6", "router.drains.closed=7"),
     ]
 
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -47,7 +47,6 @@
 LONGEST = 400  # lines of a module on the way of a request
 # Modules that are longer still, and may not grow: each holds more than one job, to be parted next.
 LONGER = {
-    "net/client.py": 410,  # the connection, and what is turned away before it is submitted
     "net/host.py": 499,  # the loop, the table of requests, and each action
     "router.py": 840,  # the decisions: to become a package
 }
--- a/tests/test_read_requests.py
+++ b/tests/test_read_requests.py
@@ -14,6 +14,7 @@
 from gevent.event import Event
 
 from spoolbarrow import interface as i
+from spoolbarrow.net import client as client_module
 from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.client import FIRST_READ
 from spoolbarrow.net.client import Client as InboundClient
@@ -272,16 +273,16 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The read ended with the request's told length; the rest of its body comes before it is decided on."""
-    serve = InboundClient._serve
+    admit = client_module.admit
 
     def late(inside: InboundClient, *given: Any) -> None:
         client.send(NO_REQUEST)
         watched = select.poll()
         watched.register(inside.sock.fileno(), select.POLLIN)
         assert watched.poll(20_000)  # and no greenlet runs meanwhile
-        serve(inside, *given)
+        admit(inside, *given)
 
-    monkeypatch.setattr(InboundClient, "_serve", late)
+    monkeypatch.setattr(client_module, "admit", late)
     with stage(serve_all) as (scene, engine):
         client = scene.client().send(ask("a"))
         assert statuses(client) == [400] and not engine.requests and not scene.heard(i.RequestArrived)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -17,8 +17,8 @@
 from gevent.event import Event
 
 from spoolbarrow import interface as i
+from spoolbarrow.net import client as client_module
 from spoolbarrow.net import http1
-from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.endpoint import probe_outcome
 from spoolbarrow.net.http1 import Message, ResponseParser
 from spoolbarrow.net.load_report import parse_load
@@ -446,7 +446,7 @@
 
 def test_an_exception_in_inbound_still_leaves_an_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     with stage(serve_all) as (scene, _):
-        monkeypatch.setattr(InboundClient, "_serve", lambda *given: 1 / 0)
+        monkeypatch.setattr(client_module, "admit", lambda *given: 1 / 0)
         assert scene.client().send(ask()).answer().status == 500
 
 
