Test: a drained router holds requests it took 2 to 4 s after the call (red)

Reproduced on real processes over loopback: 1, 2 and 3 routers, stand-in engines with answers of 0.06 to 7.2 s, recorded clients (tests/terms.py: drained, checked from 4 s after the call until the drain ends).

The recorded client waits up to 1 s for the reset behind an end (20 ms before): a connection that is closed over unread bytes is reset only then; an end without one counts as before.

--- a/spoolbarrow/lab/recorded_clients.py
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -39,7 +39,8 @@
 MOST_SMALL = 700  # bytes of a request that is written byte by byte
 LARGE = 150_000
 SLOW_READ, SLOW_PAUSE_S = 256, 0.01
-RESET_S = 0.02  # for a reset to come behind an end
+RESET_S, RESET_LOOK_S = 1.0, 0.02  # for a reset to come behind an end, and between looks for it
+END_LOOK_S = 0.1  # between looks at whether to stop, of a client that waits for the other side's end
 RETRY_S = 0.05  # before a client tries to connect again
 HOT = "5c0f6e1a2b3d4c59"  # what prompts that begin alike begin with
 HABITS = (
@@ -59,6 +60,12 @@
     "expects",  # the word to send its body
     "stops",  # in the middle of a request
 )
+# Of runs with drains alone: what is drawn for others stays as it is.
+DRAIN_HABITS = (
+    "ahead",  # one request more on its way than is answered
+    "silent",  # connects and says nothing
+    "halts",  # in the middle of a request, and stays
+)
 
 
 class Kind(Struct, frozen=True):
@@ -81,6 +88,7 @@
     spread: float = 0.0  # of prompts' lengths, as sigma of their logarithm
     hot: float = 0.0  # share of requests whose prompts begin alike
     sessions: int = 0  # of a client; 0: each request is of its own
+    gaps_ms: list[float] = []  # between the events of an answer, one drawn for each; empty: the engines' own
     seed: int = 1
 
 
@@ -129,16 +137,21 @@
     def __init__(self, sock: Any, router: str, slow: bool) -> None:
         self.sock, self.reader = sock, Reader(sock, slow)
         self.requests: list[dict[str, Any]] = []
-        self.told: dict[str, Any] = {"router": router, "requests": self.requests}
+        self.told: dict[str, Any] = {
+            "router": router,
+            "requests": self.requests,
+            "opened_at": time.monotonic(),
+        }
         self.lasts = True  # more may be asked on it
+        self.unanswered: list[dict[str, Any]] = []  # asked, and not read yet
 
     def read(self, asked: dict[str, Any]) -> None:
         """The answer to a request, as far as it comes."""
         try:
             self._read(asked)
         except EOFError:
-            gevent.sleep(RESET_S)
-            self._ended("reset" if self._was_reset() else "eof")
+            ended_at = time.monotonic()
+            self._ended("reset" if self._is_reset() else "eof", ended_at)
         except TimeoutError:
             self._close(gone=False)
         except (OSError, ValueError):
@@ -177,8 +190,14 @@
                     asked["words"].append({"id": id, "attempt": attempt, "place": int(place)})
         self.reader.line()
 
+    def _is_reset(self) -> bool:
+        """Whether a reset follows the other side's end: it had not read, nor will, all that was sent."""
+        until = time.monotonic() + RESET_S
+        while not self._was_reset() and time.monotonic() < until:
+            gevent.sleep(RESET_LOOK_S)
+        return self._was_reset()
+
     def _was_reset(self) -> bool:
-        """Whether a reset followed the other side's end: it had not read, nor will, all that was sent."""
         told = self.sock.getsockopt(plain.IPPROTO_TCP, tcpinfo.TCP_INFO, tcpinfo.SIZE)
         return bool(told[0] == tcpinfo.CLOSED)
 
@@ -192,8 +211,34 @@
         except OSError:
             return False
 
-    def _ended(self, how: str) -> None:
-        self.told |= {"ended": how, "ended_at": time.monotonic()}
+    def rest(self, seconds: float) -> None:
+        """Ask nothing for so long, or until the other side ends the connection."""
+        until = time.monotonic() + seconds
+        self.sock.settimeout(seconds)
+        try:
+            if self.sock.recv(1, plain.MSG_PEEK):
+                return gevent.sleep(max(0.0, until - time.monotonic()))
+            self._ended("eof")
+        except TimeoutError:
+            pass
+        except OSError:
+            self._ended("reset")
+
+    def await_end(self, stopping: Event) -> None:
+        """Take in what comes up to the other side's end."""
+        self.sock.settimeout(END_LOOK_S)
+        while not stopping.is_set():
+            try:
+                if not self.sock.recv(65_536):
+                    return self._ended("eof")
+            except TimeoutError:
+                continue
+            except OSError:
+                return self._ended("reset")
+        self.leave("leaves")
+
+    def _ended(self, how: str, at: float = 0.0) -> None:
+        self.told |= {"ended": how, "ended_at": at or time.monotonic()}
         self.lasts = False
 
     def _close(self, gone: bool = True, way: str = "") -> None:
@@ -259,13 +304,34 @@
     def _stay(self, visit: Visit) -> None:
         while visit.lasts and visit.stands() and not self.crowd.stopping.is_set():
             self._turn(visit)
+            if self.habit == "ahead" and visit.lasts:
+                continue
             if self.habit != "eager" or self.rng.random() < 0.2 or not visit.lasts:
-                gevent.sleep(self.rng.random() * self.crowd.plan.pause_s)
+                pause_s = self.rng.random() * self.crowd.plan.pause_s
+                visit.rest(pause_s) if visit.lasts else gevent.sleep(pause_s)
             if self.habit in ("renews", "closes", "garbles"):
-                return
+                break
+        self._read(visit, 0)
+
+    def _read(self, visit: Visit, left: int) -> None:
+        """Read answers until so many requests have none yet, or no more will come."""
+        while len(visit.unanswered) > left and not visit.told.keys() & {"ended", "closed_at"}:
+            visit.read(visit.unanswered.pop(0))
+
+    def _say_nothing(self, visit: Visit) -> None:
+        """Nothing, or half a request; then wait for the other side's end."""
+        if self.habit == "halts":
+            _, raw = self._request()
+            with suppress(OSError):
+                visit.sock.sendall(raw[: self.rng.randrange(1, len(raw))])
+        visit.await_end(self.crowd.stopping)
 
     def _turn(self, visit: Visit) -> None:
+        if self.habit in ("silent", "halts"):
+            return self._say_nothing(visit)
         many = self.rng.randint(2, 6) if self.habit == "pipelines" else 1
+        if self.habit == "ahead" and not visit.unanswered:
+            many = 2
         made = [self._request() for _ in range(many)]
         raw = b"".join(text for _, text in made)
         if self.habit == "garbles":
@@ -283,9 +349,8 @@
             gevent.sleep(self.rng.choice([0.0, 0.001, 0.01, 0.05, 0.3]) * self.rng.random() * 2)
             visit.leave(self.habit)
             return
-        for one in asked:
-            if "ended" not in visit.told and "closed_at" not in visit.told:
-                visit.read(one)
+        visit.unanswered += asked
+        self._read(visit, 1 if self.habit == "ahead" else 0)
 
     def _send(self, visit: Visit, raw: bytes, asked: list[dict[str, Any]]) -> None:
         visit.sock.settimeout(CONNECT_S)
@@ -335,11 +400,12 @@
             length = "Transfer-Encoding: chunked"
         left = kind.left_ms
         prefix = f"prefix={HOT},prefix_len={prompt // 2}," if rng.random() < plan.hot else ""
+        gap = f",lab_gap={rng.choice(plan.gaps_ms):g}" if plan.gaps_ms else ""
         head = (
             f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\nX-Correlation-Id: {id}\r\n"
             f"X-Service-Class: {kind.name}\r\nX-Account: {rng.choice(plan.accounts)}\r\n"
             f"X-Session-Key: {self._session()}\r\nX-Time-Left-Ms: {left}\r\n"
-            f"X-Facts: {prefix}prompt_len={prompt},max_out=8\r\n{length}\r\n"
+            f"X-Facts: {prefix}prompt_len={prompt},max_out=8{gap}\r\n{length}\r\n"
         )
         if self.habit == "expects":
             head += "Expect: 100-continue\r\n"
--- a/spoolbarrow/lab/recorded_engines.py
+++ b/spoolbarrow/lab/recorded_engines.py
@@ -7,7 +7,8 @@
 until the mode changes, which breaks them; `ENGINES idle MS`, after which a connection that stands idle is
 closed; `arrivals`, answered with all requests in JSON; `starts`, with when each engine was started. They
 never fall: what is too much is found out from the record. Each event of an answer names its request, the
-attempt and its place there. Times are `time.monotonic` when the kernel had the bytes, in s.
+attempt and its place there; `lab_gap` in `X-Facts` tells the ms between them. Times are `time.monotonic` when
+the kernel had the bytes, in s.
 """
 
 from __future__ import annotations
@@ -112,13 +113,13 @@
         self.arrivals.append(one)
         self._count("work", router, one["work"])
         try:
-            one["end"] = self._answer(sock, one)
+            one["end"] = self._answer(sock, one, float(told.get("lab_gap", GAP_S * 1000.0)) / 1000.0)
         except OSError:
             # The router's end, or this engine's: it was reset, shut or restarted.
             one["end"] = "left" if sock in self.door.open else "broken"
             raise
 
-    def _answer(self, sock: Any, one: dict[str, Any]) -> str:
+    def _answer(self, sock: Any, one: dict[str, Any], gap_s: float) -> str:
         """What became of the request here."""
         mode = self.mode
         if mode == "odd":
@@ -140,7 +141,7 @@
             return "turned away"
         late = self.value / 1000.0 if mode == "slow" else STALL_S if mode == "stall" else 0.0
         gevent.sleep(max(0.0, taken + late - time.monotonic()))
-        return self._stream(sock, one, mode)
+        return self._stream(sock, one, mode, gap_s)
 
     def _turn(self, one: dict[str, Any]) -> float | None:
         now = time.monotonic()
@@ -149,14 +150,14 @@
         taken = self.cold.take(now * 1000.0, one["work"])
         return None if taken is None else taken / 1000.0
 
-    def _stream(self, sock: Any, one: dict[str, Any], mode: str) -> str:
+    def _stream(self, sock: Any, one: dict[str, Any], mode: str, gap_s: float) -> str:
         attempt, id = b"e%d#%d" % (self.number, len(self.arrivals)), one["id"].encode("latin-1")
         if mode == "spoilt":
             sock.sendall(b"HTTP/1.1 2OO\r\nTransfer-Encoding: chunked, nonsense\r\n\r\nzz\r\n")
             return "broken"
         sock.sendall(HEAD + chunk(WORD % (id, attempt, 0)))
         for place in range(1, EVENTS):
-            gevent.sleep(GAP_S)
+            gevent.sleep(gap_s)
             if mode in ("break", "end") and place == EVENTS // 2:
                 reset(sock) if mode == "break" else sock.shutdown(socket.SHUT_RDWR)
                 return "broken"
--- a/tests/fleet_record.py
+++ b/tests/fleet_record.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Sequence
 from contextlib import suppress
+from math import inf
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -17,7 +18,7 @@
 from spoolbarrow.lab.cluster import LIFE_S, LISTEN, Cluster, Process
 from spoolbarrow.lab.cold import Figures
 from spoolbarrow.lab.recorded_clients import HABITS, Plan
-from tests.terms import Arrival, Connection, Death, Record, Starved, Terms, Told, Violation, check
+from tests.terms import Arrival, Connection, Death, Drained, Record, Starved, Terms, Told, Violation, check
 
 NAMES = ("chat", "a", "Doc-Query", "batch.low", "x" * 60, "7", "zeta_2")
 EFFECTS = ("retryable", "dedup", "fragile")
@@ -181,6 +182,7 @@
         self.cuts: list[tuple[str, float]] = []  # by the proxy: an engine, and until when
         self.steps: list[str] = []
         self.starved: list[Starved] = []
+        self.drains: list[Drained] = []
         self._over = threading.Event()
         self.logs: dict[str, list[str]] = {}  # by router: lines of processes that have ended
         self.made = Cluster(
@@ -189,7 +191,7 @@
             scene.routers,
             "",
             gates=scene.gates,
-            control=False,
+            control=any("call" in fault for _, fault in scene.faults),
             figures=scene.figures,
             settings=scene.settings,
             limits=scene.limits,
@@ -249,6 +251,7 @@
             deaths=tuple(self.deaths),
             terms=terms,
             starved=tuple(self.starved),
+            drains=tuple(self.drains),
             resumes=self.scene.settings["Specifics"]["Resume"],
         )
 
@@ -407,6 +410,24 @@
     def _hang_up(self) -> None:
         self.made.hang_up(range(len(self.made.ports)))
 
+    def _call_drain(self) -> None:
+        """An operator drains a router by hand; the front sends nothing more there, where it has another."""
+        number = len(self.drains) % len(self.made.ports)
+        self.drains.append(Drained(router=f"r{number}", at=time.monotonic()))
+        self.made.control(number, "router/drain", "POST")
+        if len(self.made.ports) > 1:
+            time.sleep(AWAY_S)
+            self.clients.tell(f"away {number}")
+
+    def _call_activate(self) -> None:
+        """All routers that are drained are taken back."""
+        for place, drain in enumerate(self.drains):
+            if drain.until == inf:
+                number = int(drain.router[1:])
+                self.drains[place] = msgspec.structs.replace(drain, until=time.monotonic())
+                self.made.control(number, "router/activate", "POST")
+                self.clients.tell(f"back {number}")
+
     def _kill(self) -> None:
         number = self._router()
         self.deaths.append(Death(router=f"r{number}", at=time.monotonic()))
@@ -439,7 +460,7 @@
         for name, log in run.logs.items():
             lines += [f"    {name} {line}" for line in log if f'"id":"{one.id}"' in line]
     for name, log in run.logs.items():
-        lines += [f"    {name} {line}" for line in log if '"unexpected"' in line]
+        lines += [f"    {name} {line}" for line in log if '"unexpected"' in line or '"drain_' in line]
     return "\n".join(lines)
 
 
--- a/tests/terms.py
+++ b/tests/terms.py
@@ -16,6 +16,10 @@
 ANSWER_SLACK_S = 0.15  # after the deadline: 20 ms by the rules, 50 ms for sockets, the rest for both kernels
 GONE_SLACK_S = 0.1  # from a client's end, or its answer, to the first byte of the last attempt for it
 TOLD_SLACK_S = 0.15  # that an engine may be told beyond what the client has left
+DRAINED_S = 4.0  # from an operator's call until a router holds nothing but requests that are older than
+RECENT_S = 2.0  # this, with none of them idle
+PASSING_S = 0.5  # what comes later may be held so long: to be told that it is not served here
+ENDING_S = 0.7  # from SIGTERM on, what came later is not lost to SIGKILL
 FEW = 30.0  # calls: below this a budget's chance counts for more
 CLIENTS_FAULT = frozenset(range(400, 500)) - {429}  # statuses; 429 declines, as 503 does
 TOLD_SHARE = 2.0 / 3.0  # of the work at an engine that fell, from routers told of its start
@@ -49,6 +53,7 @@
 
     router: str
     requests: tuple[Asked, ...]
+    opened_at: float = 0.0
     closed_at: float = inf  # the client closed, reset or half-closed it
     ended: str = ""  # by the other side: `eof`, `reset`; empty where it did not end it
     ended_at: float = inf
@@ -87,6 +92,14 @@
     at: float
 
 
+class Drained(Struct, frozen=True, kw_only=True):
+    """An operator sent a router's clients away, until they were called back."""
+
+    router: str
+    at: float
+    until: float = inf
+
+
 class Starved(Struct, frozen=True, kw_only=True):
     """A router's process was ready and had no processor for so long within a span."""
 
@@ -123,6 +136,7 @@
     deaths: tuple[Death, ...] = ()
     terms: Terms | None = None  # None: no engine has a capacity
     starved: tuple[Starved, ...] = ()
+    drains: tuple[Drained, ...] = ()
     resumes: bool = False  # clients ask for the rest of a stream that is cut off
 
 
@@ -321,7 +335,55 @@
     return f"{len({one.router for one in arrivals})} routers"
 
 
-TERMS = (answered, matched, known, forwarded, time_left, slow_start)
+def drained(record: Record) -> list[Violation]:
+    """From DRAINED_S after the call on a router drained by hand holds no idle connection and no new request.
+
+    What comes then may stand for PASSING_S, and for as long as the router's process got no processor.
+    """
+    return [
+        violation
+        for drain in record.drains
+        for connection in record.connections
+        if connection.router == drain.router
+        for violation in _held(record, drain, connection)
+    ]
+
+
+def _held(record: Record, drain: Drained, connection: Connection) -> list[Violation]:
+    look, end = drain.at + DRAINED_S, min(connection.ended_at, connection.closed_at)
+    found, idle_since, last = [], connection.opened_at, ""
+    # Of requests on their way at once, those behind the first wait: no time between them is idle.
+    for asked in connection.requests:
+        found += _idle(record, drain, connection, (idle_since, asked.sent_at), last)
+        answered_at = asked.answered_at if asked.whole else end
+        held_from = max(look, asked.sent_at + PASSING_S)
+        held_to = min(answered_at, end, drain.until)
+        held_to -= starved(record, drain.router, asked.sent_at, held_to)
+        if asked.sent_at > drain.at + RECENT_S and held_to > held_from:
+            message = (
+                f"{drain.router}: sent {asked.sent_at - drain.at:.2f} s after the call,"
+                f" held until {held_to - drain.at:.2f} s"
+            )
+            found.append(Violation("drained", asked.id, message))
+        idle_since, last = max(idle_since, answered_at), asked.id
+    return found + _idle(record, drain, connection, (idle_since, inf), last)
+
+
+def _idle(
+    record: Record, drain: Drained, connection: Connection, span: tuple[float, float], last: str
+) -> list[Violation]:
+    begin, end = span[0], min(span[1], connection.ended_at, connection.closed_at, drain.until)
+    late = end - max(drain.at + DRAINED_S, begin + PASSING_S)
+    if late <= 0 or late <= starved(record, drain.router, max(begin, drain.at), end):
+        return []
+    message = (
+        f"{drain.router}: idle {begin - drain.at:.2f} to {end - drain.at:.2f} s after the call"
+        f" (opened {connection.opened_at - drain.at:.2f})"
+    )
+    return [Violation("drained", last, message)]
+
+
+TERMS = (answered, matched, known, forwarded, time_left, slow_start, drained)
 
 
 def check(record: Record) -> list[Violation]:
