Ask one drain state wherever a connection may end or a request be taken

Cause: whether an answer ends its connection was settled at its head (Exchange.pass_on) and the drain by hand had no schedule: a stream begun before the call left its connection open at its end, a busy client asked again at once (never idle when Inbound._empty looked), and nothing was refused however late. Class: two ways of leaving with flags of their own (closing, refusing_ms, sent_away, draining, succeeded), asked at different places, one of them without a clock.

Change: net/drain_schedule.py holds the schedule of each cause (call, sigterm, successor) and DrainState, asked at an answer's head, again at its end, at admission, for room, by /up, hand-over and reload; net/drainer.py carries drains out, each step guarded by itself. After a call: answers end connections at once, idle ones close from 0.4 s, requests are refused with Retry-After from 1 s, nothing unread is waited for from 2.5 s. A process that ends is bounded, too: what only waits for its client is closed at the earliest SIGKILL. A drain found at the start counts as begun long ago. Requests that stand unread behind a stream count from when they came (Arrivals.stands): engines were told up to 3.3 s too much.

--- a/spoolbarrow/admin/control.py
+++ b/spoolbarrow/admin/control.py
@@ -207,7 +207,7 @@
             known, skipped = self._host.engines()
             inbound = self._inbound
             return self.figures.write(
-                self._host.in_progress(), known, skipped, inbound.connections(), inbound.drain_log.counts
+                self._host.in_progress(), known, skipped, len(inbound.clients()), inbound.drainer.log.counts
             )
         log("call", verb=verb.value, engine=call.engine)
         if verb is Verb.DRAIN:
--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -23,7 +23,7 @@
 from spoolbarrow.handover import Handover, Torn
 from spoolbarrow.net import connection_handover
 from spoolbarrow.net.client import Client
-from spoolbarrow.net.drain_schedule import drain_schedule
+from spoolbarrow.net.drain_schedule import end_schedule
 from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
@@ -68,7 +68,7 @@
         passed = None
         if self._handover is not None:
             dead = self._handover.look()
-            self._adopt(self._handover.others_words(dead))
+            self._adopt(self._handover.others_words(dead), at_start=True)
             self._handover.forget(dead)
             orders.tell = self._tell
             self._tell()  # what the dead were told is this process's to pass on from here
@@ -98,7 +98,7 @@
                 self._handover.look()  # the newer one may have ended since the last look
         if not self.succeeded():
             return None
-        gevent.spawn_later(drain_schedule(self._inbound.config, True).pass_on / 1000, self._pass_streams)
+        gevent.spawn_later(end_schedule(self._inbound.config, True).pass_on / 1000, self._pass_streams)
         return self._give_idle
 
     def _give_idle(self, client: Client) -> bool:
@@ -171,11 +171,11 @@
         assert self._handover is not None
         self._handover.write_words(self._orders.words.write(self._config.name))
 
-    def _adopt(self, texts: list[bytes]) -> None:
+    def _adopt(self, texts: list[bytes], at_start: bool = False) -> None:
         changed = False
         for text in texts:
             try:
-                changed |= self._orders.adopt(words.read(text, self._config.name))
+                changed |= self._orders.adopt(words.read(text, self._config.name), at_start)
             except Torn as error:
                 log("handover_failed", what="words", why=str(error), remedy=error.remedy)
         if changed:
--- a/spoolbarrow/admin/orders.py
+++ b/spoolbarrow/admin/orders.py
@@ -6,6 +6,7 @@
 
 from spoolbarrow.admin.words import AWAY, Words
 from spoolbarrow.net.destinations import NoRoom
+from spoolbarrow.net.drain_schedule import LONG_AGO_MS
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
 from spoolbarrow.net.log import log
@@ -31,12 +32,12 @@
 
     def drain(self) -> None:
         """Clients are sent away."""
-        self._inbound.send_away()
+        self._inbound.drain_by_call()
         self._say(AWAY, True)
 
     def activate(self) -> None:
         """Clients are taken again."""
-        self._inbound.take_back()
+        self._inbound.activate()
         self._say(AWAY, False)
 
     def _say(self, matter: str, on: bool) -> None:
@@ -45,17 +46,26 @@
         if self.words.say(matter, on, now) and self.tell is not None:
             self.tell()
 
-    def adopt(self, other: Words) -> bool:
-        """Carry out what another process was told later than this one; whether that was anything."""
+    def adopt(self, other: Words, at_start: bool = False) -> bool:
+        """Carry out what another process was told later than this one; whether that was anything.
+
+        What is found at the start may have been said at any time before, and its clients have had theirs.
+        """
         changed = self.words.merge(other)
         for matter, word in changed.items():
             log("word", engine=matter, on=word.on)
             try:
                 if matter == AWAY:
-                    (self._inbound.send_away if word.on else self._inbound.take_back)()
+                    self._adopt_drain(word.on, at_start)
                 else:
                     destinations = self._host.destinations
                     (destinations.suspend if word.on else destinations.resume)(matter)
             except NoRoom as error:
                 log("word_lost", engine=matter, why=str(error))
         return bool(changed)
+
+    def _adopt_drain(self, on: bool, at_start: bool) -> None:
+        if on:
+            self._inbound.drain_by_call(LONG_AGO_MS if at_start else 0.0)
+        else:
+            self._inbound.activate()
--- a/spoolbarrow/net/agreement.py
+++ b/spoolbarrow/net/agreement.py
@@ -90,7 +90,9 @@
 class Gate(Protocol):
     """Where clients come in."""
 
-    sent_away: bool  # by hand
+    def drained(self) -> bool:
+        """Whether an operator drained this router by hand."""
+        ...
 
 
 class Outdated(ConfigError):
@@ -151,7 +153,7 @@
             index, lines = destinations.seen()
             self._note(Item.LIST, index, digest(lines))
             self._note(Item.SUSPENSIONS, 0, digest(destinations.all_suspended()))
-        self._note(Item.DRAIN, 0, digest(self._gate.sent_away))
+        self._note(Item.DRAIN, 0, digest(self._gate.drained()))
         told = {} if self._host.fleet is None else self._host.fleet.versions()
         for item in IN_COMMON:
             if item.value in told:
--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -9,18 +9,16 @@
 from gevent import socket
 from gevent.event import Event
 
-from spoolbarrow.config import Config
 from spoolbarrow.net import http1, tcpinfo
-from spoolbarrow.net.drain_log import DrainLog
+from spoolbarrow.net.drain_schedule import Step
 from spoolbarrow.net.exchange import Exchange as Exchange
 from spoolbarrow.net.exchange import retry_after
-from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Fault, Message
 from spoolbarrow.net.last_answer import ENDED, await_end
 from spoolbarrow.net.log import unexpected
 from spoolbarrow.net.loop_turns import Arrivals
 from spoolbarrow.net.request import Request
-from spoolbarrow.net.request_admission import LOOKED_AT, turned_away
+from spoolbarrow.net.request_admission import LOOKED_AT, Listener, turned_away
 from spoolbarrow.net.request_admission import admit as admit
 from spoolbarrow.net.taps import Side, Why
 
@@ -29,24 +27,10 @@
 GO_AHEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class Owner(Protocol):
+class Owner(Listener, Protocol):
     """What a connection asks of the listener that accepted it."""
 
-    config: Config
-    host: Host
     buffer: bytearray
-    held: int
-    closing: bool
-    refusing_ms: float | None
-    sent_away: bool
-
-    def ready(self) -> bool:
-        """Whether clients may be sent here."""
-
-    drain_log: DrainLog
-
-    def clients_to_go(self) -> bool:
-        """Whether a drain is in force."""
 
     def gone(self, client: Client) -> None:
         """A client's connection is closed."""
@@ -133,6 +117,24 @@
         """Whether what was read of it is not all answered when the request under way is."""
         return bool(self._parser.whole) or self._parser.fault is not None
 
+    def must_end(self) -> bool:
+        """Whether the connection ends with the answer under way, or the one that has just ended.
+
+        Asked at an answer's head, to tell the client, and again at its end: a drain may have begun meanwhile.
+        Never before what was read is answered. What stands unread is served as long as there is time for it;
+        from then on it is left so, for its client to send again.
+        """
+        if self.turned_away and not self.read_more():
+            return True
+        drains, now = self.inbound.drainer.state, self.inbound.host.now()
+        if drains.reached(Step.CLOSE_ALL, now):
+            return not (self._parser.reading or self.read_more())
+        return drains.reached(Step.END_ANSWERS, now) and not self.asked_more()
+
+    def stalled(self, since: float) -> bool:
+        """Whether its client has taken nothing of an answer since then."""
+        return 0 < self.writing_since < since
+
     def hurry(self, retry_after_ms: float) -> None:
         """Refuse a request that is still half read: there is no time left for the rest of it."""
         if self._parser.reading and self.exchange is None and not (self.ending or self.unread()):
@@ -182,6 +184,8 @@
                 return not self.ending
             if self._under_way() is not None and (not there or self.gone()):
                 return False
+            if there:
+                self._arrivals.stands(self.inbound.host.now())
             if there and self.voids(view[:there]):
                 self._take_back(Fault(400, "malformed request: its length is not that of its body"))
                 continue
@@ -269,7 +273,7 @@
         self.exchange, self.fresh = None, False
         self.count()
         self.since = self.inbound.host.now()
-        if closing:
+        if closing or self.must_end():
             self._finish()
         else:
             self._advance()
@@ -300,8 +304,9 @@
             self._closed = self.ending = True
             if why is None:
                 why = Why.DONE if self.exchange is None and not self._parser.reading else Why.BROKEN
-            if self.inbound.clients_to_go():
-                self.inbound.drain_log.closed(self.inbound.host.now(), self.number, why.name.lower(), state)
+            drainer = self.inbound.drainer
+            if drainer.state.active():
+                drainer.log.closed(self.inbound.host.now(), self.number, why.name.lower(), state)
             self.inbound.host.taps.closing(self.number, why)
             self._room.set()
             self.sock.close()
--- a/spoolbarrow/net/connection_handover.py
+++ b/spoolbarrow/net/connection_handover.py
@@ -133,7 +133,7 @@
     """
     socks = _sockets(descriptors)
     try:
-        if inbound.draining:
+        if inbound.drainer.state.ends():
             raise Torn("", "this process is ending, too")
         if text == IDLE and len(socks) == 1:
             return inbound.take_idle(socks[0]).go_on
--- a/spoolbarrow/net/exchange.py
+++ b/spoolbarrow/net/exchange.py
@@ -16,13 +16,6 @@
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
 
 
-class Going(Protocol):
-    """Whether clients are to go: what an answer asks of the listener."""
-
-    closing: bool
-    sent_away: bool
-
-
 class Connection(Protocol):
     """What an answer asks of its client's connection."""
 
@@ -30,18 +23,11 @@
     number: int
     turned_away: bool
 
-    @property
-    def inbound(self) -> Going:
-        """The listener that accepted it."""
-
     def gone(self) -> bool:
         """Whether its client has closed, reset or half-closed it."""
 
-    def asked_more(self) -> bool:
-        """Whether its client sent something behind the request that is served."""
-
-    def read_more(self) -> bool:
-        """Whether what was read of it is not all answered when the request under way is."""
+    def must_end(self) -> bool:
+        """Whether it ends with the answer under way, as far as is known now."""
 
     def write(self, pieces: list[bytes]) -> None:
         """Write some of an answer; blocks while the client is slow."""
@@ -81,7 +67,6 @@
         self.request: Request | None = None
         self._begun = False
         self._broken_off = False
-        # An answer late in a drain tells the client to come back by another connection.
         self._close = not message.keep_alive
 
     def peer(self) -> str:
@@ -164,10 +149,7 @@
 
     def _closing(self) -> bool:
         """Whether the connection ends with this answer: never before what was read behind it is answered."""
-        client = self.client
-        if self._close or (client.turned_away and not client.read_more()):
-            return True
-        return (client.inbound.closing or client.inbound.sent_away) and not client.asked_more()
+        return self._close or self.client.must_end()
 
     def _write_whole(self, pieces: list[bytes], closing: bool) -> None:
         try:
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import errno
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from itertools import islice
 
@@ -13,8 +13,8 @@
 from spoolbarrow.config import Config
 from spoolbarrow.net import http1, tcpinfo
 from spoolbarrow.net.client import Client, Exchange
-from spoolbarrow.net.drain_log import DrainLog, Held
-from spoolbarrow.net.drain_schedule import DrainCause, DrainSchedule, drain_schedule
+from spoolbarrow.net.drain_schedule import DrainCause, Step, call_schedule, end_schedule
+from spoolbarrow.net.drainer import Drainer
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, unexpected
@@ -31,12 +31,8 @@
 ROOM_AT_ONCE = 16  # connections closed at once for those that wait
 ACCEPT_AT_ONCE, ACCEPT_PAUSE_S = 8, 0.002  # a burst of connections leaves time for those that are served
 SWEEP_S = 0.2
-FRONT_S = 0.4  # after a drain began, the front sends connections so long at most (0.1 s to ask, 0.2 s more)
-NEWCOMER_MS = 400.0  # then a connection that has said nothing yet still may, so long
-DRAIN_S = 0.02  # between looks at what a drain's clock has reached
+DRAIN_S = 0.02  # between looks at whether the last client of a process that ends has gone
 ABLE_S = 0.01  # between looks at whether this process can serve yet
-HELD_S = 3.9  # after an operator's call nothing idle or new may be held (4 s): what is then is told
-EMPTYING_S = 0.05  # between looks at which connections are idle while clients are sent away
 
 
 class Inbound:
@@ -44,14 +40,7 @@
 
     def __init__(self, config: Config, host: Host) -> None:
         self.config, self.host = config, host
-        self.draining = False  # no new connections should come
-        self.succeeded = False  # another process of this router takes them
-        self.closing = False  # nor are those that came kept
-        self.refusing_ms: float | None = None  # nor is what comes on them taken: when to come back
-        self.sent_away = False  # an operator wants no clients here for now
-        self._sent_away_at = 0.0
-        self._emptying: gevent.Greenlet[[], None] | None = None
-        self.drain_log = DrainLog()
+        self.drainer = Drainer(self)
         self.held = 0  # bytes of bodies in memory
         self.buffer = bytearray(RECV)
         self._clients: set[Client] = set()
@@ -92,54 +81,29 @@
 
     def ready(self) -> bool:
         """Whether clients may be sent here."""
-        ending = self.draining and not self.succeeded
-        begun = self.host.decides()
-        return begun and not (ending or self.sent_away) and self.host.destinations.usable()
+        drains = self.drainer.state
+        ending = drains.ends() and not drains.succeeded()
+        return self.host.decides() and not (ending or drains.called()) and self.host.destinations.usable()
+
+    def drained(self) -> bool:
+        """Whether an operator drained this router by hand."""
+        return self.drainer.state.called()
 
     def able(self) -> bool:
         """Whether this process could serve; also where operators' words keep clients or endpoints from it."""
-        return not self.draining and self.host.destinations.told_usable()
+        return not self.drainer.state.ends() and self.host.destinations.told_usable()
 
-    def send_away(self) -> None:
-        """Have no clients until `take_back`: the front is told so, answers end connections, idle ones close.
+    def drain_by_call(self, passed_ms: float = 0.0) -> None:
+        """Have no clients until `activate`, as an operator said, or said so long ago.
 
-        What was taken is answered, and long streams run on. It is not the end: that is `drain`.
+        The front is told so, and answers end connections. What was taken is answered, and long streams run
+        on. It is not the end: that is `drain`.
         """
-        if not self.sent_away:
-            self.sent_away = True
-            self._sent_away_at = self.host.now()
-            self.drain_log.state(DrainCause.CALL, "begun", 0.0, len(self._clients))
-            self._emptying = gevent.spawn(self._empty)
-
-    def take_back(self) -> None:
-        """Take clients again."""
-        if self.sent_away:
-            passed = self.host.now() - self._sent_away_at
-            self.drain_log.state(DrainCause.CALL, "taken_back", passed, len(self._clients))
-        self.sent_away = False
-        if self._emptying is not None:
-            self._emptying.kill(block=False)
-            self._emptying = None
-
-    def _empty(self) -> None:
-        # Not before the front has heard: closed sooner, clients would come back here.
-        gevent.sleep(FRONT_S)
-        self.drain_log.state(DrainCause.CALL, "close_idle", FRONT_S * 1000, len(self._clients))
-        told = False
-        while True:
-            now = self.host.now()
-            self._close_idle(now)
-            passed = now - self._sent_away_at
-            if not told and passed >= HELD_S * 1000:
-                told = True
-                self._tell_held(now, passed)
-            gevent.sleep(EMPTYING_S)
-
-    def _tell_held(self, now: float, passed: float) -> None:
-        held = [
-            Held(one.number, one.state(), one.request_id(), round(now - one.since)) for one in self._clients
-        ]
-        self.drain_log.held(DrainCause.CALL, passed, held)
+        self.drainer.begin(DrainCause.CALL, call_schedule(self.config), passed_ms)
+
+    def activate(self) -> None:
+        """Take clients again, as an operator said."""
+        self.drainer.take_back(DrainCause.CALL)
 
     def drain(self, pass_on: Callable[[Client], bool] | None = None) -> None:
         """Answer what was taken and what still comes within the grace, then close what is idle.
@@ -149,69 +113,39 @@
         cuts off is lost to its client: what would be taken then is refused.
         A stream that outlasts the grace would break at SIGKILL, when the next router may be draining too:
         its client is let go early, while there is another one to go on with. For the same reason nothing
-        is left without an answer.
+        is left without an answer. Where nobody asks for the rest, a stream runs on as long as its client
+        takes it in.
         Where another process accepts from the same socket, the router goes on: nothing more is accepted here,
         and `pass_on` hands idle connections to that process. One that it does not take is ended as else.
         """
-        self.succeeded = succeeded = pass_on is not None
-        self.draining = True
-        cause = DrainCause.SUCCESSOR if succeeded else DrainCause.SIGTERM
-        self.drain_log.state(cause, "begun", 0.0, len(self._clients))
-        begun, times = self.host.now(), drain_schedule(self.config, succeeded)
+        succeeded = pass_on is not None
+        times = end_schedule(self.config, succeeded)
+        self.drainer.begin(DrainCause.SUCCESSOR if succeeded else DrainCause.SIGTERM, times)
         gevent.sleep(times.accept / 1000)
         self._stop_listening()
-        passing = None if pass_on is None else gevent.spawn(self._pass_idle, pass_on, times.retry_after)
+        passing = None if pass_on is None else gevent.spawn(self._pass_idle, pass_on)
         while self._clients or self._leaving:
-            try:
-                self._end_what_is_due(self.host.now() - begun, times, passing is None or passing.ready())
-            except Exception as error:  # what one connection runs into must not leave the others unanswered
-                unexpected("drain", error)
             gevent.sleep(DRAIN_S)
         if passing is not None:
             passing.kill()
 
-    def _end_what_is_due(self, passed: float, times: DrainSchedule, closes: bool) -> None:
-        if passed >= times.refuse:
-            self.refusing_ms = times.retry_after
-        if passed >= times.keep:
-            self.closing = True
-            if closes:
-                self._close_idle(self.host.now())
-        if passed >= times.answer:
-            self.host.answer_all(times.retry_after)
-            for client in list(self._clients):
-                client.hurry(times.retry_after)
-        if self.config.resumes and passed >= times.move:
-            self.host.move_streams()
-
-    def _pass_idle(self, pass_on: Callable[[Client], bool], retry_after_ms: float) -> None:
+    def _pass_idle(self, pass_on: Callable[[Client], bool]) -> None:
         """Hand idle connections on until one is not taken.
 
         Not in the drain's own loop: a process that does not answer must not hold up its clock.
         """
-        while all(pass_on(client) for client in list(self._clients) if client.idle() and not client.ending):
-            gevent.sleep(DRAIN_S)
-        self.closing = True  # answers end connections: clients come back by others
-        if not self.config.resumes:
-            self.refusing_ms = retry_after_ms  # nor could a stream that begins now pass on
-
-    def _close_idle(self, now: float) -> None:
-        """Close what is idle, but for one that came just now: its first request is likely on its way.
-
-        Guards requests on their way: what the kernel holds unread is read first. One that crosses the close
-        is not read, so that its client may send it again: with only this side's end said, it would be read
-        and could not be answered. Nor is one closed that still takes in its answer: what crosses would have
-        the kernel reset the connection under it.
-        """
-        for client in [c for c in self._clients if c.idle() and not c.ending]:
-            settled = not client.fresh or client.since < now - NEWCOMER_MS
-            # The kernel is asked just before: a request may have come while others were closed.
-            if settled and client.answered() and not client.unread():
-                client.close(Why.ENDED)
+        try:
+            while all(
+                pass_on(client) for client in list(self._clients) if client.idle() and not client.ending
+            ):
+                gevent.sleep(DRAIN_S)
+        finally:
+            self.drainer.pass_nothing_more()
 
     def close(self) -> None:
         """Drop everything at once."""
-        running = (self._accepting, self._sweeper, self._emptying)
+        self.drainer.close()
+        running = (self._accepting, self._sweeper)
         listeners = [*self._leaving, *([self._listener] if self._listener is not None else [])]
         gevent.killall([*(each for each in running if each is not None), *self._leaving.values()])
         for sock in (*listeners, *self._waiting.values()):
@@ -234,13 +168,9 @@
         client.exchange.begun()
         return client.exchange
 
-    def connections(self) -> int:
+    def clients(self) -> Collection[Client]:
         """Clients' connections that are open."""
-        return len(self._clients)
-
-    def clients_to_go(self) -> bool:
-        """Whether a drain is in force, by hand or to the end."""
-        return self.sent_away or self.draining
+        return self._clients
 
     def gone(self, client: Client) -> None:
         """A client's connection is closed."""
@@ -278,7 +208,9 @@
         while len(self._clients) >= self.config.max_inbound:
             if self._make_room():
                 continue
-            if max(self.host.now() - since, tcpinfo.last_received_ms(sock)) >= PATIENCE_MS:
+            waited = max(self.host.now() - since, tcpinfo.last_received_ms(sock))
+            # Late in a drain it would be refused all the same: no place is waited for.
+            if waited >= PATIENCE_MS or self.drainer.state.reached(Step.CLOSE_ALL, self.host.now()):
                 del self._waiting[listener]
                 return self._overflow.refuse(sock, self.host.now())
             gevent.sleep(ROOM_S)
@@ -312,7 +244,7 @@
         An inherited listener from which this process has not begun to accept is another process's still.
         """
         if self._accepting is not None and self._listener is not None:
-            takes_last = self._accepts and not self.succeeded
+            takes_last = self._accepts and not self.drainer.state.succeeded()
             self._accepting.kill(block=False)
             self._leaving[self._listener] = gevent.spawn(
                 self._let_go, self._listener, self._inherited, self._accepting, takes_last
@@ -379,7 +311,7 @@
     def _close_overdue(self) -> None:
         """Close connections that stood idle too long, or whose request never became whole."""
         options, now = self.config.options, self.host.now()
-        for client in [c for c in self._clients if 0 < c.writing_since < now - options.stall_ms]:
+        for client in [c for c in self._clients if c.stalled(now - options.stall_ms)]:
             log("client_stalled")
             client.close()
         # One that was told to go and neither goes nor sends anything: its reader would wait for ever.
--- a/spoolbarrow/net/loop_turns.py
+++ b/spoolbarrow/net/loop_turns.py
@@ -53,14 +53,22 @@
     def __init__(self, turns: LoopTurns, sock: tcpinfo.Inspectable) -> None:
         self._turns, self._sock = turns, sock
         self._segments = 0  # that the kernel had taken in when this was asked last
+        self._standing: float | None = None  # since when something was left unread, as far as was looked
         self._came = self._first_byte = 0.0  # of what is read next; of the request that is half read
         self._whole: deque[float] = deque()  # of the requests that are whole
 
+    def stands(self, now: float) -> None:
+        """Something has come and is left unread for now: what follows it tells no more when it came."""
+        if self._standing is None:
+            self._standing = now - tcpinfo.last_received_ms(self._sock)
+
     def look(self, now: float) -> None:
         """Ask the kernel since when what is read next can have come: known where it came in one piece."""
         latest, had = now - tcpinfo.last_received_ms(self._sock), self._segments
         self._segments = tcpinfo.counters(self._sock).data_received
         self._came = latest if self._segments - had == 1 else self._turns.earliest(latest)
+        if self._standing is not None:
+            self._came, self._standing = min(self._came, self._standing), None
 
     def read(self, in_request: bool, whole: int) -> None:
         """What was looked at is read: it began inside a request or not, and made so many whole."""
--- a/spoolbarrow/net/request_admission.py
+++ b/spoolbarrow/net/request_admission.py
@@ -12,6 +12,7 @@
 
 from spoolbarrow.config import Config
 from spoolbarrow.net.drain_log import DrainLog
+from spoolbarrow.net.drain_schedule import DrainState
 from spoolbarrow.net.exchange import Exchange
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Fault, Message
@@ -23,21 +24,27 @@
 LOOKED_AT = 64  # bytes of what is not read yet: enough to tell whether they begin a request
 
 
+class Drains(Protocol):
+    """Drains: which are in force, and what they do, told."""
+
+    state: DrainState
+    log: DrainLog
+
+
 class Listener(Protocol):
     """What is asked of the listener that accepted a connection."""
 
     config: Config
     host: Host
-    held: int
-    refusing_ms: float | None
-    drain_log: DrainLog
+    held: int  # bytes of bodies in memory
+
+    @property
+    def drainer(self) -> Drains:
+        """The drains that are in force."""
 
     def ready(self) -> bool:
         """Whether clients may be sent here."""
 
-    def clients_to_go(self) -> bool:
-        """Whether a drain is in force."""
-
 
 class Asker(Protocol):
     """The connection that a request came by."""
@@ -95,17 +102,18 @@
         return client.lost()
     if client.unread() and client.voids(memoryview(client.sock.recv(LOOKED_AT, socket.MSG_PEEK))):
         raise Fault(400, "malformed request: its length is not that of its body")
-    if inbound.clients_to_go():
-        inbound.drain_log.request_taken(host.now(), name, client.number)
+    if inbound.drainer.state.active():
+        inbound.drainer.log.request_taken(host.now(), name, client.number)
     exchange.request = host.submit(name, message, exchange, deadline, facts, client.number)
 
 
 def _refused(client: Asker, name: str) -> float | None:
     """When to come back, ms, where nothing more is taken for now."""
     inbound, host = client.inbound, client.inbound.host
-    if inbound.refusing_ms is not None:
-        inbound.drain_log.request_refused(host.now(), name, client.number)
-        return inbound.refusing_ms
+    refusal = inbound.drainer.state.refusal(host.now())
+    if refusal is not None:
+        inbound.drainer.log.request_refused(host.now(), name, client.number)
+        return refusal
     settings = inbound.config.settings
     # Guards against running out of memory or over what the platform allows to be open at once.
     if inbound.held > inbound.config.max_held or host.open_requests() >= settings.max_open:
--- a/spoolbarrow/reload.py
+++ b/spoolbarrow/reload.py
@@ -120,7 +120,7 @@
 
     def _reload(self, wanted: str) -> Problem | None:
         with self.changing:
-            if self._inbound.draining:
+            if self._inbound.drainer.state.ends():
                 log("reload_ignored", why="draining")
                 return Draining("", "draining")
             try:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -15,6 +15,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow.lab.cluster import LISTEN as LISTEN
 from spoolbarrow.lab.cluster import free_ports
+from spoolbarrow.net.drain_schedule import DrainCause, DrainSchedule, Step
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Message, RequestParser, ResponseParser
 from spoolbarrow.net.inbound import Inbound
@@ -208,5 +209,10 @@
             party.close()
 
 
+def end_answers(scene: Stage) -> None:
+    """From now on the end of an answer ends its connection, and nothing else is done."""
+    scene.inbound.drainer.begin(DrainCause.SUCCESSOR, DrainSchedule({Step.END_ANSWERS: 0.0}))
+
+
 def now_unix_ms() -> float:
     return time.time() * 1000
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -27,7 +27,7 @@
 from spoolbarrow.admin.figures import Figures
 from spoolbarrow.admin.orders import Orders
 from spoolbarrow.config import HostList
-from spoolbarrow.net import destinations, inbound
+from spoolbarrow.net import destinations, drain_schedule, drainer
 from spoolbarrow.net.drain_log import DrainCounts
 from spoolbarrow.net.http1 import Message, ResponseParser
 from tests.stage import (
@@ -285,8 +285,8 @@
         go_on.wait()
         sock.sendall(chunk(EVENTS[1]) + b"0\r\n\r\n")
 
-    monkeypatch.setattr(inbound, "FRONT_S", 0.1)
-    monkeypatch.setattr(inbound, "NEWCOMER_MS", 100.0)
+    monkeypatch.setattr(drain_schedule, "CALL_CLOSE_IDLE_MS", 100.0)
+    monkeypatch.setattr(drainer, "NEWCOMER_MS", 100.0)
     with operated(long) as (scene, _, call, _):
         idle, silent, streaming = scene.client(), scene.client(), scene.client()
         assert idle.send(ask()).answer().status == 200
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -24,12 +24,12 @@
 import pytest
 from gevent import socket
 from gevent.event import Event
-from msgspec.structs import astuple, replace
+from msgspec.structs import replace
 
 from spoolbarrow.config import parse
-from spoolbarrow.net import connection_handover, inbound
+from spoolbarrow.net import connection_handover, drainer
 from spoolbarrow.net.connection_pool import Connection
-from spoolbarrow.net.drain_schedule import drain_schedule
+from spoolbarrow.net.drain_schedule import NEVER_MS, Step, end_schedule
 from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.http1 import Message, ResponseParser
 from spoolbarrow.net.request import Attempt
@@ -317,7 +317,7 @@
 
 
 def test_a_connection_that_came_just_now_may_still_say_what_it_wants(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(inbound, "NEWCOMER_MS", NEVER)
+    monkeypatch.setattr(drainer, "NEWCOMER_MS", NEVER)
     with stage(options={"drain_accept_ms": 50.0}) as (scene,):
         idle, newcomer = scene.client().send(b"GET /up HTTP/1.1\r\n\r\n"), scene.client()
         idle.answer()
@@ -333,7 +333,7 @@
         for name in ("first", "second"):
             until(lambda: [c for c in scene.inbound._clients if c.idle()])
             client.send(asked(name))  # written, and no other greenlet has run
-            scene.inbound._close_idle(scene.host.now() + NEVER)
+            scene.inbound.drainer.close_idle(scene.host.now() + NEVER)
             assert client.answer().status == 200
 
 
@@ -420,8 +420,14 @@
     raw = make_config([])
     raw["settings"] |= RESUME if resume else {}
     raw["settings"]["Classes"][0]["DeadlineMs"] = longest
-    told = drain_schedule(parse(msgspec.json.encode(raw)), succeeded)
-    assert astuple(told) == (*times, 500)
+    told = end_schedule(parse(msgspec.json.encode(raw)), succeeded)
+    ends = (told.at(step) for step in (Step.END_ANSWERS, Step.REFUSE, Step.ANSWER_ALL))
+    keep, refuse, answer = ends
+    move = told.at(Step.MOVE_STREAMS) if resume else times[4]
+    assert (told.accept, keep, refuse, told.pass_on, move, answer, told.retry_after) == (*times, 500)
+    assert told.at(Step.CLOSE_IDLE) == (NEVER_MS if succeeded else keep)
+    assert told.at(Step.REFUSE_HALF_READ) == answer and (resume or told.at(Step.MOVE_STREAMS) == NEVER_MS)
+    assert told.at(Step.CLOSE_ALL) == max(told.accept, min(longest, 3000.0) + 700.0)
 
 
 # Streams
@@ -664,7 +670,7 @@
         draining = gevent.spawn(scene.inbound.drain, pass_on)
         assert idle.ended()
         until(lambda: len(scene.inbound._clients) == 1)
-        assert len(met) == 1 and not scene.inbound.closing
+        assert len(met) == 1 and not scene.inbound.drainer.state.reached(Step.CLOSE_IDLE, scene.host.now())
         leaving.sock.close()
         draining.join()
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -171,11 +171,11 @@
         other.say("e0", True, 1.0)
         other.say(AWAY, True, 1.0)
         assert orders.adopt(other) and not orders.adopt(other)
-        assert scene.host.destinations.suspended("e0") and scene.inbound.sent_away
+        assert scene.host.destinations.suspended("e0") and scene.inbound.drained()
         other.say("e0", False, 2.0)
         other.say(AWAY, False, 2.0)
         orders.adopt(other)
-        assert scene.host.destinations.serving("e0") and not scene.inbound.sent_away
+        assert scene.host.destinations.serving("e0") and not scene.inbound.drained()
 
 
 # Real processes
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -24,6 +24,7 @@
 from spoolbarrow.config import INHERITED
 from spoolbarrow.handover import Handover, Torn
 from spoolbarrow.net import connection_handover
+from spoolbarrow.net.drain_schedule import DrainCause, DrainSchedule
 from spoolbarrow.net.http1 import Message
 from tests.stage import EVENTS, HEAD, LISTEN, ask, chunk, make_config, serve_all, stage, until
 from tests.test_drain import END, asked, rest
@@ -178,7 +179,7 @@
 def test_a_process_that_ends_takes_nothing_more(idle: bool) -> None:
     """It may be at its last step, after it looked for what is still open."""
     with stage() as (new,), stream() as (text, numbers, ends):
-        new.inbound.draining = True
+        new.inbound.drainer.begin(DrainCause.SIGTERM, DrainSchedule({}))
         if idle:
             os.close(numbers.pop())
             text = connection_handover.IDLE
--- a/tests/test_read_requests.py
+++ b/tests/test_read_requests.py
@@ -20,7 +20,7 @@
 from spoolbarrow.net.client import Client as InboundClient
 from spoolbarrow.net.http1 import Message, RequestParser
 from spoolbarrow.net.overflow import Overflow
-from tests.stage import EVENTS, HEAD, LISTEN, chunk, serve_all, stage, until
+from tests.stage import EVENTS, HEAD, LISTEN, chunk, end_answers, serve_all, stage, until
 from tests.stage import ask as asked
 from tests.test_client_races import all_of, the_client
 
@@ -101,7 +101,7 @@
         client.answer()
         inside = the_client(scene)
         until(inside.idle)
-        scene.inbound.closing = True
+        end_answers(scene)
         write, gate, came = inside.write, Event(), Event()
 
         def late(pieces: list[bytes]) -> None:
@@ -343,10 +343,13 @@
         assert statuses(client) == [200, 500]
 
 
-@pytest.mark.parametrize("how", ["closing", "sent_away"])
-def test_requests_read_together_are_answered_while_clients_are_sent_away(how: str) -> None:
+@pytest.mark.parametrize("by_call", [True, False])
+def test_requests_read_together_are_answered_while_clients_are_sent_away(by_call: bool) -> None:
     with stage(serve_all) as (scene, engine):
-        setattr(scene.inbound, how, True)
+        if by_call:
+            scene.inbound.drain_by_call()
+        else:
+            end_answers(scene)
         client = scene.client().send(ask("a") + ask("b") + ask("c"))
         assert statuses(client) == [200] * 3 and names(engine) == [b"a", b"b", b"c"]
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -19,6 +19,7 @@
 from spoolbarrow import interface as i
 from spoolbarrow.net import client as client_module
 from spoolbarrow.net import http1
+from spoolbarrow.net.drain_schedule import DrainCause, DrainSchedule
 from spoolbarrow.net.endpoint import probe_outcome
 from spoolbarrow.net.http1 import Message, ResponseParser
 from spoolbarrow.net.load_report import parse_load
@@ -134,7 +135,7 @@
     up = b"GET /up HTTP/1.1\r\n\r\n"
     with stage(serve_all) as (scene, _):
         assert scene.client().send(up).answer().status == 200
-        scene.inbound.draining = True
+        scene.inbound.drainer.begin(DrainCause.SIGTERM, DrainSchedule({}))
         assert scene.client().send(up).answer().status == 503
     with stage() as (scene,):
         assert scene.client().send(up).answer().status == 503
--- a/tests/test_settings_bounds.py
+++ b/tests/test_settings_bounds.py
@@ -11,7 +11,7 @@
 
 from spoolbarrow import config
 from spoolbarrow import interface as i
-from spoolbarrow.net.drain_schedule import LONGEST_MS, drain_schedule
+from spoolbarrow.net.drain_schedule import LONGEST_MS, Step, end_schedule
 from spoolbarrow.router import Router
 from tests.stage import entry, make_config
 from tests.test_config import put
@@ -202,9 +202,11 @@
         cls | {"Name": f"c{n}", "DeadlineMs": deadline} for n, deadline in enumerate(deadlines)
     ]
     raw["settings"]["Specifics"] = {"Resume": resume}
-    times = drain_schedule(config.parse(msgspec.json.encode(raw)), succeeded)
-    assert 0 <= times.accept <= times.keep <= times.answer
-    assert times.accept <= times.refuse <= times.answer
-    assert times.accept <= times.pass_on <= times.answer and times.move <= times.answer
+    times = end_schedule(config.parse(msgspec.json.encode(raw)), succeeded)
+    answer, killed = times.at(Step.ANSWER_ALL), min(max(deadlines), LONGEST_MS) + BEYOND_MS
+    assert 0 <= times.accept <= times.at(Step.END_ANSWERS) <= answer
+    assert times.accept <= times.at(Step.REFUSE) <= answer
+    assert times.accept <= times.pass_on <= answer
+    assert times.at(Step.MOVE_STREAMS) <= answer if resume else Step.MOVE_STREAMS not in times.steps
     assert times.retry_after >= 0
-    assert times.answer + ROOM_MS <= min(max(deadlines), LONGEST_MS) + BEYOND_MS
+    assert answer + ROOM_MS <= killed <= times.at(Step.CLOSE_ALL)
--- a/tests/test_shutdown_races.py
+++ b/tests/test_shutdown_races.py
@@ -32,6 +32,7 @@
     Client,
     Party,
     ask,
+    end_answers,
     entry,
     free_port,
     make_config,
@@ -111,12 +112,12 @@
     """One accepted at the first of three addresses has no place when all others have gone: taken once."""
     gate, seated = Event(), []
     with full(drain_accept_ms=1.0, drain_move_ms=NEVER, drain_answer_ms=NEVER) as (scene, engine, busy):
-        end_due, admit, looks = scene.inbound._end_what_is_due, scene.inbound._admit, 0
+        tell_steps, admit, looks = scene.inbound.drainer._tell_steps, scene.inbound._admit, 0
 
-        def look(*given: Any) -> None:
+        def look(now: float) -> None:
             nonlocal looks
             looks += not scene.inbound._clients
-            end_due(*given)
+            tell_steps(now)
 
         def no_room() -> bool:
             gate.wait()
@@ -126,7 +127,7 @@
             seated.append(sock)
             admit(sock)
 
-        scene.inbound._end_what_is_due, scene.inbound._make_room = look, no_room
+        scene.inbound.drainer._tell_steps, scene.inbound._make_room = look, no_room
         scene.inbound._admit = seat
         waiting = scene.client().send(asked("waits"))
         until(waits_for_room(scene, 1))
@@ -198,7 +199,7 @@
 # Idle closes
 
 
-@pytest.mark.parametrize("close", ["_close_idle", "_make_room"])
+@pytest.mark.parametrize("close", ["close_idle", "_make_room"])
 def test_a_request_that_comes_while_others_are_closed_keeps_its_connection(close: str) -> None:
     """Each connection is looked at just before it is closed, not all of them before the first one is."""
     with stage(serve_all) as (scene, _):
@@ -220,8 +221,8 @@
             one.since -= NEVER
             one.close = lambda *why, one=one: closing(one, *why)
         until(lambda: all(one.answered() for one in ours))
-        if close == "_close_idle":
-            scene.inbound._close_idle(scene.host.now())
+        if close == "close_idle":
+            scene.inbound.drainer.close_idle(scene.host.now())
         else:
             scene.inbound._make_room()
         (gone,) = met
@@ -263,7 +264,7 @@
         client = scene.client().send(UP)
         client.answer()
         (held,) = scene.inbound._clients
-        scene.inbound.closing = True
+        end_answers(scene)
         write, gate, came = held.write, Event(), Event()
 
         def late(pieces: list[bytes]) -> None:
@@ -381,7 +382,7 @@
     def met() -> None:
         ending.append(gevent.spawn(end))
         turns()
-        assert not program.inbound.draining
+        assert not program.inbound.drainer.state.ends()
 
     at_the_move(program, met)
     program.write(name="other", control=f"{LISTEN}:{free_port()}")
