--- a/spoolbarrow/lab/recorded_clients.py
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -34,6 +34,7 @@
 from spoolbarrow.net import tcpinfo
 
 CONNECT_S = 5.0
+STATUS_LINE = 16  # bytes: as much of it as tells the status
 GO_AHEAD = 100  # a status: the body may come
 SLACK_S = 2.0  # beyond a request's time, and between a stream's bytes, until a client gives up
 MOST_SMALL = 700  # bytes of a request that is written byte by byte
@@ -197,6 +198,13 @@
             gevent.sleep(RESET_LOOK_S)
         return self._was_reset()
 
+    def note_answer(self, asked: dict[str, Any]) -> None:
+        """Note whether an answer has begun that nobody will read."""
+        self.sock.settimeout(0.0)
+        with suppress(OSError, ValueError, IndexError):
+            asked["status"] = int(self.sock.recv(STATUS_LINE, plain.MSG_PEEK).split(None, 2)[1])
+            asked["first_at"] = received_at(self.sock)
+
     def _was_reset(self) -> bool:
         told = self.sock.getsockopt(plain.IPPROTO_TCP, tcpinfo.TCP_INFO, tcpinfo.SIZE)
         return bool(told[0] == tcpinfo.CLOSED)
@@ -347,6 +355,7 @@
             return visit.leave("leaves")
         if self.habit in ("leaves", "resets", "half") and self.rng.random() < 0.6:
             gevent.sleep(self.rng.choice([0.0, 0.001, 0.01, 0.05, 0.3]) * self.rng.random() * 2)
+            visit.note_answer(asked[0])
             visit.leave(self.habit)
             return
         visit.unanswered += asked
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -25,7 +25,8 @@
 BACKLOG = 4096  # connections that the kernel holds for this process, as far as its own limit goes
 SETTLED_MS = 100.0  # a connection idle so long may be closed for one that waits
 HALF_MS = 500.0  # and a request half read so long refused for it
-PATIENCE_MS = 2000.0  # a connection that has waited so long for room is told that there is none
+PATIENCE_MS = 2000.0  # a connection that has waited so long for room is told that there is none,
+PATIENCE_SHARE = 0.5  # or for this share of the shortest deadline: its client waits no longer than that
 ROOM_S = 0.02  # between looks for room
 OUT_S = 0.1  # between tries to accept where the process is out of descriptors
 ROOM_AT_ONCE = 16  # connections closed at once for those that wait
@@ -210,13 +211,17 @@
                 continue
             waited = max(self.host.now() - since, tcpinfo.last_received_ms(sock))
             # Late in a drain it would be refused all the same: no place is waited for.
-            if waited >= PATIENCE_MS or self.drainer.state.reached(Step.CLOSE_ALL, self.host.now()):
+            if waited >= self._patience_ms() or self.drainer.state.reached(Step.CLOSE_ALL, self.host.now()):
                 del self._waiting[listener]
                 return self._overflow.refuse(sock, self.host.now())
             gevent.sleep(ROOM_S)
         del self._waiting[listener]
         self._admit(sock)
 
+    def _patience_ms(self) -> float:
+        shortest = min(cls.deadline_ms for cls in self.config.settings.classes)
+        return min(PATIENCE_MS, PATIENCE_SHARE * shortest)
+
     def _cannot_accept(self, error: OSError) -> None:
         """Those waiting to be accepted wait on; the loop must not spin, nor fill the log."""
         if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
--- /dev/null
+++ b/tests/drain_scenes.py
@@ -0,0 +1,88 @@
+"""Runs in which routers are drained by hand, told to end and killed, beside other faults; drawn by seed."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+
+from spoolbarrow.lab.recorded_clients import DRAIN_HABITS, HABITS
+from tests.fleet_record import Scene, play, report
+
+STREAMS_MS = [20.0, 400.0, 800.0, 1100.0, 2400.0]  # between two of four events: answers of 0.06 to 7.2 s
+CROWD = 24  # clients of each router, where there is one
+LENGTH_S = 9.0
+# Beside the drains; `stop` holds a process up for as long as the kernel may.
+BESIDE = ("term_kill", "term", "hang_up", "hang", "slow", "restart", "odd", "stop", "call_activate")
+
+
+def scene(
+    routers: int,
+    habits: list[str],
+    faults: list[tuple[float, str]],
+    seed: int = 1,
+    deadline_ms: float = 3000.0,
+    resumes: bool = False,
+    sockets: int = 512,
+    length_s: float = 8.5,
+) -> Scene:
+    """Routers before engines that have room for all; each habit has one client at each router."""
+    chat = {
+        "Name": "chat",
+        "AimMs": 5000.0,
+        "DeadlineMs": deadline_ms,
+        "Effect": "retryable",
+        "Stream": True,
+    }
+    return Scene(
+        seed=seed,
+        zones={"a": 3},
+        routers=["a"] * routers,
+        settings={
+            "Classes": [chat],
+            "Tenants": [],
+            "Specifics": {"Resume": resumes},
+            "Limits": {"MaxAttempts": 2, "RetryAfter": True, "Cancelling": True, "MaxRetryAfterMs": 1000.0},
+        },
+        limits={"cores": 1.0, "memory_mb": 192.0, "sockets": sockets},
+        figures=None,
+        plan={
+            "kinds": [{"name": "chat", "left_ms": int(deadline_ms)}],
+            "accounts": ["acme"],
+            "habits": habits,
+            "pause_s": 0.3,
+            "gaps_ms": STREAMS_MS,
+            "seed": seed,
+        },
+        faults=faults,
+        length_s=length_s,
+        known="old",
+        gates=False,
+    )
+
+
+def draw(seed: int) -> Scene:
+    """A run by its seed: one to four routers, one drain by hand at least, clients of all habits."""
+    rng = Random(seed)
+    deadline_ms = rng.choice([300.0, 1000.0, 1500.0, 3000.0, 5000.0])
+    count = rng.choice([6, 10, CROWD])
+    drains = [(round(rng.uniform(0.5, 3.5), 2), "call_drain") for _ in range(rng.randint(1, 2))]
+    beside = [(round(rng.uniform(0.5, 6.0), 2), rng.choice(BESIDE)) for _ in range(rng.randint(0, 3))]
+    return scene(
+        rng.choice([1, 1, 2, 4]),
+        [rng.choice(HABITS + DRAIN_HABITS) for _ in range(count)],
+        sorted(drains + beside),
+        seed,
+        deadline_ms,
+        rng.random() < 0.4,
+        rng.choice([64, 256, 512]),
+        LENGTH_S,
+    )
+
+
+def broken(folder: Path, made: Scene) -> str:
+    """Play a scene: what it broke, empty where nothing."""
+    run, record, violations = play(folder, made)
+    unexpected = [line for log in run.logs.values() for line in log if '"unexpected"' in line]
+    if violations or unexpected or not record.connections:
+        return report(run, record, violations) + "".join(unexpected)
+    return ""
