Judge neither age nor slow start by a wall clock that may have been set

Cause: processes of one router named themselves by time.time_ns() and compared names for age, took a state by its file's mtime against that name, and read each other's times (words, suspicions, debts, returns) by clocks that each had set from the wall clock at its own start; engines' starts were read by the same clock: a process that starts after a step forward took every cold engine for warm. Change: a name is after all that are there; a state counts where it was written since this process looked; the clock's offset is in the lock file, and a later process takes it over. A start in the future is now, and one that is live news and over a minute old is now (net/destinations.py): both err to the slow side.

A connection whose client the host found gone before its reader did was never closed (Client._await_turn waited for a request that was over): it leaked, and held a drain for ever.

--- a/spoolbarrow/admin/operations.py
+++ b/spoolbarrow/admin/operations.py
@@ -23,6 +23,7 @@
 from spoolbarrow.handover import Handover, Torn
 from spoolbarrow.net import connection_handover
 from spoolbarrow.net.client import Client
+from spoolbarrow.net.clock import Clock
 from spoolbarrow.net.drain_schedule import end_schedule
 from spoolbarrow.net.engine_answer import Underway
 from spoolbarrow.net.host import Host
@@ -53,6 +54,10 @@
         """A configuration with this process's part of the room."""
         return config if self._handover is None else self._handover.fit(config)
 
+    def clock(self) -> Clock:
+        """The clock that all processes of this router go by."""
+        return Clock(None if self._handover is None else self._handover.clock_offset_s)
+
     def alone(self) -> bool:
         """Whether no older process of this router lives."""
         return self._handover is None or not self._handover.older
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -23,6 +23,7 @@
 from spoolbarrow.config import INHERITED, Config, ConfigError, reserved, share_out
 from spoolbarrow.errors import Problem
 from spoolbarrow.net.accepting import next_connection
+from spoolbarrow.net.clock import unix_offset_s
 from spoolbarrow.net.log import log, unexpected
 
 FOLDER = "spoolbarrow"
@@ -89,6 +90,12 @@
     return data[4:], list(held)
 
 
+def _number(name: str) -> int:
+    """By which a process's name sorts; 0 for what is no such name."""
+    number = name.partition("-")[0]
+    return int(number) if number.isascii() and number.isdigit() else 0
+
+
 class Handover:
     """This process among those that share a folder: they are one router."""
 
@@ -98,9 +105,15 @@
         self._folder.mkdir(mode=0o700, exist_ok=True)
         # A Unix socket's path holds 107 bytes, and the folder's alone may be longer: a descriptor names it.
         self._directory = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        # Names sort by age: who is later is the successor.
-        self.me = f"{time.time_ns():020d}-{os.getpid()}"
+        others = self._others()
+        # A state that is there already was written for another process.
+        self._old_states = {other: self._writing("state", other) for other in others}
+        # Names sort by age: who is later is the successor, also where the wall clock was set back meanwhile.
+        number = max([time.time_ns(), *(_number(other) + 1 for other in others)])
+        self.me = f"{number:020d}-{os.getpid()}"
+        self.clock_offset_s = self._shared_offset_s(others)  # of the clock that all of them go by
         self._lock = os.open(self._path("lock"), os.O_CREAT | os.O_RDWR | os.O_CLOEXEC, 0o600)
+        os.write(self._lock, b"%.6f" % self.clock_offset_s)
         fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         self.older: list[str] = []  # the others that live
         self.newer: list[str] = []
@@ -119,13 +132,32 @@
 
     def look(self) -> list[str]:
         """See who lives; those that are dead and left files."""
-        with os.scandir(self._folder) as entries:
-            names = sorted(entry.name for _, entry in zip(range(MOST_FILES), entries, strict=False))
-        others = [name.removesuffix(".lock") for name in names if name.endswith(".lock")]
-        alive = [other for other in others if other != self.me and self._lives(other)]
+        others = [other for other in self._others() if other != self.me]
+        alive = [other for other in others if self._lives(other)]
         self.older = [other for other in alive if other < self.me]
         self.newer = [other for other in alive if other > self.me]
-        return [other for other in others if other != self.me and other not in alive]
+        return [other for other in others if other not in alive]
+
+    def _others(self) -> list[str]:
+        """The processes that have files here, alive or not, by age."""
+        with os.scandir(self._folder) as entries:
+            names = sorted(entry.name for _, entry in zip(range(MOST_FILES), entries, strict=False))
+        return [name.removesuffix(".lock") for name in names if name.endswith(".lock")]
+
+    def _shared_offset_s(self, others: list[str]) -> float:
+        """The clock offset of the processes that live, else this machine's now."""
+        for other in others:
+            if self._lives(other):
+                with suppress(OSError, ValueError):
+                    return float(self._path("lock", other).read_bytes())
+        return unix_offset_s()
+
+    def _writing(self, kind: str, of: str) -> tuple[int, int] | None:
+        """Which writing of a file there is; None where there is none."""
+        with suppress(OSError):
+            status = self._path(kind, of).stat()
+            return status.st_ino, status.st_mtime_ns
+        return None
 
     def _lives(self, other: str) -> bool:
         try:
@@ -156,12 +188,10 @@
         """Words of the others, those not read yet; the files of the dead are gone after this."""
         texts = []
         for other in (*self.older, *self.newer, *dead):
-            path = self._path("words", other)
-            with suppress(OSError):
-                status = path.stat()
-                writing = (status.st_ino, status.st_mtime_ns)
-                if self._read.get(other) != writing:
-                    texts.append(path.read_bytes())
+            writing = self._writing("words", other)
+            if writing is not None and self._read.get(other) != writing:
+                with suppress(OSError):
+                    texts.append(self._path("words", other).read_bytes())
                     self._read[other] = writing
         return texts
 
@@ -257,10 +287,10 @@
         """The state of the process before this one; None where there is none or it does not come in time."""
         until = time.monotonic() + STATE_WAIT_S
         while self.older and time.monotonic() < until:
-            path = self._path("state", self.older[-1])
-            with suppress(OSError):
-                # Written since this one's lock was there: before, it was for another.
-                if path.stat().st_mtime_ns >= int(self.me.partition("-")[0]):
+            older = self.older[-1]
+            path, writing = self._path("state", older), self._writing("state", older)
+            if writing is not None and writing != self._old_states.get(older):
+                with suppress(OSError):
                     return path.read_bytes() if path.stat().st_size <= MOST_STATE else None
             gevent.sleep(LOOK_S / 5)
             self.look()
--- a/spoolbarrow/lab/recorded_clients.py
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -198,13 +198,16 @@
             gevent.sleep(RESET_LOOK_S)
         return self._was_reset()
 
-    def refused_within(self, seconds: float) -> bool:
-        """Wait so long, or until an answer begins that is no stream."""
+    def refused_within(self, seconds: float, asked: dict[str, Any]) -> bool:
+        """Wait so long, or until an answer begins that is no stream; of one that is, its begin is noted."""
         until = time.monotonic() + seconds
         self.sock.settimeout(max(0.001, seconds))
         with suppress(OSError):
-            if self.sock.recv(STATUS_LINE, plain.MSG_PEEK)[9:12] not in (b"", b"200"):
+            told = self.sock.recv(STATUS_LINE, plain.MSG_PEEK)[9:12]
+            if told not in (b"", b"200"):
                 return True
+            if told:
+                asked["status"], asked["first_at"] = 200, time.monotonic()
             gevent.sleep(max(0.0, until - time.monotonic()))
         return False
 
@@ -358,7 +361,7 @@
             return visit.leave("leaves")
         if self.habit in ("leaves", "resets", "half") and self.rng.random() < 0.6:
             patience_s = self.rng.choice([0.0, 0.001, 0.01, 0.05, 0.3]) * self.rng.random() * 2
-            if not visit.refused_within(patience_s):
+            if not visit.refused_within(patience_s, asked[0]):
                 return visit.leave(self.habit)
         visit.unanswered += asked
         self._read(visit, 1 if self.habit == "ahead" else 0)
--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -182,7 +182,7 @@
             there = self.sock.recv_into(view, LOOKED_AT, socket.MSG_PEEK)
             if self.ending or self._may_read():
                 return not self.ending
-            if self._under_way() is not None and (not there or self.gone()):
+            if self._left() or (self._under_way() is not None and (not there or self.gone())):
                 return False
             if there:
                 self._arrivals.stands(self.inbound.host.now())
@@ -205,6 +205,11 @@
         request = self.exchange.request if self.exchange is not None else None
         return None if request is None or request.over else request
 
+    def _left(self) -> bool:
+        """Whether the host found its client gone: nobody else ends the connection."""
+        request = self.exchange.request if self.exchange is not None else None
+        return request is not None and request.answered == "left"
+
     def _unsent(self) -> Request | None:
         """The request under way, where no endpoint can have all of it."""
         request = self._under_way()
--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -30,12 +30,16 @@
     remedy = "Resume suspended engines that are gone, by `POST /v1/engines/ID/resume`."
 
 
+STALE_NEWS_MS = 60_000.0  # a start that is told as a change and was so long ago was told by a wrong clock
+
+
 class Listed(NamedTuple):
     """An endpoint that discovery lists."""
 
     line: ListEntry  # what discovery said last
     address: Address
     incarnation: int  # another number after each restart, move or return
+    started_at: float  # ms, on the host's clock; never after it was heard of
 
     def serving(self) -> bool:
         """Whether discovery has it in service."""
@@ -66,6 +70,7 @@
         self._discovery = DiscoveryWatch(config, self, tell, now)
         self._next_incarnation = count(1)
         self._serving: set[str] = set()
+        self._heard = False  # discovery has told this process a list
         # Endpoints of this type, or of this group, never serve: they are told to `_aside_tell`.
         self._aside_type, self._aside_group = "", -1
         self._aside: dict[str, tuple[str, Address, bool, float]] = {}
@@ -80,7 +85,7 @@
         if (config.zones, config.kinds, config.settings.zone) != (old.zones, old.kinds, old.settings.zone):
             # News may wait that has the old numbers of zones and types. The list is told as it was last
             # taken, and as restored: any other kind would count as an answer from discovery.
-            lines = tuple(self._masked(listed.line) for listed in self._listed.values())
+            lines = tuple(self._masked(listed) for listed in self._listed.values())
             self._tell(i.ReplicaList(i.ListKind.RESTORED, lines))
         self._discovery.apply(config)
 
@@ -162,7 +167,7 @@
     def starting(self, name: str) -> bool:
         """Whether the endpoint is in its slow start, by discovery's word."""
         listed = self._listed.get(name)
-        return listed is not None and self._now() < listed.line.since_ms + self._config.settings.cold_ms
+        return listed is not None and self._now() < self._started_at(listed) + self._config.settings.cold_ms
 
     def names(self) -> list[str]:
         """The endpoints that are listed, those that drain too."""
@@ -209,7 +214,7 @@
         for name, listed in list(self._listed.items()):
             if listed.line.zone not in changed:
                 continue
-            if self._masked(listed.line).state is i.ReplicaState.SERVING:
+            if self._masked(listed).state is i.ReplicaState.SERVING:
                 self._serving.add(name)
             else:
                 self._serving.discard(name)
@@ -273,11 +278,16 @@
 
     def _say_again(self, name: str) -> None:
         if name in self._listed:
-            self._tell(i.ReplicaList(i.ListKind.CHANGES, (self._masked(self._listed[name].line),)))
+            self._tell(i.ReplicaList(i.ListKind.CHANGES, (self._masked(self._listed[name]),)))
+
+    def _started_at(self, listed: Listed) -> float:
+        """When an endpoint began its slow start, ms on the host's clock."""
+        resumed = self._resumed.get(listed.line.name, 0.0)
+        return max(listed.started_at, resumed, self._zones_back.get(listed.line.zone, 0.0))
 
-    def _masked(self, line: ListEntry) -> i.ReplicaEntry:
+    def _masked(self, listed: Listed) -> i.ReplicaEntry:
         """What the decisions hear of a line: operators' word goes before discovery's."""
-        config = self._config
+        config, line = self._config, listed.line
         entry = i.ReplicaEntry(
             line.name,
             config.zones.get(line.zone, config.settings.zone),
@@ -285,13 +295,13 @@
             line.group,
             STATES[line.status],
             line.weight,
-            line.since_ms,  # Unix time, as the host's clock counts too
+            listed.started_at,
         )
         out = self.suspended(entry.replica) or line.zone in self._zones_out
         if out and entry.state is i.ReplicaState.SERVING:
             return replace(entry, state=i.ReplicaState.DRAINING)
-        resumed = max(self._resumed.get(entry.replica, 0.0), self._zones_back.get(line.zone, 0.0))
-        return replace(entry, started_at_ms=resumed) if resumed > entry.started_at_ms else entry
+        started_at = self._started_at(listed)
+        return replace(entry, started_at_ms=started_at) if started_at > entry.started_at_ms else entry
 
     def take(self, news: HostList, kind: i.ListKind) -> None:
         """Take over a list, or changes of it, and tell the decisions."""
@@ -299,6 +309,8 @@
             for name in self._listed.keys() - {entry.name for entry in news.endpoints}:
                 self._forget(name)
             self._aside.clear()
+        live = kind is i.ListKind.CHANGES and self._heard
+        self._heard = self._heard or kind in (i.ListKind.CHANGES, i.ListKind.WHOLE)
         entries, aside = [], False
         for entry in news.endpoints:
             if self._is_aside(entry.type, entry.group):
@@ -308,9 +320,9 @@
                     self._forget(entry.name)
                     entries.append(i.ReplicaEntry(entry.name, state=i.ReplicaState.GONE))
                 continue
-            if not self._accepts(entry):
+            if not self._accepts(entry, live):
                 continue
-            made = self._masked(entry)
+            made = self._masked(self._listed[entry.name])
             entries.append(made)
             if made.state is i.ReplicaState.SERVING:
                 self._serving.add(entry.name)
@@ -333,8 +345,8 @@
         self._resumed.pop(name, None)
         self._left(name)
 
-    def _accepts(self, entry: ListEntry) -> bool:
-        """Keep what a line says; one that can't be used is logged and left out."""
+    def _accepts(self, entry: ListEntry, live: bool) -> bool:
+        """Keep what a line says, which may be live news; one that can't be used is logged and left out."""
         try:
             listens = address("address", entry.address)
         except ConfigError:
@@ -344,10 +356,24 @@
             return False
         was = self._listed.get(entry.name)
         if was is not None and (was.address, was.line.since_ms) == (listens, entry.since_ms):
-            incarnation = was.incarnation
+            incarnation, started_at = was.incarnation, was.started_at
         else:  # it moved or restarted: connections to what it was are of no use, idle or not
+            started = was is None or was.line.since_ms != entry.since_ms  # else it moved
             incarnation = next(self._next_incarnation)
+            started_at = self._start_of(entry, live and started)
             self._left(entry.name)
-        self._listed[entry.name] = Listed(entry, listens, incarnation)
+        self._listed[entry.name] = Listed(entry, listens, incarnation, started_at)
         self._listing = None
         return True
+
+    def _start_of(self, entry: ListEntry, live: bool) -> float:
+        """When an endpoint started, ms on the host's clock, as far as the wall clocks can be believed.
+
+        Guards the slow start where this machine's was set before this process began, or the endpoint's: a
+        start to come is now, and one long ago that has just become news is now, too. Both err to the slow
+        side, for one slow start at most.
+        """
+        now = self._now()
+        if live and 0.0 < entry.since_ms < now - STALE_NEWS_MS and entry.status == "in_service":
+            return now
+        return min(entry.since_ms, now)
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -56,9 +56,9 @@
 class Host:
     """The decisions' surroundings on one machine."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, clock: Clock | None = None) -> None:
         self.config = config
-        self.now = Clock()
+        self.now = clock or Clock()
         self.turns = LoopTurns(lambda: self.now())
         self.taps = Taps()
         self.fleet: InCommon | None = None  # where the store is followed; versions are told of it
--- a/spoolbarrow/net/pools.py
+++ b/spoolbarrow/net/pools.py
@@ -187,12 +187,11 @@
         pools.classes = config.settings.classes
         total = sum(tenant.portion for tenant in config.settings.tenants)
         pools.portions = [tenant.portion / total for tenant in config.settings.tenants] if total > 0.0 else []
-        now, cold_ms = host.now(), config.settings.cold_ms
         self._listing = host.destinations.listing()
         pools.listed({
             line.name: Engine(
                 line.type[:MOST_TYPE], config.zones.get(line.zone, config.settings.zone),
-                line.since_ms > 0.0 and 0.0 <= now - line.since_ms < cold_ms, self._only.get(line.type, ""),
+                host.destinations.starting(line.name), self._only.get(line.type, ""),
             )
             for line in host.destinations.seen()[1] if host.destinations.serving(line.name)
         })  # fmt: skip
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -53,7 +53,7 @@
     told_to_end = Event()
     gevent.signal_handler(signal.SIGTERM, told_to_end.set)
     gevent.signal_handler(signal.SIGINT, told_to_end.set)
-    host = Host(settings)
+    host = Host(settings, operations.clock() if operations is not None else None)
     inbound = Inbound(settings, host)
     reloader = Reloader(host, inbound, operations, descriptors)
     subsystems = reloader.subsystems
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -220,3 +220,20 @@
         assert made.client().send(asked("last")).answer().status == 200
         until(lambda: made.log().count('"event":"request"') >= 1)
         assert [m.fields[b"x-correlation-id"] for m in made.engine.requests] == [b"last"]
+
+
+@ENDS
+def test_a_client_that_the_host_found_gone_leaves_no_connection(go: Callable[[Any], None]) -> None:
+    """The host settles its request just before its reader's turn, which then has no request to end."""
+
+    def silent(sock: socket.socket, message: Message) -> None:
+        """Say nothing."""
+
+    with stage(silent) as (scene, engine):
+        client = scene.client().send(ask())
+        until(lambda: engine.requests)
+        (inside,) = scene.inbound._clients
+        leave(inside, client, go)  # no greenlet runs meanwhile
+        scene.host.client_left(inside.exchange.request)
+        until(lambda: not scene.inbound._clients)
+        assert not scene.host.open_requests()
--- a/tests/test_watch_races.py
+++ b/tests/test_watch_races.py
@@ -29,6 +29,7 @@
 from tests.stage import HEAD, Party, ask, chunk, entry, make_config, now_unix_ms, serve_all, stage, until
 
 KNOWN = 7  # the version in the configuration
+LONG_WARM_MS = 30_000.0  # since an engine started: its slow start is over, and the news of it is not old
 WHOLE_TARGET = b"/discovery/hosts"
 Sock = socket.socket
 
@@ -522,7 +523,7 @@
     with stage(serve_all, serve_all) as (scene, old, other):
         port = other.port if change == "moved" else old.port
         gone = [entry("e0", old.port, status="terminated")] if change == "gone and back" else []
-        back = entry("e0", port, since_ms=0.0 if gone else 5.0)
+        back = entry("e0", port, since_ms=0.0 if gone else now_unix_ms() - LONG_WARM_MS)
         news = HostList(9, False, msgspec.convert([*gone, back], list[ListEntry]))
         alone = msgspec.convert([entry("e1", other.port, status="terminated")], list[ListEntry])
         scene.host.destinations._discovery._news(HostList(8, False, alone))
