--- a/tests/test_fleet_pools.py
+++ b/tests/test_fleet_pools.py
@@ -335,7 +335,9 @@
         config=SimpleNamespace(
             settings=i.Settings(nodes=1, classes=classes), classes={}, tenants={}, zones={}
         ),
-        destinations=SimpleNamespace(listing=dict, seen=lambda: (1, lines), serving=lambda name: True),
+        destinations=SimpleNamespace(
+            listing=dict, seen=lambda: (1, lines), serving=lambda name: True, starting=lambda name: False
+        ),
     )
     part = pools.Split("r0")
     part.watch(host, FleetTable(["m"], only_read=["big"]))
