--- a/spoolbarrow/lab/recorded_clients.py
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -277,7 +277,7 @@
         if "ended" not in self.told and "closed_at" not in self.told:
             if "malformed_from" not in self.told:  # else it is told what was wrong
                 self.told["answers_too_many"] = int(self.reader.pending())
-            if self.requests and all(one["whole"] for one in self.requests):
+            if all(one["whole"] for one in self.requests):
                 self.told["closed_at"] = time.monotonic()
         self.sock.close()
 
