--- a/tests/test_drain_terms.py
+++ b/tests/test_drain_terms.py
@@ -19,9 +19,14 @@
 AGAIN = [(1.0, "call_drain"), (2.0, "call_activate"), (3.0, "call_drain")]
 
 
-@pytest.mark.parametrize("habit", ["eager", "ahead", "renews"])
-def test_a_drained_router_holds_nothing_new_whatever_its_clients_do(tmp_path: Path, habit: str) -> None:
-    assert broken(tmp_path, scene(1, [habit] * 10, DRAIN)) == ""
+@pytest.mark.parametrize(
+    ("routers", "habit"), [(1, "eager"), (1, "ahead"), (1, "renews"), (2, "eager"), (2, "ahead")]
+)
+def test_a_drained_router_holds_nothing_new_whatever_its_clients_do(
+    tmp_path: Path, routers: int, habit: str
+) -> None:
+    """Where it is the only one, clients come back to it; else those that it has are left to it."""
+    assert broken(tmp_path, scene(routers, [habit] * 10, DRAIN)) == ""
 
 
 @pytest.mark.parametrize("routers", [2, 3])
