--- a/Makefile
+++ b/Makefile
@@ -20,4 +20,4 @@
 	NODE_CONFIG=$${NODE_CONFIG:-examples/config.json} .venv/bin/python -m spoolbarrow
 
 bench: dev
-	for one in agreement cold_engines door event_delay failover flows follow gone lab placement ready served service shadow told; do .venv-ci/bin/python benchmarks/$$one.py --short || exit 1; done
+	for one in agreement cold_engines door drains event_delay failover flows follow gone lab placement ready served service shadow told; do .venv-ci/bin/python benchmarks/$$one.py --short || exit 1; done
--- a/benchmarks/drains.py
+++ b/benchmarks/drains.py
@@ -1,13 +1,15 @@
 """Drains by hand, ends of processes and kills under faults: terms kept or broken, by seed.
 
-    python benchmarks/drains.py [--short] [--seeds 50] [--from 1] [--beside 3]
+    python benchmarks/drains.py [--short] [--seeds 50] [--from 1] [--beside 3] [--shim]
 
-Each seed draws a run of real processes (`tests/drain_scenes.py`); `--beside` of them are played at once.
+Each seed draws a run of real processes (`tests/drain_scenes.py`); `--beside` of them are played at once. With
+`--shim` the routers' system calls fail and fall short, and wall clocks differ (`benchmarks/shims`).
 """
 
 from __future__ import annotations
 
 import argparse
+import os
 import subprocess
 import sys
 import tempfile
@@ -41,7 +43,10 @@
     parser.add_argument("--from", dest="first", type=int, default=1)
     parser.add_argument("--beside", type=int, default=3)
     parser.add_argument("--one", type=int, help="play this seed here, and print what it broke")
+    parser.add_argument("--shim", action="store_true")
     given = parser.parse_args()
+    if given.shim:
+        os.environ["PYTHONPATH"] = str(ROOT / "benchmarks" / "shims")
     if given.one is not None:
         with tempfile.TemporaryDirectory() as folder:
             print(broken(Path(folder), draw(given.one)), end="")
--- a/spoolbarrow/lab/recorded_clients.py
+++ b/spoolbarrow/lab/recorded_clients.py
@@ -182,9 +182,10 @@
         asked["answered_at"], asked["whole"] = self.reader.at, True
 
     def _chunks(self, asked: dict[str, Any]) -> None:
+        rest = b""  # of a line: chunks need not hold whole events
         while size := int(self.reader.line(), 16):
-            event = self.reader.exactly(size + 2)
-            for line in event.splitlines():
+            *lines, rest = (rest + self.reader.exactly(size + 2)[:-2]).split(b"\n")
+            for line in lines:
                 if line.startswith(b"data: {"):
                     told = json.loads(line[6:])["choices"][0]["delta"]["content"]
                     id, attempt, place = told.split(" ")
--- a/tests/test_drain_terms.py
+++ b/tests/test_drain_terms.py
@@ -15,6 +15,7 @@
 from tests.drain_scenes import broken, draw, scene
 
 MIXED = ["eager", "keeps", "renews", "pipelines", "bytewise", "slow", "closes", *DRAIN_HABITS]
+SHIMS = Path(__file__).resolve().parent.parent / "benchmarks" / "shims"
 DRAIN = [(2.0, "call_drain")]
 AGAIN = [(1.0, "call_drain"), (2.0, "call_activate"), (3.0, "call_drain")]
 
@@ -40,3 +41,11 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_drawn_drains_and_faults_break_no_term(tmp_path: Path, seed: int) -> None:
     assert broken(tmp_path, draw(seed)) == ""
+
+
+def test_drawn_drains_break_no_term_where_system_calls_fail_and_fall_short(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Accept, connect, short reads and writes, and wall clocks that differ between the routers."""
+    monkeypatch.setenv("PYTHONPATH", str(SHIMS))
+    assert broken(tmp_path, draw(100)) == ""
