--- a/benchmarks/shims/sitecustomize.py
+++ b/benchmarks/shims/sitecustomize.py
@@ -1,8 +1,8 @@
 """System calls of a router's process that fail, or do less than they were asked, as Linux documents.
 
-Loaded by the interpreter where this folder is on PYTHONPATH; it changes `python -m spoolbarrow` alone. Drawn by
-the name of the process's configuration: errors of accept that cost no connection, errors of connect, short reads and
-writes, and a wall clock that was set before the process began.
+Loaded by the interpreter where this folder is on PYTHONPATH; it changes `python -m spoolbarrow` alone. Drawn
+by the name of the process's configuration: errors of accept that cost no connection, errors of connect, short
+reads and writes, and a wall clock that was set before the process began.
 """
 
 from __future__ import annotations
