--- a/review/9/case.py
+++ b/review/9/case.py
@@ -37,7 +37,7 @@
     )
     await asyncio.sleep(1.5)
     held = socket.socket()
-    held.bind((s.HOST, 0))
+    held.bind((s.HOST, s.free_port()))
     held.listen(128)
     listen = int(held.getsockname()[1])
 
