Write a document at most once with `store put`, whatever answers are lost

With `--expect` the second call was refused instead, and a change that was written was reported as refused.

Cause: `put` (cli/store.py) took "no answer" for "not written", and called the next member with a write that names no revision, so that the members take it for another change. Nothing kept the outcome of the first call in mind.

Change: cli/store_client.py. Each call of a write names the revision that it replaces, the one that it has read where `--expect` is not given; the store replaces a revision once, so one of the calls at most is carried out, in whatever order they arrive. A definite conflict reads the revision anew (the last one wins, as before; 50 times at most); after a call whose outcome is unknown (no answer, 5xx) a conflict is reported as unknown. What was never sent (no connection) and 409 with a leader count as not written. The lab's store members, whose writes had the same fault, write by it too.

Ruled out: to stop after a lost answer (one member that hangs would then stop all writes through it); to name a revision in the second call only (the first one may arrive after it: test_a_call_that_arrives_after_its_repetition_writes_nothing); ids that members remember (members of two versions would apply one log differently, and the call's form would change).

`--expect` takes no negative number: it meant "any" and was documented nowhere.

--- a/spoolbarrow/cli/errors.py
+++ b/spoolbarrow/cli/errors.py
@@ -27,6 +27,10 @@
     remedy = "Check that it runs, that this is its `control` address, and that the network lets you reach it."
 
 
+class Unreachable(NoAnswer):
+    """A command can't connect to a router or store member, so nothing was sent to it."""
+
+
 class Refused(Problem):
     """A router or store member answers a command with an error; its own remedy is printed, if any."""
 
--- a/spoolbarrow/cli/store.py
+++ b/spoolbarrow/cli/store.py
@@ -4,18 +4,16 @@
 
 import signal
 from pathlib import Path
-from typing import Any, TypeVar
-from urllib.parse import quote
+from typing import Any
 
 import click
 from msgspec import Struct
 
 from spoolbarrow import config
-from spoolbarrow.cli import print_problem
+from spoolbarrow.cli import print_problem, store_client
 from spoolbarrow.cli.errors import BadArgument, NoAnswer, Refused
-from spoolbarrow.cli.http_client import convert_response, request_json
+from spoolbarrow.errors import Problem
 
-T = TypeVar("T")
 members_option = click.option(
     "--at",
     "asked",
@@ -26,14 +24,6 @@
 )
 
 
-class MemberRefused(Refused):
-    """A store member responds with an error."""
-
-    def __init__(self, member: str, body: dict[str, Any]) -> None:
-        super().__init__(member, str(body.get("error", "no")), str(body.get("remedy", "")))
-        self.can_retry = "leader" in body  # ask another: this one is not the leader and changed nothing
-
-
 @click.group(name="store")
 def command() -> None:
     """A store of documents with three or more members; each change is made on all of them or none."""
@@ -103,26 +93,6 @@
     fault: str
 
 
-class Read(Struct):
-    """A document."""
-
-    value: str
-
-
-class Written(Struct):
-    """A document that was written."""
-
-    revision: int
-
-
-def request(member: str, method: str, path: str, kind: type[T], body: bytes = b"") -> T:
-    """A member's response; raises NoAnswer if there is none, MemberRefused if it is an error."""
-    status, decoded = request_json(member, method, path, body)
-    if status != 200:
-        raise MemberRefused(member, decoded)
-    return convert_response(member, decoded, kind)
-
-
 @command.command()
 @members_option
 def status(asked: tuple[str, ...]) -> int:
@@ -130,7 +100,7 @@
     responses = []
     for member in asked:
         try:
-            response = request(member, "GET", "/v1/status", Status)
+            response = store_client.request(member, "GET", "/v1/status", Status)
         except (NoAnswer, Refused) as error:
             print_problem(error, err=False)
             continue
@@ -150,34 +120,30 @@
     """Print a document as the first responding member has it, which may be an older revision."""
     for member in asked:
         try:
-            response = request(member, "GET", f"/v1/store/{quote(key, safe='')}", Read)
+            document = store_client.read(member, key)
         except (NoAnswer, Refused) as error:
             print_problem(error)
             continue
-        click.echo(response.value, nl=False)
+        click.echo(document.value, nl=False)
         return 0
     return 1
 
 
 @command.command()
 @members_option
-@click.option("--expect", type=int, help="The revision that the document must have; 0: it must not exist.")
+@click.option(
+    "--expect",
+    type=click.IntRange(min=0),
+    help="The revision that the document must have; 0: it must not exist.",
+)
 @click.argument("key")
 @click.argument("file", type=click.File("rb"))
 def put(asked: tuple[str, ...], expect: int | None, key: str, file: Any) -> int:
-    """Write a document from a file through the leader; prints its revision."""
-    body = file.read()
-    query = "" if expect is None else f"?expect={expect}"
-    for member in asked:
-        try:
-            response = request(member, "PUT", f"/v1/store/{quote(key, safe='')}{query}", Written, body)
-        except NoAnswer as error:
-            print_problem(error)
-        except MemberRefused as error:
-            print_problem(error)
-            if not error.can_retry:
-                return 1  # refused, or unknown: a second call to another member could write twice
-        else:
-            click.echo(response.revision)
-            return 0
-    return 1
+    """Write a document from a file through the leader, at most once; prints its revision."""
+    try:
+        revision = store_client.write(asked, key, file.read(), expect, print_problem)
+    except Problem as error:
+        print_problem(error)
+        return error.status
+    click.echo(revision)
+    return 0
--- a/spoolbarrow/lab/store_members.py
+++ b/spoolbarrow/lab/store_members.py
@@ -15,8 +15,10 @@
 from pathlib import Path
 from typing import Any
 
+from spoolbarrow.cli import store_client
 from spoolbarrow.cli.errors import NoAnswer
 from spoolbarrow.cli.http_client import Answer, request_json
+from spoolbarrow.errors import Problem
 from spoolbarrow.lab.process import LISTEN, Process, free_ports
 
 MEMBER_COUNT = 3
@@ -133,12 +135,11 @@
         raise AssertionError(f"no member of {candidates} leads")
 
     def put(self, key: str, value: bytes) -> int:
-        """Write a document through the leader; its revision, or 0 if no member accepted it."""
-        for control in self.controls:
-            status, document = request_member(control, "PUT", f"/v1/store/{key}", value)
-            if status == 200:
-                return int(document["revision"])
-        return 0
+        """Write a document at most once; its revision, or 0 if it is not known to be written."""
+        try:
+            return store_client.write(self.controls, key, value, None, lambda _: None)
+        except Problem:
+            return 0
 
     def get(self, member: int, key: str) -> str | None:
         """A member's copy of a document."""
