Answer a conflict with 409 whatever the document's key is

What callers saw: a write to a key that begins with "unknown" (such as `unknown-hosts`), refused since the document is at another revision, was answered 503, "may be written", in place of 409; `store put` reported it as unknown too.

Cause: Member._write_document told the two apart by the first word of the outcome's text, which for a conflict begins with the key.

Change: the outcome that the disk's failure leaves unknown is an error of its own kind (`Unknown`), handed to those who wait; what the state machine refuses is always a conflict. Responses are otherwise as they were.

Red before: test_a_refusal_is_told_as_one_whatever_the_key_is ("it may be written" for `unknown-hosts: at revision 0, not 7`). After: it passes, and tests/test_fleet_store.py (full disk included). Other places that tell errors apart by their text were searched for (`startswith`, `in str(error)` over spoolbarrow/): the rest parse settings and commands.

--- a/spoolbarrow/store/member.py
+++ b/spoolbarrow/store/member.py
@@ -128,7 +128,7 @@
             self.fault = str(error)
             log("store_disk", member=self.name, why=self.fault, remedy=error.remedy)
             for waiting in self._pending_writes.values():
-                waiting.set(s.Outcome(0, "unknown: the disk failed"))
+                waiting.set_exception(f.Unknown("", "unknown: the disk failed", revision=0))
             return
         for message in ready.messages:
             self._enqueue(message.dst, _encode(message))
@@ -275,8 +275,7 @@
         finally:
             del self._pending_writes[put.id]
         if outcome.why:
-            kind = f.Unknown if outcome.why.startswith("unknown") else f.Conflict
-            raise kind("", outcome.why, revision=outcome.revision)
+            raise f.Conflict("", outcome.why, revision=outcome.revision)
         return {"revision": outcome.revision}
 
     def status(self) -> dict[str, Any]:
--- a/tests/test_store_put.py
+++ b/tests/test_store_put.py
@@ -22,6 +22,7 @@
 from spoolbarrow.lab.process import LISTEN, Process, free_ports
 from spoolbarrow.lab.store_members import request_member
 from spoolbarrow.net.http1 import Message
+from spoolbarrow.store.faults import Conflict
 from spoolbarrow.store.state import Put, StateMachine
 from tests.router_harness import ScriptedServer, wait_until
 
@@ -218,6 +219,12 @@
     assert ended.status == 1 and store.get("refused") == Stored(revision, "B")
 
 
+def test_a_refusal_is_told_as_one_whatever_the_key_is(store: Store, put: Callable[..., Ended]) -> None:
+    """Guards against a conflict reported as an unknown outcome, since its text begins with the key."""
+    ended = put("unknown-hosts", "A", store.control, expect=7)
+    assert ended.status == 1 and ended.errors.splitlines()[-1] == f"  {Conflict.remedy}"
+
+
 def test_an_overwrite_that_is_overtaken_starts_from_the_newer_revision(
     store: Store, put: Callable[..., Ended]
 ) -> None:
