Never write a summary at a revision that a failed read did not tell

What could be seen: a router that reads the revision of its own summary from a store member that fails (500, or another program at its address) wrote the next summary with `expect=-1`, which replaces any revision: over a later process's summary, and twice where that call's answer was lost as well.

Cause: StoreClient.get took the body of any answer but 404 for the document; one without a revision reads as -1, and members take a negative revision for "any".

Change: an answer that is not 200, or has no revision, is a member that can't be used. The other writes of routers (leases, summaries) name a revision above -1 in each call, and repeat it at that revision alone: read, and held by test_a_repeated_write_names_the_same_revision, which passed before.

--- a/spoolbarrow/net/store_client.py
+++ b/spoolbarrow/net/store_client.py
@@ -56,7 +56,8 @@
 class Put(Struct, frozen=True):
     """The result of a write: its `revision`, or 0 and whether the document had another one than expected.
 
-    Neither: unknown. Repeating it at the next member is safe, since only one write replaces a revision.
+    Neither: unknown. Repeating it at the next member is safe, since only one write replaces a revision; if
+    the first of them was not answered, the conflict may be due to that one.
     """
 
     revision: int = 0
@@ -132,9 +133,12 @@
         if status == 404:
             return None
         try:
-            return _answer.decode(text)
+            answer = _answer.decode(text)
         except msgspec.DecodeError as error:
             raise MemberUnavailable(str(error)) from None
+        if status != 200 or answer.revision <= 0:
+            raise MemberUnavailable(f"status {status}, revision {answer.revision}")
+        return answer
 
     def put(self, key: str, text: bytes, expect: int) -> Put:
         """Replace a document that is at revision `expect`, trying the members in turn."""
--- a/tests/router_harness.py
+++ b/tests/router_harness.py
@@ -35,6 +35,11 @@
     sock.sendall(STREAM_HEAD + b"".join(map(chunk, EVENTS)) + b"0\r\n\r\n")
 
 
+def json_response(status: int, content: bytes) -> bytes:
+    """A complete response whose body is JSON."""
+    return b"HTTP/1.1 %d -\r\nContent-Length: %d\r\n\r\n%b" % (status, len(content), content)
+
+
 class ScriptedServer:
     """A server that answers each request with a script."""
 
--- a/tests/test_store_put.py
+++ b/tests/test_store_put.py
@@ -24,7 +24,7 @@
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.store.faults import Conflict
 from spoolbarrow.store.state import Put, StateMachine
-from tests.router_harness import ScriptedServer, wait_until
+from tests.router_harness import ScriptedServer, json_response, wait_until
 
 
 class Stored(NamedTuple):
@@ -77,7 +77,7 @@
         status, content = request_member(
             self._store.control, message.method.decode(), message.target.decode(), message.body
         )
-        return response(status, orjson.dumps(content))
+        return json_response(status, orjson.dumps(content))
 
     def _answer(self, sock: socket.socket, message: Message) -> bool:
         if message.method == b"PUT":
@@ -91,10 +91,6 @@
         self._server.close()
 
 
-def response(status: int, content: bytes) -> bytes:
-    return b"HTTP/1.1 %d -\r\nContent-Length: %d\r\n\r\n%b" % (status, len(content), content)
-
-
 class Ended(NamedTuple):
     """What a command printed, and its exit status."""
 
@@ -141,9 +137,9 @@
 NO_ANSWERS = {
     "closed": b"",
     "cut_short": b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"rev",
-    "of_another_program": response(200, b"{}"),
-    "unknown": response(503, b'{"error": "unknown: not committed in time", "remedy": "Read it."}'),
-    "internal_error": response(500, b'{"error": "internal error", "remedy": "Report it."}'),
+    "of_another_program": json_response(200, b"{}"),
+    "unknown": json_response(503, b'{"error": "unknown: not committed in time", "remedy": "Read it."}'),
+    "internal_error": json_response(500, b'{"error": "internal error", "remedy": "Report it."}'),
 }  # fmt: skip
 
 
@@ -210,7 +206,7 @@
     store: Store, put: Callable[..., Ended]
 ) -> None:
     revision = store.write("refused", "B")
-    not_leader = response(409, b'{"error": "another member leads", "leader": "m0"}')
+    not_leader = json_response(409, b'{"error": "another member leads", "leader": "m0"}')
     with front_of(store, lambda front, message: not_leader) as front:
         ended = put("refused", "A", f"{LISTEN}:1", front.address, store.control, expect=revision + 1)
         assert f"refused: at revision {revision}, not {revision + 1}" in ended.errors.splitlines()[-2]
@@ -243,11 +239,11 @@
     store: Store, put: Callable[..., Ended]
 ) -> None:
     def overtaken(front: Front, message: Message) -> bytes:
-        return response(409, b'{"error": "at another revision", "revision": %d}' % len(front.writes))
+        return json_response(409, b'{"error": "at another revision", "revision": %d}' % len(front.writes))
 
     with front_of(store, overtaken) as front:
         assert put("busy", "A", front.address).status == 1 and len(front.writes) == MAX_OVERTAKEN
-    full = response(409, b'{"error": "10000 keys are kept", "revision": 0}')
+    full = json_response(409, b'{"error": "10000 keys are kept", "revision": 0}')
     with front_of(store, lambda front, message: full) as front:
         ended = put("full", "A", front.address)
         assert ended.status == 1 and "10000 keys are kept" in ended.errors and len(front.writes) == 1
