Start store members by one function in the lab, the tests and the benchmark

The command line of `store serve` stood five times (lab/store_members.py, test_fleet_store.py twice, test_store_put.py, benchmarks/store.py), and the call that reports status 0 without an answer twice. `member_arguments` and `request_member` of the lab serve all of them.

--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -26,10 +26,9 @@
 
 from paired_routers import anonymous_kb  # noqa: E402
 
-from spoolbarrow.cli.errors import NoAnswer  # noqa: E402
-from spoolbarrow.cli.http_client import request_json  # noqa: E402
 from spoolbarrow.lab.cluster import LISTEN, Process, free_ports  # noqa: E402
 from spoolbarrow.lab.raft_histories import MUTANTS, History, find_violation  # noqa: E402
+from spoolbarrow.lab.store_members import member_arguments, request_member  # noqa: E402
 
 CLUSTER_SIZES = (3, 5)
 MIN_BUGS_FOUND = 7  # by histories
@@ -39,37 +38,15 @@
 MAX_SLOWDOWN = 10.0  # of three members against one
 
 
-def call_member(member: str, method: str, path: str, body: bytes = b"") -> tuple[int, dict[str, Any]]:
-    """A member's response; status 0 with the reason without one."""
-    try:
-        return request_json(member, method, path, body)
-    except NoAnswer as error:
-        return 0, {"error": str(error)}
-
-
 def measure_members(count: int, keys: int) -> dict[str, Any]:
     """Write keys to a cluster of members: changes per second, their duration, memory, and losses."""
     free = free_ports(2 * count)
     listens, controls = free[:count], [f"{LISTEN}:{port}" for port in free[count:]]
-    member_args = [part for n, port in enumerate(listens) for part in ("--member", f"m{n}={LISTEN}:{port}")]
+    addresses = {f"m{n}": f"{LISTEN}:{port}" for n, port in enumerate(listens)}
     with tempfile.TemporaryDirectory() as directory:
         processes = [
-            Process(
-                "-m",
-                "spoolbarrow",
-                "store",
-                "serve",
-                "--name",
-                f"m{n}",
-                *member_args,
-                "--listen",
-                f"{LISTEN}:{listens[n]}",
-                "--control",
-                controls[n],
-                "--directory",
-                directory,
-            )
-            for n in range(count)
+            Process(*member_arguments(name, addresses, control, Path(directory)))
+            for name, control in zip(addresses, controls, strict=True)
         ]
         try:
             leader = ""
@@ -77,7 +54,7 @@
                 leading = [
                     one
                     for one in controls
-                    if call_member(one, "GET", "/v1/status")[1].get("role") == "leader"
+                    if request_member(one, "GET", "/v1/status")[1].get("role") == "leader"
                 ]
                 leader = leading[0] if leading else ""
             times: list[float] = []
@@ -86,7 +63,7 @@
             def write(writer: int) -> None:
                 for key in range(writer, keys, WRITERS):
                     begun = time.perf_counter()
-                    code, _ = call_member(leader, "PUT", f"/v1/store/k{key}", VALUE)
+                    code, _ = request_member(leader, "PUT", f"/v1/store/k{key}", VALUE)
                     times.append((time.perf_counter() - begun) * 1000)
                     if code != 200:
                         failed.append(code)
@@ -99,7 +76,7 @@
                 writer.join()
             elapsed_s = time.perf_counter() - begun
             grown = (max(anonymous_kb(one.popen.pid) for one in processes) - before) / 1024
-            kept = [call_member(one, "GET", "/v1/status")[1]["keys"] for one in controls]
+            kept = [request_member(one, "GET", "/v1/status")[1]["keys"] for one in controls]
         finally:
             for one in processes:
                 one.end()
--- a/spoolbarrow/lab/store_members.py
+++ b/spoolbarrow/lab/store_members.py
@@ -11,7 +11,7 @@
 import shutil
 import signal
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +33,21 @@
         return Answer(0, {"error": str(error)})
 
 
+def member_arguments(
+    name: str, members: Mapping[str, str], control: str, folder: Path, max_pages: int = 0
+) -> list[str]:
+    """The arguments of a process of a member.
+
+    `members` has the address on which it listens, and those at which it reaches the others.
+    """
+    named = [part for member, address in members.items() for part in ("--member", f"{member}={address}")]
+    own = ["--name", name, "--listen", members[name], "--control", control]
+    return [
+        *("-m", "spoolbarrow", "store", "serve", *own, *named),
+        *("--directory", str(folder), "--most-pages", str(max_pages)),
+    ]
+
+
 class StoreMembers:
     """Members `0..2`, and `fronts[r]`, the addresses at which router `r` reaches their control listeners."""
 
@@ -56,28 +71,13 @@
 
     def start(self, member: int) -> Process:
         """Start a process of a member on its current file."""
-        members = []
-        for other in range(MEMBER_COUNT):
-            is_self = other == member
-            peer_address = (
-                self.listens[member] if is_self else self._between[self._pairs.index((member, other))]
-            )
-            members += ["--member", f"m{other}={peer_address}"]
-        return self._start(
-            "-m",
-            "spoolbarrow",
-            "store",
-            "serve",
-            "--name",
-            f"m{member}",
-            *members,
-            "--listen",
-            self.listens[member],
-            "--control",
-            self.controls[member],
-            "--directory",
-            str(self.folder),
-        )
+        members = {f"m{other}": self._peer_address(member, other) for other in range(MEMBER_COUNT)}
+        return self._start(*member_arguments(f"m{member}", members, self.controls[member], self.folder))
+
+    def _peer_address(self, member: int, other: int) -> str:
+        if other == member:
+            return self.listens[member]
+        return self._between[self._pairs.index((member, other))]
 
     def kill(self, member: int) -> None:
         """Kill a member's process."""
--- a/tests/test_fleet_store.py
+++ b/tests/test_fleet_store.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from spoolbarrow.lab.cluster import LISTEN, Process, free_ports
-from spoolbarrow.lab.store_members import request_member
+from spoolbarrow.lab.store_members import member_arguments, request_member
 from tests.router_harness import wait_until
 
 LIFE_S = 120.0
@@ -39,29 +39,12 @@
             one.wait_for(lambda one=one: bool(one.events("store_started")))  # type: ignore[misc]
 
     def start(self, number: int) -> Process:
-        named = []
+        members = {f"m{number}": f"{LISTEN}:{self.listens[number]}"}
         for other in range(3):
-            where = f"{LISTEN}:{self.listens[number]}"
             if other != number:
-                where = f"127.0.0.1:{self.fronts[self.pairs.index((number, other))]}"
-            named += ["--member", f"m{other}={where}"]
-        return Process(
-            "-m",
-            "spoolbarrow",
-            "store",
-            "serve",
-            "--name",
-            f"m{number}",
-            *named,
-            "--listen",
-            f"{LISTEN}:{self.listens[number]}",
-            "--control",
-            self.controls[number],
-            "--directory",
-            str(self.folder),
-            "--most-pages",
-            str(self.pages.get(number, 0)),
-        )
+                members[f"m{other}"] = f"127.0.0.1:{self.fronts[self.pairs.index((number, other))]}"
+        pages = self.pages.get(number, 0)
+        return Process(*member_arguments(f"m{number}", members, self.controls[number], self.folder, pages))
 
     def kill(self, number: int) -> None:
         self.processes[number].popen.kill()
@@ -277,22 +260,7 @@
 def test_a_corrupt_or_foreign_file_is_rejected_at_the_start(tmp_path: Path) -> None:
     (tmp_path / "m0.store").write_bytes(b"something else entirely" * 400)
     listen, control = (f"{LISTEN}:{port}" for port in free_ports(2))
-    made = Process(
-        "-m",
-        "spoolbarrow",
-        "store",
-        "serve",
-        "--name",
-        "m0",
-        "--member",
-        f"m0={listen}",
-        "--listen",
-        listen,
-        "--control",
-        control,
-        "--directory",
-        str(tmp_path),
-    )
+    made = Process(*member_arguments("m0", {"m0": listen}, control, tmp_path))
     try:
         made.wait_for(lambda: any("m0.store" in line and "not a database" in line for line in made.log_lines))
         assert made.popen.wait(30) == 2
--- a/tests/test_store_put.py
+++ b/tests/test_store_put.py
@@ -20,7 +20,7 @@
 from spoolbarrow.cli.store_client import MAX_OVERTAKEN, NotWritten, OutcomeUnknown, write
 from spoolbarrow.errors import Problem
 from spoolbarrow.lab.process import LISTEN, Process, free_ports
-from spoolbarrow.lab.store_members import request_member
+from spoolbarrow.lab.store_members import member_arguments, request_member
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.store.faults import Conflict
 from spoolbarrow.store.state import Put, StateMachine
@@ -39,10 +39,7 @@
 
     def __init__(self, folder: Path) -> None:
         listen, self.control = (f"{LISTEN}:{port}" for port in free_ports(2))
-        self._process = Process(
-            "-m", "spoolbarrow", "store", "serve", "--name", "m0", "--member", f"m0={listen}",
-            "--listen", listen, "--control", self.control, "--directory", str(folder),
-        )  # fmt: skip
+        self._process = Process(*member_arguments("m0", {"m0": listen}, self.control, folder))
 
     def start(self) -> None:
         """Wait until it leads."""
