Set errors of store members that leave the outcome open apart from refusals

MemberFailed ("the change may be made") was a kind of MemberRefused ("nothing was changed"); both are kinds of MemberError now, so that no caller can take the one for the other. No behaviour is changed: `_replace` told them apart by their order. test_store_put, test_store_client, test_errors and test_cli pass.

--- a/spoolbarrow/cli/store_client.py
+++ b/spoolbarrow/cli/store_client.py
@@ -46,13 +46,21 @@
     revision: int | None = None  # the document's, given if the write names another one
 
 
-class MemberRefused(Refused):
-    """A store member refuses a call; nothing was changed."""
+class MemberError(Refused):
+    """A store member answers a call with an error."""
 
     def __init__(self, member: str, body: ErrorBody) -> None:
         super().__init__(member, body.error, body.remedy)
 
 
+class MemberFailed(MemberError):
+    """A store member could not complete a call; the change may be made, or may still be."""
+
+
+class MemberRefused(MemberError):
+    """A store member refuses a call; nothing was changed."""
+
+
 class NoDocument(MemberRefused):
     """A store member has no document with a key, or is another program."""
 
@@ -69,10 +77,6 @@
         self.revision = revision  # the document's current one
 
 
-class MemberFailed(MemberRefused):
-    """A store member could not complete a call; the change may be made, or may still be."""
-
-
 class OutcomeUnknown(Problem):
     """A write may have been carried out: a call had no definite answer, and no later call was accepted."""
 
@@ -93,7 +97,7 @@
 
 
 def request(member: str, method: str, path: str, kind: type[T], body: bytes = b"") -> T:
-    """A member's response; raises NoAnswer if there is none, MemberRefused if it is an error."""
+    """A member's response; raises NoAnswer if there is none, MemberError if it is an error."""
     status, decoded = request_json(member, method, path, body)
     if status == 200:
         return convert_response(member, decoded, kind)
@@ -135,7 +139,7 @@
             return _CurrentRevision(read(member, key).revision, in_turn)
         except NoDocument:
             return _CurrentRevision(NO_DOCUMENT, in_turn)
-        except (NoAnswer, MemberRefused) as error:
+        except (NoAnswer, MemberError) as error:
             report(error)
     raise NotWritten(key, "no member tells its revision")
 
@@ -168,7 +172,7 @@
     return f"/v1/store/{quote(key, safe='')}"
 
 
-def _to_error(member: str, status: int, body: ErrorBody) -> MemberRefused:
+def _to_error(member: str, status: int, body: ErrorBody) -> MemberError:
     if status >= 500:
         return MemberFailed(member, body)
     if status == 404:
