--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,8 @@
 """Handles known failing tests: `KNOWN-RED.txt` in the repository's root, or no file.
 
 A line is `TEST_ID | command and seed | what was seen | issue`. Such a test is run, may fail, and is printed
-with its line at the end of every run. Any other content fails the run: a line in another form, an id without a
-test, and a test that passes: its line must be removed.
+with its line at the end of every run. Any other content fails the run: a line in another form, an id without
+a test, and a test that passes: its line must be removed.
 """
 
 from __future__ import annotations
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -48,7 +48,7 @@
     serve_all,
     wait_until,
 )
-from tests.test_handover import service
+from tests.router_processes import service
 
 ROOT = Path(__file__).resolve().parent.parent
 END = b"0\r\n\r\n"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import os
-import signal
-import subprocess
-import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 import gevent
-import msgspec
 import pytest
 from gevent import socket
 from gevent.event import Event
@@ -29,21 +25,18 @@
 from spoolbarrow.router import Router
 from tests.router_harness import (
     EVENTS,
-    LISTEN,
     STREAM_HEAD,
     Client,
     ScriptedServer,
     ask,
     chunk,
-    endpoint_entry,
-    free_port,
     make_config,
     running_router,
     serve_all,
     wait_until,
 )
+from tests.router_processes import service
 
-ROOT = Path(__file__).resolve().parent.parent
 SETTINGS = i.Settings(nodes=2, classes=(i.RequestClass(aim_ms=1000.0, deadline_ms=5000.0, worth=1.0),))
 
 
@@ -196,78 +189,6 @@
 # Real processes
 
 
-class Service:
-    """A platform that starts the processes of one router on a shared listening socket."""
-
-    def __init__(self, folder: Path, raw: dict[str, Any]) -> None:
-        self.folder, self.raw = folder, raw
-        self.listener = socket.socket()
-        self.listener.bind((LISTEN, 0))
-        self.listener.listen(256)
-        self.port: int = self.listener.getsockname()[1]
-        self.processes: list[subprocess.Popen[bytes]] = []
-        self.calls: list[int] = []
-
-    def start(self, ready: bool = True) -> int:
-        """Start another process and return its number."""
-        number, control = len(self.processes), free_port()
-        file = self.folder / f"config-{number}.json"
-        file.write_bytes(msgspec.json.encode({**self.raw, "control": f"{LISTEN}:{control}"}))
-        descriptor = self.listener.fileno()
-        environment = {
-            **os.environ,
-            "NODE_CONFIG": str(file),
-            "TMPDIR": str(self.folder),
-            INHERITED_FD_VARIABLE: str(descriptor),
-        }
-        with open(self.folder / f"log-{number}", "wb") as log:
-            self.processes.append(
-                subprocess.Popen(
-                    [sys.executable, "-m", "spoolbarrow"],
-                    cwd=ROOT,
-                    env=environment,
-                    stderr=log,
-                    pass_fds=[descriptor],
-                )
-            )
-        self.calls.append(control)
-        if ready:
-            wait_until(lambda: self.call(number, "readyz", "GET") == 200)
-        return number
-
-    def call(self, number: int, path: str, method: str = "POST") -> int:
-        try:
-            raw = f"{method} /v1/{path} HTTP/1.1\r\n\r\n".encode()
-            return Client(self.calls[number]).send(raw).answer().status
-        except OSError:
-            return 0
-
-    def end(self, number: int) -> int:
-        """Send SIGTERM, as after the new process is ready, and return the exit status."""
-        process = self.processes[number]
-        process.send_signal(signal.SIGTERM)
-        wait_until(lambda: process.poll() is not None)
-        return process.returncode
-
-    def log(self, number: int) -> str:
-        return (self.folder / f"log-{number}").read_text()
-
-
-@contextmanager
-def service(folder: Path, *servers: ScriptedServer, **changes: Any) -> Iterator[Service]:
-    endpoints = [endpoint_entry(f"e{n}", server.port) for n, server in enumerate(servers)]
-    made = Service(folder, make_config(endpoints, **changes))
-    try:
-        yield made
-    finally:
-        for process in made.processes:
-            process.kill()
-            process.wait()
-        made.listener.close()
-        for server in servers:
-            server.close()
-
-
 def test_ten_upgrades_in_a_row_under_load_lose_no_request(tmp_path: Path) -> None:
     """Every request gets one response, from the process that holds the socket at that time."""
 
