--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -28,6 +28,8 @@
 INHERITED_FD_VARIABLE = "NODE_INHERITED_FD"  # file descriptor of a listening socket passed on at the start
 FILE_REMEDY = "Set NODE_CONFIG (or `--config`) to a file that this user can read."
 MAX_VALUE = 1e10  # upper bound: a hundred days in ms, more than any machine has in bytes or descriptors
+RESUMED_SILENCE_MS = 3000.0  # of a stream that can be resumed elsewhere
+LOST_SILENCE_MS = 4900.0  # of one that can't: its client counts it as lost after 5 s
 MIN_SOCKETS = 64  # with fewer, the reserved descriptors leave nothing for clients
 # Descriptors that are used by neither client nor endpoint connections, whatever their number: standard input,
 # output, error and the event loop's (8); the listener, and its replacement when the address changes (2);
@@ -100,7 +102,8 @@
 
     probe_timeout_ms: float = 250.0  # time-out of a probe
     piece_ms: float = 1000.0  # time-out of an endpoint's response head or chunk, from its first byte
-    stream_silence_ms: float = 3000.0  # longest pause in a stream before it counts as broken
+    # Longest pause in a stream before it counts as broken; None: as long as its client gains by waiting.
+    stream_silence_ms: float | None = None
     answer_margin_ms: float = 15.0  # a response is sent this long before its client's deadline
     # Both together with the pauses between them must stay under 6 s (docs/design.md, "The list's clock").
     watch_silence_ms: float = 2500.0  # a watch sends something every 2 s: after this silence it is broken
@@ -222,6 +225,7 @@
     limits: MachineLimits
     resumes_streams: bool  # clients resume a broken stream
     probes_fetch_load: bool  # probes return a load report
+    stream_silence_ms: float  # longest pause in a stream before it counts as broken
     max_inbound: int  # client connections
     max_outbound: int  # connections to endpoints
     max_held_bytes: int  # bytes of request bodies held in memory at a time
@@ -240,6 +244,8 @@
     for key in values.__struct_fields__:
         value = getattr(values, key)
         if value <= 0:
+        if value is None:
+            continue
             raise ConfigError(f"{place}.{key}: must be positive")
         if isfinite(value) and value > MAX_VALUE:
             raise ConfigError(f"{place}.{key}: over {MAX_VALUE:g}")
@@ -327,6 +333,7 @@
         limits=file.limits,
         resumes_streams=names.Specifics.Resume,
         probes_fetch_load=names.Stats.Via != "off",
+        stream_silence_ms=_stream_silence_ms(file.options, names.Specifics.Resume),
         max_inbound=inbound,
         max_outbound=outbound,
         max_held_bytes=int(file.limits.memory_mb * 1024 * 1024 / 4),
@@ -335,6 +342,12 @@
 
 
 def reserved_descriptors(control: bool) -> int:
+def _stream_silence_ms(options: Options, resumes: bool) -> float:
+    """How long a stream may pause: less where its client can get the rest elsewhere."""
+    default = RESUMED_SILENCE_MS if resumes else LOST_SILENCE_MS
+    return default if options.stream_silence_ms is None else options.stream_silence_ms
+
+
     """Number of descriptors reserved from connections; `control`: whether there is a control listener."""
     return RESERVED_DESCRIPTORS + CONTROL_DESCRIPTORS * control
 
--- a/spoolbarrow/net/endpoint_client.py
+++ b/spoolbarrow/net/endpoint_client.py
@@ -155,9 +155,9 @@
         attempt, connection, parser = in_flight.attempt, in_flight.connection, in_flight.parser
         attempt.answer_reader, whole, reusable = in_flight, False, False
         try:
-            reader = ResponseReader(parser, connection.sock, self._buffer, self._config.options)
+            reader = ResponseReader(parser, connection.sock, self._buffer, self._config)
             while not parser.complete:
-                reader.read()
+                reader.read(in_flight.claimed)
                 if parser.status == 200 and not parser.has_framing():
                     # A truncated head: its rest would pass for events, and any close for the stream's end.
                     raise http1.HttpError(502, "event stream without framing")
--- a/spoolbarrow/net/endpoint_response.py
+++ b/spoolbarrow/net/endpoint_response.py
@@ -7,7 +7,7 @@
 
 from gevent.socket import MSG_PEEK, socket
 
-from spoolbarrow.config import Options
+from spoolbarrow.config import Config
 from spoolbarrow.net import http1
 from spoolbarrow.net.connection_pool import Connection
 from spoolbarrow.net.request import Attempt
@@ -76,22 +76,29 @@
     """Reads an answer with a time limit on each head and chunk.
 
     Ends malformed answers whose connection stays open, which nothing else would end. An endpoint has all of
-    a head or chunk when it starts to write it, so each must end soon; the time needed is between them.
+    a head or chunk when it starts to write it, so each must end soon; the time needed is between them. Once
+    the client has a part of the answer, no other one can take its place, so that a slow endpoint is given as
+    long as a silent one.
     """
 
-    def __init__(
-        self, parser: http1.ResponseParser, sock: socket, buffer: bytearray, options: Options
-    ) -> None:
-        self._parser, self._sock, self._buffer, self._options = parser, sock, buffer, options
+    def __init__(self, parser: http1.ResponseParser, sock: socket, buffer: bytearray, config: Config) -> None:
+        self._parser, self._sock, self._buffer, self._config = parser, sock, buffer, config
         self._piece, self._left_s = -1, 0.0  # the current head or chunk and its time left
 
-    def read(self) -> None:
-        """Parse the next bytes; HttpError if a head or chunk does not end, TimeoutError if a stream stops."""
+    def _piece_ms(self, claimed: bool) -> float:
+        limit_ms = self._config.options.piece_ms
+        return max(limit_ms, self._config.stream_silence_ms) if claimed else limit_ms
+
+    def read(self, claimed: bool) -> None:
+        """Parse the next bytes; HttpError if a head or chunk does not end, TimeoutError if a stream stops.
+
+        `claimed`: the client has a part of the answer.
+        """
         parser = self._parser
         in_part = parser.in_chunk or parser.in_chunk_header or (parser.begun and not parser.head_complete)
         if in_part:
             if self._piece != parser.pieces:
-                self._piece, self._left_s = parser.pieces, self._options.piece_ms / 1000
+                self._piece, self._left_s = parser.pieces, self._piece_ms(claimed) / 1000
             # Only the time spent here counts, not the time that the client needs to read.
             before = time.monotonic()
             try:
@@ -105,5 +112,6 @@
             if self._left_s <= 0 and self._piece == parser.pieces:
                 raise http1.HttpError(502, "no end of a head or a chunk")
         else:
-            self._sock.settimeout(self._options.stream_silence_ms / 1000 if parser.head_complete else None)
+            silence_s = self._config.stream_silence_ms / 1000
+            self._sock.settimeout(silence_s if parser.head_complete else None)
             parser.read(self._sock, self._buffer)
--- a/spoolbarrow/net/request_writing.py
+++ b/spoolbarrow/net/request_writing.py
@@ -17,7 +17,8 @@
 from spoolbarrow.net import http1, tcpinfo
 
 WRITABLE_POLL_S = 0.05  # between checks while the send buffer is full
-UNSENT_POLL_S = 0.002  # between checks while it holds unsent data, mostly for one round trip
+# Between checks while it holds unsent data, mostly for one round trip: twice as long each time.
+UNSENT_POLL_S, MAX_UNSENT_POLL_S = 0.002, 0.02
 RESET_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER: the close discards unsent data
 
 
@@ -43,8 +44,10 @@
 
 def await_sent(sock: socket, may_go_on: Callable[[], bool]) -> bool:
     """Wait until the kernel has sent all data or a response has arrived; false if stopped before."""
+    poll_s = UNSENT_POLL_S
     while tcpinfo.has_unsent(sock) and not http1.poll_now(sock, select.POLLIN):
-        gevent.sleep(UNSENT_POLL_S)
+        gevent.sleep(poll_s)
+        poll_s = min(2 * poll_s, MAX_UNSENT_POLL_S)
         # Checked again: nothing may be sent between the caller's decision and the close.
         if not may_go_on() and tcpinfo.has_unsent(sock):
             return False
