Time limits of requests that have ended are held until they are due: memory grows

Cause: each request and each attempt put a closure into the heap of timers, the attempt's with the request and its body, until its deadline of up to 29 s; answered requests left them behind. Ended requests and their attempts referred to each other as well, and waited for the garbage collector. Evidence: 2,000 requests a second of 250 bytes each leave 0.5 MB a second until their deadlines.

--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from heapq import heappop, heappush
 from itertools import count
 from typing import TYPE_CHECKING, Protocol
 
@@ -24,6 +23,7 @@
 from spoolbarrow.net.endpoint_client import EndpointClient
 from spoolbarrow.net.endpoint_response import InFlightAttempt
 from spoolbarrow.net.fairness import yield_to_others
+from spoolbarrow.net.host_timers import WHOLE_REQUEST, HostTimers, TimeLimit, lost_timers
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.inbox import Inbox
 from spoolbarrow.net.log import log, log_exception
@@ -39,7 +39,6 @@
 OVERDUE_TICKS = 2.0  # ticks past its deadline after which the host fails a request that is still open,
 MAX_OVERDUE_MS = 4.0  # but never later than this, however long a tick is: the answer's margin is 15 ms
 TIMER_CHECK_MS = 2.0  # between checks of the timers within a tick
-LOST_TIMER_RETRY_MS = 1000.0  # delay before a timer whose handler raised is fired again
 
 
 class Decider(Protocol):
@@ -69,8 +68,7 @@
         self._keys = count(1)
         self._inbox = Inbox()
         self._wake = Event()
-        self._timers: list[tuple[float, int, Callable[[], None]]] = []
-        self._timer_order = count()
+        self._timers = HostTimers(lambda key: key in self._requests, self._expire)
         self._handlers: dict[type, Callable[..., None]] = {
             i.Send: self._send,
             i.Refuse: self._fail_fast,
@@ -179,7 +177,7 @@
             request.repeat_window_ms = cls.window_ms - settings.tick_ms  # as the decision module counts it
         self._register(request, facts)
         self._post(facts)
-        self._call_at(deadline, lambda: self._deadline(key))
+        self._timers.limit(deadline, key)
         return request
 
     def client_left(self, request: Request) -> None:
@@ -325,15 +323,13 @@
         self._inbox.add(event)
         self._wake.set()
 
-    def _call_at(self, when: float, call: Callable[[], None]) -> None:
-        heappush(self._timers, (when, next(self._timer_order), call))
-
     def _run(self) -> None:
         last = 0.0
         while True:
             if not self._inbox:
                 self._wake.clear()
-                due = self._timers[0][0] - self.now() if self._timers else 1000.0
+                now = self.now()
+                due = self._timers.next_at(now) - now
                 if due > 0:
                     self._wake.wait(due / 1000)
             early = last + self.config.settings.tick_ms - self.now()
@@ -349,14 +345,14 @@
 
     def _run_timers(self, now: float) -> None:
         """Run the timers that are due, yielding in between so that hundreds of them do not delay streams."""
-        run = 0
-        while self._timers and self._timers[0][0] <= now:
+        run, more = 0, True
+        while more:
             if run == MAX_EVENTS_PER_TURN:
                 run = 0
                 yield_to_others()
             run += 1
             try:
-                heappop(self._timers)[2]()
+                more = self._timers.run_next(now)
             except Exception as error:  # a failure of one request must not end the loop
                 log_exception("timer", error)
 
@@ -394,20 +390,13 @@
             for event in events:
                 if isinstance(event, i.RequestArrived) and event.request not in sent:
                     actions.append(i.Fail(event.request))
-            actions += self._lost_timers(events, actions)
+            actions += lost_timers(events, actions)
         for action in actions:
             try:
                 self._handlers[type(action)](action)
             except Exception as error:
                 log_exception(f"action {type(action).__name__}", error)
 
-    @staticmethod
-    def _lost_timers(events: list[i.Event], actions: list[i.Action]) -> list[i.SetTimer]:
-        """The fired timers of a failed batch that have not been set again."""
-        fired = [event.token for event in events if isinstance(event, i.TimerFired)]
-        kept = {action.token for action in actions if isinstance(action, i.SetTimer)}
-        return [i.SetTimer(token, LOST_TIMER_RETRY_MS) for token in fired if token not in kept]
-
     def _deadline(self, key: str) -> None:
         request = self._requests.get(key)
         if request is None or request.serving_attempt is not None:
@@ -417,7 +406,7 @@
         if not request.finished:
             # Not sooner: the decision module is notified in this tick and mostly answers in the next.
             patience = min(OVERDUE_TICKS * self.config.settings.tick_ms, MAX_OVERDUE_MS)
-            self._call_at(self.now() + patience, lambda: self._overdue(key))
+            self._timers.call_at(self.now() + patience, lambda: self._overdue(key))
 
     def _overdue(self, key: str) -> None:
         """Fail a request that the decision module left open past its deadline."""
@@ -438,16 +427,20 @@
         if len(request.attempts) > request.max_attempts or not self.may_send(attempt):
             return self.end_attempt(attempt, i.Outcome.MOOT)
         if action.max_wait_ms > 0:
-            self._call_at(attempt.sent_at + action.max_wait_ms, lambda: self._expire(attempt))
+            self._timers.limit(attempt.sent_at + action.max_wait_ms, request.key, attempt.number)
         try:
             self._endpoints.send(attempt)
         except Exception as error:
             log_exception("send", error)
             self.end_attempt(attempt, i.Outcome.MOOT)  # otherwise the request would wait for its deadline
 
-    def _expire(self, attempt: Attempt) -> None:
-        if attempt.request.serving_attempt is not attempt:
-            self.end_attempt(attempt, i.Outcome.TIMEOUT)
+    def _expire(self, limit: TimeLimit) -> None:
+        """Act on a limit that is due."""
+        if limit.attempt == WHOLE_REQUEST:
+            return self._deadline(limit.key)
+        request = self._requests.get(limit.key)
+        if request is not None and request.attempts[limit.attempt] is not request.serving_attempt:
+            self.end_attempt(request.attempts[limit.attempt], i.Outcome.TIMEOUT)
 
     def _fail_fast(self, action: i.Refuse) -> None:
         request = self._requests.get(action.request)
@@ -485,7 +478,7 @@
         self._endpoints.probe(action.replica)
 
     def _set_timer(self, action: i.SetTimer) -> None:
-        self._call_at(self.now() + action.in_ms, lambda: self._post(i.TimerFired(action.token)))
+        self._timers.call_at(self.now() + action.in_ms, lambda: self._post(i.TimerFired(action.token)))
 
     def _subscribe(self, action: i.Subscribe) -> None:
         self.destinations.ensure_watch()
@@ -497,3 +490,5 @@
             log("request", **request.log_fields(now))
             if self.observers.active:
                 self.observers.request_over(request, now)
+            request.release()
+            self._timers.request_ended()
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -110,6 +110,10 @@
     def settled(self) -> bool:
         """Whether it is finished and all attempts have ended."""
         return self.finished and all(attempt.ended for attempt in self.attempts)
+    def release(self) -> None:
+        """Let go of what was needed to carry it out, which would wait for the garbage collector."""
+        self.message, self.attempts = Message(), []
+
 
 
 class AnswerReader(Protocol):
--- a/tests/test_event_delay.py
+++ b/tests/test_event_delay.py
@@ -177,7 +177,7 @@
             order.entries.append("timer")
 
         for _ in range(count):
-            scene.host._call_at(scene.host.now(), fire)
+            scene.host._timers.call_at(scene.host.now(), fire)
         scene.host._wake.set()
         assert reader.read(len(text_event("a"))) == text_event("a")
         wait_until(lambda: order.entries.count("timer") == count)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -316,8 +316,9 @@
         tables = (host.destinations._listed, host.destinations._serving)
         assert all(set(table) == {"new"} for table in (*tables, router.pool.replicas))
         wait_until(lambda: not router.requests)
-        assert not host._requests and not host._client_ids
-        assert not [t for t in host._timers if t[0] > host.now() + 5000]
+        assert not host._requests and not host.ids._open
+        timers = (*host._timers._calls, *host._timers._limits)
+        assert not [timer for timer in timers if timer[0] > host.now() + 5000]
 
 
 def test_streams_that_outlast_a_drain_are_moved_and_every_request_is_answered() -> None:
