A new engine at the address of one that has gone is taken for the old one

Cause: engines are told apart by name. While the list has both, requests that are sent to the older name reach the new process: past its slow start, and under another engine's figures. Mend: the engine that started last, or that a change has brought there, has the address; the other gets nothing more (endpoint_replaced) until its line changes.

--- a/spoolbarrow/net/destinations.py
+++ b/spoolbarrow/net/destinations.py
@@ -17,7 +17,9 @@
 from spoolbarrow.config import Address, Config, ConfigError, HostList, ListEntry, parse_address
 from spoolbarrow.errors import Problem
 from spoolbarrow.net.discovery_watch import DiscoveryWatch
+from spoolbarrow.net.excluded_endpoints import Excluded, ExcludedEndpoints
 from spoolbarrow.net.log import log
+from spoolbarrow.net.replaced_endpoints import ReplacedEndpoints
 from spoolbarrow.wire import STATES
 
 MAX_SUSPENDED = 4096  # names; kept while their endpoints are unlisted, so that only operators remove them
@@ -68,13 +70,11 @@
         self._listing: dict[str, tuple[str, bool]] | None = None  # cache of `listing`; None: outdated
         self._resumed: dict[str, float] = {}  # resume times of listed endpoints, which may have restarted
         self._discovery = DiscoveryWatch(config, self, tell, now)
+        self._replaced = ReplacedEndpoints()  # at whose addresses others have come up
         self._next_incarnation = count(1)
         self._serving: set[str] = set()
         self._list_received = False  # from discovery, by this process
-        # Endpoints of this type or group never serve; they are reported to `_notify_excluded`.
-        self._excluded_type, self._excluded_group = "", -1
-        self._excluded: dict[str, tuple[str, Address, bool, float]] = {}
-        self._notify_excluded: Callable[[list[tuple[str, Address, bool, float]]], None] | None = None
+        self._excluded = ExcludedEndpoints()
         self._failed_zones: frozenset[str] = frozenset()  # by failover; treated like suspended
         self._returning_zones: dict[str, float] = {}  # by zone, when its endpoints began their slow start
         self.verdicts: dict[str, dict[str, object]] | None = None  # of failover, by zone or region; None: off
@@ -105,47 +105,25 @@
         """Stop watching discovery permanently."""
         self._discovery.close()
 
-    def exclude(
-        self, kind: str, group: int, tell: Callable[[list[tuple[str, Address, bool, float]]], None]
-    ) -> None:
+    def exclude(self, kind: str, group: int, tell: Callable[[list[Excluded]], None]) -> None:
         """Keep endpoints of a type or group out of service; `tell` gets all of them, now and at each change.
 
         An empty type and a negative group exclude nothing. When they change, matching endpoints leave service
         at once and the whole list is requested again: until then, formerly excluded ones stay out of service.
         """
-        changed = (kind, group) != (self._excluded_type, self._excluded_group)
-        self._excluded_type, self._excluded_group, self._notify_excluded = kind, group, tell
-        if changed:
-            self._excluded.clear()
-            leaving = [n for n, e in self._listed.items() if self._is_excluded(e.line.type, e.line.group)]
+        if self._excluded.configure(kind, group, tell):
+            leaving = [n for n, e in self._listed.items() if self._excluded.matches(e.line)]
             for name in leaving:
                 listed = self._listed[name]
-                self._excluded[name] = (name, listed.address, name in self._serving, listed.line.since_ms)
+                self._excluded.add(
+                    Excluded(name, listed.address, name in self._serving, listed.line.since_ms)
+                )
                 self._forget(name)
             if leaving:
                 gone = [i.ReplicaEntry(name, state=i.ReplicaState.GONE) for name in leaving]
                 self._notify(i.ReplicaList(i.ListKind.CHANGES, tuple(gone)))
             self._discovery.request_whole_list()
-        tell(list(self._excluded.values()))
-
-    def _is_excluded(self, kind: str, group: int) -> bool:
-        return (self._excluded_type != "" and kind == self._excluded_type) or group == self._excluded_group
-
-    def _update_excluded(self, entry: ListEntry) -> None:
-        try:
-            parsed_address = parse_address("address", entry.address)
-        except ConfigError:
-            self._excluded.pop(entry.name, None)
-            return
-        if entry.status == "terminated":
-            self._excluded.pop(entry.name, None)
-        else:
-            self._excluded[entry.name] = (
-                entry.name,
-                parsed_address,
-                entry.status == "in_service",
-                entry.since_ms,
-            )
+        self._excluded.notify()
 
     def any_serving(self) -> bool:
         """Whether any endpoint is in service."""
@@ -275,8 +253,7 @@
         """The list as known to this router, and when operators resumed endpoints on it."""
         # Excluded endpoints are not exported and are only reported in a whole list, which discovery sends
         # in answer to version 0.
-        any_excluded = self._excluded_type or self._excluded_group >= 0
-        index = 0 if any_excluded else self._discovery.index or 0
+        index = 0 if self._excluded.any_matching() else self._discovery.index or 0
         return HostList(index, True, [endpoint.line for endpoint in self._listed.values()]), dict(
             self._resumed
         )
@@ -309,6 +286,7 @@
             listed.started_at,
         )
         out = self.suspended(entry.replica) or line.zone in self._failed_zones
+        out = out or self._replaced.has(entry.replica)
         if out and entry.state is i.ReplicaState.SERVING:
             return replace(entry, state=i.ReplicaState.DRAINING)
         started_at = self._slow_start_at(listed)
@@ -324,15 +302,19 @@
         self._list_received = self._list_received or kind in (i.ListKind.CHANGES, i.ListKind.WHOLE)
         entries, any_excluded = [], False
         for entry in host_list.endpoints:
-            if self._is_excluded(entry.type, entry.group):
+            if self._excluded.matches(entry):
                 any_excluded = True
-                self._update_excluded(entry)
+                self._excluded.update(entry)
                 if entry.name in self._listed:  # it was in service until now
                     self._forget(entry.name)
                     entries.append(i.ReplicaEntry(entry.name, state=i.ReplicaState.GONE))
                 continue
+            before = self.incarnation(entry.name)
             if not self._accept_entry(entry, is_change):
                 continue
+            has_come = kind is i.ListKind.CHANGES and self.incarnation(entry.name) != before
+            replaced = self._replaced.find(entry.name, self._listed, has_come)
+            entries += [self._take_out_replaced(name) for name in replaced]
             replica_entry = self._replica_entry(self._listed[entry.name])
             entries.append(replica_entry)
             if replica_entry.state is i.ReplicaState.SERVING:
@@ -342,8 +324,8 @@
                 self._on_left(entry.name)
             else:
                 self._forget(entry.name)
-        if self._notify_excluded is not None and (any_excluded or kind is not i.ListKind.CHANGES):
-            self._notify_excluded(list(self._excluded.values()))
+        if any_excluded or kind is not i.ListKind.CHANGES:
+            self._excluded.notify()
         serving = len(self._serving)
         log(
             "destinations",
@@ -354,8 +336,15 @@
         )
         self._notify(i.ReplicaList(kind, tuple(entries)))
 
+    def _take_out_replaced(self, name: str) -> i.ReplicaEntry:
+        log("endpoint_replaced", name=name, address=self._listed[name].line.address)
+        self._serving.discard(name)
+        self._on_left(name)
+        return self._replica_entry(self._listed[name])
+
     def _forget(self, name: str) -> None:
         """Remove an endpoint from all tables, so that they do not grow with every endpoint ever listed."""
+        self._replaced.forget(name)
         self._serving.discard(name)
         self._listed.pop(name, None)
         self._listing = None
--- a/spoolbarrow/shadow/copier.py
+++ b/spoolbarrow/shadow/copier.py
@@ -23,6 +23,7 @@
 from spoolbarrow.config import Address, CannotWrite, Config, ConfigError, parse_address
 from spoolbarrow.net import http1
 from spoolbarrow.net.endpoint_client import EVENT_STREAM_TYPE, UNPROCESSED_HEADER
+from spoolbarrow.net.excluded_endpoints import Excluded
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.load_report import LOAD_HEADER, parse_load
 from spoolbarrow.net.log import log, log_exception
@@ -267,7 +268,7 @@
 
     # Candidates
 
-    def _on_candidates(self, entries: list[tuple[str, Address, bool, float]]) -> None:
+    def _on_candidates(self, entries: list[Excluded]) -> None:
         """Combine configured candidates with those of discovery: name, address, whether in service, start."""
         engines = [copy_controller.Engine(name) for name in self._prepared.addresses]
         self._addresses = dict(self._prepared.addresses)
--- a/tests/test_shadow.py
+++ b/tests/test_shadow.py
@@ -20,6 +20,7 @@
 
 from spoolbarrow import config
 from spoolbarrow import interface as i
+from spoolbarrow.net.excluded_endpoints import Excluded
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.operator import ShadowTable, ShareTable
 from spoolbarrow.shadow import copier as copier_module
@@ -255,7 +256,7 @@
 
 
 def update_pool(copier: Copier, serving: bool) -> bool:
-    copier._on_candidates([("flapping", ("127.0.0.1", 1), serving, 0.0)])
+    copier._on_candidates([Excluded("flapping", ("127.0.0.1", 1), serving, 0.0)])
     return "flapping" in copier._controller._engines
 
 
@@ -373,7 +374,7 @@
             assert copier._controller.dropped["no engine with room"] == 1
             update.endpoints[0].status = "terminated"
             scene.host.destinations.apply_list(update, i.ListKind.CHANGES)
-            assert not copier._controller._engines and not scene.host.destinations._excluded
+            assert not copier._controller._engines and not scene.host.destinations._excluded._endpoints
         for candidate in parties:
             candidate.close()
 
@@ -400,10 +401,10 @@
     ):
         with running_copier(scene, make_table(candidate, in_flight=3)) as copier:
             most = 0
-            for burst in (10, 24, 10):  # 2.4 times the usual load, and back
+            for turn, burst in enumerate((10, 24, 10)):  # 2.4 times the usual load, and back
                 clients = [scene.client() for _ in range(burst)]
                 for n, client in enumerate(clients):
-                    client.send(ask(X_Correlation_Id=f"{burst}-{n}", X_Session_Key=f"{n + 1:x}"))
+                    client.send(ask(X_Correlation_Id=f"{turn}-{n}", X_Session_Key=f"{n + 1:x}"))
                 wait_until(lambda: scene.events_of(i.RequestArrived))
                 for client in clients:
                     answer = client.answer()
