Work of a client that has gone is done, and an id that may have run runs again

Cause: an id was free once this process had no open request with it, and the other process never asked. A client's close comes behind all that it sent; with the receive buffer full it can't be seen, and its requests were retried. Evidence: attempts 0.3 and 0.5 s after the close; ids served a second time by the same and by the new process. A request with over 16 KB unread behind it is sent within 50 ms of a sign that its client is there, or refused.

--- a/spoolbarrow/admin/coordinator.py
+++ b/spoolbarrow/admin/coordinator.py
@@ -72,6 +72,7 @@
         self._commands = commands = OperatorCommands(host, inbound)
         received = None
         if self._handover is not None:
+            host.ids.table, host.ids.peers = self._handover.id_table, self._handover.peer_tables
             dead = self._handover.refresh_peers()
             self._apply_remote(self._handover.read_peer_overrides(dead), at_start=True)
             self._handover.remove_files(dead)
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -12,8 +12,9 @@
 import os
 import time
 from array import array
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from contextlib import suppress
+from mmap import ACCESS_READ, mmap
 from pathlib import Path
 
 import gevent
@@ -30,6 +31,7 @@
 from spoolbarrow.errors import Problem
 from spoolbarrow.net.accepting import next_connection
 from spoolbarrow.net.clock import unix_offset_s
+from spoolbarrow.net.id_table import TABLE_BYTES, IdTable
 from spoolbarrow.net.log import log, log_exception
 
 FOLDER = "spoolbarrow"
@@ -40,7 +42,8 @@
 MAX_DESCRIPTORS = 2  # of a stream: client connection and endpoint connection
 STREAM_TIMEOUT_S = 0.5  # for handing over a stream
 STREAMS_BACKLOG = 256
-MAX_FILES = 64  # read from the folder; there are never more than a few processes
+FILE_KINDS = ("words", "words-partial", "state", "state-partial", "streams", "ids", "lock")
+MAX_FILES = 512  # read from the folder; there are never more than a few processes
 
 
 class HandoverDataError(Problem, ValueError):
@@ -123,6 +126,8 @@
         fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         self.older: list[str] = []  # live processes
         self.newer: list[str] = []
+        self.id_table = self._create_id_table()
+        self._peer_tables: dict[str, IdTable] = {}
         self._state_given: set[str] = set()  # newer processes that the state was written for
         self._read_versions: dict[str, tuple[int, int]] = {}  # by process: last override file read
         self._poller: gevent.Greenlet[..., None] | None = None
@@ -130,6 +135,34 @@
         self._stream_taker: gevent.Greenlet[..., None] | None = None
         self.refresh_peers()
 
+    def _create_id_table(self) -> IdTable:
+        """This process's table, in a file that the others map; in its own memory if that fails."""
+        try:
+            with open(self._path("ids"), "w+b") as file:
+                file.truncate(TABLE_BYTES)
+                os.posix_fallocate(file.fileno(), 0, TABLE_BYTES)  # a full file system would end the process
+                return IdTable(mmap(file.fileno(), TABLE_BYTES))
+        except OSError as error:
+            log("handover_failed", what="ids", why=str(error))
+            return IdTable()
+
+    def _read_id_table(self, of: str) -> IdTable | None:
+        """Another process's table; None if it can't be read."""
+        try:
+            with open(self._path("ids", of), "rb") as file:
+                return IdTable(mmap(file.fileno(), TABLE_BYTES, access=ACCESS_READ))
+        except (OSError, ValueError):  # none, or one of another size
+            return None
+
+    def peer_tables(self) -> Iterable[IdTable]:
+        """The tables of the router's other live processes."""
+        return self._peer_tables.values()
+
+    def _map_peer_tables(self) -> None:
+        for other in (*self.older, *self.newer):
+            if other not in self._peer_tables and (table := self._read_id_table(other)) is not None:
+                self._peer_tables[other] = table
+
     def _path(self, kind: str, of: str = "") -> Path:
         return self._folder / f"{of or self.process_name}.{kind}"
 
@@ -142,6 +175,7 @@
         alive = [other for other in others if self._is_alive(other)]
         self.older = [other for other in alive if other < self.process_name]
         self.newer = [other for other in alive if other > self.process_name]
+        self._map_peer_tables()
         return [other for other in others if other not in alive]
 
     def _processes(self) -> list[str]:
@@ -206,7 +240,10 @@
         for other in dead:
             self._read_versions.pop(other, None)
             self._state_given.discard(other)
-            for kind in ("words", "words-partial", "state", "state-partial", "streams", "lock"):
+            table = self._peer_tables.pop(other, None) or self._read_id_table(other)
+            if table is not None:
+                self.id_table.absorb(table)
+            for kind in FILE_KINDS:
                 self._path(kind, other).unlink(missing_ok=True)
 
     def start(
--- a/spoolbarrow/lab/cluster_clients.py
+++ b/spoolbarrow/lab/cluster_clients.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections import Counter
+from itertools import count
 from typing import NamedTuple, Protocol
 
 from spoolbarrow.lab.process import LISTEN
@@ -13,6 +14,7 @@
 
 TRUNCATED = 1  # instead of a status: the response began but ended without its last chunk
 MAX_REQUESTS = 200_000  # by each client of a load
+_numbers = count()  # of loads
 
 
 class HasPorts(Protocol):
@@ -61,6 +63,7 @@
     """
 
     def __init__(self, made: HasPorts, clients: int = 1, pause_s: float = 0.0) -> None:
+        self._number = next(_numbers)  # ids are never used again
         self.answers: list[Answer] = []
         self.retry_after_missing = 0
         self._stop = threading.Event()
@@ -81,7 +84,7 @@
                 return
             head = (
                 f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\n"
-                f"X-Correlation-Id: r{router}-{client}-{sent}\r\n"
+                f"X-Correlation-Id: l{self._number}-r{router}-{client}-{sent}\r\n"
                 f"X-Service-Class: chat\r\nX-Account: acme\r\n"
                 f"X-Session-Key: {router:04x}{client:04x}{sent:x}\r\n"
                 f"X-Time-Left-Ms: 5000\r\nX-Facts: prompt_len=40,max_out=8\r\n"
--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -52,6 +52,7 @@
         self.writing_since = 0.0  # start of a write that the client has not accepted yet; 0: none
         self._arrivals = ArrivalTimes(inbound.host.loop_iterations, sock)
         options = inbound.config.options
+        self.present_at = 0.0  # when a response was written, which a client that has left resets
         self._parser = http1.RequestParser(options.max_head, options.max_body)
         self._wakeup = Event()
         self._held_bytes = 0
@@ -86,6 +87,10 @@
         return not self._closed and http1.poll_now(self.sock, select.POLLIN) != 0
 
     def disconnected(self) -> bool:
+    def unread_bytes(self) -> int:
+        """How much input is unread in the kernel."""
+        return 0 if self._closed else http1.unread_bytes(self.sock)
+
         """Whether the client closed, half-closed or reset it, even behind unread data; never blocks."""
         if self._closed:
             return True
@@ -275,7 +280,7 @@
         """Go on to the next request after a complete response."""
         self.exchange, self.is_new = None, False
         self.update_held_bytes()
-        self.since = self.inbound.host.now()
+        self.since = self.present_at = self.inbound.host.now()
         if closing or self.must_close():
             self._linger()
         else:
--- a/spoolbarrow/net/connection_handover.py
+++ b/spoolbarrow/net/connection_handover.py
@@ -141,7 +141,7 @@
             raise HandoverDataError("", f"{len(socks)} descriptors")
         client, engine = socks
         stream = decode_stream(text)
-        if host.is_open(stream.id):
+        if host.ids.is_open(stream.id):
             raise HandoverDataError("", "a request with this ID is open")
         client.getpeername()
         engine.getpeername()
--- a/spoolbarrow/net/exchange.py
+++ b/spoolbarrow/net/exchange.py
@@ -13,6 +13,9 @@
 from spoolbarrow.net.log import log, log_exception
 from spoolbarrow.net.request import Request
 
+MAX_UNSURE_MS = 50.0  # in which requests are sent although their client may have left unnoticed
+MAX_LOGGED_ID = 64  # characters
+MAX_UNREAD_BYTES = 16_384  # well below the least receive buffer that Linux gives a connection
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
 
 
@@ -26,6 +29,9 @@
     def disconnected(self) -> bool:
         """Whether the client has closed, reset or half-closed it."""
 
+    def unread_bytes(self) -> int:
+        """How much input is unread in the kernel."""
+
     def must_close(self) -> bool:
         """Whether to close it after this response, as known now."""
 
@@ -65,6 +71,7 @@
     def __init__(self, client: Connection, message: Message) -> None:
         self.client, self.message = client, message
         self.request: Request | None = None
+        self.present_at = 0.0  # when the client showed that it had not left, ms
         self._begun = False
         self._aborted = False
         self._close = not message.keep_alive
@@ -81,6 +88,13 @@
         """Whether its client has closed, reset or half-closed the connection."""
         return self.client.disconnected()
 
+    def shows_disconnect(self, now: float) -> bool:
+        """Whether its client's close would be noticed, or it was there a moment ago.
+
+        A close comes behind all that was sent, and the kernel takes no more while too much is unread.
+        """
+        return now - self.present_at <= MAX_UNSURE_MS or self.client.unread_bytes() <= MAX_UNREAD_BYTES
+
     def fail_fast(self, retry_after_ms: float, header: bytes = b"") -> None:
         """Answer 503 with Retry-After."""
         retry = retry_after_header(retry_after_ms)
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -25,6 +25,7 @@
 from spoolbarrow.net.fairness import yield_to_others
 from spoolbarrow.net.host_timers import WHOLE_REQUEST, HostTimers, TimeLimit, lost_timers
 from spoolbarrow.net.http1 import Message
+from spoolbarrow.net.id_table import RequestIds
 from spoolbarrow.net.inbox import Inbox
 from spoolbarrow.net.log import log, log_exception
 from spoolbarrow.net.loop_iterations import LoopIterations
@@ -64,7 +65,7 @@
         self._router = Router(config.settings, config.seed)
         self._decider: Decider = self._router
         self._requests: dict[str, Request] = {}
-        self._client_ids: set[str] = set()  # request ids given by clients
+        self.ids = RequestIds()  # given by clients
         self._keys = count(1)
         self._inbox = Inbox()
         self._wake = Event()
@@ -154,10 +155,6 @@
 
     # The client's side
 
-    def is_open(self, id: str) -> bool:
-        """Whether a request with this client-given id, or an attempt at it, is still open."""
-        return id in self._client_ids
-
     def submit(
         self,
         id: str,
@@ -207,11 +204,15 @@
     def answer_all(self, retry_after_ms: float) -> None:
         """Answer every request that awaits its first event: refused if no endpoint can have run it."""
         for request in [r for r in self._requests.values() if r.serving_attempt is None and not r.finished]:
-            if all(attempt.never_ran() for attempt in request.attempts):
-                self._answer(request, "fail_fast", lambda answer: answer.fail_fast(retry_after_ms))
-            else:
-                self._answer(request, "failed", lambda answer: answer.fail(False))
-            self._post(i.RequestGone(request.key))
+            self._answer_unsent(request, retry_after_ms)
+
+    def _answer_unsent(self, request: Request, retry_after_ms: float) -> None:
+        """Answer a request for which nothing more is sent: refused if no endpoint can have run it."""
+        if all(attempt.never_ran() for attempt in request.attempts):
+            self._answer(request, "fail_fast", lambda answer: answer.fail_fast(retry_after_ms))
+        else:
+            self._answer(request, "failed", lambda answer: answer.fail(False))
+        self._post(i.RequestGone(request.key))
 
     # The endpoints' side
 
@@ -234,6 +235,9 @@
         if request.answer.disconnected():
             self.client_left(request)
             return False
+        if not request.answer.shows_disconnect(at):
+            self._answer_unsent(request, self.config.settings.max_retry_after_ms)
+            return False
         return True
 
     def claim(self, attempt: Attempt) -> bool:
@@ -305,7 +309,7 @@
     def _register(self, request: Request, facts: i.RequestArrived) -> None:
         """Mark a request as open, until `_forget`."""
         self._requests[request.key] = request
-        self._client_ids.add(request.id)
+        self.ids.open(request.id)
         if self.observers.active:
             self.observers.request_taken(request, facts)
 
@@ -485,7 +489,7 @@
 
     def _forget(self, request: Request) -> None:
         if request.settled() and self._requests.pop(request.key, None) is not None:
-            self._client_ids.discard(request.id)
+            self.ids.end(request.id, any(not attempt.never_ran() for attempt in request.attempts))
             now = self.now()
             log("request", **request.log_fields(now))
             if self.observers.active:
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import select
+import sys
+import termios
 from collections.abc import Sequence
 
 import httptools
@@ -182,6 +185,12 @@
 )
 
 
+def unread_bytes(sock: socket) -> int:
+    """How many bytes a connection has in the kernel's receive buffer; OSError if it is closed."""
+    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    return int.from_bytes(count, sys.byteorder)
+
+
 class Shortage(OSError):
     """This process can open no connection; this says nothing about the other side."""
 
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -27,6 +27,9 @@
     def disconnected(self) -> bool:
         """Whether the client has closed, reset or half-closed its connection; never blocks."""
 
+    def shows_disconnect(self, now: float) -> bool:
+        """Whether `disconnected` can be relied on: not behind much unread input; never blocks."""
+
     def fail(self, late: bool) -> None:
         """Fail the request; it may have run."""
 
--- a/spoolbarrow/net/request_admission.py
+++ b/spoolbarrow/net/request_admission.py
@@ -22,6 +22,7 @@
 CHAT_PATH, UP_PATH = b"/v1/chat/completions", b"/up"
 METHODS = {CHAT_PATH: b"POST", UP_PATH: b"GET"}
 PEEK_BYTES = 64  # of unread input: enough to tell whether it starts a request
+ID_TAKEN = "X-Correlation-Id: a request of this name is open or may have run"
 
 
 class Drains(Protocol):
@@ -56,6 +57,7 @@
     def inbound(self) -> Listener:
         """The listener that accepted it."""
 
+    present_at: float  # when the client was known not to have left, ms
     def disconnected(self) -> bool:
         """Whether the client has closed, reset or half-closed it."""
 
@@ -86,9 +88,9 @@
     inbound, host = client.inbound, client.inbound.host
     facts, budget = read_facts(message, host.config)
     name = message.fields[b"x-correlation-id"].decode("latin-1")
-    if host.is_open(name):
+    if host.ids.is_taken(name):
         # An endpoint could not tell two requests with the same ID apart.
-        raise HttpError(409, "X-Correlation-Id: a request of this name is open")
+        raise HttpError(409, ID_TAKEN)
     retry_after_ms = _refusal_ms(client, name)
     if retry_after_ms is not None:
         notify_declined(inbound, message, "fail_fast")
@@ -109,8 +111,11 @@
     exchange.request = host.submit(name, message, exchange, deadline, facts, client.number)
 
 
+    if not host.ids.claim(name):
+        raise HttpError(409, ID_TAKEN)
 def _refusal_ms(client: RequestConnection, name: str) -> float | None:
     """The Retry-After time in ms if no request is accepted at present."""
+    exchange.present_at = max(arrived, client.present_at)
     inbound, host = client.inbound, client.inbound.host
     refusal = inbound.drainer.state.refusal_retry_ms(host.now())
     if refusal is not None:
