One stream that the next process rejects ends the hand-over of all others

Cause: Coordinator._send_stream took the rejection of one stream for all that follow. Mend: only an unanswered hand-over ends it; a rejected stream is not tried again at its next chunk. tests/test_handover_races.py: the first of two cases failed before.

--- a/spoolbarrow/admin/coordinator.py
+++ b/spoolbarrow/admin/coordinator.py
@@ -137,8 +137,8 @@
     def _send_stream(self, text: bytes, descriptors: Sequence[int]) -> bool | None:
         assert self._handover is not None
         accepted = self._handover.send_stream(text, descriptors)
-        if not accepted:
-            self._host.hand_over = None  # the drain schedule handles the remaining streams
+        if accepted is None:
+            self._host.hand_over = None  # each would wait in vain: the drain schedule handles the others
         return accepted
 
     def prepare(self, config: Config) -> socket.socket | None:
--- a/spoolbarrow/net/connection_handover.py
+++ b/spoolbarrow/net/connection_handover.py
@@ -98,6 +98,7 @@
             _shut_down(sock)
         raise ConnectionResetError("handover to the next process failed with unknown outcome")
     if not accepted:
+        underway.handover_rejected = True
         exchange.client.start_reading()
         return False
     log("stream_given", request=request.key, id=request.id)
--- a/spoolbarrow/net/endpoint_response.py
+++ b/spoolbarrow/net/endpoint_response.py
@@ -29,9 +29,8 @@
         self.tail = b""  # the last bytes forwarded
         self.claimed = False  # this attempt serves the client
         self.handing_over = False  # to another process of this router
-        self._held: list[bytes] = []  # parts of an incomplete first event
-        self._held_bytes = 0
-        self._held_end = b""  # its last bytes: an event's end may be split between reads
+        self.handover_rejected = False  # by that process: not tried again
+        self._held = bytearray()  # an incomplete first event
 
     def forwardable(self, parts: list[bytes]) -> list[bytes]:
         """What may be forwarded after these parts: nothing until the first event is complete.
--- a/spoolbarrow/net/host.py
+++ b/spoolbarrow/net/host.py
@@ -280,7 +280,7 @@
 
     def try_hand_over(self, in_flight: InFlightAttempt) -> bool:
         """Try to hand a stream over to another process of this router; whether it was taken."""
-        return self.hand_over is not None and self.hand_over(in_flight)
+        return self.hand_over is not None and not in_flight.handover_rejected and self.hand_over(in_flight)
 
     def stream_handed_over(self, attempt: Attempt) -> None:
         """End the local side of a stream that another process has taken over."""
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -287,3 +287,19 @@
         assert coordinator._give_idle(held)
         assert client.answer().status == 200
         coordinator.close()
+
+
+@pytest.mark.parametrize(("accepted", "goes_on"), [(False, True), (None, False)])
+def test_a_rejected_stream_does_not_end_the_handover_of_others(accepted: bool | None, goes_on: bool) -> None:
+    """Only a newer process that does not answer does: each stream would wait for it."""
+
+    class NewerProcess:
+        def send_stream(self, text: bytes, descriptors: Any) -> bool | None:
+            return accepted
+
+    with running_router(serve_all) as (harness, _):
+        coordinator: Any = Coordinator.__new__(Coordinator)
+        coordinator._handover, coordinator._host = NewerProcess(), harness.host
+        harness.host.hand_over = lambda in_flight: True
+        assert coordinator._send_stream(b"", ()) is accepted
+        assert (harness.host.hand_over is not None) is goes_on
