A process passes its memory limit: what is held for peers is charged to one account

Cause: bounds counted bytes of the wire, from zero; the limit counts memory, from the interpreter on. A connection at rest held a greenlet's stack and a parser (11.6 KB), a field of five bytes some 150, a chunk of six some 60, an answer not read 64 KB and its pieces; bodies left gaps in the heap. Mend: one account that starts at what is resident; every state of a connection is charged; under pressure idle connections go first, then half-read requests, then new ones, requests in flight never; near the limit nothing more is held than then. A watcher waits for input in place of a greenlet, a parser lives while a request is read; 100 fields, 100 trailers, 512 small chunks, ids of 256 bytes, 1 KB read ahead; a body is one buffer, mapped from 64 KB on.

--- a/spoolbarrow/admin/coordinator.py
+++ b/spoolbarrow/admin/coordinator.py
@@ -174,7 +174,7 @@
         if shared is not self._shared:
             self._shared = shared
             fitted = self.fit(self._config)
-            self._inbound.config = fitted
+            self._inbound.share_limits(fitted)
             self._host.apply(fitted)
 
     def _publish(self) -> None:
--- a/spoolbarrow/config.py
+++ b/spoolbarrow/config.py
@@ -230,6 +230,7 @@
     max_outbound: int  # connections to endpoints
     max_held_bytes: int  # bytes of request bodies held in memory at a time
     control: Address | None = None  # address of the control listener; None: no listener
+    processes: int = 1  # of this router that share its memory limit
 
 
 def parse_address(key: str, text: str) -> Address:
@@ -243,9 +244,9 @@
 def _check_numbers(place: str, values: Struct) -> None:
     for key in values.__struct_fields__:
         value = getattr(values, key)
-        if value <= 0:
         if value is None:
             continue
+        if value <= 0:
             raise ConfigError(f"{place}.{key}: must be positive")
         if isfinite(value) and value > MAX_VALUE:
             raise ConfigError(f"{place}.{key}: over {MAX_VALUE:g}")
@@ -332,8 +333,8 @@
         connect_timeout_ms=names.Limits.ConnectTimeoutMs,
         limits=file.limits,
         resumes_streams=names.Specifics.Resume,
-        probes_fetch_load=names.Stats.Via != "off",
         stream_silence_ms=_stream_silence_ms(file.options, names.Specifics.Resume),
+        probes_fetch_load=names.Stats.Via != "off",
         max_inbound=inbound,
         max_outbound=outbound,
         max_held_bytes=int(file.limits.memory_mb * 1024 * 1024 / 4),
@@ -341,13 +342,13 @@
     )
 
 
-def reserved_descriptors(control: bool) -> int:
 def _stream_silence_ms(options: Options, resumes: bool) -> float:
     """How long a stream may pause: less where its client can get the rest elsewhere."""
     default = RESUMED_SILENCE_MS if resumes else LOST_SILENCE_MS
     return default if options.stream_silence_ms is None else options.stream_silence_ms
 
 
+def reserved_descriptors(control: bool) -> int:
     """Number of descriptors reserved from connections; `control`: whether there is a control listener."""
     return RESERVED_DESCRIPTORS + CONTROL_DESCRIPTORS * control
 
--- a/spoolbarrow/handover.py
+++ b/spoolbarrow/handover.py
@@ -356,6 +356,7 @@
             max_inbound=inbound,
             max_outbound=outbound,
             max_held_bytes=config.max_held_bytes // 2,
+            processes=2,
         )
 
     def close(self) -> None:
--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -7,37 +7,41 @@
 
 import gevent
 from gevent import socket
-from gevent.event import Event
 
 from spoolbarrow.net import http1, tcpinfo
+from spoolbarrow.net.client_reader import BufferOwner, ClientReader, NoInput, ReadStep
 from spoolbarrow.net.drain_schedule import DrainStep
 from spoolbarrow.net.exchange import Exchange as Exchange
 from spoolbarrow.net.exchange import retry_after_header
-from spoolbarrow.net.graceful_close import ENDED, await_peer_close
+from spoolbarrow.net.graceful_close import ENDED
 from spoolbarrow.net.http1 import HttpError, Message
 from spoolbarrow.net.log import log_exception
-from spoolbarrow.net.loop_iterations import ArrivalTimes
+from spoolbarrow.net.memory_account import (
+    CONNECTION_BYTES,
+    INPUT_BYTES,
+    READER_BYTES,
+    REQUEST_BYTES,
+)
 from spoolbarrow.net.observers import CloseReason, Side
 from spoolbarrow.net.request import Request
-from spoolbarrow.net.request_admission import PEEK_BYTES, Listener, notify_declined
 from spoolbarrow.net.request_admission import admit as admit
+from spoolbarrow.net.request_admission import notify_declined
 
-FIRST_READ_BYTES = 4096  # small, since it may hold many pipelined requests and each one read must be answered
-DISCONNECT_POLL_S = 0.05  # for clients with unread input; half the time a disconnect may go unnoticed
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class Owner(Listener, Protocol):
+class Owner(BufferOwner, Protocol):
     """What a connection needs of the listener that accepted it."""
 
-    buffer: bytearray
+    def make_room_to_read(self) -> bool:
+        """Whether a request may be read further; gives back what costs less first."""
 
     def connection_closed(self, client: ClientConnection) -> None:
         """Forget a closed client connection."""
 
 
 class ClientConnection:
-    """A client connection; its own greenlet waits for input, so that a disconnect is noticed.
+    """A client connection; its input is watched all the time, so that a disconnect is noticed.
 
     While a request is in flight nothing more is read: each request read must be answered, which is impossible
     once the connection has to close (broken stream, drain). The client can resend what was not read.
@@ -48,34 +52,31 @@
         self.exchange: Exchange | None = None
         self.number = inbound.host.observers.connection_opened(Side.CLIENT, sock, inbound.host.now())
         self.since = inbound.host.now()  # opened, last became idle, or began to receive a later request
+        self.present_at = 0.0  # when a response was written, which a client that has left resets
         self.is_new = True  # no response was sent on it yet
         self.writing_since = 0.0  # start of a write that the client has not accepted yet; 0: none
-        self._arrivals = ArrivalTimes(inbound.host.loop_iterations, sock)
-        options = inbound.config.options
-        self.present_at = 0.0  # when a response was written, which a client that has left resets
-        self._parser = http1.RequestParser(options.max_head, options.max_body)
-        self._wakeup = Event()
-        self._held_bytes = 0
+        self.input = ClientReader(self, sock)
+        self._held_bytes = 0  # of bodies
+        self._charged = 0  # to the account of memory
         self._closed = False
         self._sending_continue = False
-        self._paused = False  # the reader stops, but the connection stays open
-        self.reader: gevent.Greenlet[[], None] | None = None
         self.lingering = False  # the last response is written; waits for the client to close
         # Saves CPU: a client that repeats invalid requests has to reconnect each time.
         self.declined = False
+        self.update_held_bytes()
 
     def idle(self) -> bool:
         """Whether nothing read is unanswered; false while it may be handed over to another process."""
-        unusable = self._closed or self._paused
-        return not (unusable or self.exchange or self._parser.reading or self._parser.complete)
+        unusable = self._closed or self.input.paused
+        return not (unusable or self.exchange or self.input.parser.reading or self.input.parser.complete)
 
     def state(self) -> str:
         """The current activity, for the log."""
         if self.lingering:
             return "told_to_go"
-        if self.exchange is not None or self._parser.complete:
+        if self.exchange is not None or self.input.parser.complete:
             return "answering"
-        return "half_read" if self._parser.reading else "idle"
+        return "half_read" if self.input.parser.reading else "idle"
 
     def request_id(self) -> str:
         """The client's ID of the request in flight, for the log; empty if there is none."""
@@ -86,11 +87,11 @@
         """Whether the kernel's receive buffer holds data or an end of stream."""
         return not self._closed and http1.poll_now(self.sock, select.POLLIN) != 0
 
-    def disconnected(self) -> bool:
     def unread_bytes(self) -> int:
         """How much input is unread in the kernel."""
         return 0 if self._closed else http1.unread_bytes(self.sock)
 
+    def disconnected(self) -> bool:
         """Whether the client closed, half-closed or reset it, even behind unread data; never blocks."""
         if self._closed:
             return True
@@ -113,11 +114,11 @@
 
     def has_more_requests(self) -> bool:
         """Whether the client sent anything after the request in flight."""
-        return bool(self._parser.reading or self._parser.complete) or self.has_unread()
+        return bool(self.input.parser.reading or self.input.parser.complete) or self.has_unread()
 
     def has_read_ahead(self) -> bool:
         """Whether more was read than the request in flight: further requests or a malformed one."""
-        return bool(self._parser.complete) or self._parser.error is not None
+        return bool(self.input.parser.complete) or self.input.parser.error is not None
 
     def must_close(self) -> bool:
         """Whether to close after this response; asked at its head and end, as a drain may begin in between.
@@ -129,7 +130,7 @@
             return True
         drains, now = self.inbound.drainer.state, self.inbound.host.now()
         if drains.reached(DrainStep.CLOSE_ALL, now):
-            return not (self._parser.reading or self.has_read_ahead())
+            return not (self.input.parser.reading or self.has_read_ahead())
         return drains.reached(DrainStep.END_ANSWERS, now) and not self.has_more_requests()
 
     def write_stalled(self, since: float) -> bool:
@@ -138,74 +139,40 @@
 
     def refuse_half_read(self, retry_after_ms: float) -> None:
         """Answer 503 to a request that has not arrived completely: there is no time left for the rest."""
-        if self._parser.reading and self.exchange is None and not (self.lingering or self.has_unread()):
-            self._parser.refuse(HttpError(503, "no time for the rest", retry_after_header(retry_after_ms)))
-            self._advance()
-
-    def run(self) -> None:
-        """Read until the client disconnects."""
-        view = memoryview(self.inbound.buffer)
-        try:
-            while self._read_next(view):
-                gevent.sleep(0)  # fairness: a client that sends at full speed is always readable
-            if self.lingering and not self._closed:
-                await_peer_close(
-                    self.sock,
-                    view,
-                    self._parser.remaining_bytes(),
-                    self.inbound.config.options.linger_ms / 1000,
-                )
-        except OSError:
-            pass  # reset by the client, or closed by this process
-        except Exception as error:
-            log_exception("client", error)
-        finally:
-            if not self._paused:
-                self.abandon()
-
-    def _read_next(self, view: memoryview) -> bool:
-        """Read the next input once that is allowed; false if nothing more is to be read."""
-        try:
-            if not self._await_readable(view):
-                return False
-            # Before the read, which frees receive buffer space so that more data may arrive at once.
-            self._arrivals.before_read(self.inbound.host.now())
-            size = self.sock.recv_into(view if self._parser.reading else view[:FIRST_READ_BYTES])
-            if size:
-                self._fed(view[:size])
-            return size > 0
-        except OSError:
-            raise
-        except Exception as error:
-            log_exception("client", error)
-            self._parser.refuse(HttpError(500, "internal error"))  # sent after the responses still due
+        if self.input.parser.reading and self.exchange is None and not (self.lingering or self.has_unread()):
+            retry = retry_after_header(retry_after_ms)
+            self.input.parser_in_use().refuse(HttpError(503, "no time for the rest", retry))
             self._advance()
-            return True
 
-    def _await_readable(self, view: memoryview) -> bool:
-        """Wait for input that may be read now; false if nothing more is to be read."""
-        while not self.lingering:
-            size = self.sock.recv_into(view, PEEK_BYTES, socket.MSG_PEEK)
-            if self.lingering or self._may_read():
-                return not self.lingering
-            if self._client_left() or (self._in_flight() is not None and (not size or self.disconnected())):
-                return False
-            if size:
-                self._arrivals.left_unread(self.inbound.host.now())
-            if size and self.proves_bad_length(view[:size]):
-                self._reject_open(HttpError(400, "malformed request: its length is not that of its body"))
-                continue
-            self._wakeup.clear()
-            self._wakeup.wait(DISCONNECT_POLL_S)
-        return False
-
-    def _may_read(self) -> bool:
+    def may_read(self) -> bool:
         """Whether nothing is in flight, or further input decides whether the request in flight is valid."""
-        parser = self._parser
+        parser = self.input.parser
         if parser.error is not None:
             return False
         return not (self.exchange or parser.complete) or (parser.undecided and self._unsent() is not None)
 
+    def unread_step(self, data: memoryview) -> ReadStep:
+        """What to do about input that begins like this, or about the end of input."""
+        if self.may_read():
+            return ReadStep.READ
+        if self._client_left() or (self._in_flight() is not None and (not data or self.disconnected())):
+            return ReadStep.END
+        if data:
+            self.input.arrivals.left_unread(self.inbound.host.now())
+        if data and self.proves_bad_length(data):
+            self._reject_open(HttpError(400, "malformed request: its length is not that of its body"))
+            return ReadStep.AGAIN
+        return ReadStep.WAIT
+
+    def reading_failed(self) -> None:
+        """Answer an error of this program in reading, after the responses still due."""
+        self.input.parser_in_use().refuse(HttpError(500, "internal error"))
+        self._advance()
+
+    def is_closed(self) -> bool:
+        """Whether its socket is closed."""
+        return self._closed
+
     def _in_flight(self) -> Request | None:
         """The request without a complete response; a client that only gets an error may half-close before."""
         request = self.exchange.request if self.exchange is not None else None
@@ -224,13 +191,13 @@
 
     def proves_bad_length(self, data: memoryview) -> bool:
         """Whether data right after the last request starts no request: that one is truncated or smuggled."""
-        if self._parser.reading or self._parser.undecided or self.has_read_ahead():
+        if self.input.parser.reading or self.input.parser.undecided or self.has_read_ahead():
             return False
         return not http1.may_begin_request(bytes(data))
 
     def _reject_open(self, fault: HttpError) -> None:
         """Reject the request in flight as malformed, unless an endpoint has it already."""
-        self._parser.refuse(fault)
+        self.input.parser_in_use().refuse(fault)
         request = self._unsent()
         if request is not None:
             self.exchange = None
@@ -239,15 +206,15 @@
 
     def start_reading(self) -> None:
         """Start or resume reading."""
-        self._paused = False
-        self.reader = gevent.spawn(self.run)
+        if not self._closed:
+            self.input.start()
 
     def pause_reading(self) -> bool:
         """Stop reading, unless something read is or would be left unanswered; whether it stopped."""
-        if self._has_pending() or self.reader is None or (self.exchange is None and self.has_unread()):
+        if self._has_pending() or not self.input.started() or (self.exchange is None and self.has_unread()):
             return False
-        exchange, self._paused = self.exchange, True
-        self.reader.kill()
+        exchange = self.exchange
+        self.input.pause()
         if self._closed:
             return False
         # The event loop may poll before it kills the reader, which may then have read new input.
@@ -258,11 +225,11 @@
 
     def _has_pending(self) -> bool:
         """Whether input was read that is not served yet, or the connection is closing."""
-        return self.lingering or self._parser.reading or self.has_read_ahead()
+        return self.lingering or self.input.parser.reading or self.has_read_ahead()
 
     def reading_paused(self) -> bool:
         """Whether reading is paused for a handover to another process of this router."""
-        return self._paused
+        return self.input.paused
 
     def detach(self) -> None:
         """Close this process's descriptor only: another process owns the connection now."""
@@ -270,7 +237,7 @@
         self.close(CloseReason.DONE)
         self.update_held_bytes()
 
-    def write(self, pieces: list[bytes]) -> None:
+    def write(self, pieces: http1.Pieces) -> None:
         """Write a part of a response; blocks while the client is slow."""
         self.writing_since = self.inbound.host.now()
         http1.send_pieces(self.sock, pieces)
@@ -285,7 +252,7 @@
             self._linger()
         else:
             self._advance()
-            self._wakeup.set()
+            self.input.wake()
 
     def abort_response(self) -> None:
         """Close after what was written; lingers where unread input would cause a reset that loses events."""
@@ -310,41 +277,40 @@
             if why is None:
                 why = (
                     CloseReason.DONE
-                    if self.exchange is None and not self._parser.reading
+                    if self.exchange is None and not self.input.parser.reading
                     else CloseReason.BROKEN
                 )
             drainer = self.inbound.drainer
             if drainer.state.active():
                 drainer.log.closed(self.inbound.host.now(), self.number, why.name.lower(), state)
             self.inbound.host.observers.connection_closing(self.number, why)
-            self._wakeup.set()
+            self.input.end()
             self.sock.close()
             self.inbound.connection_closed(self)
+            if self.input.greenlet is None and not self.input.paused:  # otherwise the reader does it
+                gevent.get_hub().loop.run_callback(self.abandon)
 
     def time_out(self) -> None:
         """Answer 408, or close an idle reused connection silently: a 408 could pass for its next response."""
-        if self.is_new or self._parser.reading:
-            self._parser.refuse(HttpError(408, "no whole request in time"))
+        if self.is_new or self.input.parser.reading:
+            self.input.parser_in_use().refuse(HttpError(408, "no whole request in time"))
             self._advance()
         else:
             self.close(CloseReason.IDLE)
 
-    def _fed(self, data: memoryview) -> None:
-        parser = self._parser
+    def fed(self, parser: http1.RequestParser, data: memoryview) -> None:
+        """Parse new input, and serve the requests that are complete."""
         was_reading, had = parser.reading, len(parser.complete)
         parser.feed(data)
         self.update_held_bytes()
-        self._arrivals.after_read(was_reading, len(parser.complete) - had)
+        self.input.arrivals.after_read(was_reading, len(parser.complete) - had)
         if parser.cut_short and parser.error is not None:
             return self._reject_open(parser.error)
-        if (
-            parser.reading
-            and parser.error is None
-            and self.inbound.held_bytes > self.inbound.config.max_held_bytes
-        ):
+        if parser.reading and parser.error is None and not self.inbound.make_room_to_read():
             # Bounds memory, incomplete bodies included. Only this request is refused: were the complete ones
             # before it refused in its place, one that may have run would be sent again.
             parser.refuse(HttpError(503, "no room", b"Retry-After: 1"))
+            self.update_held_bytes()
         if self.exchange is None:
             if parser.reading and not was_reading and not self.is_new:
                 self.since = self.inbound.host.now()
@@ -352,14 +318,17 @@
 
     def _advance(self) -> None:
         """Serve the next complete request, or answer with the parse error."""
-        parser = self._parser
-        if self.exchange is not None or self.lingering or self._sending_continue:
+        parser = self.input.parser
+        if isinstance(parser, NoInput) or self.exchange is not None:
+            return
+        if self.lingering or self._sending_continue:
             return
         if parser.complete:
             message = parser.complete.popleft()
             self.exchange = Exchange(self, message)
+            self.update_held_bytes()
             try:
-                admit(self, self.exchange, message, self._arrivals.next_arrival(self.since))
+                admit(self, self.exchange, message, self.input.arrivals.next_arrival(self.since))
             except HttpError as error:
                 notify_declined(self.inbound, message, "failed")
                 self.exchange.refuse(error)
@@ -377,7 +346,7 @@
 
     def _send_continue(self) -> None:
         """Send 100 Continue to a client that waits for it, with no concurrent write."""
-        self._parser.awaits_continue = False
+        self.input.parser_in_use().awaits_continue = False
         self._sending_continue = True
         try:
             self.write([CONTINUE_RESPONSE])
@@ -388,18 +357,33 @@
         self._advance()
 
     def update_held_bytes(self) -> None:
-        """Update the listener's total by the size of the bodies this connection holds in memory."""
-        held = self._parser.held_bytes() + (len(self.exchange.message.body) if self.exchange else 0)
-        if self._closed:
-            held = 0
+        """Update the accounts of the bodies, and of all memory, that this connection holds."""
+        body = len(self.exchange.message.body) if self.exchange else 0
+        held = 0 if self._closed else self.input.parser.held_bytes() + body
         self.inbound.held_bytes += held - self._held_bytes
         self._held_bytes = held
+        charged = 0 if self._closed else self._memory_bytes()
+        self.inbound.memory.change(charged - self._charged)
+        self._charged = charged
+
+    def _memory_bytes(self) -> int:
+        """What this connection costs in memory."""
+        cost = CONNECTION_BYTES + self.input.parser.memory_bytes()
+        if not isinstance(self.input.parser, NoInput):
+            cost += INPUT_BYTES
+        if self.input.greenlet is not None:
+            cost += READER_BYTES
+        if self.exchange is not None:
+            cost += self.exchange.message.memory_bytes()
+            cost += REQUEST_BYTES if self.exchange.request is not None else 0
+        return cost
 
     def _linger(self) -> None:
         """Shut down writing, then let the reader wait for the client to close."""
         self.lingering, self.since = True, self.inbound.host.now()
-        self._wakeup.set()
+        self.input.wake()
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             self.close()
+        self.input.ensure_greenlet()
--- a/spoolbarrow/net/diagnostics.py
+++ b/spoolbarrow/net/diagnostics.py
@@ -160,13 +160,29 @@
 
 
 class NoRoomForRequest(Diagnostic):
-    """A request was refused because request bodies or open requests are at their limit."""
+    """A request was refused because memory for requests or open requests are at their limit."""
 
     event = "no_room"
-    where = "`held` bytes, `open` requests"
+    where = "`held` bytes of bodies, `charged` bytes of memory, `open` requests"
     remedy = "Raise `limits.memory_mb`, or add another router."
 
 
+class MemoryNearLimit(Diagnostic):
+    """The resident memory came near the limit, so that no more is held for clients than at that time."""
+
+    event = "memory_near_limit"
+    where = "`resident` bytes; `charged` bytes for clients"
+    remedy = "Raise `limits.memory_mb`, lower `limits.sockets`, or add another router."
+
+
+class EndpointReplaced(Diagnostic):
+    """Another engine is listed at an engine's address, so that nothing more is sent to the older one."""
+
+    event = "endpoint_replaced"
+    where = "`name`, `address`"
+    remedy = "If both run, give them addresses of their own; otherwise withdraw the older one from the list."
+
+
 class AcceptPaused(Diagnostic):
     """No client could be accepted for a short time."""
 
--- a/spoolbarrow/net/endpoint_client.py
+++ b/spoolbarrow/net/endpoint_client.py
@@ -19,7 +19,7 @@
 from spoolbarrow.net.request import Attempt
 from spoolbarrow.net.request_writing import await_sent, send_while
 
-RECV_BYTES = 65536  # bytes read at once
+RECV_BYTES = 8192  # read at once: each client that reads slowly has so much waiting for it
 UNPROCESSED_HEADER = b"x-unprocessed"
 CONTENT_TYPE_HEADER, EVENT_STREAM_TYPE = b"content-type", b"text/event-stream"
 MAX_SEND_MS = 100.0  # between sending a request's head, which states the time left, and its last byte
@@ -166,16 +166,16 @@
                 ).lower().startswith(EVENT_STREAM_TYPE):
                     # Unsolicited data from an endpoint must not pass for the answer to this request.
                     raise http1.HttpError(502, "status 200 without an event stream")
-                parts = in_flight.forwardable(parser.take_body())
-                if parser.status == 200 and (parts or (parser.complete and not in_flight.claimed)):
+                data = in_flight.forwardable(parser.take_body())
+                if parser.status == 200 and (data or (parser.complete and not in_flight.claimed)):
                     if not in_flight.claimed:
                         if not self._host.claim(attempt):
                             return i.Outcome.CANCELLED, 0, None  # another attempt serves the client
                         in_flight.claimed = True
-                    attempt.request.answer.forward(parts)
+                    attempt.request.answer.forward(data)
                     if self._host.observers.active:
-                        self._host.observers.parts_forwarded(attempt.request, parts)
-                    in_flight.tail = (in_flight.tail + b"".join(parts))[-TAIL_BYTES:]
+                        self._host.observers.parts_forwarded(attempt.request, [data])
+                    in_flight.tail = (in_flight.tail + data)[-TAIL_BYTES:]
                     if parser.at_boundary and self._host.try_hand_over(in_flight):
                         whole = True  # only this process's descriptor is closed
                         return i.Outcome.CANCELLED, 0, None
--- a/spoolbarrow/net/endpoint_response.py
+++ b/spoolbarrow/net/endpoint_response.py
@@ -17,7 +17,7 @@
 LAST_CHUNK, CHUNKED_END = b"\r\n0\r\n", b"0\r\n\r\n"  # after the line end before it; without trailers
 EVENT_ENDS = b"\n\n", b"\r\n\r\n", b"\r\r"
 MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
-MAX_HELD_BYTES = 65536  # of a stream's beginning, held until its first event is complete
+MAX_HELD_BYTES = 16_384  # of a stream's beginning, held until its first event is complete
 MAX_PEEK_BYTES = 1 << 20  # in the kernel, searched for a stream's end
 
 
@@ -32,27 +32,25 @@
         self.handover_rejected = False  # by that process: not tried again
         self._held = bytearray()  # an incomplete first event
 
-    def forwardable(self, parts: list[bytes]) -> list[bytes]:
+    def forwardable(self, parts: list[bytes]) -> bytes:
         """What may be forwarded after these parts: nothing until the first event is complete.
 
         If an attempt breaks within its first event, its client has received nothing, so another attempt can
         still serve the request, or the client gets an error.
         """
+        new = parts[0] if len(parts) == 1 else b"".join(parts)
         if self.claimed:
-            return parts
-        new = b"".join(parts)
-        searched = self._held_end + new
-        self._held += parts
-        self._held_bytes += len(new)
-        self._held_end = searched[1 - MAX_EVENT_END_BYTES :]
+            return new
+        searched_from = max(0, len(self._held) + 1 - MAX_EVENT_END_BYTES)  # an end may be split between reads
+        self._held += new
         if (
             self.parser.complete
-            or self._held_bytes >= MAX_HELD_BYTES
-            or any(end in searched for end in EVENT_ENDS)
+            or len(self._held) >= MAX_HELD_BYTES
+            or any(self._held.find(end, searched_from) >= 0 for end in EVENT_ENDS)
         ):
-            parts, self._held = self._held, []
-            return parts
-        return []
+            data, self._held = bytes(self._held), bytearray()
+            return data
+        return b""
 
     def must_finish(self) -> bool:
         """Whether it must not be broken off: its endpoint has finished it, or another process may own it.
--- a/spoolbarrow/net/exchange.py
+++ b/spoolbarrow/net/exchange.py
@@ -35,7 +35,7 @@
     def must_close(self) -> bool:
         """Whether to close it after this response, as known now."""
 
-    def write(self, pieces: list[bytes]) -> None:
+    def write(self, pieces: http1.Pieces) -> None:
         """Write a part of a response; blocks while the client is slow."""
 
     def update_held_bytes(self) -> None:
@@ -112,19 +112,19 @@
     def refuse(self, fault: HttpError) -> None:
         """Answer a request that is not accepted with its error, and close the connection."""
         self.client.declined = True
-        log("bad_request", status=fault.status, why=fault.reason)
+        id = self.message.fields.get(b"x-correlation-id", b"").decode("latin-1")[:MAX_LOGGED_ID]
+        log("bad_request", status=fault.status, why=fault.reason, connection=self.client.number, id=id)
         self.respond(fault.status, fault.reason, *fault.headers)
 
     def respond(self, status: int, reason: str, *headers: bytes) -> None:
         """Write a complete response in its own greenlet, so that a slow client does not block the caller."""
         body = orjson.dumps({"error": {"message": reason, "code": status}}) if status != 200 else b"{}"
         closing = self._is_closing()
-        pieces = http1.response_pieces(status, body, closing, *headers)
-        gevent.spawn(self._write_whole, pieces, closing)
+        self._write_last(http1.response_pieces(status, body, closing, *headers), closing)
 
-    def forward(self, parts: list[bytes]) -> None:
-        """Write events of the stream; blocks while the client is slow."""
-        pieces = []
+    def forward(self, data: bytes) -> None:
+        """Write a part of the stream as it came; blocks while the client is slow."""
+        pieces: list[bytes] = []
         if not self._begun:
             self._begun = True
             self.message.body = b""  # free memory: no further attempt needs it, and a stream may be long
@@ -134,8 +134,10 @@
                 self._close = True
                 pieces.append(b"Connection: close\r\n")
             pieces.append(b"Transfer-Encoding: chunked\r\n\r\n" if self.message.accepts_chunked else b"\r\n")
-        for part in parts:
-            pieces += (b"%x\r\n" % len(part), part, b"\r\n") if self.message.accepts_chunked else (part,)
+        if data and self.message.accepts_chunked:
+            pieces += (b"%x\r\n" % len(data), data, b"\r\n")
+        else:
+            pieces.append(data)
         try:
             self.client.write(pieces)
         except OSError:
@@ -146,7 +148,7 @@
     def end(self) -> None:
         """Write the last chunk."""
         pieces = [b"0\r\n\r\n"] if self.message.accepts_chunked else []
-        gevent.spawn(self._write_whole, pieces, self._close)
+        self._write_last(pieces, self._close)
 
     def closes_connection(self) -> bool:
         """Whether the response announced that the connection closes after it."""
@@ -165,7 +167,27 @@
         """Whether the connection closes after this response."""
         return self._close or self.client.must_close()
 
-    def _write_whole(self, pieces: list[bytes], closing: bool) -> None:
+    def _write_last(self, pieces: list[bytes], closing: bool) -> None:
+        """Write the end of a response; never blocks, so that a slow client does not block the caller."""
+        try:
+            rest = http1.send_available(self.client.sock, pieces)
+        except OSError:
+            gevent.get_hub().loop.run_callback(self.client.abandon)
+            return
+        if rest:
+            gevent.spawn(self._write_whole, rest, closing)
+        else:
+            gevent.get_hub().loop.run_callback(self._written, closing)
+
+    def _written(self, closing: bool) -> None:
+        """Called by the event loop, which must not be blocked."""
+        try:
+            self.client.response_written(closing)
+        except Exception as error:
+            log_exception("answer", error)
+            self.client.abandon()
+
+    def _write_whole(self, pieces: http1.Pieces, closing: bool) -> None:
         try:
             self.client.write(pieces)
         except OSError:
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -22,11 +22,14 @@
 
 from spoolbarrow.config import Address
 from spoolbarrow.net.fairness import yield_to_others
+from spoolbarrow.net.request_parser import MAX_FIELDS, strip_whitespace
 from spoolbarrow.net.request_parser import HttpError as HttpError
 from spoolbarrow.net.request_parser import Message as Message
 from spoolbarrow.net.request_parser import RequestParser as RequestParser
 from spoolbarrow.net.request_parser import may_begin_request as may_begin_request
-from spoolbarrow.net.request_parser import strip_whitespace
+
+Piece = bytes | bytearray | memoryview
+Pieces = Sequence[Piece]
 
 # Fields that apply to one connection only, or that are set again for each one.
 NOT_FORWARDED = frozenset(
@@ -134,8 +137,11 @@
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
         """httptools: a complete field."""
-        if not self.head_complete:
-            self.fields[name.lower()] = strip_whitespace(value)
+        if self.head_complete:
+            return
+        if len(self.fields) == MAX_FIELDS:
+            raise HttpError(502, f"over {MAX_FIELDS} header fields")
+        self.fields[name.lower()] = strip_whitespace(value)
 
     def on_headers_complete(self) -> None:
         """httptools: the head is complete; interim ones (1xx) are skipped."""
@@ -179,18 +185,18 @@
     return ready[0][1] if ready else 0
 
 
-# Errors of connect(2) that concern this machine alone: no free port, no buffer, no room in its tables.
-LOCAL_SHORTAGES = frozenset(
-    {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
-)
-
-
 def unread_bytes(sock: socket) -> int:
     """How many bytes a connection has in the kernel's receive buffer; OSError if it is closed."""
     count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
     return int.from_bytes(count, sys.byteorder)
 
 
+# Errors of connect(2) that concern this machine alone: no free port, no buffer, no room in its tables.
+LOCAL_SHORTAGES = frozenset(
+    {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
+
+
 class Shortage(OSError):
     """This process can open no connection; this says nothing about the other side."""
 
@@ -231,9 +237,16 @@
     return listener
 
 
-def request_pieces(message: Message, address: Address, time_left_ms: int) -> list[bytes]:
+def request_pieces(message: Message, address: Address, time_left_ms: int) -> list[Piece]:
     """A request for another connection, as pieces for a gathered write."""
-    pieces = [message.method, b" ", message.target, b" HTTP/1.1\r\nHost: ", _host(address), b"\r\n"]
+    pieces: list[Piece] = [
+        message.method,
+        b" ",
+        message.target,
+        b" HTTP/1.1\r\nHost: ",
+        _host(address),
+        b"\r\n",
+    ]
     for name, value in message.headers:
         if name.lower() not in NOT_FORWARDED:
             pieces += (name, b": ", value, b"\r\n")
@@ -259,14 +272,28 @@
     return pieces
 
 
-def send_pieces(sock: socket, pieces: Sequence[bytes]) -> None:
+def send_available(sock: socket, pieces: Pieces) -> list[Piece]:
+    """Write as much as the kernel takes at once; the pieces that are left. Never blocks, raises OSError."""
+    rest: list[Piece] = [piece for piece in pieces if piece]
+    sock.settimeout(0.0)
+    try:
+        while rest:
+            drop_sent(rest, sock.sendmsg(rest[:IOV_MAX]))
+    except BlockingIOError:
+        pass
+    finally:
+        sock.settimeout(None)
+    return rest
+
+
+def send_pieces(sock: socket, pieces: Pieces) -> None:
     """Write all pieces in as few calls as possible; blocks the greenlet, raises OSError."""
-    rest: list[bytes | memoryview] = [piece for piece in pieces if piece]
+    rest: list[Piece] = [piece for piece in pieces if piece]
     while rest:
         drop_sent(rest, sock.sendmsg(rest[:IOV_MAX]))
 
 
-def drop_sent(rest: list[bytes | memoryview], sent: int) -> None:
+def drop_sent(rest: list[Piece], sent: int) -> None:
     """Remove `sent` bytes from the front of the pieces still to be written."""
     done = 0
     while done < len(rest) and sent >= len(rest[done]):
--- a/spoolbarrow/net/id_table.py
+++ b/spoolbarrow/net/id_table.py
@@ -11,18 +11,22 @@
 import time
 from _blake2 import blake2b  # `hashlib` loads OpenSSL: 3.5 MB of resident memory
 from collections.abc import Callable, Iterable, Iterator
+from functools import lru_cache
 from mmap import mmap
 
 SLOTS_PER_BUCKET, BUCKETS = 8, 1024
 REMEMBERED_S = 60  # after the end of a request that may have run
+CACHED_FINGERPRINTS = 64
 OPEN = 0xFFFF_FFFF  # in place of an expiry time
 EMPTY = 0
 _SLOT = struct.Struct("=QI")  # fingerprint of an id, expiry time
-TABLE_BYTES = _SLOT.size * SLOTS_PER_BUCKET * BUCKETS
+_BUCKET = struct.Struct("=" + "QI" * SLOTS_PER_BUCKET)
+TABLE_BYTES = _BUCKET.size * BUCKETS
 
 Memory = bytearray | mmap
 
 
+@lru_cache(CACHED_FINGERPRINTS)
 def fingerprint(id: str) -> int:
     """What stands for an id in the table."""
     digest = blake2b(id.encode("utf-8", "surrogateescape"), digest_size=8).digest()
@@ -37,8 +41,10 @@
 
     def has(self, id: str) -> bool:
         """Whether a request with this id is open or may have run."""
-        mark, now = fingerprint(id), int(time.monotonic())
-        return any(found == mark and expiry > now for _, found, expiry in self._bucket(mark))
+        mark = fingerprint(id)
+        slots = _BUCKET.unpack_from(self._memory, _first_slot(mark))
+        marks, expiries = slots[::2], slots[1::2]
+        return mark in marks and expiries[marks.index(mark)] > time.monotonic()
 
     def open(self, id: str) -> None:
         """Note that a request is open."""
@@ -62,22 +68,22 @@
             if mark:
                 yield mark, expiry
 
-    def _bucket(self, mark: int) -> Iterator[tuple[int, int, int]]:
-        """Position, fingerprint and expiry time of each slot that this one may be in."""
-        first = mark % BUCKETS * SLOTS_PER_BUCKET * _SLOT.size
-        for position in range(first, first + SLOTS_PER_BUCKET * _SLOT.size, _SLOT.size):
-            found, expiry = _SLOT.unpack_from(self._memory, position)
-            yield position, found, expiry
-
     def _put(self, mark: int, expiry: int) -> None:
         """Write an entry over its own, or over the one that expires first."""
-        slots = list(self._bucket(mark))
-        own = [slot for slot in slots if slot[1] == mark]
-        position = (own or [min(slots, key=lambda slot: slot[2])])[0][0]
+        first = _first_slot(mark)
+        slots = _BUCKET.unpack_from(self._memory, first)
+        marks, expiries = slots[::2], slots[1::2]
+        known = mark in marks
+        slot = marks.index(mark) if known else expiries.index(min(expiries))
         if expiry != EMPTY:
-            _SLOT.pack_into(self._memory, position, mark, expiry)
-        elif own:
-            _SLOT.pack_into(self._memory, position, 0, EMPTY)
+            _SLOT.pack_into(self._memory, first + slot * _SLOT.size, mark, expiry)
+        elif known:
+            _SLOT.pack_into(self._memory, first + slot * _SLOT.size, 0, EMPTY)
+
+
+def _first_slot(mark: int) -> int:
+    """The position of the bucket that an id may be in."""
+    return mark % BUCKETS * _BUCKET.size
 
 
 class RequestIds:
@@ -106,8 +112,9 @@
 
     def open(self, id: str) -> None:
         """Note that a request is open in this process."""
-        self._open.add(id)
-        self.table.open(id)
+        if id not in self._open:
+            self._open.add(id)
+            self.table.open(id)
 
     def end(self, id: str, may_have_run: bool) -> None:
         """Note that a request is over and its last attempt has ended."""
--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -18,6 +18,14 @@
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, log_exception
+from spoolbarrow.net.memory_account import (
+    CONNECTION_BYTES,
+    NEW_CONNECTIONS_SHARE,
+    READER_BYTES,
+    READING_SHARE,
+    REQUEST_BYTES,
+    MemoryAccount,
+)
 from spoolbarrow.net.observers import CloseReason
 from spoolbarrow.net.overflow import Overflow
 
@@ -42,6 +50,7 @@
         self.config, self.host = config, host
         self.drainer = Drainer(self)
         self.held_bytes = 0  # request bodies in memory
+        self.memory = MemoryAccount(config)
         self.buffer = bytearray(RECV_BYTES)
         self._clients: set[ClientConnection] = set()
         self._overflow = Overflow()
@@ -71,7 +80,12 @@
         """Apply a new configuration; OSError, with nothing changed, if its address is unavailable."""
         if config.listen != self.config.listen:
             self._listen(config)
+        self.share_limits(config)
+
+    def share_limits(self, config: Config) -> None:
+        """Apply this process's share of the limits, which may change while it serves."""
         self.config = config
+        self.memory.apply(config)
 
     def _listen(self, config: Config) -> None:
         listener = http1.listen(config.listen, BACKLOG)
@@ -203,7 +217,7 @@
     def _serve_when_room(self, listener: socket.socket, sock: socket.socket) -> None:
         """Serve a connection as soon as there is room, or answer 503."""
         self._waiting[listener], since = sock, self.host.now()
-        while len(self._clients) >= self.config.max_inbound:
+        while not self._has_room():
             if self._make_room():
                 continue
             waited = max(self.host.now() - since, tcpinfo.last_received_ms(sock))
@@ -217,6 +231,30 @@
         del self._waiting[listener]
         self._admit(sock)
 
+    def _has_room(self) -> bool:
+        """Whether another connection can be served."""
+        self.memory.check_limit(self.host.now())
+        fits = self.memory.fits(CONNECTION_BYTES + READER_BYTES, NEW_CONNECTIONS_SHARE)
+        return fits and len(self._clients) < self.config.max_inbound
+
+    def make_room_to_read(self) -> bool:
+        """Whether requests may be read further: bodies and memory are within their bounds."""
+        self.memory.check_limit(self.host.now())
+        if self.held_bytes > self.config.max_held_bytes:
+            return False
+        return self.memory.fits(0, READING_SHARE) or (
+            self._make_room() and self.memory.fits(0, READING_SHARE)
+        )
+
+    def has_room_for_request(self) -> bool:
+        """Whether another request can be in flight; closes idle connections for it first."""
+        self.memory.check_limit(self.host.now())
+        within = self.held_bytes <= self.config.max_held_bytes
+        while within and not self.memory.fits(REQUEST_BYTES):
+            if not self._make_room():
+                return False
+        return within
+
     def _room_wait_ms(self) -> float:
         shortest = min(cls.deadline_ms for cls in self.config.settings.classes)
         return min(ROOM_WAIT_MS, ROOM_WAIT_SHARE * shortest)
@@ -307,9 +345,18 @@
             try:
                 self._overflow.sweep(self.host.now())
                 self._close_overdue()
+                self._check_memory()
             except Exception as error:  # the loop must go on, or idle connections would take all room
                 log_exception("sweep", error)
 
+    def _check_memory(self) -> None:
+        """Collect what was released, and hold no more than now if the limit is near."""
+        self.memory.collect_and_trim()
+        if not self.memory.check_limit(self.host.now()):
+            self.memory.recover()
+        if not self._has_room():
+            self._make_room()
+
     def _close_overdue(self) -> None:
         """Close connections that were idle or stalled too long, or whose request stayed incomplete."""
         options, now = self.config.options, self.host.now()
--- a/spoolbarrow/net/request.py
+++ b/spoolbarrow/net/request.py
@@ -36,8 +36,8 @@
     def reject(self) -> None:
         """Reject the request: the endpoint can't process it as sent."""
 
-    def forward(self, parts: list[bytes]) -> None:
-        """Write events of the serving attempt's stream; OSError if the client has disconnected."""
+    def forward(self, data: bytes) -> None:
+        """Write a part of the serving attempt's stream; OSError if the client has disconnected."""
 
     def end(self) -> None:
         """Complete the stream."""
@@ -110,13 +110,13 @@
         ran = [other.sent_at for other in self.attempts if other is not attempt and not other.never_ran()]
         return not ran or now < min(ran) + self.repeat_window_ms
 
-    def settled(self) -> bool:
-        """Whether it is finished and all attempts have ended."""
-        return self.finished and all(attempt.ended for attempt in self.attempts)
     def release(self) -> None:
         """Let go of what was needed to carry it out, which would wait for the garbage collector."""
         self.message, self.attempts = Message(), []
 
+    def settled(self) -> bool:
+        """Whether it is finished and all attempts have ended."""
+        return self.finished and all(attempt.ended for attempt in self.attempts)
 
 
 class AnswerReader(Protocol):
--- a/spoolbarrow/net/request_admission.py
+++ b/spoolbarrow/net/request_admission.py
@@ -17,12 +17,13 @@
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.http1 import HttpError, Message
 from spoolbarrow.net.log import log
+from spoolbarrow.net.memory_account import MemoryAccount
 from spoolbarrow.net.request_facts import read_facts
 
 CHAT_PATH, UP_PATH = b"/v1/chat/completions", b"/up"
 METHODS = {CHAT_PATH: b"POST", UP_PATH: b"GET"}
-PEEK_BYTES = 64  # of unread input: enough to tell whether it starts a request
 ID_TAKEN = "X-Correlation-Id: a request of this name is open or may have run"
+PEEK_BYTES = 64  # of unread input: enough to tell whether it starts a request
 
 
 class Drains(Protocol):
@@ -38,6 +39,7 @@
     config: Config
     host: Host
     held_bytes: int  # request bodies in memory
+    memory: MemoryAccount
 
     @property
     def drainer(self) -> Drains:
@@ -46,18 +48,21 @@
     def ready(self) -> bool:
         """Whether new clients should be sent to this router."""
 
+    def has_room_for_request(self) -> bool:
+        """Whether memory allows another request in flight."""
+
 
 class RequestConnection(Protocol):
     """The connection that a request arrived on."""
 
     sock: socket.socket
     number: int
+    present_at: float  # when the client was known not to have left, ms
 
     @property
     def inbound(self) -> Listener:
         """The listener that accepted it."""
 
-    present_at: float  # when the client was known not to have left, ms
     def disconnected(self) -> bool:
         """Whether the client has closed, reset or half-closed it."""
 
@@ -106,16 +111,16 @@
         memoryview(client.sock.recv(PEEK_BYTES, socket.MSG_PEEK))
     ):
         raise HttpError(400, "malformed request: its length is not that of its body")
+    if not host.ids.claim(name):
+        raise HttpError(409, ID_TAKEN)
     if inbound.drainer.state.active():
         inbound.drainer.log.request_taken(host.now(), name, client.number)
+    exchange.present_at = max(arrived, client.present_at)
     exchange.request = host.submit(name, message, exchange, deadline, facts, client.number)
 
 
-    if not host.ids.claim(name):
-        raise HttpError(409, ID_TAKEN)
 def _refusal_ms(client: RequestConnection, name: str) -> float | None:
     """The Retry-After time in ms if no request is accepted at present."""
-    exchange.present_at = max(arrived, client.present_at)
     inbound, host = client.inbound, client.inbound.host
     refusal = inbound.drainer.state.refusal_retry_ms(host.now())
     if refusal is not None:
@@ -123,8 +128,8 @@
         return refusal
     settings = inbound.config.settings
     # Limits memory and the number of open requests that the platform allows.
-    if inbound.held_bytes > inbound.config.max_held_bytes or host.open_requests() >= settings.max_open:
-        log("no_room", held=inbound.held_bytes, open=host.open_requests())
+    if host.open_requests() >= settings.max_open or not inbound.has_room_for_request():
+        log("no_room", held=inbound.held_bytes, charged=inbound.memory.held, open=host.open_requests())
         return settings.max_retry_after_ms
     return None
 
--- a/spoolbarrow/net/request_facts.py
+++ b/spoolbarrow/net/request_facts.py
@@ -15,6 +15,7 @@
     remedy = "Keep the names that requests use until the process that accepted them has ended."
 
 
+MAX_ID_BYTES = 256  # it is kept as long as the request is open, and logged
 MAX_BUDGET_FACTOR = 2.0  # times the class's deadline: the longest that a client's time-out is honoured
 MAX_BUDGET_MS = 86_400_000.0  # a day; a longer time-out is invalid
 MARGIN_SHARE = 0.25  # of the client's time-out: upper bound of the safety margin for the response's way back
@@ -27,8 +28,11 @@
     The budget is the client's time-out, less a margin for the response's way back.
     """
     fields = message.fields
-    if not fields.get(b"x-correlation-id"):
+    id = fields.get(b"x-correlation-id")
+    if not id:
         raise HttpError(400, "X-Correlation-Id: missing")
+    if len(id) > MAX_ID_BYTES:
+        raise HttpError(400, f"X-Correlation-Id: over {MAX_ID_BYTES} bytes")
     cls = _named(fields, b"x-service-class", config.classes)
     tenant = _named(fields, b"x-account", config.tenants) if config.tenants else 0
     values: dict[bytes, bytes] = {}
--- a/spoolbarrow/net/request_parser.py
+++ b/spoolbarrow/net/request_parser.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import ClassVar
 
 import httptools
 from msgspec import Struct
 
+from spoolbarrow.net.memory_account import FIELD_BYTES, MESSAGE_BYTES
+
 # Fields that two recipients could interpret differently if repeated.
 SINGLE_FIELDS = frozenset(
     b"content-length transfer-encoding host x-correlation-id x-service-class x-account x-session-key"
     b" x-time-left-ms x-facts x-repeat".split()
 )
 
+MAX_FIELDS = 100  # header fields of a request, whatever their size: each is several objects
+MAX_SMALL_CHUNKS, SMALL_CHUNK_BYTES = 512, 16  # of a body; further ones must be of this size on average
+HEAD_READ_BYTES = 1024  # read at a time where requests may follow that were not asked for yet
+
 
 class HttpError(Exception):
     """An invalid or rejected message; `status` and `headers` are for the response."""
@@ -22,17 +29,23 @@
         self.status, self.reason, self.headers = status, reason, headers
 
 
-class Message(Struct):
-    """One request as received."""
+class Message(Struct, dict=True):
+    """One request as received; `head_cost`, no part of its content, is what its head costs in memory."""
+
+    head_cost: ClassVar[int] = MESSAGE_BYTES
 
     method: bytes = b""
     target: bytes = b""
     headers: list[tuple[bytes, bytes]] = []
     fields: dict[bytes, bytes] = {}  # by lower-case name; the last value of a repeated one
-    body: bytes = b""
+    body: bytes | bytearray = b""
     keep_alive: bool = True
     accepts_chunked: bool = True  # HTTP/1.1
 
+    def memory_bytes(self) -> int:
+        """What it costs in memory."""
+        return self.head_cost + len(self.body)
+
     def path(self) -> bytes:
         """The target without its query."""
         return self.target.partition(b"?")[0]
@@ -55,19 +68,40 @@
         self.cut_short = False  # data right after the last request taken from `complete` starts no request
         self.awaits_continue = False  # the client waits for 100 Continue before the body
         self._message = Message()
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         # llhttp must not stop after "Connection: close": it can't tell the rest of a body from a new request.
         self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
         self._final = False  # a complete request announced that it is the last one
         self._framed = True  # so far, the end of each message is known
         self._in_head = False
         self._head_bytes = self._fed_bytes = self._discarded = 0
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body: bytes | bytearray = b""
+        self._body_size = self._chunks = self._trailers = 0
+
+    def release(self) -> None:
+        """End the reference cycle with the native parser; nothing more can be fed."""
+        self._parser = None
+
+    def at_rest(self) -> bool:
+        """Whether nothing of a request, and no error, has been fed since the last complete one was taken."""
+        fresh = not (self.reading or self.complete or self.undecided or self._final or self._fed_bytes)
+        return fresh and self.error is None
+
+    def next_read_bytes(self) -> int:
+        """How much to read next: the rest of a body, but little where further requests may follow.
+
+        Each request that is read has to be held until it is answered.
+        """
+        if not self.reading or self._in_head or self.error is not None:
+            return HEAD_READ_BYTES
+        length = self._message.fields.get(b"content-length")
+        if length is None:
+            return HEAD_READ_BYTES * 4
+        return max(1, int(length) - self._body_size)
 
     def feed(self, data: memoryview) -> None:
         """Parse the next data; complete requests are appended to `complete`."""
-        if self.error is not None:
+        if self.error is not None or self._parser is None:
             return
         had = len(self.complete)
         try:
@@ -91,7 +125,9 @@
         """Reject further input and free the memory of a half-read body."""
         self.error = fault
         self._discarded += self._body_size
-        self._body, self._body_size = [], 0
+        self._body, self._body_size = b"", 0
+        if self._in_head:
+            self._message = Message()
 
     def _reject_malformed(self, fault: HttpError) -> None:
         """Handle input that can't be parsed.
@@ -123,6 +159,18 @@
         """Bytes of request bodies in memory."""
         return self._body_size + sum(len(message.body) for message in self.complete)
 
+    def memory_bytes(self) -> int:
+        """What the requests read so far cost in memory, bodies included."""
+        cost = self._body_size + sum(message.memory_bytes() for message in self.complete)
+        if self.reading:
+            # Fields that are not complete are held by the native parser, which copies them as they grow.
+            cost += self._head_cost() + 3 * self._fed_bytes * self._in_head
+        return cost
+
+    def _head_cost(self) -> int:
+        """What the head read so far costs in memory."""
+        return MESSAGE_BYTES + self._head_bytes + FIELD_BYTES * len(self._message.headers)
+
     def on_message_begin(self) -> None:
         """httptools callback: the first byte of a request."""
         if self.error is not None:
@@ -130,8 +178,8 @@
         self._message = Message(headers=[], fields={})
         self.undecided = self._in_head = True
         self.reading = not self._final
-        self._head_bytes = self._body_size = self._discarded = 0
-        self._body = []
+        self._head_bytes = self._body_size = self._discarded = self._chunks = self._trailers = 0
+        self._body = b""
 
     def on_url(self, part: bytes) -> None:
         """httptools callback: a part of the target."""
@@ -144,17 +192,25 @@
     def on_header(self, name: bytes, value: bytes | None) -> None:
         """httptools callback: one complete header field."""
         if not self._in_head:
-            return  # trailers of chunked bodies are ignored
+            return self._count_trailer()  # trailers of chunked bodies are ignored
         value, key = strip_whitespace(value), name.lower()
         self._grow_head(len(name) + len(value) + 4)
         if key in SINGLE_FIELDS and key in self._message.fields:
             raise HttpError(400, f"{key.decode()}: repeated")
+        if len(self._message.headers) == MAX_FIELDS:
+            raise HttpError(431, f"over {MAX_FIELDS} header fields")
         self._message.headers.append((name, value))
         self._message.fields[key] = value
 
+    def _count_trailer(self) -> None:
+        self._trailers += 1
+        if self._trailers > MAX_FIELDS and self.error is None:
+            raise HttpError(400, f"over {MAX_FIELDS} trailers")
+
     def on_headers_complete(self) -> None:
         """httptools callback: the head is complete."""
         message, parser = self._message, self._parser
+        assert parser is not None
         self._in_head = False
         message.method = parser.get_method()
         message.accepts_chunked = parser.get_http_version() == "1.1"
@@ -182,7 +238,18 @@
         if self._body_size > self._max_body:
             raise HttpError(413, "body too large")
         self.awaits_continue = False
-        self._body.append(part)
+        if not self._body:
+            self._body = part
+        elif isinstance(self._body, bytearray):
+            self._body += part
+        else:  # one buffer, however many parts
+            self._body = bytearray(self._body) + part
+
+    def on_chunk_header(self) -> None:
+        """httptools callback: a chunk begins."""
+        self._chunks += 1
+        if self._chunks > MAX_SMALL_CHUNKS + self._body_size // SMALL_CHUNK_BYTES and self.error is None:
+            raise HttpError(400, "too many small chunks")
 
     def on_message_complete(self) -> None:
         """httptools callback: the request is complete."""
@@ -190,8 +257,9 @@
             self.reading = False
             return
         self._final = not self._message.keep_alive
-        self._message.body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
-        self._body, self._body_size = [], 0
+        self._message.body = self._body
+        vars(self._message)["head_cost"] = self._head_cost()
+        self._body, self._body_size = b"", 0
         self.reading = self.awaits_continue = False
         self.complete.append(self._message)
 
--- a/spoolbarrow/net/request_writing.py
+++ b/spoolbarrow/net/request_writing.py
@@ -8,7 +8,7 @@
 
 import select
 import struct
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from contextlib import suppress
 
 import gevent
@@ -26,9 +26,9 @@
     """The send buffer is still full."""
 
 
-def send_while(sock: socket, pieces: Sequence[bytes], may_go_on: Callable[[], bool]) -> bool:
+def send_while(sock: socket, pieces: http1.Pieces, may_go_on: Callable[[], bool]) -> bool:
     """Hand all pieces to the kernel; asks `may_go_on` after each wait; whether all was written."""
-    rest: list[bytes | memoryview] = [piece for piece in pieces if piece]
+    rest: list[http1.Piece] = [piece for piece in pieces if piece]
     while rest:
         try:
             sent = sock.sendmsg(rest[: http1.IOV_MAX], [], MSG_DONTWAIT)
--- a/spoolbarrow/serve.py
+++ b/spoolbarrow/serve.py
@@ -11,9 +11,11 @@
 from gevent.event import Event
 
 from spoolbarrow import config
+from spoolbarrow.heap import configure_heap, trim_heap
 from spoolbarrow.net.host import Host
 from spoolbarrow.net.inbound import Inbound
 from spoolbarrow.net.log import default_log, log, log_problem
+from spoolbarrow.net.memory_account import resident
 from spoolbarrow.reload import DescriptorLimit, Reloader, load_operator
 
 if TYPE_CHECKING:
@@ -37,6 +39,7 @@
 
 def main() -> int:
     """Serve until SIGTERM, then finish the requests in progress."""
+    configure_heap()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # must not end a program that is still starting
     coordinator: Coordinator | None = None
     descriptors = DescriptorLimit()
@@ -71,9 +74,12 @@
         log_problem("bad_config", error)
         return error.status
     default_log.start()
+    trim_heap()
     gc.freeze()  # objects loaded so far live as long as the process
     gc.enable()
-    log("started", name=settings.name, listen=f"{settings.listen[0]}:{settings.listen[1]}")
+    inbound.memory.begin(resident())
+    listen = f"{settings.listen[0]}:{settings.listen[1]}"
+    log("started", name=settings.name, listen=listen, room=inbound.memory.capacity)
     while not stop_requested.wait(GC_INTERVAL_S):
         # Connections, parsers and requests form reference cycles. With its default thresholds, the collector
         # reaches the old generation so rarely that a busy minute's worth of them accumulates.
