More connections are accepted than can be read at once within the memory limit

Cause: a connection was accepted at the price of one at rest; when all of them had unread input behind a request in the same moment, each took a greenlet's stack more, 6.9 MB charged of 4.9. Evidence: 252 connections, 273 greenlets of readers, 12 requests in flight at the peak. Mend: no more connections than could all be read at the same time within the account, some 200 at 32 MB.

--- a/spoolbarrow/net/inbound.py
+++ b/spoolbarrow/net/inbound.py
@@ -19,9 +19,6 @@
 from spoolbarrow.net.http1 import Message
 from spoolbarrow.net.log import log, log_exception
 from spoolbarrow.net.memory_account import (
-    CONNECTION_BYTES,
-    NEW_CONNECTIONS_SHARE,
-    READER_BYTES,
     READING_SHARE,
     REQUEST_BYTES,
     MemoryAccount,
@@ -234,8 +231,8 @@
     def _has_room(self) -> bool:
         """Whether another connection can be served."""
         self.memory.check_limit(self.host.now())
-        fits = self.memory.fits(CONNECTION_BYTES + READER_BYTES, NEW_CONNECTIONS_SHARE)
-        return fits and len(self._clients) < self.config.max_inbound
+        count = len(self._clients)
+        return count < self.config.max_inbound and self.memory.may_connect(count + 1)
 
     def make_room_to_read(self) -> bool:
         """Whether requests may be read further: bodies and memory are within their bounds."""
--- a/spoolbarrow/net/memory_account.py
+++ b/spoolbarrow/net/memory_account.py
@@ -111,6 +111,12 @@
         if by < 0:
             self._released -= by
 
+    def may_connect(self, connections: int) -> bool:
+        """Whether so many connections could all be read at once, as they may be from one moment on."""
+        each = CONNECTION_BYTES + INPUT_BYTES + READER_BYTES
+        share = NEW_CONNECTIONS_SHARE * self.capacity
+        return connections * each <= share and self.held + each <= share
+
     def fits(self, more: int, share: float = 1.0) -> bool:
         """Whether so much more can be held within a share of the capacity."""
         return self.held + more <= share * self.capacity
--- a/tests/test_client_terms.py
+++ b/tests/test_client_terms.py
@@ -23,6 +23,7 @@
         34,  # an upgrade, and ids that come again
         107,  # SIGTERM, and a crowd of slow heads
         120,  # reloads in series
+        335,  # SIGTERM, and a crowd of slow pipelines that all have unread input at once
     ],
 )
 def test_drawn_clients_break_no_term(tmp_path: Path, seed: int) -> None:
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -11,8 +11,11 @@
 from spoolbarrow import config
 from spoolbarrow.net.http1 import HttpError, RequestParser, ResponseParser
 from spoolbarrow.net.memory_account import (
+    CONNECTION_BYTES,
+    INPUT_BYTES,
     MIB,
     MIN_CAPACITY_BYTES,
+    READER_BYTES,
     MemoryAccount,
     Resident,
     capacity_bytes,
@@ -92,6 +95,15 @@
     assert capacity_bytes(32.0, Resident(0, 0)) < 32 * MIB
 
 
+def test_no_more_connections_are_accepted_than_can_all_be_read_at_once() -> None:
+    made = account(32.0, 25.0, 9.0)
+    each = CONNECTION_BYTES + INPUT_BYTES + READER_BYTES
+    most = max(count for count in range(1000) if made.may_connect(count))
+    assert most * each <= made.capacity < 2 * most * each
+    made.change(made.capacity)
+    assert not made.may_connect(1)
+
+
 def test_the_capacity_shrinks_near_the_limit_and_recovers() -> None:
     made = account(64.0, 24.0, 9.0)
     full = made.capacity
