--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -197,9 +197,10 @@
 
     def _reject_open(self, fault: HttpError) -> None:
         """Reject the request in flight as malformed, unless an endpoint has it already."""
+            exchange.release()
         self.input.parser_in_use().refuse(fault)
-        request = self._unsent()
-        if request is not None:
+        exchange, request = self.exchange, self._unsent()
+        if exchange is not None and request is not None:
             self.exchange = None
             self.inbound.host.client_left(request)
         self._advance()
