One peek and one write that never block, where five places had their own

http1.send_available and request_writing.send_while wrote gathered pieces in the same way; the second calls the first. The reader's look at unread input, the check for a disconnect and the count of unread bytes are one peek. What stands for a parser at rest answers at_rest and release itself, and drops two attributes that nothing read. Behaviour is as it was.

--- a/spoolbarrow/net/client.py
+++ b/spoolbarrow/net/client.py
@@ -98,15 +98,10 @@
         events = http1.poll_now(self.sock, select.POLLIN | select.POLLRDHUP)
         if not events or events & ENDED:
             return events != 0  # without POLLRDHUP support, only a read finds a half-close
-        self.sock.settimeout(0.0)
         try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
+            return http1.peek_now(self.sock, 1) == b""
         except OSError:
             return True
-        finally:
-            self.sock.settimeout(None)
 
     def all_acknowledged(self) -> bool:
         """Whether the client's host has acknowledged everything that was written."""
@@ -151,7 +146,7 @@
             return False
         return not (self.exchange or parser.complete) or (parser.undecided and self._unsent() is not None)
 
-    def unread_step(self, data: memoryview) -> ReadStep:
+    def unread_step(self, data: bytes) -> ReadStep:
         """What to do about input that begins like this, or about the end of input."""
         if self.may_read():
             return ReadStep.READ
@@ -189,20 +184,20 @@
         sent = request is not None and any(attempt.connection for attempt in request.attempts)
         return None if sent else request
 
-    def proves_bad_length(self, data: memoryview) -> bool:
+    def proves_bad_length(self, data: bytes) -> bool:
         """Whether data right after the last request starts no request: that one is truncated or smuggled."""
         if self.input.parser.reading or self.input.parser.undecided or self.has_read_ahead():
             return False
-        return not http1.may_begin_request(bytes(data))
+        return not http1.may_begin_request(data)
 
     def _reject_open(self, fault: HttpError) -> None:
         """Reject the request in flight as malformed, unless an endpoint has it already."""
-            exchange.release()
         self.input.parser_in_use().refuse(fault)
         exchange, request = self.exchange, self._unsent()
         if exchange is not None and request is not None:
             self.exchange = None
             self.inbound.host.client_left(request)
+            exchange.release()
         self._advance()
 
     def start_reading(self) -> None:
--- a/spoolbarrow/net/client_reader.py
+++ b/spoolbarrow/net/client_reader.py
@@ -40,7 +40,14 @@
 
     error = None
     complete = ()
-    reading = undecided = cut_short = awaits_continue = False
+    reading = undecided = False
+
+    def at_rest(self) -> bool:
+        """Nothing has been fed."""
+        return True
+
+    def release(self) -> None:
+        """Nothing was read."""
 
     def held_bytes(self) -> int:
         """No body is held."""
@@ -76,7 +83,7 @@
     def is_closed(self) -> bool:
         """Whether its socket is closed."""
 
-    def unread_step(self, data: memoryview) -> ReadStep:
+    def unread_step(self, data: bytes) -> ReadStep:
         """What to do about input that begins like this, or about the end of input."""
 
     def fed(self, parser: http1.RequestParser, data: memoryview) -> None:
@@ -131,9 +138,7 @@
 
     def release(self) -> None:
         """Free what was read, after the connection's end, and the reference cycle with the connection."""
-        if isinstance(self.parser, http1.RequestParser):
-            self.parser.release()
-            self.parser = NO_INPUT
+        self._drop_parser()
         if self.greenlet is None:
             vars(self).pop("_connection", None)
 
@@ -184,7 +189,7 @@
         """Read the next input if there is any and it may be read."""
         connection = self._connection
         try:
-            step = self._await_readable(view)
+            step = self._await_readable()
             if step is not ReadStep.READ:
                 return step
             parser = self.parser_in_use()
@@ -204,13 +209,13 @@
             connection.reading_failed()
         return ReadStep.READ
 
-    def _await_readable(self, view: memoryview) -> ReadStep:
+    def _await_readable(self) -> ReadStep:
         """Wait until input that has arrived may be read."""
         while not self._connection.lingering:
-            size = self._peek(view)
-            if size is None:
+            data = http1.peek_now(self._sock, PEEK_BYTES)
+            if data is None:
                 return ReadStep.REST
-            step = self._connection.unread_step(view[:size])
+            step = self._connection.unread_step(data)
             if step in (ReadStep.READ, ReadStep.END):
                 return step
             if step is ReadStep.WAIT:
@@ -219,16 +224,6 @@
                 self._wakeup = None
         return ReadStep.END
 
-    def _peek(self, view: memoryview) -> int | None:
-        """How many bytes are there to be read, PEEK_BYTES at most; None if nothing has arrived."""
-        self._sock.settimeout(0.0)
-        try:
-            return self._sock.recv_into(view, PEEK_BYTES, socket.MSG_PEEK)
-        except BlockingIOError:
-            return None
-        finally:
-            self._sock.settimeout(None)
-
     def _rest(self) -> None:
         """Wait for input without a greenlet, and without a parser if no request is being read."""
         self._release_parser_at_rest()
@@ -236,12 +231,14 @@
             self._watch()
 
     def _release_parser_at_rest(self) -> None:
-        parser = self.parser
-        if isinstance(parser, http1.RequestParser) and parser.at_rest():
-            parser.release()
-            self.parser = NO_INPUT
+        if self.parser.at_rest():
+            self._drop_parser()
         self._connection.update_held_bytes()
 
+    def _drop_parser(self) -> None:
+        self.parser.release()
+        self.parser = NO_INPUT
+
     def _watch(self) -> None:
         if self._watcher is None:
             self._watcher = gevent.get_hub().loop.io(self._sock.fileno(), READ_EVENT)
--- a/spoolbarrow/net/http1.py
+++ b/spoolbarrow/net/http1.py
@@ -5,11 +5,13 @@
 import errno
 import select
 from collections.abc import Sequence
+from contextlib import suppress
 
 import httptools
 from gevent.socket import (
     AF_INET,
     IPPROTO_TCP,
+    MSG_DONTWAIT,
     MSG_PEEK,
     SO_REUSEADDR,
     SOCK_STREAM,
@@ -183,17 +185,28 @@
     return ready[0][1] if ready else 0
 
 
-def unread_bytes(sock: socket, most: int) -> int:
-    """How many bytes are unread in the kernel, `most` at most; 0 if the connection broke. Never blocks."""
+def peek_now(sock: socket, most: int) -> bytes | None:
+    """Unread input, `most` bytes at most, or empty at its end; None if nothing has arrived. Never blocks.
+
+    Raises OSError if the connection broke.
+    """
     sock.settimeout(0.0)
     try:
-        return len(sock.recv(most, MSG_PEEK))
-    except OSError:  # nothing is there, or no more than an error
-        return 0
+        return sock.recv(most, MSG_PEEK)
+    except BlockingIOError:
+        return None
     finally:
         sock.settimeout(None)
 
 
+def unread_bytes(sock: socket, most: int) -> int:
+    """How many bytes are unread in the kernel, `most` at most; 0 if the connection broke. Never blocks."""
+    try:
+        return len(peek_now(sock, most) or b"")
+    except OSError:
+        return 0
+
+
 # Errors of connect(2) that concern this machine alone: no free port, no buffer, no room in its tables.
 LOCAL_SHORTAGES = frozenset(
     {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
@@ -278,14 +291,9 @@
 def send_available(sock: socket, pieces: Pieces) -> list[Piece]:
     """Write as much as the kernel takes at once; the pieces that are left. Never blocks, raises OSError."""
     rest: list[Piece] = [piece for piece in pieces if piece]
-    sock.settimeout(0.0)
-    try:
+    with suppress(BlockingIOError):
         while rest:
-            drop_sent(rest, sock.sendmsg(rest[:IOV_MAX]))
-    except BlockingIOError:
-        pass
-    finally:
-        sock.settimeout(None)
+            drop_sent(rest, sock.sendmsg(rest[:IOV_MAX], [], MSG_DONTWAIT))
     return rest
 
 
--- a/spoolbarrow/net/request_admission.py
+++ b/spoolbarrow/net/request_admission.py
@@ -69,7 +69,7 @@
     def has_unread(self) -> bool:
         """Whether the kernel's receive buffer holds data or an end of stream."""
 
-    def proves_bad_length(self, data: memoryview) -> bool:
+    def proves_bad_length(self, data: bytes) -> bool:
         """Whether data right after the request shows that the request's length was wrong."""
 
     def abandon(self) -> None:
@@ -107,9 +107,7 @@
     if client.disconnected():  # possibly while the connection waited to be accepted
         notify_declined(inbound, message, "left")
         return client.abandon()
-    if client.has_unread() and client.proves_bad_length(
-        memoryview(client.sock.recv(PEEK_BYTES, socket.MSG_PEEK))
-    ):
+    if client.has_unread() and client.proves_bad_length(client.sock.recv(PEEK_BYTES, socket.MSG_PEEK)):
         raise HttpError(400, "malformed request: its length is not that of its body")
     if not host.ids.claim(name):
         raise HttpError(409, ID_TAKEN)
--- a/spoolbarrow/net/request_writing.py
+++ b/spoolbarrow/net/request_writing.py
@@ -12,7 +12,7 @@
 from contextlib import suppress
 
 import gevent
-from gevent.socket import MSG_DONTWAIT, SO_LINGER, SOL_SOCKET, socket, wait_write
+from gevent.socket import SO_LINGER, SOL_SOCKET, socket, wait_write
 
 from spoolbarrow.net import http1, tcpinfo
 
@@ -28,17 +28,13 @@
 
 def send_while(sock: socket, pieces: http1.Pieces, may_go_on: Callable[[], bool]) -> bool:
     """Hand all pieces to the kernel; asks `may_go_on` after each wait; whether all was written."""
-    rest: list[http1.Piece] = [piece for piece in pieces if piece]
+    rest = http1.send_available(sock, pieces)
     while rest:
-        try:
-            sent = sock.sendmsg(rest[: http1.IOV_MAX], [], MSG_DONTWAIT)
-        except BlockingIOError:
-            with suppress(_StillFull):
-                wait_write(sock.fileno(), WRITABLE_POLL_S, _StillFull())
-            if not may_go_on():
-                return False
-        else:
-            http1.drop_sent(rest, sent)
+        with suppress(_StillFull):
+            wait_write(sock.fileno(), WRITABLE_POLL_S, _StillFull())
+        if not may_go_on():
+            return False
+        rest = http1.send_available(sock, rest)
     return True
 
 
