Dead code out: an account's excess; one look-up of an id's bucket; tests share their scenes

MemoryAccount.excess was called by nobody. IdTable read its buckets in two places in the same way. Two tests of clients that leave behind unread input, and two upgrades of the drawn runs, were written twice; their assertions are as they were.

--- a/spoolbarrow/net/id_table.py
+++ b/spoolbarrow/net/id_table.py
@@ -42,8 +42,7 @@
     def has(self, id: str) -> bool:
         """Whether a request with this id is open or may have run."""
         mark = fingerprint(id)
-        slots = _BUCKET.unpack_from(self._memory, _first_slot(mark))
-        marks, expiries = slots[::2], slots[1::2]
+        _, marks, expiries = self._bucket(mark)
         return mark in marks and expiries[marks.index(mark)] > time.monotonic()
 
     def open(self, id: str) -> None:
@@ -70,9 +69,7 @@
 
     def _put(self, mark: int, expiry: int) -> None:
         """Write an entry over its own, or over the one that expires first."""
-        first = _first_slot(mark)
-        slots = _BUCKET.unpack_from(self._memory, first)
-        marks, expiries = slots[::2], slots[1::2]
+        first, marks, expiries = self._bucket(mark)
         known = mark in marks
         slot = marks.index(mark) if known else expiries.index(min(expiries))
         if expiry != EMPTY:
@@ -80,10 +77,11 @@
         elif known:
             _SLOT.pack_into(self._memory, first + slot * _SLOT.size, 0, EMPTY)
 
-
-def _first_slot(mark: int) -> int:
-    """The position of the bucket that an id may be in."""
-    return mark % BUCKETS * _BUCKET.size
+    def _bucket(self, mark: int) -> tuple[int, tuple[int, ...], tuple[int, ...]]:
+        """Where the slots are that an id may be in, their fingerprints and their expiry times."""
+        first = mark % BUCKETS * _BUCKET.size
+        slots = _BUCKET.unpack_from(self._memory, first)
+        return first, slots[::2], slots[1::2]
 
 
 class RequestIds:
--- a/spoolbarrow/net/memory_account.py
+++ b/spoolbarrow/net/memory_account.py
@@ -121,10 +121,6 @@
         """Whether so much more can be held within a share of the capacity."""
         return self.held + more <= share * self.capacity
 
-    def excess(self, share: float) -> int:
-        """By how much more is held than a share of the capacity; negative if less is."""
-        return self.held - int(share * self.capacity)
-
     def collect_garbage(self) -> None:
         """Collect cyclic garbage if much was released: it would wait for the next regular collection."""
         if self._released > GARBAGE_SHARE * self.capacity:
--- a/tests/fault_draws.py
+++ b/tests/fault_draws.py
@@ -204,12 +204,7 @@
 
     def _upgrade(self) -> None:
         """The old process may be killed at the earliest; what it took in its last 3 s may be lost then."""
-        service = self.scene.service
-        old = len(service.processes) - 1
-        service.start()
-        self._expected_ends.add(old)
-        service.processes[old].terminate()
-        self._await_end(old, KILL_S)
+        self._upgrade_from(0)
 
     def _upgrade_kill(self) -> None:
         """The new process is killed right after it was ready; another one follows."""
--- a/tests/test_request_ownership.py
+++ b/tests/test_request_ownership.py
@@ -43,17 +43,22 @@
     return written
 
 
+def send_and_leave(scene: Scene, lab: str) -> Departure:
+    """A client that sends as much as the kernel takes, and closes its connection."""
+    sock = socket.create_connection((LISTEN, scene.service.port))
+    ids = [f"x{number}" for number in range(20_000)]
+    send_until_full(sock, b"".join(request(id, lab) for id in ids))
+    sock.close()
+    return Departure(time.monotonic(), tuple(ids))
+
+
 def test_no_attempt_begins_for_a_client_that_left_behind_more_than_the_router_has_read(
     tmp_path: Path,
 ) -> None:
     with running_scene(tmp_path, 4) as scene:
         for engine in scene.engines:
             engine.full_until, engine.full_after_s = time.monotonic() + 2.0, 0.3
-        sock = socket.create_connection((LISTEN, scene.service.port))
-        ids = [f"x{number}" for number in range(20_000)]
-        send_until_full(sock, b"".join(request(id, "first=200") for id in ids))
-        sock.close()
-        left = Departure(time.monotonic(), tuple(ids))
+        left = send_and_leave(scene, "first=200")
         gevent.sleep(3.0)
         assert scene.attempts()
         assert attempts_for_departed(scene.attempts(), [left]) == []
@@ -64,11 +69,7 @@
     with running_scene(tmp_path, 2) as scene:
         process = scene.service.processes[0]
         process.send_signal(signal.SIGSTOP)
-        sock = socket.create_connection((LISTEN, scene.service.port))
-        ids = [f"x{number}" for number in range(20_000)]
-        send_until_full(sock, b"".join(request(id, "first=20") for id in ids))
-        sock.close()
-        left = Departure(time.monotonic(), tuple(ids))
+        left = send_and_leave(scene, "first=20")
         gevent.sleep(0.5)
         process.send_signal(signal.SIGCONT)
         gevent.sleep(1.0)
